--- /dev/null
+++ b/src/alderhatch/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output: no sockets, files, timers, clock reads or global random."""
