--- /dev/null
+++ b/features/support/raft_schedule.py
@@ -0,0 +1,173 @@
+"""Random schedules of faults for the in-memory cluster, and the sweep over many seeds."""
+
+from __future__ import annotations
+
+import sys
+from random import Random
+from typing import NamedTuple
+
+from alderhatch.core.raft.effects import Role
+from alderhatch.core.raft.events import AddLearner, Promote, Remove, TransferLeadership
+
+from .raft_cluster import Cluster
+
+KINDS = (
+    "propose",
+    "propose",
+    "propose",
+    "read",
+    "crash",
+    "crash_all",
+    "bounce_writing",
+    "bounce_writing",
+    "bounce",
+    "start",
+    "start",
+    "heal",
+    "isolate",
+    "cut_one_way",
+    "heal",
+    "weather",
+    "slow_disk",
+    "fail_disk",
+    "transfer",
+    "replace",
+    "promote",
+    "remove",
+)
+
+
+class Action(NamedTuple):
+    """One step of a schedule."""
+
+    kind: str
+    host: int
+    """Chooses among the hosts that the kind may be done to."""
+    amount: int
+    """How much of it, from 0 to 100."""
+    wait: int
+    """How many milliseconds pass afterwards."""
+
+
+def random_actions(random: Random, count: int) -> list[Action]:
+    return [
+        Action(
+            random.choice(KINDS),
+            random.randint(0, 20),
+            random.randint(0, 100),
+            random.choice((0, 3, 5, 8, 20, 100, 400, 1500)),
+        )
+        for _ in range(count)
+    ]
+
+
+def run_schedule(seed: int, size: int, actions: list[Action]) -> Cluster:
+    cluster = Cluster(size, seed)
+    cluster.run(800)
+    for number, action in enumerate(actions):
+        _do(cluster, action, number)
+        cluster.run(action.wait)
+        cluster.check_logs()
+    cluster.settle()
+    return cluster
+
+
+def _do(cluster: Cluster, action: Action, number: int) -> None:
+    ids = sorted(cluster.hosts)
+    chosen = ids[action.host % len(ids)]
+    leader = cluster.leader()
+    leader_id = leader.member.member_id if leader else chosen
+    is_up = cluster.hosts[chosen].node is not None
+    match action.kind:
+        case "propose":
+            target = leader_id if action.host % 4 else chosen
+            if cluster.hosts[target].node is not None:
+                for one in range(1 + action.amount // 5):
+                    cluster.propose(target, f"{number}.{one}".encode())
+        case "read":
+            for host in cluster.running():
+                cluster.read(host.member.member_id)
+        case "crash" if is_up:
+            cluster.crash(chosen)
+        case "crash_all":
+            for host in cluster.running():
+                cluster.crash(host.member.member_id)
+        case "bounce_writing":
+            # Every host with unsynced writes loses them all and is back at once.
+            for host in cluster.running():
+                if host.disk.pending and host.member.member_id != leader_id:
+                    _bounce(cluster, host.member.member_id)
+            if action.amount % 3 == 0 and leader is not None:
+                cluster.isolate(leader_id)
+        case "bounce" if is_up:
+            _bounce(cluster, chosen)
+        case "start":
+            for one in ids[: 1 + action.amount % len(ids)]:
+                cluster.start(one)
+        case "isolate":
+            cluster.isolate(leader_id if action.amount % 2 else chosen)
+        case "cut_one_way":
+            for other in ids:
+                if other != chosen and action.amount % 3:
+                    cluster.cut.add((chosen, other))
+                elif other != chosen:
+                    cluster.cut.add((other, chosen))
+        case "heal":
+            cluster.heal()
+        case "weather":
+            cluster.loss = (action.amount % 4) * 0.1
+            cluster.duplication = (action.amount % 3) * 0.2
+            cluster.delay = (0.5, 1.0 + action.amount * (3 if action.host % 2 else 0.2))
+        case "slow_disk":
+            cluster.hosts[chosen].persist_delay = 1.0 + action.amount * 5
+        case "fail_disk" if is_up and action.amount < 30:
+            cluster.fail_disk(chosen)
+        case "transfer" if leader is not None:
+            cluster.event(leader_id, TransferLeadership(0))
+        case "replace" if leader is not None and leader.node and len(ids) < 10:
+            _replace(cluster, leader_id, chosen, number)
+        case "promote" if leader is not None and leader.node:
+            for learner in leader.node.membership.learners:
+                cluster.change(leader_id, Promote(learner.member_id))
+        case "remove" if (
+            leader is not None and leader.node and len(leader.node.membership.voters) > 3
+        ):
+            cluster.change(leader_id, Remove(chosen))
+
+
+def _bounce(cluster: Cluster, member_id: str) -> None:
+    cluster.crash(member_id, loses_all_unsynced=True)
+    cluster.start(member_id)
+
+
+def _replace(cluster: Cluster, leader_id: str, chosen: str, number: int) -> None:
+    """An empty disk comes in under a new identity; now and then the old one is gone for good."""
+    leader = cluster.node(leader_id)
+    name = chosen.split(".")[0]
+    member = cluster.add_empty(f"{name}.{number + 2}")
+    cluster.change(leader_id, AddLearner(member))
+    if leader_id != chosen and leader.role is Role.LEADER and number % 2:
+        cluster.change(leader_id, Remove(chosen))
+
+
+def main() -> int:
+    """Run as many seeds as the command line says, from the one it says."""
+    count = int(sys.argv[1])
+    first = int(sys.argv[2]) if len(sys.argv) > 2 else 0
+    failed = 0
+    acknowledged = 0
+    for seed in range(first, first + count):
+        random = Random(seed)
+        actions = random_actions(random, random.randint(10, 120))
+        try:
+            cluster = run_schedule(seed, random.choice((3, 5, 7)), actions)
+            acknowledged += len(cluster.acknowledged)
+        except Exception as exc:
+            failed += 1
+            print(f"seed {seed}: {type(exc).__name__}: {exc}")
+    print(f"{count - failed} passed, {failed} failed; {acknowledged} commands acknowledged")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/alderhatch/core/raft/_replicator.py
@@ -0,0 +1,128 @@
+"""How a leader gets its log to its peers: appends with flow control, or a snapshot in pieces."""
+
+from __future__ import annotations
+
+from ...clock import Millis
+from ._member_state import MemberState
+from ._progress import Mode, Progress, SnapshotTransfer
+from .effects import SendChunk
+from .messages import Append, SnapshotReply
+
+
+class Replicator:
+    """Sends to every peer what it lacks, as far as flow control allows."""
+
+    def __init__(self, state: MemberState) -> None:
+        self._state = state
+        self.progress: dict[str, Progress] = {}
+        """The peers by their identities."""
+
+    def replicate_all(self, now: Millis) -> None:
+        """Send to each peer what it lacks and may be sent now."""
+        for peer in self.progress:
+            self.replicate(peer, now)
+
+    def replicate(self, peer: str, now: Millis) -> None:
+        """Send to one peer what it lacks and may be sent now."""
+        progress = self.progress[peer]
+        match progress.mode:
+            case Mode.PROBE:
+                self._probe(peer, progress, now)
+            case Mode.REPLICATE:
+                self._stream(peer, progress, now)
+            case Mode.SNAPSHOT:
+                return
+
+    def _probe(self, peer: str, progress: Progress, now: Millis) -> None:
+        if now < progress.probe_until:
+            return
+        if self._lacks_base(progress):
+            self._begin_snapshot(peer, progress, now)
+            return
+        progress.probe_until = now + self._state.cfg.retry
+        self._send_append(peer, progress.next_index)
+
+    def _stream(self, peer: str, progress: Progress, now: Millis) -> None:
+        cfg = self._state.cfg
+        last = self._state.log.last_index
+        while progress.next_index <= last and len(progress.inflight) < cfg.max_inflight:
+            if self._lacks_base(progress):
+                self._begin_snapshot(peer, progress, now)
+                return
+            sent_to = self._send_append(peer, progress.next_index)
+            progress.inflight.append((sent_to, now))
+            progress.next_index = sent_to + 1
+
+    def _lacks_base(self, progress: Progress) -> bool:
+        return progress.next_index <= self._state.log.base_index
+
+    def _send_append(self, peer: str, first: int) -> int:
+        log = self._state.log
+        entries = log.batch(first, self._state.cfg.max_append_bytes)
+        prev_term = log.term_at(first - 1)
+        if prev_term is None:
+            raise RuntimeError(f"entry {first - 1} is not in memory")
+        state = self._state
+        state.send(peer, Append(state.term, first - 1, prev_term, entries, state.commit_index))
+        return first - 1 + len(entries)
+
+    def retry_overdue(self, now: Millis) -> None:
+        """Send anew what was not acknowledged for too long."""
+        busy = False
+        for peer, progress in self.progress.items():
+            if progress.is_overdue(now, self._state.cfg.retry):
+                self._retry(peer, progress, now)
+            busy = busy or self._is_receiving(progress, now)
+        self._state.keep_snapshot = busy
+
+    def _is_receiving(self, progress: Progress, now: Millis) -> bool:
+        limit = now - 2 * self._state.cfg.election_timeout
+        return progress.transfer is not None and progress.acked_at > limit
+
+    def _retry(self, peer: str, progress: Progress, now: Millis) -> None:
+        if progress.transfer is None:
+            progress.become_probe()
+        elif progress.transfer.snapshot != self._state.log.snapshot:
+            self._begin_snapshot(peer, progress, now)
+        else:
+            self._send_chunk(peer, progress.transfer, now)
+
+    def _begin_snapshot(self, peer: str, progress: Progress, now: Millis) -> None:
+        snapshot = self._state.log.snapshot
+        if snapshot is None:
+            raise RuntimeError("a log without a snapshot starts at its first entry")
+        progress.mode = Mode.SNAPSHOT
+        progress.inflight.clear()
+        progress.transfer = SnapshotTransfer(snapshot, 0, now)
+        self._state.keep_snapshot = True
+        self._send_chunk(peer, progress.transfer, now)
+
+    def _send_chunk(self, peer: str, transfer: SnapshotTransfer, now: Millis) -> None:
+        transfer.sent_at = now
+        length = min(self._state.cfg.chunk_bytes, transfer.snapshot.size - transfer.offset)
+        self._state.emit(
+            SendChunk(peer, self._state.term, transfer.snapshot, transfer.offset, length)
+        )
+
+    def on_snapshot_reply(self, peer: str, reply: SnapshotReply, now: Millis) -> None:
+        """Send the next piece, or go on with entries once the snapshot is in use."""
+        progress = self.progress[peer]
+        transfer = progress.transfer
+        if transfer is None or reply.index != transfer.snapshot.index:
+            return
+        if reply.installed:
+            progress.match_index = max(progress.match_index, reply.index)
+            progress.become_probe()
+            self.replicate(peer, now)
+            return
+        if transfer.snapshot != self._state.log.snapshot:
+            self._begin_snapshot(peer, progress, now)
+            return
+        # A late answer to an earlier piece must not turn the transfer back: each would then be
+        # answered by a piece, and the pieces would multiply.
+        if reply.next_offset == transfer.offset:
+            return
+        if reply.next_offset >= transfer.snapshot.size and transfer.snapshot.size > 0:
+            return
+        transfer.offset = reply.next_offset
+        self._send_chunk(peer, transfer, now)
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -36,6 +36,30 @@
     )
     ENTRY_FAULT = EventRow(1090, logging.ERROR, "A fault in the entry itself; see the traceback.")
 
+    LOG_FOUNDED = EventRow(3000, logging.INFO, "This host founded a new cluster.")
+    LOG_JOINED = EventRow(3001, logging.INFO, "This host's new data folder belongs to a cluster.")
+    LOG_FOLDER_IS_NEW = EventRow(
+        3002,
+        logging.WARNING,
+        "The data folder is empty, but other hosts remember a cluster; repair this host.",
+    )
+    LOG_ROLE_CHANGED = EventRow(3010, logging.INFO, "The role, the term or the leader changed.")
+    LOG_STATE_RESTORED = EventRow(3011, logging.INFO, "The state was restored from a snapshot.")
+    LOG_TAIL_CUT = EventRow(
+        3020, logging.WARNING, "A write that a crash had interrupted was cut off the journal."
+    )
+    LOG_STORAGE_FAILED = EventRow(
+        3021,
+        logging.ERROR,
+        "The disk is full or failed; this host takes no part until it is started anew.",
+    )
+    LOG_PEER_REFUSED = EventRow(
+        3030, logging.WARNING, "A control host of another name or cluster was met."
+    )
+    LOG_LINK_SILENT = EventRow(
+        3031, logging.WARNING, "A link to a control host gave no answer and is dialled anew."
+    )
+
     LINK_REFUSED = EventRow(4000, logging.WARNING, "A peer failed the authentication of a link.")
     LINK_MESSAGE_REFUSED = EventRow(4001, logging.WARNING, "A peer sent no valid message.")
 
