--- a/src/alderhatch/settings/models.py
+++ b/src/alderhatch/settings/models.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Annotated
 
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, WithJsonSchema
 
 from ..clock import Millis
 
@@ -17,7 +17,9 @@
 
 
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
-Address = Annotated[str, AfterValidator(_check_ip)]
+Address = Annotated[
+    str, AfterValidator(_check_ip), WithJsonSchema({"type": "string", "format": "ip"})
+]
 Port = Annotated[int, Field(ge=0, le=65535)]
 """A TCP port; 0 lets the kernel choose, which only tests and the demo use."""
 Span = Annotated[Millis, Field(gt=0, le=86_400_000)]
