--- /dev/null
+++ b/src/alderhatch/http/server.py
@@ -0,0 +1,206 @@
+"""An HTTP/1.1 server by h11 on trio sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import TypeAlias
+from urllib.parse import parse_qsl, urlsplit
+
+import h11
+import trio
+
+from ..clock import SECOND
+from ..errors import AlderhatchError, ErrorKind, Failure
+from ..log import log_event
+from ..log_events import LogEvent
+from .messages import HttpLimits, HttpRequest, HttpResponse, failure_response
+
+Handler: TypeAlias = Callable[[HttpRequest], Awaitable[HttpResponse]]
+READ_BYTES = 65_536
+MAX_EARLY_BYTES = 65_536
+"""What a client may send ahead while its request is being answered."""
+
+
+async def serve_http(
+    listeners: list[trio.SocketListener],
+    handler: Handler,
+    limits: HttpLimits = HttpLimits(),
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Answer HTTP requests until cancelled.
+
+    The handler is cancelled when its client closes the connection. What the handler raises as
+    ``AlderhatchError`` becomes the answer of the table of errors; anything else is logged and
+    answered as ``internal``.
+
+    Args:
+        listeners: Open listening sockets.
+        handler: Called once for each whole request.
+        limits: What is taken from one client; more connections than the limit are closed at once.
+        task_status: Told when requests are taken.
+    """
+    open_connections = 0
+
+    async def on_connection(stream: trio.SocketStream) -> None:
+        nonlocal open_connections
+        if open_connections >= limits.connections:
+            await trio.aclose_forcefully(stream)
+            return
+        open_connections += 1
+        try:
+            await _ServerConnection(stream, handler, limits).run()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+        finally:
+            open_connections -= 1
+            await trio.aclose_forcefully(stream)
+
+    await trio.serve_listeners(on_connection, listeners, task_status=task_status)
+
+
+class _ServerConnection:
+    """One client's connection, which carries requests one after the other."""
+
+    def __init__(self, stream: trio.SocketStream, handler: Handler, limits: HttpLimits) -> None:
+        self._stream = stream
+        self._handler = handler
+        self._limits = limits
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
+        self._early = b""
+
+    async def run(self) -> None:
+        while True:
+            try:
+                req = await self._read_request()
+            except AlderhatchError as exc:
+                log_event(LogEvent.CALLER_INPUT_REFUSED, why=str(exc))
+                await self._send(failure_response(exc.failure), close=True)
+                return
+            if req is None:
+                return
+            response = await self._handle(req)
+            if response is None:
+                return
+            await self._send(response)
+            if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
+                return
+            self._http.start_next_cycle()
+
+    async def _read_request(self) -> HttpRequest | None:
+        with trio.move_on_after(self._limits.idle_timeout / SECOND):
+            if not await self._first_bytes():
+                return None
+            # A client that sends a byte now and then would hold its connection and this task for
+            # good; many of them shut everyone else out. The whole request has to arrive in time.
+            with trio.move_on_after(self._limits.request_timeout / SECOND):
+                return await self._read_whole()
+            raise _refused(ErrorKind.TOO_SLOW, "the request did not arrive whole in time")
+        return None
+
+    async def _first_bytes(self) -> bool:
+        if self._http.trailing_data[0]:
+            return True
+        data = self._early or await self._stream.receive_some(READ_BYTES)
+        self._early = b""
+        if not data:
+            return False
+        self._http.receive_data(data)
+        return True
+
+    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as exc:
+                large = exc.error_status_hint == 431
+                kind = ErrorKind.TOO_LARGE if large else ErrorKind.BAD_REQUEST
+                raise _refused(kind, f"not HTTP/1.1: {exc}") from exc
+            if event is not h11.NEED_DATA:
+                return event  # type: ignore[return-value]
+            if self._http.they_are_waiting_for_100_continue:
+                go_on = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
+                await self._stream.send_all(self._http.send(go_on) or b"")
+            self._http.receive_data(await self._stream.receive_some(READ_BYTES))
+
+    async def _read_whole(self) -> HttpRequest | None:
+        head = await self._next_event()
+        if isinstance(head, h11.ConnectionClosed):
+            return None
+        if not isinstance(head, h11.Request):
+            raise _refused(ErrorKind.BAD_REQUEST, "expected a request")
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                break
+            if not isinstance(event, h11.Data):
+                raise _refused(ErrorKind.BAD_REQUEST, "the request ended early")
+            size += len(event.data)
+            if size > self._limits.body_bytes:
+                message = f"the body is larger than {self._limits.body_bytes} bytes"
+                raise _refused(ErrorKind.TOO_LARGE, message)
+            chunks.append(bytes(event.data))
+        return _to_request(head, b"".join(chunks))
+
+    async def _handle(self, req: HttpRequest) -> HttpResponse | None:
+        """Run the handler; return None if the client went away meanwhile."""
+        response: HttpResponse | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_client, nursery.cancel_scope)
+            response = await self._answer(req)
+            nursery.cancel_scope.cancel()
+        return response
+
+    async def _answer(self, req: HttpRequest) -> HttpResponse:
+        try:
+            return await self._handler(req)
+        except AlderhatchError as exc:
+            return failure_response(exc.failure)
+        except Exception as exc:
+            log_event(LogEvent.ENTRY_FAULT, exc=exc, path=req.path)
+            return failure_response(Failure(ErrorKind.INTERNAL, "a fault in alderhatch"))
+
+    async def _watch_client(self, scope: trio.CancelScope) -> None:
+        # Work for a client that has gone is wasted load on the upstreams. Its end of the
+        # connection closing shows as an empty read, upon which the handler is cancelled.
+        while len(self._early) < MAX_EARLY_BYTES:
+            try:
+                data = await self._stream.receive_some(READ_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+            if not data:
+                scope.cancel()
+                return
+            self._early += bytes(data)
+
+    async def _send(self, response: HttpResponse, close: bool = False) -> None:
+        headers = [("Content-Type", response.content_type)]
+        headers.append(("Content-Length", str(len(response.body))))
+        headers += response.headers
+        if close:
+            headers.append(("Connection", "close"))
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        head = h11.Response(status_code=response.status, headers=headers)
+        data = self._http.send(head) or b""
+        data += self._http.send(h11.Data(data=response.body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        with trio.move_on_after(self._limits.request_timeout / SECOND):
+            await self._stream.send_all(data)
+            return
+        raise trio.BrokenResourceError("the client does not read its answer")
+
+
+def _to_request(head: h11.Request, body: bytes) -> HttpRequest:
+    try:
+        parts = urlsplit(head.target.decode("ascii"))
+        query = dict(parse_qsl(parts.query, keep_blank_values=True))
+    except ValueError as exc:
+        raise _refused(ErrorKind.BAD_REQUEST, f"the target is no path: {exc}") from exc
+    headers = {name.decode("ascii"): value.decode("latin-1") for name, value in head.headers}
+    return HttpRequest(head.method.decode("ascii"), parts.path, query, headers, body)
+
+
+def _refused(kind: ErrorKind, message: str) -> AlderhatchError:
+    return AlderhatchError(Failure(kind, message))
