HTTP server: the type of its started signal

Cause: the strict type check refused the signal's type. Change: the signal carries the listeners, as trio's own server does.

--- a/src/alderhatch/http/server.py
+++ b/src/alderhatch/http/server.py
@@ -25,7 +25,7 @@
     listeners: list[trio.SocketListener],
     handler: Handler,
     limits: HttpLimits = HttpLimits(),
-    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    task_status: trio.TaskStatus[list[trio.SocketListener]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Answer HTTP requests until cancelled.
 
