--- /dev/null
+++ b/src/alderhatch/entry/caller_api.py
@@ -0,0 +1,97 @@
+"""The caller API: HTTP bodies to and from the core's types."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any
+
+import orjson
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+from typing_extensions import TypedDict
+
+from ..clock import Millis
+from ..core.entry_events import Answered, Outcome, Refused
+from ..core.priority import Priority
+from ..core.request import Request
+from ..core.rule import MAX_DEADLINE
+from ..errors import AlderhatchError, ErrorKind, Failure
+from ..http.messages import HttpRequest, HttpResponse, failure_response
+
+Word = Annotated[str, Field(min_length=1, max_length=200)]
+
+
+class QueryBody(TypedDict, total=False):
+    """The JSON body of ``POST /query`` and ``POST /run``."""
+
+    __pydantic_config__ = ConfigDict(extra="forbid")  # type: ignore[misc]
+
+    request_id: Annotated[Word, Field()]
+    caller: Word
+    kind: Word
+    upstream: Word
+    zone: str
+    priority: Priority
+    deadline_ms: Annotated[Millis, Field(gt=0, le=MAX_DEADLINE)]
+    query: dict[str, Any]
+
+
+REQUIRED = ("request_id", "caller", "kind", "upstream", "query")
+_BODY = TypeAdapter(QueryBody)
+
+
+def parse_request(req: HttpRequest, idempotent: bool) -> Request:
+    """Read a caller's request.
+
+    Args:
+        req: The HTTP request.
+        idempotent: Whether the request may be repeated; that follows from its path.
+
+    Raises:
+        AlderhatchError: With kind ``bad_request``, naming the field.
+    """
+    try:
+        body = _BODY.validate_python(orjson.loads(req.body))
+    except orjson.JSONDecodeError as exc:
+        raise _bad("body", f"not JSON: {exc}") from exc
+    except ValidationError as exc:
+        first = exc.errors()[0]
+        raise _bad(".".join(map(str, first["loc"])) or "body", first["msg"]) from exc
+    for field in REQUIRED:
+        if field not in body:
+            raise _bad(field, "missing")
+    return Request(
+        body["request_id"],
+        body["caller"],
+        body["kind"],
+        body["upstream"],
+        orjson.dumps(body["query"]),
+        idempotent,
+        body.get("priority", Priority.NORMAL),
+        body.get("zone", ""),
+        body.get("deadline_ms"),
+        req.headers,
+    )
+
+
+def outcome_response(request_id: str, outcome: Outcome) -> HttpResponse:
+    """Return the HTTP response that shows an outcome to its caller."""
+    match outcome:
+        case Answered():
+            return HttpResponse(200, orjson.dumps(_answer_body(request_id, outcome)))
+        case Refused(failure=failure, rule=rule, revision=revision):
+            return failure_response(failure, request_id=request_id, rule=rule, revision=revision)
+
+
+def _answer_body(request_id: str, outcome: Answered) -> dict[str, object]:
+    return {
+        "request_id": request_id,
+        "snapshot": {"version": outcome.snapshot.version, "epoch": outcome.snapshot.epoch},
+        "coverage": outcome.coverage,
+        "missing": [{"shard": item.shard, "reason": item.reason} for item in outcome.missing],
+        "rule": outcome.rule,
+        "revision": outcome.revision,
+        "rows": outcome.rows,
+    }
+
+
+def _bad(field: str, message: str) -> AlderhatchError:
+    return AlderhatchError(Failure(ErrorKind.BAD_REQUEST, f"{field}: {message}", field))
--- /dev/null
+++ b/src/alderhatch/standin/deployments.py
@@ -0,0 +1,52 @@
+"""The two deployments of the brief, as shapes for the stand-ins."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from .standin_upstream import UpstreamShape
+
+
+class Deployment(NamedTuple):
+    """One user's zones and upstreams, and the kinds of request that it makes."""
+
+    name: str
+    zones: tuple[str, ...]
+    upstreams: tuple[UpstreamShape, ...]
+    kinds: dict[str, str]
+    """For each upstream the kind of request that the demo sends to it."""
+
+
+BRAZOS = Deployment(
+    "Brazos Courier Robotics",
+    ("austin-hall", "waco-hall", "temple-hall"),
+    (
+        UpstreamShape("navigator", 20, 2, 2, 30, 6.0),
+        UpstreamShape("deskline", 30, 2, 2, 30, 6.0),
+        UpstreamShape("kitchenpass", 1, 4, 3, 130, 1.0),
+        UpstreamShape("linenlog", 1, 3, 3, 130, 1.0),
+    ),
+    {
+        "navigator": "route",
+        "deskline": "route",
+        "kitchenpass": "order-status",
+        "linenlog": "log-lookup",
+    },
+)
+
+TRAFIKKFORBUND = Deployment(
+    "Norsk Radioreklame Trafikkforbund",
+    ("nydalen", "ulven", "skoyen", "grorud"),
+    (
+        UpstreamShape("clashwatch", 20, 2, 2, 30, 6.0),
+        UpstreamShape("spotbook", 30, 2, 2, 30, 6.0),
+        UpstreamShape("sendelogg", 1, 4, 4, 50, 1.0),
+        UpstreamShape("rotasjon", 1, 4, 4, 50, 1.0),
+    ),
+    {
+        "clashwatch": "conflict-check",
+        "spotbook": "conflict-check",
+        "sendelogg": "log-lookup",
+        "rotasjon": "rotation",
+    },
+)
