The seam between the entry's core and what is round it

Cause: core and shell are built side by side and need the same events and effects. Change: events for health, leaving servers, the lease, the stop and the run ledger's answer; effects for claims, outcomes and crash reports. None is acted on yet.

--- a/src/alderhatch/core/entry_events.py
+++ b/src/alderhatch/core/entry_events.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any, NamedTuple, TypeAlias
 
 from ..clock import Millis
-from ..errors import Failure
+from ..errors import Failure, Ran
 from .request import Request
 from .rule_list import RuleList
 from .shard_map import ShardMap, Snapshot
@@ -117,6 +118,79 @@
     """The time of the last ``WakeAt`` has come."""
 
 
+class ServerState(StrEnum):
+    """What a server's health endpoint says; a hint that can lag or mislead."""
+
+    READY = "ready"
+    STARTING = "starting"
+    DRAINING = "draining"
+    UNREACHABLE = "unreachable"
+    """The health endpoint gave no valid answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class HealthReported:
+    """A server's health endpoint was read."""
+
+    server_id: str
+    state: ServerState
+    load: LoadReport | None
+    boot_id: str | None
+    """Changes with each start of the server; None if it does not say."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServersLeaving:
+    """Which servers some source says are leaving; each source's word replaces its earlier one."""
+
+    source: str
+    """``platform`` or ``control``."""
+    server_ids: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseChanged:
+    """The entry's lease was renewed."""
+
+    serve_until: Millis
+    """The point in time after which no new request is taken, unless it is renewed before."""
+    shares: Mapping[str, int]
+    """How many connections this entry may hold to each server, by server id."""
+    quarantined: frozenset[str]
+    """Fingerprints of requests that no upstream may be sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopRequested:
+    """The entry takes no new request from now on; what runs goes on to its end."""
+
+
+class Claim(StrEnum):
+    """What the run ledger answered to a claim."""
+
+    GRANTED = "granted"
+    """The claim is on a majority of disks; the request may be sent, once."""
+    DONE = "done"
+    """It ran before; the stored outcome comes along."""
+    IN_PROGRESS = "in_progress"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    ID_REUSED = "id_reused"
+    """The id was used before with another body."""
+    ID_TOO_OLD = "id_too_old"
+    UNAVAILABLE = "unavailable"
+    """No majority answered in time; the claim may be recorded, but nothing was sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimDecided:
+    """The run ledger answered a ``ClaimRun``."""
+
+    query: int
+    claim: Claim
+    stored: bytes | None = None
+    """The stored outcome's bytes, as ``RecordOutcome`` gave them, for ``done``."""
+
+
 EntryEvent: TypeAlias = (
     QueryArrived
     | CallerGone
@@ -124,6 +198,11 @@
     | AttemptFailed
     | ShardMapFetched
     | RulesChanged
+    | HealthReported
+    | ServersLeaving
+    | LeaseChanged
+    | StopRequested
+    | ClaimDecided
     | Woke
 )
 
@@ -162,6 +241,38 @@
     at: Millis
 
 
+@dataclass(frozen=True, slots=True)
+class ClaimRun:
+    """Claim a request that may not be repeated in the run ledger; ``ClaimDecided`` follows."""
+
+    query: int
+    caller: str
+    request_id: str
+    fingerprint: str
+    """A hash of the body; the same id with another one is refused."""
+
+
+@dataclass(frozen=True, slots=True)
+class RecordOutcome:
+    """Store the outcome of a claimed request in the run ledger, for resends."""
+
+    query: int
+    caller: str
+    request_id: str
+    ran: Ran
+    """``not_run`` releases the claim, so that a resend may run."""
+    outcome: bytes
+    """The outcome in the core's own encoding; empty unless it ran."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReportCrash:
+    """Tell control that a request was running on a server which then crashed."""
+
+    fingerprint: str
+    server_id: str
+
+
 class MissingShard(NamedTuple):
     """A shard that an answer does not cover, with the reason."""
 
@@ -203,4 +314,6 @@
     outcome: Outcome
 
 
-EntryEffect: TypeAlias = SendShard | CancelAttempt | WakeAt | Finish
+EntryEffect: TypeAlias = (
+    SendShard | CancelAttempt | WakeAt | ClaimRun | RecordOutcome | ReportCrash | Finish
+)
--- a/src/alderhatch/core/request.py
+++ b/src/alderhatch/core/request.py
@@ -30,5 +30,8 @@
     """The caller's availability zone, empty if it did not say."""
     deadline_ms: Millis | None = None
     """The span within which the caller wants the answer, if it said one."""
+    key: str = ""
+    """What a request that may not be repeated is about, such as a room; it decides the shard that
+    runs it. Empty: the request id decides."""
     headers: Mapping[str, str] = field(default_factory=dict)
     """Header fields with lower-case names."""
--- a/src/alderhatch/entry/caller_api.py
+++ b/src/alderhatch/entry/caller_api.py
@@ -68,7 +68,7 @@
         body.get("priority", Priority.NORMAL),
         body.get("zone", ""),
         body.get("deadline_ms"),
-        req.headers,
+        headers=req.headers,
     )
 
 
