--- /dev/null
+++ b/src/alderhatch/metric_catalogue.py
@@ -0,0 +1,100 @@
+"""The closed catalogue of metrics.
+
+docs/METRICS.md shows the same list and a test compares the two. Another test makes sure that each
+metric is set somewhere in the code.
+"""
+
+from __future__ import annotations
+
+from enum import Enum, StrEnum
+from typing import NamedTuple
+
+
+class MetricKind(StrEnum):
+    """How a metric moves."""
+
+    COUNTER = "counter"
+    """Only goes up while the process runs."""
+    GAUGE = "gauge"
+    HISTOGRAM = "histogram"
+
+
+class Unit(StrEnum):
+    """What a metric counts in."""
+
+    ONE = "1"
+    SECONDS = "seconds"
+    BYTES = "bytes"
+    FRACTION = "fraction"
+
+
+class MetricRow(NamedTuple):
+    """What the catalogue says about one metric."""
+
+    name: str
+    kind: MetricKind
+    unit: Unit
+    meaning: str
+    labels: tuple[str, ...] = ()
+
+
+class Metric(Enum):
+    """Every metric that a process of alderhatch may show."""
+
+    PROCESS_CPU = MetricRow(
+        "alderhatch_process_cpu_seconds_total",
+        MetricKind.COUNTER,
+        Unit.SECONDS,
+        "Processor time that the process has used, of user and system together.",
+    )
+    PROCESS_MEMORY = MetricRow(
+        "alderhatch_process_max_resident_bytes",
+        MetricKind.GAUGE,
+        Unit.BYTES,
+        "The most memory that the process has held so far.",
+    )
+    PROCESS_UPTIME = MetricRow(
+        "alderhatch_process_uptime_seconds",
+        MetricKind.GAUGE,
+        Unit.SECONDS,
+        "Time since the process started.",
+    )
+    ENTRY_REQUESTS = MetricRow(
+        "alderhatch_entry_requests_total",
+        MetricKind.COUNTER,
+        Unit.ONE,
+        "Requests that were given an answer; outcome is answered or the kind of error.",
+        ("rule", "outcome"),
+    )
+    ENTRY_DURATION = MetricRow(
+        "alderhatch_entry_request_duration_seconds",
+        MetricKind.HISTOGRAM,
+        Unit.SECONDS,
+        "From a request's last byte until its answer is ready, for requests that were answered.",
+        ("rule",),
+    )
+    ENTRY_COVERAGE = MetricRow(
+        "alderhatch_entry_coverage",
+        MetricKind.HISTOGRAM,
+        Unit.FRACTION,
+        "The coverage of answers. The bucket le=0.99 counts those that cover 0.99 or less.",
+        ("rule",),
+    )
+    ENTRY_SHARD_REQUESTS = MetricRow(
+        "alderhatch_entry_shard_requests_total",
+        MetricKind.COUNTER,
+        Unit.ONE,
+        "Shard requests sent, hedges and retries included.",
+    )
+    ENTRY_SHARD_REQUESTS_NEEDED = MetricRow(
+        "alderhatch_entry_shard_requests_needed_total",
+        MetricKind.COUNTER,
+        Unit.ONE,
+        "Shard requests that the queries needed; sent / needed - 1 is the extra load.",
+    )
+    ENTRY_CONNECTIONS_OPENED = MetricRow(
+        "alderhatch_entry_connections_opened_total",
+        MetricKind.COUNTER,
+        Unit.ONE,
+        "Connections opened to servers of upstreams.",
+    )
