--- /dev/null
+++ b/src/alderhatch/core/control/_change_application.py
@@ -0,0 +1,168 @@
+"""What each kind of change does to the state."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, Protocol
+
+from ...errors import AlderhatchError, ErrorKind, Failure
+from ..rule_list import RuleList, parse_rules
+from .actions import (
+    Action,
+    AddRule,
+    CancelStop,
+    ChangeSettings,
+    DepartHost,
+    EditRule,
+    HostRole,
+    LiftQuarantine,
+    MoveRule,
+    PlanStop,
+    RepairControl,
+    ReplaceRules,
+    ReturnServer,
+    WithdrawRule,
+)
+from .crash_table import CrashTable
+from .feed import (
+    LeavingPatch,
+    LeavingServer,
+    Patch,
+    QuarantinePatch,
+    RosterPatch,
+    SettingsPatch,
+    rules_patch,
+)
+from .host_table import HostTable, Quorum
+from .roster import roster_row
+from .rule_book import Author, RuleBook
+from .tier_settings import TierSettings, merge_settings, settings_to_plain
+
+
+class ChangeableState(Protocol):
+    """The part of the state that operators change."""
+
+    settings: TierSettings
+    book: RuleBook
+    hosts: HostTable
+    crashes: CrashTable
+
+
+class ChangeOutcome(NamedTuple):
+    """What a change that was taken did."""
+
+    changed: bool
+    target: str
+    """The rule, setting or host that it is about."""
+    summary: str
+    patches: tuple[Patch, ...] = ()
+    """What entries are told of it."""
+
+
+def apply_action(
+    state: ChangeableState, action: Action, author: Author, quorum: Quorum
+) -> ChangeOutcome:
+    """Carry out one action, wholly or not at all.
+
+    Args:
+        state: The state, which is changed.
+        action: What to do.
+        author: Who does it, for the rules' history.
+        quorum: The control hosts as the leader knew them.
+
+    Raises:
+        AlderhatchError: With the kind and field if the action does not fit the state.
+        RuleFaultsError: With every mistake of a rule or list of rules.
+    """
+    match action:
+        case AddRule(rule, position):
+            name = str(rule.get("name", ""))
+            after = state.book.add(rule, position)
+            return _adopt(state, after, author, name, f"added rule {name}")
+        case EditRule(name, rule):
+            after = state.book.edit(name, rule)
+            return _adopt(state, after, author, name, f"edited rule {name}")
+        case MoveRule(name, position):
+            after = state.book.move(name, position)
+            return _adopt(state, after, author, name, f"moved rule {name} to {position}")
+        case WithdrawRule(name):
+            after = state.book.withdraw(name)
+            return _adopt(state, after, author, name, f"withdrew rule {name}")
+        case ReplaceRules(rows):
+            after = parse_rules(rows)
+            summary = f"replaced the list by {len(rows)} rules"
+            return _adopt(state, after, author, "rules", summary)
+        case ChangeSettings(fields):
+            return _change_settings(state, fields)
+        case LiftQuarantine(fingerprint):
+            return _lift(state, fingerprint)
+        case _:
+            return _apply_host_action(state.hosts, action, author, quorum)
+
+
+def _adopt(
+    state: ChangeableState, after: RuleList, author: Author, target: str, summary: str
+) -> ChangeOutcome:
+    before = state.book.rules
+    if before.to_plain() == after.to_plain():
+        return ChangeOutcome(False, target, summary)
+    state.book.adopt(after, author)
+    return ChangeOutcome(True, target, summary, (rules_patch(before, after),))
+
+
+def _change_settings(state: ChangeableState, fields: dict[str, object]) -> ChangeOutcome:
+    target = ", ".join(sorted(fields))
+    settings = merge_settings(state.settings, fields)
+    if settings == state.settings:
+        return ChangeOutcome(False, target, "changed no setting")
+    state.settings = settings
+    values = ", ".join(f"{name} = {getattr(settings, name)}" for name in sorted(fields))
+    patch = SettingsPatch(settings_to_plain(settings))
+    return ChangeOutcome(True, target, f"set {values}", (patch,))
+
+
+def _lift(state: ChangeableState, fingerprint: str) -> ChangeOutcome:
+    if not state.crashes.lift(fingerprint):
+        failure = Failure(ErrorKind.NOT_FOUND, f"{fingerprint!r} is not quarantined", "fingerprint")
+        raise AlderhatchError(failure)
+    patch = QuarantinePatch([], [fingerprint])
+    return ChangeOutcome(True, fingerprint, f"lifted quarantine {fingerprint}", (patch,))
+
+
+def _apply_host_action(
+    hosts: HostTable, action: Action, author: Author, quorum: Quorum
+) -> ChangeOutcome:
+    match action:
+        case PlanStop(host, forced):
+            changed = hosts.plan_stop(action, quorum)
+            return _host_outcome(hosts, changed, host, f"planned the stop of {host}", forced)
+        case CancelStop(host):
+            changed = hosts.cancel_stop(action)
+            return _host_outcome(hosts, changed, host, f"cancelled the stop of {host}")
+        case DepartHost(host, HostRole.UPSTREAM, upstream, _):
+            changed = hosts.depart(action, quorum, author.at)
+            leaving = LeavingPatch([LeavingServer(upstream, host)], [])
+            summary = f"server {host} of {upstream} leaves"
+            return ChangeOutcome(changed, host, summary, (leaving,))
+        case DepartHost(host, role, _, forced):
+            changed = hosts.depart(action, quorum, author.at)
+            return _host_outcome(hosts, changed, host, f"{role} {host} departs", forced)
+        case ReturnServer(server, upstream):
+            changed = hosts.return_server(action)
+            returned = LeavingPatch([], [LeavingServer(upstream, server)])
+            summary = f"server {server} of {upstream} returns"
+            return ChangeOutcome(changed, server, summary, (returned,))
+        case RepairControl(host, replacement, forced=forced):
+            changed = hosts.repair(action, quorum)
+            summary = f"{replacement} takes the place of {host}"
+            return _host_outcome(hosts, changed, host, summary, forced)
+        case _:
+            raise AssertionError(f"no host action: {action!r}")
+
+
+def _host_outcome(
+    hosts: HostTable, changed: bool, host: str, summary: str, forced: bool = False
+) -> ChangeOutcome:
+    patches: tuple[Patch, ...] = ()
+    if host in hosts.entries:
+        patches = (RosterPatch([roster_row(hosts, host)], []),)
+    return ChangeOutcome(changed, host, summary + (" (forced)" if forced else ""), patches)
--- /dev/null
+++ b/src/alderhatch/core/control/host_table.py
@@ -0,0 +1,269 @@
+"""Which hosts take part, and what operators have declared about them."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+from ...clock import Millis
+from ...errors import AlderhatchError, ErrorKind, Failure
+from .actions import CancelStop, DepartHost, HostRole, PlanStop, RepairControl, ReturnServer
+from .operations import AnnounceControl, EntryKey, RegisterEntry
+
+MAX_ENTRIES = 1000
+MAX_CONTROLS = 64
+MAX_LEAVING_SERVERS = 4096
+MAX_DEPARTED = 1000
+
+
+class EntryRecord(NamedTuple):
+    """A process of an entry that may hold a lease."""
+
+    name: str
+    incarnation: str
+    zone: str
+    address: str
+    port: int
+    registered_at: Millis
+
+
+class ControlRecord(NamedTuple):
+    """A control host and what was declared about it."""
+
+    name: str
+    zone: str
+    address: str
+    port: int
+    operator_address: str
+    operator_port: int
+    mark: str
+    """Empty, ``stopping``, ``departing`` or ``replaced``."""
+    joins_for: str
+    """The host that this one replaces, until it has."""
+
+
+class Quorum(NamedTuple):
+    """The control hosts as the leader knew them when it proposed a change."""
+
+    voters: tuple[str, ...]
+    down: tuple[str, ...]
+
+
+class HostTable:
+    """Entries, control hosts and leaving upstream servers.
+
+    The checks of planned stops are made here, on the state in which the change is applied, so that
+    two stops which are each harmless alone can't both be taken.
+    """
+
+    def __init__(self) -> None:
+        self.entries: dict[str, EntryRecord] = {}
+        """The entries that may hold a lease, by name."""
+        self.controls: dict[str, ControlRecord] = {}
+        """The control hosts that have announced themselves or were declared, by name."""
+        self.stopping: dict[str, str] = {}
+        """Entries that are to stop: ``stopping`` or, for good, ``departing``, by name."""
+        self.departed: dict[str, Millis] = {}
+        """Entries that have left for good, with the time; they get no lease."""
+        self.leaving_servers: dict[tuple[str, str], Millis] = {}
+        """Servers that get no new work, by upstream and id."""
+
+    def register(self, entry: RegisterEntry, now: Millis) -> str | None:
+        """Let a process of an entry take part; return why not, if it may not."""
+        if entry.name in self.departed:
+            return f"{entry.name} has departed"
+        if entry.name not in self.entries and len(self.entries) >= MAX_ENTRIES:
+            return f"there are {MAX_ENTRIES} entries already"
+        known = self.entries.get(entry.name)
+        if known is not None and known.incarnation != entry.incarnation:
+            return f"another process of {entry.name} still holds a lease"
+        if known is None:
+            self.entries[entry.name] = EntryRecord(*entry, now)
+        return None
+
+    def is_registered(self, key: EntryKey) -> bool:
+        """Return whether a process of an entry takes part."""
+        known = self.entries.get(key.name)
+        return known is not None and known.incarnation == key.incarnation
+
+    def remove(self, key: EntryKey, now: Millis) -> bool:
+        """Take out a process of an entry; return whether it took part."""
+        if not self.is_registered(key):
+            return False
+        del self.entries[key.name]
+        if self.stopping.pop(key.name, None) == "departing":
+            self.departed[key.name] = now
+            while len(self.departed) > MAX_DEPARTED:
+                del self.departed[next(iter(self.departed))]
+        return True
+
+    def announce(self, control: AnnounceControl) -> bool:
+        """Note where a control host is reached; return whether that is news.
+
+        A host that announces itself has started, so that a planned stop of it is over.
+        """
+        known = self.controls.get(control.name)
+        if known is None and len(self.controls) >= MAX_CONTROLS:
+            return False
+        mark = known.mark if known is not None and known.mark != "stopping" else ""
+        joins_for = known.joins_for if known is not None else ""
+        record = ControlRecord(*control, mark, joins_for)
+        self.controls[control.name] = record
+        return record != known
+
+    def control_joined(self, name: str) -> None:
+        """Note that a replacement votes now."""
+        record = self.controls[name]
+        self.controls[name] = record._replace(joins_for="")
+
+    def plan_stop(self, action: PlanStop, quorum: Quorum) -> bool:
+        """Plan a stop; return whether that changes anything.
+
+        Raises:
+            AlderhatchError: ``not_found``, or ``stop_refused`` if it takes too much.
+        """
+        if action.host in self.entries:
+            return self._stop_entry(action.host, "stopping", action.forced)
+        if action.host in self.controls:
+            return self._stop_control(action.host, "stopping", action.forced, quorum)
+        raise _not_found(f"no entry or control host {action.host!r}")
+
+    def cancel_stop(self, action: CancelStop) -> bool:
+        """Take back a stop or departure; return whether that changes anything.
+
+        Raises:
+            AlderhatchError: ``not_found`` if no such host is known.
+        """
+        if self.stopping.pop(action.host, None) is not None:
+            return True
+        if self.departed.pop(action.host, None) is not None:
+            return True
+        record = self.controls.get(action.host)
+        if record is not None and record.mark in ("stopping", "departing"):
+            self.controls[action.host] = record._replace(mark="")
+            return True
+        if record is not None or action.host in self.entries:
+            return False
+        raise _not_found(f"no entry or control host {action.host!r}")
+
+    def depart(self, action: DepartHost, quorum: Quorum, now: Millis) -> bool:
+        """Declare a departure; return whether that changes anything.
+
+        Raises:
+            AlderhatchError: ``not_found``, ``stop_refused`` or ``invalid_change``.
+        """
+        match action.role:
+            case HostRole.UPSTREAM:
+                return self._leave_server(action, now)
+            case HostRole.ENTRY if action.host in self.entries:
+                return self._stop_entry(action.host, "departing", action.forced)
+            case HostRole.CONTROL if action.host in self.controls:
+                return self._stop_control(action.host, "departing", action.forced, quorum)
+            case _:
+                raise _not_found(f"no {action.role} host {action.host!r}")
+
+    def return_server(self, action: ReturnServer) -> bool:
+        """Use a leaving server again; return whether that changes anything."""
+        key = (action.upstream, action.server)
+        return self.leaving_servers.pop(key, None) is not None
+
+    def repair(self, action: RepairControl, quorum: Quorum) -> bool:
+        """Declare that a new identity takes a control host's place.
+
+        Raises:
+            AlderhatchError: ``not_found``, ``stop_refused`` or ``invalid_change``.
+        """
+        if action.host not in self.controls:
+            raise _not_found(f"no control host {action.host!r}")
+        if action.replacement in self.controls:
+            # A name that was used before may stand for votes that its old disk gave. A host with
+            # an empty disk under that name could vote twice in one term and undo a commit.
+            message = f"{action.replacement!r} was used before; a new disk needs a new name"
+            raise _invalid("replacement.name", message)
+        if not action.forced:
+            self._check_quorum(action.host, quorum)
+        record = self.controls[action.host]
+        self.controls[action.host] = record._replace(mark="replaced")
+        self.controls[action.replacement] = ControlRecord(
+            action.replacement, action.zone, action.address, action.port, "", 0, "", action.host
+        )
+        return True
+
+    def to_plain(self) -> dict[str, Any]:
+        """Return the whole state as plain maps and lists."""
+        return {
+            "entries": [list(record) for record in self.entries.values()],
+            "controls": [list(record) for record in self.controls.values()],
+            "stopping": [list(item) for item in self.stopping.items()],
+            "departed": [list(item) for item in self.departed.items()],
+            "leaving": [[*key, at] for key, at in self.leaving_servers.items()],
+        }
+
+    @classmethod
+    def from_plain(cls, plain: dict[str, Any]) -> HostTable:
+        """Return the state that ``to_plain`` gave."""
+        table = cls()
+        table.entries = {row[0]: EntryRecord(*row) for row in plain["entries"]}
+        table.controls = {row[0]: ControlRecord(*row) for row in plain["controls"]}
+        table.stopping = dict(plain["stopping"])
+        table.departed = dict(plain["departed"])
+        table.leaving_servers = {(up, server): at for up, server, at in plain["leaving"]}
+        return table
+
+    def _stop_entry(self, name: str, mark: str, forced: bool) -> bool:
+        if self.stopping.get(name) == mark:
+            return False
+        zone = self.entries[name].zone
+        others = [
+            record.name
+            for record in self.entries.values()
+            if record.zone == zone and record.name != name and record.name not in self.stopping
+        ]
+        if not others and not forced:
+            raise _refused(f"{name} is the last serving entry of availability zone {zone}")
+        self.stopping[name] = mark
+        return True
+
+    def _stop_control(self, name: str, mark: str, forced: bool, quorum: Quorum) -> bool:
+        if self.controls[name].mark == mark:
+            return False
+        if not forced:
+            self._check_quorum(name, quorum)
+        self.controls[name] = self.controls[name]._replace(mark=mark)
+        return True
+
+    def _check_quorum(self, name: str, quorum: Quorum) -> None:
+        if name not in quorum.voters:
+            return
+        marked = {record.name for record in self.controls.values() if record.mark}
+        gone = marked | set(quorum.down) | {name}
+        left = [voter for voter in quorum.voters if voter not in gone]
+        needed = len(quorum.voters) // 2 + 1
+        if len(left) >= needed:
+            return
+        raise _refused(
+            f"without {name} only {len(left)} of {len(quorum.voters)} control hosts would run, "
+            f"the quorum is {needed}"
+        )
+
+    def _leave_server(self, action: DepartHost, now: Millis) -> bool:
+        if not action.upstream:
+            raise _invalid("upstream", "a server's departure needs its upstream's name")
+        key = (action.upstream, action.host)
+        if key in self.leaving_servers:
+            return False
+        if len(self.leaving_servers) >= MAX_LEAVING_SERVERS:
+            raise _invalid("host", f"{MAX_LEAVING_SERVERS} servers are leaving already")
+        self.leaving_servers[key] = now
+        return True
+
+
+def _not_found(message: str) -> AlderhatchError:
+    return AlderhatchError(Failure(ErrorKind.NOT_FOUND, message, "host"))
+
+
+def _refused(message: str) -> AlderhatchError:
+    return AlderhatchError(Failure(ErrorKind.STOP_REFUSED, message, "host"))
+
+
+def _invalid(field: str, message: str) -> AlderhatchError:
+    return AlderhatchError(Failure(ErrorKind.INVALID_CHANGE, message, field))
--- /dev/null
+++ b/src/alderhatch/core/control/tier_settings.py
@@ -0,0 +1,59 @@
+"""The settings that hold for the whole tier and are changed by operators at run time."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass
+from typing import Annotated, Any
+
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+
+from ...clock import DAY, HOUR, MINUTE, SECOND, Millis
+from ...errors import AlderhatchError, ErrorKind, Failure
+
+
+@dataclass(frozen=True, slots=True)
+class TierSettings:
+    """A closed set of fields, each with its range."""
+
+    __pydantic_config__ = ConfigDict(extra="forbid")
+
+    hedge_budget: Annotated[float, Field(ge=0, le=1)] = 0.05
+    """Hedges as a fraction of shard requests."""
+    retry_budget: Annotated[float, Field(ge=0, le=1)] = 0.1
+    """Retries as a fraction of shard requests."""
+    crash_limit: Annotated[int, Field(ge=1, le=10)] = 2
+    """Crashes after which a body's fingerprint is quarantined."""
+    crash_window_ms: Annotated[Millis, Field(ge=SECOND, le=DAY)] = 10 * MINUTE
+    """Crashes further apart than this are not counted together."""
+    quarantine_ms: Annotated[Millis, Field(ge=SECOND, le=DAY)] = 10 * MINUTE
+    """How long a quarantine holds."""
+    ledger_horizon_ms: Annotated[Millis, Field(ge=MINUTE, le=DAY)] = HOUR
+    """How long the outcomes of runs are kept."""
+
+
+_ADAPTER = TypeAdapter(TierSettings)
+
+
+def settings_to_plain(settings: TierSettings) -> dict[str, Any]:
+    """Return the settings as a plain map that ``merge_settings`` reads back."""
+    return asdict(settings)
+
+
+def merge_settings(current: TierSettings, fields: Mapping[str, object]) -> TierSettings:
+    """Return the settings with some fields changed.
+
+    Args:
+        current: The settings in force.
+        fields: The fields to change, by name.
+
+    Raises:
+        AlderhatchError: ``invalid_change``, naming the first field at fault.
+    """
+    try:
+        return _ADAPTER.validate_python(asdict(current) | dict(fields))
+    except ValidationError as exc:
+        first = exc.errors()[0]
+        field = ".".join(str(part) for part in first["loc"])
+        failure = Failure(ErrorKind.INVALID_CHANGE, first["msg"], f"settings.{field}")
+        raise AlderhatchError(failure) from exc
