--- /dev/null
+++ b/src/alderhatch/control/_member_plan.py
@@ -0,0 +1,116 @@
+"""Brings the members of the log in line with what operators have declared."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TypeAlias
+
+import trio
+
+from ..clock import SECOND, Millis
+from ..core.control.host_table import ControlRecord
+from ..errors import AlderhatchError
+from ..log import log_event
+from ..log_events import LogEvent
+from .control_log import ControlLog
+from .observed_state import ObservedState
+from .replicated_log import LogStatus
+
+STEP_INTERVAL: Millis = 100.0
+RETRY_INTERVAL: Millis = 1 * SECOND
+
+
+class AddMember(NamedTuple):
+    """Let a replacement receive the log."""
+
+    name: str
+    address: str
+    port: int
+
+
+class PromoteMember(NamedTuple):
+    """Give a replacement its vote."""
+
+    name: str
+
+
+class RemoveMember(NamedTuple):
+    """Take out a host that departs or was replaced."""
+
+    name: str
+
+
+class HandOver(NamedTuple):
+    """Let another host lead, because this one is to stop."""
+
+
+Step: TypeAlias = AddMember | PromoteMember | RemoveMember | HandOver
+
+
+def next_step(
+    controls: dict[str, ControlRecord], status: LogStatus, caught_up: frozenset[str]
+) -> Step | None:
+    """Return the one thing to do next, or None if the members are as declared.
+
+    A replacement gets its vote before the host that it replaces loses its own: the other way
+    round, the loss of one more host in between could take the quorum.
+
+    Args:
+        controls: The control hosts as declared.
+        status: The log's members.
+        caught_up: The learners that have nearly all of the log.
+    """
+    members = {*status.voters, *status.learners}
+    for record in controls.values():
+        replacing = record.joins_for != "" and record.mark == ""
+        if replacing and record.name not in members:
+            return AddMember(record.name, record.address, record.port)
+        if replacing and record.name in status.learners:
+            return PromoteMember(record.name) if record.name in caught_up else None
+    for record in controls.values():
+        leaves = record.mark in ("departing", "replaced")
+        if leaves and record.name in members and record.name != status.host:
+            return RemoveMember(record.name)
+    own = controls.get(status.host)
+    if own is not None and own.mark != "" and len(status.voters) > 1:
+        return HandOver()
+    return None
+
+
+class MemberSteps:
+    """Takes one step at a time while this host leads."""
+
+    def __init__(self, log: ControlLog, observed: ObservedState) -> None:
+        self._log = log
+        self._observed = observed
+
+    async def run(self) -> None:
+        """Take steps until cancelled."""
+        while True:
+            step = self._next()
+            failed = step is not None and not await self._take(step)
+            await trio.sleep((RETRY_INTERVAL if failed else STEP_INTERVAL) / SECOND)
+
+    def _next(self) -> Step | None:
+        status = self._log.status()
+        ready = frozenset(name for name in status.learners if self._log.caught_up(name))
+        return next_step(self._observed.state.hosts.controls, status, ready)
+
+    async def _take(self, step: Step) -> bool:
+        try:
+            match step:
+                case AddMember(name, address, port):
+                    await self._log.add_learner(name, address, port)
+                case PromoteMember(name):
+                    await self._log.promote(name)
+                case RemoveMember(name):
+                    await self._log.remove_member(name)
+                case HandOver():
+                    await self._log.transfer_leadership()
+        except AlderhatchError as exc:
+            log_event(LogEvent.MEMBER_CHANGE_FAILED, step=repr(step), why=str(exc))
+            return False
+        event = LogEvent.MEMBER_CHANGED
+        if isinstance(step, HandOver):
+            event = LogEvent.LEADERSHIP_HANDED_OVER
+        log_event(event, step=repr(step))
+        return True
--- a/src/alderhatch/core/control/crash_table.py
+++ b/src/alderhatch/core/control/crash_table.py
@@ -19,7 +19,6 @@
     """One crash of one server."""
 
     at: Millis
-    upstream: str
     server: str
 
 
@@ -30,7 +29,7 @@
     since: Millis
     until: Millis
     servers: tuple[str, ...]
-    """The servers that crashed, as ``upstream/server``."""
+    """The ids of the servers that crashed."""
 
 
 class CrashTable:
@@ -54,7 +53,7 @@
         """Count a crash; return whether the fingerprint is quarantined because of it."""
         if report.fingerprint in self._quarantines:
             return False
-        crash = Crash(now, report.upstream, report.server)
+        crash = Crash(now, report.server)
         crashes = self._crashes.pop(report.fingerprint, ())
         crashes = tuple(c for c in crashes if c.at + settings.crash_window_ms > now)
         if not any(_is_same(c, crash) for c in crashes):
@@ -64,7 +63,7 @@
             while len(self._crashes) > MAX_SUSPECTS:
                 self._crashes.popitem(last=False)
             return False
-        servers = tuple(f"{c.upstream}/{c.server}" for c in crashes)
+        servers = tuple(c.server for c in crashes)
         until = now + settings.quarantine_ms
         self._quarantines[report.fingerprint] = Quarantine(report.fingerprint, now, until, servers)
         return True
@@ -108,5 +107,4 @@
 
 
 def _is_same(one: Crash, other: Crash) -> bool:
-    same_server = (one.upstream, one.server) == (other.upstream, other.server)
-    return same_server and abs(one.at - other.at) < SAME_CRASH
+    return one.server == other.server and abs(one.at - other.at) < SAME_CRASH
--- a/src/alderhatch/core/control/host_table.py
+++ b/src/alderhatch/core/control/host_table.py
@@ -66,6 +66,8 @@
         """Entries that have left for good, with the time; they get no lease."""
         self.leaving_servers: dict[tuple[str, str], Millis] = {}
         """Servers that get no new work, by upstream and id."""
+        self.last_removal: Millis | None = None
+        """When an entry was last taken out; None if that never happened."""
 
     def register(self, entry: RegisterEntry, now: Millis) -> str | None:
         """Let a process of an entry take part; return why not, if it may not."""
@@ -90,6 +92,7 @@
         if not self.is_registered(key):
             return False
         del self.entries[key.name]
+        self.last_removal = now
         if self.stopping.pop(key.name, None) == "departing":
             self.departed[key.name] = now
             while len(self.departed) > MAX_DEPARTED:
@@ -196,6 +199,7 @@
             "stopping": [list(item) for item in self.stopping.items()],
             "departed": [list(item) for item in self.departed.items()],
             "leaving": [[*key, at] for key, at in self.leaving_servers.items()],
+            "last_removal": self.last_removal,
         }
 
     @classmethod
@@ -207,6 +211,7 @@
         table.stopping = dict(plain["stopping"])
         table.departed = dict(plain["departed"])
         table.leaving_servers = {(up, server): at for up, server, at in plain["leaving"]}
+        table.last_removal = plain["last_removal"]
         return table
 
     def _stop_entry(self, name: str, mark: str, forced: bool) -> bool:
--- a/src/alderhatch/core/control/operations.py
+++ b/src/alderhatch/core/control/operations.py
@@ -60,7 +60,7 @@
 
     caller: str
     request_id: str
-    fingerprint: bytes
+    fingerprint: str
     """Of the request's body; another body under the same id is refused."""
     entry: str
     incarnation: str
@@ -89,8 +89,8 @@
     """An entry saw a server crash while it ran a body with this fingerprint."""
 
     fingerprint: str
-    upstream: str
     server: str
+    """The server's id."""
     entry: str
 
 
--- a/src/alderhatch/core/control/run_ledger.py
+++ b/src/alderhatch/core/control/run_ledger.py
@@ -41,7 +41,7 @@
 class RunRecord:
     """What the ledger knows of one request."""
 
-    fingerprint: bytes
+    fingerprint: str
     """Of the body; empty if only a release has been seen."""
     state: RunState
     entry: str
@@ -136,7 +136,7 @@
         if record is None:
             # The claim itself may still be on its way through another control host. Granted after
             # this release, it would have no holder and block the id until the entry restarts.
-            record = RunRecord(b"", RunState.RELEASED, "", "", release.token, now)
+            record = RunRecord("", RunState.RELEASED, "", "", release.token, now)
             self._records[key] = record
         elif record.token != release.token:
             record.released = _with_token(record.released, release.token)
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -36,6 +36,41 @@
     )
     ENTRY_FAULT = EventRow(1090, logging.ERROR, "A fault in the entry itself; see the traceback.")
 
+    CONTROL_LINK_LOST = EventRow(
+        1041, logging.WARNING, "The link to a control host is gone; the entry tries the next one."
+    )
+    LEASE_LOST = EventRow(
+        1042, logging.ERROR, "The lease ran out: no control host with a leader was reached in time."
+    )
+    LEASE_TAKEN = EventRow(1043, logging.INFO, "The entry has a lease and may serve.")
+    CONTROL_WENT_BACK = EventRow(
+        1044, logging.ERROR, "Control is at an older version than the entry: it lost its data."
+    )
+    LEASE_DENIED = EventRow(1045, logging.ERROR, "Control gives this entry no lease; see why.")
+    LEDGER_NOTE_DROPPED = EventRow(
+        1046, logging.ERROR, "Too many outcomes wait for control; the oldest will stay unknown."
+    )
+
+    CONTROL_STARTED = EventRow(2000, logging.INFO, "The control host listens.")
+    CONTROL_LEADS = EventRow(2001, logging.INFO, "This control host grants leases from now on.")
+    CONTROL_FOLLOWS = EventRow(2002, logging.INFO, "This control host leads no more.")
+    CHANGE_ACCEPTED = EventRow(2010, logging.INFO, "An operator's change is accepted.")
+    CHANGE_REFUSED = EventRow(2011, logging.INFO, "An operator's change is refused.")
+    ENTRY_REGISTERED = EventRow(2020, logging.INFO, "An entry takes part.")
+    ENTRY_LEASE_RUN_OUT = EventRow(
+        2021, logging.WARNING, "An entry stopped renewing; what it ran is of unknown outcome."
+    )
+    MEMBER_CHANGED = EventRow(2030, logging.INFO, "A control host joined, was promoted or left.")
+    MEMBER_CHANGE_FAILED = EventRow(
+        2031, logging.WARNING, "A change of the control hosts is not done yet; it is tried again."
+    )
+    LEADERSHIP_HANDED_OVER = EventRow(2032, logging.INFO, "The leader is to stop and hands over.")
+    OPERATOR_REFUSED = EventRow(2040, logging.WARNING, "A request without a known key or role.")
+    LINK_ROLE_REFUSED = EventRow(2041, logging.WARNING, "A peer asked for what its role may not.")
+    CLOCK_DISAGREES = EventRow(
+        2060, logging.WARNING, "The host's clock is far from the time of the last command."
+    )
+
     LINK_REFUSED = EventRow(4000, logging.WARNING, "A peer failed the authentication of a link.")
     LINK_MESSAGE_REFUSED = EventRow(4001, logging.WARNING, "A peer sent no valid message.")
 
