--- a/src/alderhatch/control/leader_link.py
+++ b/src/alderhatch/control/leader_link.py
@@ -22,7 +22,7 @@
 )
 from ..errors import AlderhatchError, ErrorKind, Failure
 from ..link import Link, LinkClosedError, Peer, open_link
-from .signal import Signal
+from ..signal import Signal
 
 LOOK_INTERVAL: Millis = 20.0
 """How often a new leader is looked for."""
--- a/src/alderhatch/control/leadership.py
+++ b/src/alderhatch/control/leadership.py
@@ -22,12 +22,12 @@
 from ..errors import AlderhatchError, ErrorKind, Failure
 from ..log import log_event
 from ..log_events import LogEvent
+from ..signal import Signal
 from ._member_plan import MemberSteps
 from .control_log import ControlLog
 from .control_time import ControlTime
 from .observed_state import ObservedState
 from .proposer import Proposer
-from .signal import Signal
 
 CHECK_INTERVAL: Millis = 50.0
 """How often leases that run out are looked for."""
--- a/src/alderhatch/control/link_server.py
+++ b/src/alderhatch/control/link_server.py
@@ -89,11 +89,12 @@
         """Tell an entry at once when there is a newer version than it was sent."""
         try:
             while True:
-                await self._host.observed.moved.wait()
                 version = self._host.state.feed.version
-                if version > told.version:
-                    told.version = version
-                    await link.send(Nudge(version))
+                if version <= told.version:
+                    await self._host.observed.moved.wait()
+                    continue
+                told.version = version
+                await link.send(Nudge(version))
         except LinkClosedError:
             return
 
--- a/src/alderhatch/control/observed_state.py
+++ b/src/alderhatch/control/observed_state.py
@@ -5,7 +5,7 @@
 from ..clock import Millis
 from ..core.control.control_state import ControlState
 from ..core.control.operations import Answer
-from .signal import Signal
+from ..signal import Signal
 
 
 class ObservedState:
--- a/src/alderhatch/control/proposer.py
+++ b/src/alderhatch/control/proposer.py
@@ -11,8 +11,8 @@
 from ..clock import Clock
 from ..core.control.operations import BATCHES, Answer, Batch
 from ..errors import AlderhatchError, ErrorKind, Failure
+from ..signal import Signal
 from .replicated_log import ReplicatedLog
-from .signal import Signal
 
 MAX_BATCH = 256
 """Operations in one command."""
--- a/src/alderhatch/control/signal.py
+++ b/src/alderhatch/signal.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from ..clock import SECOND, Millis
+from .clock import SECOND, Millis
 
 
 class Signal:
