--- /dev/null
+++ b/src/alderhatch/cli/printing.py
@@ -0,0 +1,112 @@
+"""How the programs print: tables for people, JSON for scripts, errors on standard error."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from enum import StrEnum
+from typing import Any
+
+import orjson
+import typer
+
+from ..errors import ErrorKind, Ran, Resend
+from ..settings.fault import SettingsFault
+from .exit_codes import ExitCode
+from .operator_client import RemoteError
+
+GAP = "  "
+ADVICE = {
+    Resend.NEVER: "The same again would not help.",
+    Resend.SAME_ENTRY: "Try the same again later.",
+    Resend.OTHER_ENTRY: "Try the same again, at another address or later.",
+    Resend.SAME_ID: "Send it again with the same id; it can't happen twice.",
+}
+
+
+class OutputFormat(StrEnum):
+    """What a command prints."""
+
+    TABLE = "table"
+    JSON = "json"
+
+
+def print_json(value: object) -> None:
+    """Print a value as JSON."""
+    typer.echo(orjson.dumps(value, option=orjson.OPT_INDENT_2).decode())
+
+
+def print_table(header: Sequence[str], rows: Iterable[Sequence[object]]) -> None:
+    """Print rows below their headings, each column as wide as its widest cell."""
+    cells = [[str(word).upper() for word in header]]
+    cells += [[_cell(value) for value in row] for row in rows]
+    widths = [max(len(row[column]) for row in cells) for column in range(len(header))]
+    for row in cells:
+        line = GAP.join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        typer.echo(line.rstrip())
+
+
+def print_fields(value: Mapping[str, Any], indent: str = "") -> None:
+    """Print an object with one field a line; inner objects are indented."""
+    for name, field in value.items():
+        if isinstance(field, Mapping) and field:
+            typer.echo(f"{indent}{name}:")
+            print_fields(field, indent + GAP)
+        elif isinstance(field, list) and field and isinstance(field[0], Mapping):
+            typer.echo(f"{indent}{name}:")
+            for item in field:
+                print_fields(item, indent + GAP)
+                typer.echo("")
+        else:
+            typer.echo(f"{indent}{name}: {_cell(field)}")
+
+
+def print_faults(faults: Sequence[SettingsFault], output: OutputFormat) -> None:
+    """Print what is wrong with a file."""
+    if output is OutputFormat.JSON:
+        print_json([fault._asdict() for fault in faults])
+        return
+    for fault in faults:
+        typer.echo(str(fault))
+
+
+def print_remote_error(exc: RemoteError, output: OutputFormat) -> None:
+    """Print an error of the other side, with what to do next, on standard error."""
+    if output is OutputFormat.JSON:
+        told = {"error": exc.kind, "message": str(exc), "ran": exc.ran, "resend": exc.resend}
+        typer.echo(orjson.dumps(told | exc.details, option=orjson.OPT_INDENT_2), err=True)
+        return
+    typer.echo(f"{exc.kind}: {exc}", err=True)
+    for fault in exc.details.get("faults", ()):
+        name = fault.get("rule") or "unnamed"
+        place = f"rule {fault.get('position')} ({name}): {fault.get('field')}"
+        typer.echo(f"  {place}: {fault.get('message')}", err=True)
+    for won in exc.details.get("won", ()):
+        typer.echo(f"  revision {won['revision']} by {won['who']}: {won['summary']}", err=True)
+    ran = {Ran.NOT_RUN: "It did not run.", Ran.RAN: "It ran.", Ran.UNKNOWN: "It may have run."}
+    typer.echo(f"{ran[exc.ran]} {ADVICE[exc.resend]}", err=True)
+
+
+def exit_code_for(exc: RemoteError) -> ExitCode:
+    """Return the exit code that tells an error of the other side."""
+    if exc.kind is ErrorKind.REVISION_CONFLICT:
+        return ExitCode.CONFLICT
+    if exc.kind is ErrorKind.INTERNAL:
+        return ExitCode.FAULT
+    if exc.ran is Ran.UNKNOWN:
+        return ExitCode.UNKNOWN
+    return ExitCode.REFUSED if exc.resend is Resend.NEVER else ExitCode.UNAVAILABLE
+
+
+def _cell(value: object) -> str:
+    match value:
+        case None:
+            return "-"
+        case bool():
+            return "yes" if value else "no"
+        case float():
+            return f"{value:.6g}"
+        case list() | tuple():
+            return ", ".join(_cell(item) for item in value) or "-"
+        case dict():
+            return ", ".join(f"{name}={_cell(item)}" for name, item in value.items()) or "-"
+    return str(value)
--- /dev/null
+++ b/src/alderhatch/cli/program.py
@@ -0,0 +1,98 @@
+"""What the long-running programs share: settings, logs, signals and exit codes."""
+
+from __future__ import annotations
+
+import logging
+import signal
+from collections.abc import Awaitable, Callable
+from enum import StrEnum
+from pathlib import Path
+from typing import TypeVar
+
+import trio
+import typer
+
+from ..errors import AlderhatchError
+from ..log import log_event, set_up_logs
+from ..log_events import LogEvent
+from ..settings.fault import SettingsFaultsError
+from .exit_codes import ExitCode
+
+_Settings = TypeVar("_Settings")
+
+
+class LogLevel(StrEnum):
+    """The lowest level of events that is logged."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+def exit_code_help() -> str:
+    """Return the table of exit codes for a help text."""
+    lines = [f"  {code.value:2}  {code.meaning}" for code in ExitCode]
+    return "\n    ".join(["Exit codes:", "", "\b", *lines])
+
+
+def load_or_exit(load: Callable[[Path], _Settings], path: Path) -> _Settings:
+    """Load settings; print their mistakes on standard error and end if they have any.
+
+    Raises:
+        typer.Exit: If the file has mistakes.
+    """
+    try:
+        return load(path)
+    except SettingsFaultsError as exc:
+        for fault in exc.faults:
+            typer.echo(str(fault), err=True)
+        raise typer.Exit(ExitCode.INVALID) from exc
+
+
+def run_program(program: str, level: LogLevel, run: Callable[[], Awaitable[None]]) -> ExitCode:
+    """Run a program's main task until it ends by itself or a signal stops it.
+
+    Args:
+        program: The program's name, for its log lines.
+        level: The lowest level that is logged.
+        run: The main task.
+
+    Returns:
+        The program's exit code.
+    """
+    set_up_logs(program, getattr(logging, level.name))
+    try:
+        trio.run(_run_until_signal, run)
+    except BaseException as exc:
+        cause = _first_cause(exc)
+        match cause:
+            case KeyboardInterrupt():
+                return ExitCode.OK
+            case OSError() | AlderhatchError() | SettingsFaultsError():
+                log_event(LogEvent.PROGRAM_CANNOT_START, why=str(cause))
+                return ExitCode.CANNOT_START
+        log_event(LogEvent.PROGRAM_FAULT, exc)
+        return ExitCode.FAULT
+    return ExitCode.OK
+
+
+def _first_cause(exc: BaseException) -> BaseException:
+    while isinstance(exc, BaseExceptionGroup):
+        exc = exc.exceptions[0]
+    return exc
+
+
+async def _run_until_signal(run: Callable[[], Awaitable[None]]) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_cancel_on_signal, nursery.cancel_scope)
+        await run()
+        nursery.cancel_scope.cancel()
+
+
+async def _cancel_on_signal(scope: trio.CancelScope) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for number in received:
+            log_event(LogEvent.PROGRAM_STOPPED_BY_SIGNAL, signal=signal.Signals(number).name)
+            scope.cancel()
+            return
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -39,6 +39,12 @@
     LINK_REFUSED = EventRow(4000, logging.WARNING, "A peer failed the authentication of a link.")
     LINK_MESSAGE_REFUSED = EventRow(4001, logging.WARNING, "A peer sent no valid message.")
 
+    PROGRAM_STOPPED_BY_SIGNAL = EventRow(5000, logging.INFO, "A signal told the program to stop.")
+    PROGRAM_CANNOT_START = EventRow(
+        5001, logging.ERROR, "An address could not be opened or the data folder not used."
+    )
+    PROGRAM_FAULT = EventRow(5090, logging.ERROR, "A fault of alderhatch; see the traceback.")
+
     @property
     def number(self) -> int:
         """The event's number, which stays the same for good."""
