--- a/features/settings_declarations.feature
+++ b/features/settings_declarations.feature
@@ -47,3 +47,14 @@
 
   Scenario: The example declarations have no mistakes and no warnings
     Then the declaration examples of "brazos" and "trafikkforbund" are sound
+
+  Scenario Outline: A mistake in the settings of the whole tier is told like any other
+    Given a declaration with the tier setting "<setting>"
+    When the declaration is loaded
+    Then the declaration has a fault at line 2, key "<key>", that says "<message>" and allows "<allowed>"
+
+    Examples:
+      | setting             | key                  | message                     | allowed       |
+      | hedge_budget = 2    | tier.hedge_budget    | 2 is out of its range       | from 0 to 1   |
+      | crash_limit = 1.5   | tier.crash_limit     | wrong type                  | a whole number from 1 to 10 |
+      | hedge_budgets = 0.1 | tier.hedge_budgets   | did you mean hedge_budget?  | crash_limit   |
--- a/features/steps/settings_declaration_steps.py
+++ b/features/steps/settings_declaration_steps.py
@@ -45,6 +45,11 @@
     _write(context, DECLARATION.replace(text, instead.replace("\\n", "\n")))
 
 
+@given('a declaration with the tier setting "{setting}"')
+def step_tier_setting(context, setting):
+    _write(context, f"[tier]\n{setting}\n{DECLARATION}")
+
+
 def _quoted(cell):
     return "[" + ", ".join(f'"{word.strip()}"' for word in cell.split(",")) + "]"
 
--- a/src/alderhatch/cli/ctl_caller.py
+++ b/src/alderhatch/cli/ctl_caller.py
@@ -20,6 +20,8 @@
 
 app = typer.Typer()
 
+QUERY_PATH = "/query"
+RUN_PATH = "/run"
 REQUEST_ID_BYTES = 8
 MARGIN: Millis = 2 * SECOND
 """How much longer than the request's own deadline this program waits for its answer."""
@@ -49,6 +51,11 @@
     headers: tuple[tuple[str, str], ...]
     zone: str
 
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may run more than once."""
+        return self.path == QUERY_PATH
+
 
 @app.command()
 def query(
@@ -66,7 +73,7 @@
     """Ask for an address, send a query there and print the answer with its coverage."""
     request_id = f"q-{secrets.token_hex(REQUEST_ID_BYTES)}"
     body = _body(request_id, json, upstream, kind, caller, zone, priority, deadline_ms)
-    _send(ctx, _Ask("/query", body, _headers(header), zone), output)
+    _send(ctx, _Ask(QUERY_PATH, body, _headers(header), zone), output)
 
 
 @app.command()
@@ -90,7 +97,7 @@
     request_id = request_id or f"b-{secrets.token_hex(REQUEST_ID_BYTES)}"
     typer.echo(f"request id {request_id}", err=True)
     body = _body(request_id, json, upstream, kind, caller, zone, priority, deadline_ms)
-    _send(ctx, _Ask("/run", body, _headers(header), zone), output)
+    _send(ctx, _Ask(RUN_PATH, body, _headers(header), zone), output)
 
 
 def _body(
@@ -145,36 +152,41 @@
     """Send one request, going on to the next address wherever the answer says so."""
     clock = LoopClock()
     end = clock.now() + timeout
-    span = ask_for.body.get("deadline_ms", DEFAULT_DEADLINE) + MARGIN
-    repeatable = ask_for.path == "/query"
-    body = orjson.dumps(ask_for.body)
-    error: RemoteError | None = None
+    error = _lost(ErrorKind.NO_SNAPSHOT, "no address was given", ask_for)
     lost = False
     for place in await _addresses(entries, ask_for.zone, timeout):
-        if clock.now() >= end:
-            break
         try:
-            reply = await http_once(
-                place.address, place.port, "POST", ask_for.path, body, ask_for.headers, span
-            )
-        except HttpExchangeError as exc:
-            lost |= exc.sent
-            kind = ErrorKind.OUTCOME_UNKNOWN if exc.sent else ErrorKind.LEASE_EXPIRED
-            error = _lost(kind, f"{place}: {exc}", repeatable)
-            continue
-        if reply.status == 200:
-            value: dict[str, Any] = orjson.loads(reply.body)
-            return value
-        error = read_error(reply)
-        if error.resend is not Resend.OTHER_ENTRY and not (lost and error.ran is Ran.NOT_RUN):
+            return await _send_to(place, ask_for)
+        except RemoteError as exc:
+            error = exc
+        lost |= error.kind is ErrorKind.OUTCOME_UNKNOWN
+        if clock.now() >= end or error.resend not in (Resend.OTHER_ENTRY, Resend.SAME_ID):
             break
-    if error is None:
-        error = _lost(ErrorKind.NO_SNAPSHOT, "no address was given", repeatable)
+    if lost and error.ran is Ran.NOT_RUN and not ask_for.repeatable:
+        # An entry that refuses the resend speaks for itself only: an earlier one, whose answer
+        # was lost, may have run it. "Not run" would make somebody book it a second time.
+        raise _lost(ErrorKind.OUTCOME_UNKNOWN, f"an answer was lost; then: {error}", ask_for)
     raise error
 
 
-def _lost(kind: ErrorKind, message: str, repeatable: bool) -> RemoteError:
-    resend = Resend.OTHER_ENTRY if repeatable else Resend.SAME_ID
+async def _send_to(place: Place, ask_for: _Ask) -> dict[str, Any]:
+    span = ask_for.body.get("deadline_ms", DEFAULT_DEADLINE) + MARGIN
+    body = orjson.dumps(ask_for.body)
+    try:
+        reply = await http_once(
+            place.address, place.port, "POST", ask_for.path, body, ask_for.headers, span
+        )
+    except HttpExchangeError as exc:
+        kind = ErrorKind.OUTCOME_UNKNOWN if exc.sent else ErrorKind.LEASE_EXPIRED
+        raise _lost(kind, f"{place}: {exc}", ask_for) from exc
+    if reply.status != 200:
+        raise read_error(reply)
+    value: dict[str, Any] = orjson.loads(reply.body)
+    return value
+
+
+def _lost(kind: ErrorKind, message: str, ask_for: _Ask) -> RemoteError:
+    resend = Resend.OTHER_ENTRY if ask_for.repeatable else Resend.SAME_ID
     return RemoteError(kind, message, {"resend": resend})
 
 
--- a/src/alderhatch/cli/ctl_context.py
+++ b/src/alderhatch/cli/ctl_context.py
@@ -1,4 +1,4 @@
-"""What the commands of ``alderhatchctl`` share: where to ask, with which key, and how changes go."""
+"""What the commands of ``alderhatchctl`` share: where to ask, with which key, and changes."""
 
 from __future__ import annotations
 
@@ -200,7 +200,7 @@
     """
     common = context_of(ctx)
     client = common.client()
-    change_id = options.change_id or f"c-{secrets.token_hex(CHANGE_ID_BYTES)}"
+    change_id = options.change_id or new_change_id()
     wait = common.in_force_timeout if options.wait is Wait.IN_FORCE else None
 
     async def send() -> dict[str, Any]:
@@ -213,6 +213,11 @@
     return ask(options.output, send)
 
 
+def new_change_id() -> str:
+    """Return a change id that no other change has."""
+    return f"c-{secrets.token_hex(CHANGE_ID_BYTES)}"
+
+
 def exit_if_not_in_force(answer: Mapping[str, Any]) -> None:
     """End with its own exit code if an accepted change is not in force everywhere yet.
 
--- a/src/alderhatch/cli/ctl_look.py
+++ b/src/alderhatch/cli/ctl_look.py
@@ -171,8 +171,7 @@
     columns = ("fingerprint", "since_ms", "until_ms", "servers")
     print_table(columns, [[item[column] for column in columns] for item in answer["quarantines"]])
     typer.echo("")
-    columns = ("fingerprint", "crashes", "last_ms")
-    rows = [[item[column] for column in columns] for item in answer["suspects"]]
+    rows = [[item["fingerprint"], item["crashes"], item["last_ms"]] for item in answer["suspects"]]
     print_table(("suspect", "crashes", "last ms"), rows)
 
 
--- a/src/alderhatch/cli/ctl_rules.py
+++ b/src/alderhatch/cli/ctl_rules.py
@@ -22,12 +22,13 @@
     context_of,
     declaration_or_exit,
     exit_if_not_in_force,
+    new_change_id,
     send_change,
 )
+from .difference import compare_rules, compare_tier
 from .exit_codes import ExitCode
 from .operator_client import path_of
 from .printing import OutputFormat, print_fields, print_json, print_table
-from .rule_difference import compare_rules
 
 app = typer.Typer(help="Show and change the ordered list of rules; the first match decides.")
 
@@ -38,6 +39,7 @@
 OneRuleArgument = Annotated[
     Path, typer.Argument(metavar="FILE", help="TOML with exactly one [[rule]] table.")
 ]
+TIER_SUFFIX = "-tier"
 POSITION_HELP = "Its new place, counted from 1."
 
 
@@ -139,31 +141,46 @@
     wait: WaitOption = Wait.ACCEPTED,
     output: OutputOption = OutputFormat.TABLE,
 ) -> None:
-    """Make the whole list what FILE declares. The same FILE twice changes nothing."""
-    options = ChangeOptions(change_id, expect_revision, wait, output)
-    declared = _plain(declaration_or_exit(file, output))
-    answer = send_change(ctx, "PUT", "/v1/rules", {"rules": declared}, options)
+    """Make the tier what FILE declares. The same FILE twice changes nothing.
+
+    The rules are replaced as a whole. Of the tier's settings, those in FILE are set and the
+    others stay; they are a change of their own, made first, whose change id ends in -tier.
+    """
+    declaration = declaration_or_exit(file, output)
+    options = ChangeOptions(change_id or new_change_id(), expect_revision, wait, output)
+    answers = []
+    if declaration.tier:
+        first = options._replace(change_id=f"{options.change_id}{TIER_SUFFIX}")
+        answers.append(
+            send_change(ctx, "PUT", "/v1/settings", {"settings": declaration.tier}, first)
+        )
+        options = options._replace(expect_revision=answers[0]["revision"])
+    answers.append(send_change(ctx, "PUT", "/v1/rules", {"rules": _plain(declaration)}, options))
     if output is OutputFormat.JSON:
-        print_json(answer)
-    elif answer["changed"]:
-        typer.echo(f"{len(declared)} rules are accepted as revision {answer['revision']}")
+        print_json(answers)
+    elif any(answer["changed"] for answer in answers):
+        rules = len(declaration.rules.rules)
+        typer.echo(f"{rules} rules are accepted, now at revision {answers[-1]['revision']}")
     else:
-        typer.echo(f"nothing to change at revision {answer['revision']}")
-    exit_if_not_in_force(answer)
+        typer.echo(f"nothing to change at revision {answers[-1]['revision']}")
+    exit_if_not_in_force(answers[-1])
 
 
 @app.command()
 def diff(ctx: typer.Context, file: FileArgument, output: OutputOption = OutputFormat.TABLE) -> None:
     """Show what apply FILE would change; exit code 8 if there is anything."""
-    declared = _plain(declaration_or_exit(file, output))
+    declaration = declaration_or_exit(file, output)
     client = context_of(ctx).client()
     answer = ask(output, lambda: client.get("/v1/rules"))
-    found = compare_rules(answer["rules"], declared)
+    found = compare_rules(answer["rules"], _plain(declaration))
+    if declaration.tier:
+        settings = ask(output, lambda: client.get("/v1/settings"))["settings"]
+        found = compare_tier(settings, declaration.tier) + found
     if output is OutputFormat.JSON:
         differences = [item._asdict() for item in found]
         print_json({"revision": answer["revision"], "differences": differences})
     elif found:
-        print_table(("change", "rule", "field", "now", "declared"), found)
+        print_table(("change", "what", "field", "now", "declared"), found)
     else:
         typer.echo(f"no difference from revision {answer['revision']}")
     if found:
--- a/src/alderhatch/cli/exit_codes.py
+++ b/src/alderhatch/cli/exit_codes.py
@@ -34,7 +34,7 @@
     ExitCode.REFUSED: "Refused or failed; the message says why. The same again would not help.",
     ExitCode.CONFLICT: "The configuration is at another revision than expected; nothing changed.",
     ExitCode.UNAVAILABLE: "Nobody could take it now: not run, and worth another try later.",
-    ExitCode.UNKNOWN: "It may have happened. The message says whether the same id may be sent again.",
+    ExitCode.UNKNOWN: "It may have happened. The message says whether to send the same id.",
     ExitCode.DIFFERENT: "diff found differences.",
     ExitCode.NOT_IN_FORCE: "Accepted, but not in force everywhere within the time given.",
     ExitCode.CANNOT_START: "The program could not open its addresses or its data folder.",
--- a/src/alderhatch/settings/declaration.py
+++ b/src/alderhatch/settings/declaration.py
@@ -1,21 +1,24 @@
-"""Reads a declaration: the ordered list of rules that a team keeps in version control."""
+"""Reads a declaration: the rules and tier-wide settings that a team keeps in version control."""
 
 from __future__ import annotations
 
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
-from pydantic import TypeAdapter
+import orjson
+from pydantic import TypeAdapter, ValidationError
 
+from ..core.control.tier_settings import TierSettings
 from ..core.rule import Rule
 from ..core.rule_list import RuleFault, RuleFaultsError, RuleList, parse_rules
 from .allowed import Allowed, nearest
 from .fault import SettingsFault, SettingsFaultsError
 from .key_lines import KeyPath
-from .loader import TomlFile, dotted, read_toml
+from .loader import TomlFile, dotted, explain_error, read_toml
 from .shadowing import find_shadowed
 
 _RULE_KEY = "rule"
+_TIER_KEY = "tier"
 _WRONG_FORM = "Unexpected keyword argument"
 """What pydantic says of a key that a dataclass does not have."""
 
@@ -24,6 +27,8 @@
     """What a declaration file says."""
 
     rules: RuleList
+    tier: dict[str, Any]
+    """The settings of the whole tier that the file gives; those it leaves out stay as they are."""
     warnings: tuple[SettingsFault, ...]
     """What is allowed, but most likely not meant."""
 
@@ -32,17 +37,20 @@
     """Read and check a declaration.
 
     Args:
-        path: A TOML file with one ``[[rule]]`` table for each rule, in their order.
+        path: A TOML file with one ``[[rule]]`` table for each rule, in their order, and at most
+            one ``[tier]`` table.
 
     Raises:
         SettingsFaultsError: With every mistake.
     """
     file = read_toml(path)
     faults = [
-        file.fault((key,), "unknown key", f"[[{_RULE_KEY}]] tables")
+        file.fault((key,), "unknown key", f"[[{_RULE_KEY}]] tables and one [{_TIER_KEY}] table")
         for key in file.raw
-        if key != _RULE_KEY
+        if key not in (_RULE_KEY, _TIER_KEY)
     ]
+    tier = file.raw.get(_TIER_KEY, {})
+    faults += _tier_faults(file, tier)
     rules = RuleList()
     try:
         rules = parse_rules(file.raw.get(_RULE_KEY, []))
@@ -50,7 +58,17 @@
         faults += _located(file, exc.faults)
     if faults:
         raise SettingsFaultsError(sorted(faults, key=lambda fault: fault.line))
-    return Declaration(rules, tuple(_warnings(file, rules)))
+    return Declaration(rules, tier, tuple(_warnings(file, rules)))
+
+
+def _tier_faults(file: TomlFile, tier: object) -> list[SettingsFault]:
+    adapter = TypeAdapter(TierSettings)
+    try:
+        adapter.validate_json(orjson.dumps(tier), strict=True)
+    except ValidationError as exc:
+        allowed = Allowed(adapter.json_schema())
+        return [explain_error(file, allowed, error, (_TIER_KEY,)) for error in exc.errors()]
+    return []
 
 
 def _located(file: TomlFile, faults: tuple[RuleFault, ...]) -> list[SettingsFault]:
--- a/src/alderhatch/settings/loader.py
+++ b/src/alderhatch/settings/loader.py
@@ -143,7 +143,7 @@
     except ValidationError as exc:
         errors = [error for error in exc.errors() if not _is_echo(error)]
     allowed = Allowed(model.model_json_schema())
-    faults = [_explain(file, allowed, error) for error in errors]
+    faults = [explain_error(file, allowed, error) for error in errors]
     # Comparisons between the keys that are sound are made too, so that one run shows every fault.
     sound = _without(file.raw, [error["loc"] for error in errors])
     try:
@@ -164,22 +164,33 @@
     return error["type"] == "too_short" and isinstance(given, list) and len(given) > 0
 
 
-def _explain(file: TomlFile, allowed: Allowed, error: ErrorDetails) -> SettingsFault:
-    path = error["loc"]
+def explain_error(
+    file: TomlFile, allowed: Allowed, error: ErrorDetails, table: KeyPath = ()
+) -> SettingsFault:
+    """Return the fault that an error of pydantic tells of.
+
+    Args:
+        file: Where it is.
+        allowed: What the model allows.
+        error: What pydantic says.
+        table: The path of the table that was checked.
+    """
+    inner = error["loc"]
+    path = (*table, *inner)
     match error["type"]:
-        case "extra_forbidden":
-            keys = allowed.keys(path[:-1])
-            close = nearest(str(path[-1]), keys)
+        case "extra_forbidden" | "unexpected_keyword_argument":
+            keys = allowed.keys(inner[:-1])
+            close = nearest(str(inner[-1]), keys)
             hint = f"unknown key; did you mean {close}?" if close else "unknown key"
             return file.fault(path, hint, ", ".join(keys))
         case "missing":
-            return file.fault(path, "is missing", allowed.describe(path))
+            return file.fault(path, "is missing", allowed.describe(inner))
         case "value_error":
             message = error["msg"].removeprefix("Value error, ")
-            return file.fault(path, message, allowed.describe(path))
+            return file.fault(path, message, allowed.describe(inner))
         case kind:
             what = _MESSAGES.get(kind, "is of the wrong type")
-            return file.fault(path, f"{_shown(error['input'])}{what}", allowed.describe(path))
+            return file.fault(path, f"{_shown(error['input'])}{what}", allowed.describe(inner))
 
 
 def _shown(value: object) -> str:
