Command line tests: offline checks, exit codes, and changes whose answers are lost

Cause: an operator who is told that a change failed, although only its answer was lost, makes it a second time. Change: tests against scripted control hosts that follow the operator API's page: lost answers, leader hints, conflicts, faults, not yet in force, nobody there; every command's help; completion.

--- /dev/null
+++ b/features/cli.feature
@@ -0,0 +1,101 @@
+Feature: The command line teaches, checks offline and ends with documented exit codes
+
+  Scenario: Every command and every option explains itself
+    Then each command of alderhatchctl has a help text and each of its options too
+
+  Scenario: The help shows every exit code with its meaning
+    When alderhatchctl is called with "--help"
+    Then the command ends with exit code 0
+    And the command printed every exit code with its meaning
+
+  Scenario: The shell completes commands
+    Then the completion of "alderhatchctl rules " offers "list, show, add, edit, move, withdraw, apply, diff, history"
+
+  Scenario Outline: A wrong command line tries nothing
+    When alderhatchctl is called with "<words>"
+    Then the command ends with exit code 2
+    And the command printed the error "<message>"
+
+    Examples:
+      | words                                  | message                     |
+      | rules list                             | --control ADDRESS:PORT      |
+      | --control 10.0.0.1 rules list          | is not ADDRESS:PORT         |
+      | --control host:7501 rules list         | is not ADDRESS:PORT         |
+      | --control 10.0.0.1:0 rules list        | from 1 to 65535             |
+      | --control 10.0.0.1:1 rules list        | --key-file FILE             |
+      | --key-file /nowhere rules list         | No such file                |
+      | query not-json --upstream u --kind k   | not JSON                    |
+      | query {} --upstream u --kind k         | --entry ADDRESS:PORT        |
+      | depart x --role upstream               | needs --upstream            |
+      | explain --header x                     | is not NAME=VALUE           |
+
+  Scenario: A key that others can read is refused
+    # An operator copies the key file with the usual permissions. Everyone on that host could change
+    # the rules in the operator's name, and the history would show that name.
+    When alderhatchctl is called with a key file that the group can read
+    Then the command ends with exit code 2
+    And the command printed the error "open to others"
+
+  Scenario Outline: The example sets are sound as a whole
+    When alderhatchctl checks every file of the example "<deployment>"
+    Then the command ends with exit code 0
+    And the command printed "18 files, no mistakes"
+
+    Examples:
+      | deployment     |
+      | brazos         |
+      | trafikkforbund |
+
+  Scenario: A check prints every mistake of every file with its line
+    Given a folder with an entry file and a rules file that have two mistakes each
+    When alderhatchctl checks the files of that folder
+    Then the command ends with exit code 3
+    And the command printed lines that start with these places
+      | place         | key                                |
+      | entry.toml:6  | drain_ms                           |
+      | entry.toml:10 | callers.port                       |
+      | rules.toml:4  | rule 1 (first): when.kinds         |
+      | rules.toml:6  | rule 1 (first): then.coverage      |
+
+  Scenario: A check as JSON can be read by a script
+    Given a folder with an entry file and a rules file that have two mistakes each
+    When alderhatchctl checks the files of that folder as JSON
+    Then the command ends with exit code 3
+    And the command printed a JSON list of 4 faults with file, line, key, message and allowed
+
+  Scenario Outline: Files that are sound alone but don't fit together are told
+    Given copies of the brazos example in which <change>
+    When alderhatchctl checks the files of that folder
+    Then the command ends with exit code 3
+    And the command printed "<message>"
+
+    Examples:
+      | change                                  | message                                     |
+      | two entries have the same name          | 'austin-hall-entry-1' is also in another    |
+      | two entries have the same address       | '10.20.1.21:7400' is also in another file   |
+      | one entry knows another control host    | do not agree on the control hosts           |
+      | a rule is for an upstream nobody has    | no entry has an upstream 'navigater'        |
+
+  Scenario: Which rule takes a request can be asked offline
+    When alderhatchctl is called with "explain --file examples/brazos/rules.toml --kind month-end --upstream linenlog"
+    Then the command ends with exit code 0
+    And the command printed "not stalled-robot: kind does not hold"
+    And the command printed "taken by rule 5, period-closing"
+
+  Scenario: A request that no rule takes gets the default rule
+    When alderhatchctl is called with "explain --file examples/brazos/rules.toml --kind x --upstream navigator"
+    Then the command ends with exit code 0
+    And the command printed "taken by the default rule"
+
+  Scenario Outline: The difference between two lists of rules is the least that has to happen
+    When the list of rules "<now>" is compared with "<declared>"
+    Then the rule differences are "<differences>"
+
+    Examples:
+      | now   | declared | differences            |
+      | a b c | a b c    |                        |
+      | a b c | a c      | withdrawn b            |
+      | a b   | a x b    | added x                |
+      | a b c | c a b    | moved c                |
+      | a b c | a b* c   | edited b when.kind     |
+      | a b c | b* c d   | withdrawn a, edited b when.kind, added d |
--- /dev/null
+++ b/features/support/cli_support.py
@@ -0,0 +1,128 @@
+"""What the steps of the command line share."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import threading
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+
+from typer.testing import CliRunner
+
+from alderhatch.cli.ctl import app
+
+KEY = "operators-key-for-the-tests"
+
+
+def call(context, *words, **env):
+    """Run alderhatchctl within this process."""
+    clean = {"ALDERHATCH_CONTROLS": None, "ALDERHATCH_ENTRIES": None, "ALDERHATCH_KEY_FILE": None}
+    context.cli = CliRunner().invoke(app, list(words), env={"COLUMNS": "200", **clean, **env})
+    if context.cli.exception and not isinstance(context.cli.exception, SystemExit):
+        raise context.cli.exception
+
+
+def new_folder(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    return Path(folder.name)
+
+
+def key_file(context, mode=0o600):
+    path = new_folder(context) / "key"
+    path.write_text(KEY + "\n")
+    path.chmod(mode)
+    return str(path)
+
+
+class ScriptedControls:
+    """Control hosts that follow the page of the operator API as far as these tests need it."""
+
+    def __init__(self, leader):
+        self.leader = leader
+        self.revision = 7
+        self.rules = ["linen"]
+        self.answers = {}
+        self.seen_ids = []
+        self.bodies = []
+        self.applied = 0
+        self.lose = 0
+        self.unconfirmed = []
+        self.servers = []
+
+    def start(self, count):
+        for number in range(1, count + 1):
+            server = ThreadingHTTPServer(("127.0.0.1", 0), self._handler(number))
+            threading.Thread(target=server.serve_forever, args=(0.02,), daemon=True).start()
+            self.servers.append(server)
+
+    def stop(self):
+        for server in self.servers:
+            server.shutdown()
+            server.server_close()
+
+    @property
+    def places(self):
+        return ",".join(f"127.0.0.1:{server.server_port}" for server in self.servers)
+
+    def answer(self, number, method, path, body):
+        if number != self.leader:
+            return 503, self._no_leader()
+        if method == "GET":
+            return 200, {"revision": self.revision, "rules": [], "name": f"control-{number}"}
+        return self._change(path, body)
+
+    def _no_leader(self):
+        leader = None
+        if self.leader:
+            port = self.servers[self.leader - 1].server_port
+            leader = {"name": f"control-{self.leader}", "address": "127.0.0.1", "port": port}
+        return {"error": "no_leader", "message": "not the leader", "leader": leader}
+
+    def _change(self, path, body):
+        self.seen_ids.append(body["change_id"])
+        self.bodies.append(body)
+        if body["change_id"] in self.answers:
+            return 200, {**self.answers[body["change_id"]], "repeated": True}
+        if body["expected_revision"] != self.revision:
+            won = {"revision": 7, "who": "bjorn", "summary": "moved rule linen"}
+            return 409, {"error": "revision_conflict", "message": "it is 7", "won": [won]}
+        name = path.split("?")[0].split("/")[3]
+        if name not in self.rules:
+            message = "there is no such rule"
+            fault = {"position": 0, "rule": name, "field": "name", "message": message}
+            return 422, {"error": "invalid_change", "message": "1 fault", "faults": [fault]}
+        self.revision += 1
+        self.applied += 1
+        answer = {"revision": self.revision, "change_id": body["change_id"], "repeated": False}
+        if "wait=in_force" in path:
+            answer |= {"in_force": not self.unconfirmed, "waiting_for": self.unconfirmed}
+        self.answers[body["change_id"]] = answer
+        return 200, answer
+
+    def _handler(self, number):
+        controls = self
+
+        class Handler(BaseHTTPRequestHandler):
+            def _serve(self):
+                assert self.headers["Authorization"] == f"Bearer {KEY}"
+                length = int(self.headers.get("Content-Length") or 0)
+                body = json.loads(self.rfile.read(length) or b"{}")
+                status, answer = controls.answer(number, self.command, self.path, body)
+                if self.command == "POST" and number == controls.leader and controls.lose > 0:
+                    controls.lose -= 1
+                    self.close_connection = True
+                    return
+                data = json.dumps(answer).encode()
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(data)))
+                self.end_headers()
+                self.wfile.write(data)
+
+            do_GET = do_POST = do_PUT = _serve
+
+            def log_message(self, *args):
+                pass
+
+        return Handler
