--- /dev/null
+++ b/src/alderhatch/entry/attempt_runner.py
@@ -0,0 +1,116 @@
+"""Carries out the core's shard requests: one task an attempt, over the warm connections."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from ..clock import SECOND, LoopClock, Millis
+from ..core.entry_events import (
+    AttemptFailed,
+    AttemptFault,
+    EntryEvent,
+    SendShard,
+    ShardAnswered,
+)
+from ..http.client import ExchangeFault, HttpConnection, HttpExchangeError
+from ..log import log_event
+from ..log_events import LogEvent
+from .connection_pool import ConnectionPool
+from .upstream_protocol import read_reply, shard_request_body
+
+SHARD_PATH = "/shard"
+FAULTS = {
+    ExchangeFault.NOT_SENT: AttemptFault.NOT_SENT,
+    ExchangeFault.LOST: AttemptFault.LOST,
+    ExchangeFault.SILENT: AttemptFault.SILENT,
+    ExchangeFault.GARBAGE: AttemptFault.GARBAGE,
+}
+UNTRUE = (AttemptFault.GARBAGE, AttemptFault.WRONG_ANSWER)
+LOG_AGAIN_AFTER: Millis = 1 * SECOND
+
+
+class AttemptRunner:
+    """Runs attempts until they end or are cancelled.
+
+    Args:
+        pool: Where connections come from.
+        feed: Takes what became of an attempt; not called for one that was cancelled.
+    """
+
+    def __init__(self, pool: ConnectionPool, feed: Callable[[EntryEvent], None]) -> None:
+        self._pool = pool
+        self._feed = feed
+        self._clock = LoopClock()
+        self._scopes: dict[int, trio.CancelScope] = {}
+        self._nursery: trio.Nursery | None = None
+        self._log_after: dict[str, Millis] = {}
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Keep the attempts' tasks until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            try:
+                await trio.sleep_forever()
+            finally:
+                # Whatever the core still asks for while the entry goes down has no task any more.
+                self._nursery = None
+
+    @property
+    def running(self) -> int:
+        """How many attempts are under way."""
+        return len(self._scopes)
+
+    def start(self, send: SendShard) -> None:
+        """Begin an attempt."""
+        if self._nursery is None:
+            return
+        scope = trio.CancelScope()
+        self._scopes[send.attempt] = scope
+        self._nursery.start_soon(self._attempt, send, scope)
+
+    def cancel(self, attempt: int) -> None:
+        """End an attempt at once; its exchange is closed and nothing of it is heard again."""
+        scope = self._scopes.pop(attempt, None)
+        if scope is not None:
+            scope.cancel()
+
+    async def _attempt(self, send: SendShard, scope: trio.CancelScope) -> None:
+        with scope:
+            event = await self._exchange(send)
+            if self._scopes.pop(send.attempt, None) is not None:
+                self._feed(event)
+
+    async def _exchange(self, send: SendShard) -> ShardAnswered | AttemptFailed:
+        conn: HttpConnection | None = None
+        try:
+            conn = await self._pool.take(send.server_id)
+            remaining = send.deadline - self._clock.now()
+            if remaining < 1:
+                return AttemptFailed(send.attempt, AttemptFault.NOT_SENT)
+            body = shard_request_body(send, remaining)
+            reply = await conn.exchange("POST", SHARD_PATH, body)
+            event = read_reply(send, reply)
+            if isinstance(event, AttemptFailed) and event.fault in UNTRUE:
+                # Whatever crossed the answers may do so again, and the next answer on this
+                # connection may be the one that this request waited for.
+                conn.usable = False
+                self._log_refused(send, event.fault)
+            return event
+        except HttpExchangeError as exc:
+            if exc.fault is ExchangeFault.GARBAGE:
+                self._log_refused(send, AttemptFault.GARBAGE)
+            return AttemptFailed(send.attempt, FAULTS[exc.fault])
+        finally:
+            if conn is not None:
+                self._pool.give_back(send.server_id, conn)
+
+    def _log_refused(self, send: SendShard, fault: AttemptFault) -> None:
+        # A server that answers nothing else would fill the log with one line an attempt.
+        now = self._clock.now()
+        if now < self._log_after.get(send.server_id, 0.0):
+            return
+        self._log_after[send.server_id] = now + LOG_AGAIN_AFTER
+        log_event(LogEvent.UPSTREAM_ANSWER_REFUSED, server=send.server_id, fault=fault)
--- a/src/alderhatch/entry/caller_api.py
+++ b/src/alderhatch/entry/caller_api.py
@@ -24,11 +24,12 @@
 
     __pydantic_config__ = ConfigDict(extra="forbid")  # type: ignore[misc]
 
-    request_id: Annotated[Word, Field()]
+    request_id: Word
     caller: Word
     kind: Word
     upstream: Word
-    zone: str
+    zone: Word
+    key: Word
     priority: Priority
     deadline_ms: Annotated[Millis, Field(gt=0, le=MAX_DEADLINE)]
     query: dict[str, Any]
@@ -68,7 +69,8 @@
         body.get("priority", Priority.NORMAL),
         body.get("zone", ""),
         body.get("deadline_ms"),
-        headers=req.headers,
+        body.get("key", ""),
+        req.headers,
     )
 
 
--- /dev/null
+++ b/src/alderhatch/entry/caller_side.py
@@ -0,0 +1,56 @@
+"""The callers' side of an entry: its HTTP paths."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from ..core.entry_events import Outcome
+from ..core.request import Request
+from ..errors import AlderhatchError, ErrorKind, Failure
+from ..http.messages import HttpRequest, HttpResponse, json_response
+from .address_book import AddressBook
+from .caller_api import outcome_response, parse_request
+
+
+class RequestRunner(Protocol):
+    """What runs callers' requests."""
+
+    addresses: AddressBook
+
+    async def outcome_of(self, request: Request) -> Outcome:
+        """Run one request."""
+
+
+class CallerSide:
+    """Answers callers.
+
+    Args:
+        runner: Runs the requests.
+    """
+
+    def __init__(self, runner: RequestRunner) -> None:
+        self._runner = runner
+
+    async def handle(self, req: HttpRequest) -> HttpResponse:
+        """Answer one HTTP request of a caller.
+
+        Raises:
+            AlderhatchError: If it was no request of the caller API.
+        """
+        match (req.method, req.path):
+            case ("POST", "/query"):
+                return await self._run(parse_request(req, idempotent=True))
+            case ("POST", "/run"):
+                return await self._run(parse_request(req, idempotent=False))
+            case ("GET", "/addresses"):
+                return self._addresses(req.query.get("zone", ""))
+        raise AlderhatchError(Failure(ErrorKind.NOT_FOUND, f"nothing at {req.method} {req.path}"))
+
+    async def _run(self, request: Request) -> HttpResponse:
+        outcome = await self._runner.outcome_of(request)
+        return outcome_response(request.request_id, outcome)
+
+    def _addresses(self, zone: str) -> HttpResponse:
+        book = self._runner.addresses
+        addresses = [item._asdict() for item in book.answer(zone)]
+        return json_response(200, {"addresses": addresses, "ttl_ms": book.ttl})
--- a/src/alderhatch/entry/entry_node.py
+++ b/src/alderhatch/entry/entry_node.py
@@ -1,59 +1,61 @@
-"""The entry round its core: caller requests in, shard requests out, one loop."""
+"""The entry round its core: events in, effects out, one loop."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterable
 from functools import partial
 from random import Random
 
 import trio
 
-from ..clock import SECOND, LoopClock, Millis
+from ..clock import LoopClock
 from ..core.entry_core import EntryCore
 from ..core.entry_events import (
-    AttemptFailed,
-    AttemptFault,
     CallerGone,
     CancelAttempt,
+    Claim,
+    ClaimDecided,
+    ClaimRun,
+    EntryEffect,
     EntryEvent,
     Finish,
+    LeaseChanged,
     Outcome,
     QueryArrived,
+    RecordOutcome,
+    Refused,
+    ReportCrash,
     RulesChanged,
     SendShard,
-    ShardAnswered,
+    ServersLeaving,
     ShardMapFetched,
     WakeAt,
     Woke,
 )
 from ..core.request import Request
 from ..core.rule_list import RuleList
-from ..core.shard_map import Server, ShardMap
-from ..errors import AlderhatchError, ErrorKind, Failure
-from ..http.client import HttpExchangeError, http_once
-from ..http.messages import HttpLimits, HttpRequest, HttpResponse, json_response
-from ..http.server import serve_http
+from ..core.shard_map import ShardMap
+from ..errors import ErrorKind, Failure
+from ..http.messages import HttpLimits
+from ..http.server import ServeState, serve_http
 from ..log import log_event
 from ..log_events import LogEvent
-from ..settings.models import EntrySettings, UpstreamSettings
-from .caller_api import outcome_response, parse_request
+from ..settings.models import EntrySettings
+from .address_book import AddressBook, EntryAddress
+from .attempt_runner import AttemptRunner
+from .caller_side import CallerSide
 from .connection_pool import ConnectionPool
-from .upstream_protocol import (
-    ProtocolError,
-    parse_fault,
-    parse_shard_answer,
-    parse_shard_map,
-    shard_request_body,
-)
-
-
-class EntryAddress:
-    """One address that callers may use."""
+from .control_hook import ControlEffect, ControlHook, ControlHookMaker
+from .entry_metrics import EntryMetrics
+from .health_poller import HealthPoller
+from .lease_watch import LeaseWatch
+from .map_poller import MapPoller
+from .platform_poller import PlatformPoller
+from .upstream_lists import PlatformHost
+from .wake_timer import WakeTimer
 
-    def __init__(self, address: str, port: int, zone: str) -> None:
-        self.address = address
-        self.port = port
-        self.zone = zone
+PLATFORM = "platform"
 
 
 class EntryNode:
@@ -62,70 +64,103 @@
     Args:
         cfg: Its settings.
         seed: Fixes the core's random choices.
+        make_control: Makes the link to the control hosts; without one the entry runs alone.
     """
 
-    def __init__(self, cfg: EntrySettings, seed: int = 0) -> None:
-        self._cfg = cfg
+    def __init__(
+        self, cfg: EntrySettings, seed: int = 0, make_control: ControlHookMaker | None = None
+    ) -> None:
+        self.cfg = cfg
         self._clock = LoopClock()
         self.core = EntryCore(cfg.name, Random(f"{cfg.name}/{seed}"))
-        self._pool = ConnectionPool()
-        self._servers: dict[str, Server] = {}
+        self.pool = ConnectionPool(cfg.connections_per_server, cfg.progress_timeout_ms)
+        self.attempts = AttemptRunner(self.pool, self.feed)
+        self.addresses = AddressBook(cfg.address_ttl_ms)
+        self.metrics = EntryMetrics()
+        self.callers = ServeState()
+        self.maps = [MapPoller(upstream, self.pool, self._adopt) for upstream in cfg.upstreams]
+        self.stop_requested = trio.Event()
+        """Set once somebody wants a planned stop."""
+        self._control: ControlHook | None = make_control(self) if make_control else None
+        self._lease = LeaseWatch(self.pool)
+        self._timer = WakeTimer(partial(self.feed, Woke()))
         self._waiting: dict[int, Callable[[Outcome], None]] = {}
-        self._attempts: dict[int, trio.CancelScope] = {}
-        self._next_query = 0
-        self._wake_at: Millis | None = None
-        self._wake_changed = trio.Event()
-        self._nursery: trio.Nursery | None = None
-        self.roster: list[EntryAddress] = []
-        """The addresses that callers are told of."""
+        self._last_query = 0
+        self._events: deque[EntryEvent] = deque()
+        self._stepping = False
+        self._hosts: list[PlatformHost] = []
+        self._leaving: frozenset[str] = frozenset()
         self.port = 0
         """The port that callers connect to, once it listens."""
+        self.operator_port = 0
+        """The port of the operators' side, once it listens."""
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
-        callers = self._cfg.callers
-        listeners = await trio.open_tcp_listeners(callers.port, host=callers.address)
+        where = self.cfg.callers
+        listeners = await trio.open_tcp_listeners(where.port, host=where.address)
         self.port = listeners[0].socket.getsockname()[1]
-        limits = HttpLimits(
-            self._cfg.limits.connections,
-            self._cfg.limits.head_bytes,
-            self._cfg.limits.body_bytes,
-            self._cfg.limits.request_timeout_ms,
-            self._cfg.limits.idle_timeout_ms,
+        self.set_roster([EntryAddress(where.address, self.port, self.cfg.zone)])
+        serve = partial(
+            serve_http, listeners, CallerSide(self).handle, self._limits(), self.callers
         )
         async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            for upstream in self._cfg.upstreams:
-                await self._fetch_map(upstream)
-                nursery.start_soon(self._poll_map, upstream)
-            nursery.start_soon(self._timer)
-            await nursery.start(partial(serve_http, listeners, self.handle, limits))
-            log_event(LogEvent.ENTRY_STARTED, port=self.port)
+            await nursery.start(self.pool.run)
+            await nursery.start(self.attempts.run)
+            nursery.start_soon(self._timer.run)
+            nursery.start_soon(self._lease.run)
+            await self._start_pollers(nursery)
+            if self._control is not None:
+                await nursery.start(self._control.run)
+            await nursery.start(serve)
+            log_event(LogEvent.ENTRY_STARTED, name=self.cfg.name, port=self.port)
             task_status.started()
 
+    def _limits(self) -> HttpLimits:
+        limits = self.cfg.limits
+        return HttpLimits(
+            limits.connections,
+            limits.head_bytes,
+            limits.body_bytes,
+            limits.request_timeout_ms,
+            limits.idle_timeout_ms,
+        )
+
+    async def _start_pollers(self, nursery: trio.Nursery) -> None:
+        async with trio.open_nursery() as first:
+            for poller in self.maps:
+                first.start_soon(poller.fetch)
+        for upstream, poller in zip(self.cfg.upstreams, self.maps, strict=True):
+            nursery.start_soon(poller.run)
+            newest = partial(getattr, poller, "newest")
+            nursery.start_soon(HealthPoller(upstream, self.pool, newest, self.feed).run)
+        platform = self.cfg.platform
+        if platform is not None:
+            poll = PlatformPoller(platform, self.cfg.platform_poll_ms, self._take_hosts)
+            nursery.start_soon(poll.run)
+
     def change_rules(self, revision: int, rules: RuleList) -> None:
         """Put a newer list of rules in force."""
-        self._feed(RulesChanged(revision, rules))
-
-    async def handle(self, req: HttpRequest) -> HttpResponse:
-        """Answer one HTTP request of a caller."""
-        match (req.method, req.path):
-            case ("POST", "/query"):
-                return await self._query(parse_request(req, idempotent=True))
-            case ("GET", "/addresses"):
-                return self._addresses(req.query.get("zone", ""))
-        raise AlderhatchError(Failure(ErrorKind.NOT_FOUND, f"nothing at {req.method} {req.path}"))
-
-    def _addresses(self, zone: str) -> HttpResponse:
-        ordered = sorted(self.roster, key=lambda item: item.zone != zone)
-        addresses = [
-            {"address": item.address, "port": item.port, "zone": item.zone} for item in ordered
-        ]
-        return json_response(200, {"addresses": addresses, "ttl_ms": self._cfg.address_ttl_ms})
-
-    async def _query(self, request: Request) -> HttpResponse:
-        self._next_query += 1
-        query = self._next_query
+        self.feed(RulesChanged(revision, rules))
+
+    def set_roster(self, roster: Iterable[EntryAddress]) -> None:
+        """Take the entries that callers may be told of."""
+        self.addresses.roster = tuple(roster)
+
+    def request_stop(self) -> None:
+        """Begin a planned stop; whoever runs this entry carries it out."""
+        self.stop_requested.set()
+
+    def leave_addresses(self) -> None:
+        """Have nobody sent here from now on, while requests are still served."""
+        self.addresses.leave(self.cfg.callers.address, self.port)
+        if self._control is not None:
+            self._control.leave()
+
+    async def outcome_of(self, request: Request) -> Outcome:
+        """Run one request; if the caller of this is cancelled, so is the request."""
+        self._last_query += 1
+        query = self._last_query
         done = trio.Event()
         outcomes: list[Outcome] = []
 
@@ -134,95 +169,91 @@
             done.set()
 
         self._waiting[query] = finish
+        start = self._clock.now()
         try:
-            self._feed(QueryArrived(query, request))
+            self.feed(QueryArrived(query, request))
             await done.wait()
         finally:
+            # Work for a caller that has gone is load without use for anyone.
             if self._waiting.pop(query, None) is not None:
-                self._feed(CallerGone(query))
-        return outcome_response(request.request_id, outcomes[0])
-
-    def _feed(self, event: EntryEvent) -> None:
-        for effect in self.core.step(event, self._clock.now()):
-            match effect:
-                case SendShard():
-                    self._send(effect)
-                case CancelAttempt(attempt=attempt):
-                    scope = self._attempts.pop(attempt, None)
-                    if scope is not None:
-                        scope.cancel()
-                case WakeAt(at=at):
-                    self._wake_at = at
-                    self._wake_changed.set()
-                case Finish(query=query, outcome=outcome):
-                    waiting = self._waiting.pop(query, None)
-                    if waiting is not None:
-                        waiting(outcome)
-
-    def _send(self, send: SendShard) -> None:
-        scope = trio.CancelScope()
-        self._attempts[send.attempt] = scope
-        assert self._nursery is not None
-        self._nursery.start_soon(self._attempt, send, scope)
-
-    async def _attempt(self, send: SendShard, scope: trio.CancelScope) -> None:
-        server = self._servers[send.server_id]
-        with scope:
-            event = await self._exchange(send, server)
-        if self._attempts.pop(send.attempt, None) is not None:
-            self._feed(event)
-
-    async def _exchange(self, send: SendShard, server: Server) -> EntryEvent:
-        conn = None
+                self.feed(CallerGone(query))
+        self.metrics.count(outcomes[0], self._clock.now() - start)
+        return outcomes[0]
+
+    def feed(self, event: EntryEvent) -> None:
+        """Tell the core what happened, and begin what it asks for."""
+        self._events.append(event)
+        # An effect may bring about the next event at once. Stepping the core from within its own
+        # step would show it a state that is only half changed.
+        if self._stepping:
+            return
+        self._stepping = True
         try:
-            conn = await self._pool.take(server)
-            body = shard_request_body(send, send.deadline - self._clock.now())
-            reply = await conn.exchange("POST", "/shard", body)
-        except HttpExchangeError as exc:
-            fault = AttemptFault.LOST if exc.sent else AttemptFault.NOT_SENT
-            return AttemptFailed(send.attempt, fault)
+            while self._events:
+                self._step(self._events.popleft())
         finally:
-            if conn is not None:
-                with trio.CancelScope(shield=True):
-                    await self._pool.give_back(server, conn)
-        if reply.status != 200:
-            return AttemptFailed(send.attempt, parse_fault(reply.body))
+            self._stepping = False
+
+    def _step(self, event: EntryEvent) -> None:
+        if isinstance(event, LeaseChanged):
+            self._lease.renew(event.serve_until, event.shares)
         try:
-            answer = parse_shard_answer(reply.body)
-        except ProtocolError:
-            return AttemptFailed(send.attempt, AttemptFault.GARBAGE)
-        if answer.request_id != send.request_id:
-            return AttemptFailed(send.attempt, AttemptFault.WRONG_ANSWER)
-        return ShardAnswered(send.attempt, answer)
-
-    async def _timer(self) -> None:
-        while True:
-            self._wake_changed = trio.Event()
-            if self._wake_at is None:
-                await self._wake_changed.wait()
-                continue
-            with trio.move_on_at(self._wake_at / SECOND):
-                await self._wake_changed.wait()
-                continue
-            self._wake_at = None
-            self._feed(Woke())
-
-    async def _poll_map(self, upstream: UpstreamSettings) -> None:
-        while True:
-            await trio.sleep(upstream.map_poll_ms / SECOND)
-            await self._fetch_map(upstream)
-
-    async def _fetch_map(self, upstream: UpstreamSettings) -> None:
-        for seed in upstream.seeds:
-            try:
-                reply = await http_once(seed.address, seed.port, "GET", "/shard-map")
-                shard_map = parse_shard_map(reply.body)
-            except (HttpExchangeError, ProtocolError) as exc:
-                log_event(LogEvent.SHARD_MAP_REFUSED, upstream=upstream.name, why=str(exc))
-                continue
-            self._adopt(shard_map)
+            effects = self.core.step(event, self._clock.now())
+        except Exception as exc:
+            # One request that hits a fault of the core must not end the process, and with it
+            # every other request that runs here.
+            log_event(LogEvent.ENTRY_FAULT, exc=exc, told=type(event).__name__)
+            if isinstance(event, QueryArrived):
+                failure = Failure(ErrorKind.INTERNAL, "a fault in alderhatch")
+                self._finish(event.query, Refused(failure))
             return
+        for effect in effects:
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: EntryEffect) -> None:
+        match effect:
+            case SendShard():
+                self.attempts.start(effect)
+            case CancelAttempt(attempt=attempt):
+                self.attempts.cancel(attempt)
+            case WakeAt(at=at):
+                self._timer.set(at)
+            case Finish(query=query, outcome=outcome):
+                self._finish(query, outcome)
+            case ClaimRun() | RecordOutcome() | ReportCrash():
+                self._ask_control(effect)
+
+    def _finish(self, query: int, outcome: Outcome) -> None:
+        finish = self._waiting.pop(query, None)
+        if finish is not None:
+            finish(outcome)
+
+    def _ask_control(self, effect: ControlEffect) -> None:
+        if self._control is not None:
+            self._control.carry_out(effect)
+        elif isinstance(effect, ClaimRun):
+            # Without control hosts there is no ledger that could keep a request from running
+            # twice, so it does not run at all.
+            self.feed(ClaimDecided(effect.query, Claim.UNAVAILABLE))
 
     def _adopt(self, shard_map: ShardMap) -> None:
-        self._servers |= shard_map.by_server_id
-        self._feed(ShardMapFetched(shard_map))
+        known = {server.server_id for server in shard_map.servers}
+        gone = [item for item in self.pool.server_ids(shard_map.upstream) if item not in known]
+        self.pool.adopt(shard_map.upstream, shard_map.servers, gone)
+        self.feed(ShardMapFetched(shard_map))
+        self._tell_leaving()
+
+    def _take_hosts(self, hosts: list[PlatformHost]) -> None:
+        self._hosts = [host for host in hosts if host.leaving]
+        self._tell_leaving()
+
+    def _tell_leaving(self) -> None:
+        leaving = frozenset(
+            server.server_id
+            for poller in self.maps
+            for server in (poller.newest.servers if poller.newest is not None else ())
+            if any(host.names(server.address, server.port) for host in self._hosts)
+        )
+        if leaving != self._leaving:
+            self._leaving = leaving
+            self.feed(ServersLeaving(PLATFORM, leaving))
--- /dev/null
+++ b/src/alderhatch/entry/health_poller.py
@@ -0,0 +1,105 @@
+"""Reads the health endpoints of one upstream's servers, over the warm connections."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from ..clock import SECOND, Millis
+from ..core.entry_events import HealthReported, ServerState
+from ..core.shard_map import ShardMap
+from ..http.client import ExchangeFault, HttpExchangeError, exchange_within
+from ..settings.models import UpstreamSettings
+from .connection_pool import ConnectionPool
+from .upstream_protocol import Health, ProtocolError, parse_health
+
+HEALTH_PATH = "/health"
+PROBE_TIMEOUT: Millis = 1000.0
+TRIES = 2
+MAX_HEALTH_BYTES = 65_536
+
+
+class HealthPoller:
+    """Asks each server in turn, so that each is asked once an interval.
+
+    The probes go over the connections that queries use. So a connection that went silent while
+    it was idle is found before a query is sent on it, and no place of the server's limit is spent
+    on probes.
+
+    Args:
+        cfg: The upstream's settings.
+        pool: The connections.
+        current_map: Returns the newest shard map, or None.
+        report: Takes what was found.
+    """
+
+    def __init__(
+        self,
+        cfg: UpstreamSettings,
+        pool: ConnectionPool,
+        current_map: Callable[[], ShardMap | None],
+        report: Callable[[HealthReported], None],
+    ) -> None:
+        self._cfg = cfg
+        self._pool = pool
+        self._current_map = current_map
+        self._report = report
+        self._probing: set[str] = set()
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                shard_map = self._current_map()
+                servers = shard_map.servers if shard_map is not None else ()
+                for server in servers:
+                    if server.server_id not in self._probing:
+                        nursery.start_soon(self._probe, server.server_id)
+                    await trio.sleep(self._cfg.health_poll_ms / SECOND / len(servers))
+                if not servers:
+                    await trio.sleep(self._cfg.health_poll_ms / SECOND)
+
+    async def _probe(self, server_id: str) -> None:
+        self._probing.add(server_id)
+        try:
+            for _ in range(TRIES):
+                if await self._ask(server_id):
+                    return
+            self._report(HealthReported(server_id, ServerState.UNREACHABLE, None, None))
+        finally:
+            self._probing.discard(server_id)
+
+    async def _ask(self, server_id: str) -> bool:
+        """Ask once; return whether there is nothing more to find out in this round."""
+        if self._pool.share_of(server_id) == 0:
+            return True
+        idle, busy = self._pool.held_to(server_id)
+        if busy and not idle:
+            # Every connection carries a query. Its answer tells more than a probe would, and a
+            # probe that waited for it would hold up the next query.
+            return True
+        try:
+            health = await self._exchange(server_id)
+        except ProtocolError:
+            return False
+        except HttpExchangeError as exc:
+            # One silent or broken connection says little of the server; another one tells.
+            if exc.fault is not ExchangeFault.NOT_SENT:
+                return False
+            self._report(HealthReported(server_id, ServerState.UNREACHABLE, None, None))
+            return True
+        self._report(HealthReported(server_id, health.state, health.load, health.boot_id))
+        return True
+
+    async def _exchange(self, server_id: str) -> Health:
+        conn = self._pool.take_oldest_idle(server_id)
+        if conn is None:
+            conn = await self._pool.take_within(server_id, PROBE_TIMEOUT)
+        try:
+            reply = await exchange_within(
+                conn, PROBE_TIMEOUT, "GET", HEALTH_PATH, max_body=MAX_HEALTH_BYTES
+            )
+        finally:
+            self._pool.give_back(server_id, conn)
+        return parse_health(reply)
--- /dev/null
+++ b/src/alderhatch/entry/map_poller.py
@@ -0,0 +1,95 @@
+"""Fetches an upstream's shard map, again and again."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from ..clock import SECOND, Millis
+from ..core.shard_map import ShardMap
+from ..http.client import HttpExchangeError, HttpReply, exchange_within, http_once
+from ..log import log_event
+from ..log_events import LogEvent
+from ..settings.models import Endpoint, UpstreamSettings
+from .connection_pool import ConnectionPool
+from .upstream_lists import parse_shard_map
+from .upstream_protocol import OK, ProtocolError
+
+MAP_PATH = "/shard-map"
+FETCH_TIMEOUT: Millis = 2000.0
+
+
+class MapPoller:
+    """Keeps one upstream's shard map up to date.
+
+    Args:
+        cfg: The upstream's settings.
+        pool: Connections to the servers that are known already.
+        adopt: Takes each map that differs from the one before.
+    """
+
+    def __init__(
+        self, cfg: UpstreamSettings, pool: ConnectionPool, adopt: Callable[[ShardMap], None]
+    ) -> None:
+        self._cfg = cfg
+        self.upstream = cfg.name
+        self._pool = pool
+        self._adopt = adopt
+        self.newest: ShardMap | None = None
+        self._next = 0
+
+    async def run(self) -> None:
+        """Fetch the map at its interval until cancelled."""
+        while True:
+            await trio.sleep(self._cfg.map_poll_ms / SECOND)
+            await self.fetch()
+
+    async def fetch(self) -> None:
+        """Ask the seeds and the known servers in turn until one gives a valid map."""
+        for endpoint in self._endpoints():
+            try:
+                reply = await self._get(endpoint)
+                if reply.status != OK:
+                    raise ProtocolError(f"status {reply.status}")
+                shard_map = parse_shard_map(reply.body, self._cfg.name)
+            except (HttpExchangeError, ProtocolError) as exc:
+                log_event(LogEvent.SHARD_MAP_REFUSED, upstream=self._cfg.name, why=str(exc))
+                continue
+            self._take(shard_map)
+            return
+
+    def _endpoints(self) -> list[Endpoint]:
+        # Were only the seeds asked, an upstream whose seeds have been replaced one by one would
+        # keep its last map for good, and queries would go on to name a version that is gone.
+        known = self.newest.servers if self.newest is not None else ()
+        others = [Endpoint(address=item.address, port=item.port) for item in known[:3]]
+        return list(dict.fromkeys([*self._cfg.seeds, *others]))
+
+    async def _get(self, endpoint: Endpoint) -> HttpReply:
+        server_id = self._server_at(endpoint)
+        if server_id is None:
+            return await http_once(
+                endpoint.address, endpoint.port, "GET", MAP_PATH, timeout=FETCH_TIMEOUT
+            )
+        # A connection besides the shared ones would count against the server's limit too.
+        conn = await self._pool.take_within(server_id, FETCH_TIMEOUT)
+        try:
+            return await exchange_within(conn, FETCH_TIMEOUT, "GET", MAP_PATH)
+        finally:
+            self._pool.give_back(server_id, conn)
+
+    def _server_at(self, endpoint: Endpoint) -> str | None:
+        for server in self.newest.servers if self.newest is not None else ():
+            if (server.address, server.port) == (endpoint.address, endpoint.port):
+                return server.server_id
+        return None
+
+    def _take(self, shard_map: ShardMap) -> None:
+        known = self.newest
+        if known is not None and (shard_map == known or shard_map.snapshot < known.snapshot):
+            return
+        self.newest = shard_map
+        version, epoch = shard_map.snapshot
+        log_event(LogEvent.SHARD_MAP_ADOPTED, upstream=self._cfg.name, version=version, epoch=epoch)
+        self._adopt(shard_map)
--- /dev/null
+++ b/src/alderhatch/entry/operator_side.py
@@ -0,0 +1,98 @@
+"""The operators' side of an entry: metrics, readiness and the state dump."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..errors import AlderhatchError, ErrorKind, Failure
+from ..http.messages import HttpRequest, HttpResponse, json_response
+
+if TYPE_CHECKING:
+    from .entry_node import EntryNode
+
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+MAX_SHOWN = 500
+"""Servers and entries that a dump lists at most; the counts beside them are whole."""
+
+
+class OperatorSide:
+    """Answers operators. Nothing here changes the entry, and no secret or request is shown.
+
+    Args:
+        node: The entry that is looked at.
+    """
+
+    def __init__(self, node: EntryNode) -> None:
+        self._node = node
+
+    async def handle(self, req: HttpRequest) -> HttpResponse:
+        """Answer one HTTP request of an operator.
+
+        Raises:
+            AlderhatchError: If there is nothing at its path.
+        """
+        match (req.method, req.path):
+            case ("GET", "/metrics"):
+                return HttpResponse(200, self._node.metrics.show(self._gauges()), METRICS_TYPE)
+            case ("GET", "/ready"):
+                return self._ready()
+            case ("GET", "/dump"):
+                return json_response(200, self._dump())
+        raise AlderhatchError(Failure(ErrorKind.NOT_FOUND, f"nothing at {req.method} {req.path}"))
+
+    def _ready(self) -> HttpResponse:
+        node = self._node
+        lacking = [poller.upstream for poller in node.maps if poller.newest is None]
+        if node.stop_requested.is_set():
+            return json_response(503, {"ready": False, "why": "stopping"})
+        if lacking:
+            return json_response(503, {"ready": False, "why": f"no shard map of {lacking}"})
+        return json_response(200, {"ready": True})
+
+    def _gauges(self) -> dict[str, float]:
+        node = self._node
+        return {
+            "queries_running": node.core.running,
+            "attempts_running": node.attempts.running,
+            "caller_connections": node.callers.connections,
+            "upstream_connections": node.pool.held,
+            "upstream_connections_opened": node.pool.opened,
+            "upstream_connections_silent": node.pool.silent,
+            "shard_requests_sent": node.core.shard_requests_sent,
+            "shard_requests_needed": node.core.shard_requests_needed,
+        }
+
+    def _dump(self) -> dict[str, object]:
+        node = self._node
+        return {
+            "program": "alderhatch-entry",
+            "name": node.cfg.name,
+            "zone": node.cfg.zone,
+            "callers": {"address": node.cfg.callers.address, "port": node.port},
+            "stopping": node.stop_requested.is_set(),
+            "counts": self._gauges(),
+            "maps": [self._map_line(poller.upstream) for poller in node.maps],
+            "servers": self._server_lines(),
+            "roster": [item._asdict() for item in node.addresses.roster[:MAX_SHOWN]],
+        }
+
+    def _map_line(self, upstream: str) -> dict[str, object]:
+        shard_map = next(item.newest for item in self._node.maps if item.upstream == upstream)
+        if shard_map is None:
+            return {"upstream": upstream, "snapshot": None}
+        return {
+            "upstream": upstream,
+            "snapshot": shard_map.snapshot._asdict(),
+            "shards": len(shard_map.shards),
+            "servers": len(shard_map.servers),
+            "documents": shard_map.documents,
+        }
+
+    def _server_lines(self) -> list[dict[str, object]]:
+        pool = self._node.pool
+        lines: list[dict[str, object]] = []
+        for server_id in pool.server_ids()[:MAX_SHOWN]:
+            idle, busy = pool.held_to(server_id)
+            share = pool.share_of(server_id)
+            lines.append({"server": server_id, "share": share, "idle": idle, "busy": busy})
+        return lines
--- /dev/null
+++ b/src/alderhatch/entry/server_connections.py
@@ -0,0 +1,163 @@
+"""The connections to one server: never more of them than this entry's share."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import trio
+
+from ..clock import Millis
+from ..core.shard_map import Server
+from ..http.client import ExchangeFault, HttpConnection, HttpExchangeError
+
+CLOSE_LINGER: Millis = 100.0
+"""How long a closed connection still counts: the server may not have seen it close yet."""
+FIRST_BACKOFF: Millis = 50.0
+LONGEST_BACKOFF: Millis = 5000.0
+
+
+class Waiter:
+    """Somebody who waits for a connection."""
+
+    __slots__ = ("conn", "error", "ready")
+
+    def __init__(self) -> None:
+        self.ready = trio.Event()
+        self.conn: HttpConnection | None = None
+        self.error: HttpExchangeError | None = None
+
+
+class ServerConnections:
+    """Counts and hands out the connections to one server; opening them is left to its owner.
+
+    Args:
+        upstream: The name of the upstream that the server belongs to.
+        server: The server.
+        share: How many connections this entry may hold to it.
+    """
+
+    def __init__(self, upstream: str, server: Server, share: int) -> None:
+        self.upstream = upstream
+        self.server = server
+        self.share = share
+        self.idle: deque[HttpConnection] = deque()
+        """Idle connections, the last used at the right."""
+        self.busy: set[HttpConnection] = set()
+        self.opening = False
+        self.waiting: deque[Waiter] = deque()
+        self.retired_at: Millis | None = None
+        """When the server left the newest shard map; None while it is in it."""
+        self._closed_at: deque[Millis] = deque()
+        self._backoff: Millis = 0.0
+        self._retry_at: Millis = 0.0
+        self.silent = 0
+        """Connections that went silent so far."""
+
+    def held(self, now: Millis) -> int:
+        """Return how many connections the server may still count as this entry's."""
+        # A server that has not yet seen the old connection close counts it along with its
+        # successor. Opened at once, the successor would be one too many there, and be refused.
+        while self._closed_at and self._closed_at[0] + CLOSE_LINGER <= now:
+            self._closed_at.popleft()
+        return len(self.idle) + len(self.busy) + self.opening + len(self._closed_at)
+
+    def take_idle(self, now: Millis) -> HttpConnection | None:
+        """Return the connection that was used last, or None if there is no live idle one."""
+        while self.idle:
+            conn = self.idle.pop()
+            if conn.alive:
+                self.busy.add(conn)
+                conn.progress_at = now
+                return conn
+            self.drop(conn, now)
+        return None
+
+    def take_oldest_idle(self, now: Millis) -> HttpConnection | None:
+        """Return the idle connection that was unused for longest, or None."""
+        if self.idle:
+            self.idle.rotate(1)
+        return self.take_idle(now)
+
+    def put(self, conn: HttpConnection, now: Millis) -> None:
+        """Take a connection that can carry another exchange: for who waits, or for later."""
+        self.busy.discard(conn)
+        if len(self.idle) + len(self.busy) + self.opening >= self.share:
+            self.drop(conn, now)
+            return
+        while self.waiting:
+            waiter = self.waiting.popleft()
+            self.busy.add(conn)
+            conn.progress_at = now
+            waiter.conn = conn
+            waiter.ready.set()
+            return
+        self.idle.append(conn)
+
+    def drop(self, conn: HttpConnection, now: Millis, fault: ExchangeFault | None = None) -> None:
+        """Close a connection; its place is free again a little later."""
+        self.busy.discard(conn)
+        conn.close(fault)
+        self._closed_at.append(now)
+
+    def trim(self, now: Millis) -> None:
+        """Close idle connections that are over the share."""
+        while self.idle and len(self.idle) + len(self.busy) + self.opening > self.share:
+            self.drop(self.idle.popleft(), now)
+
+    def wants_more(self, now: Millis) -> bool:
+        """Return whether one more connection should be opened now."""
+        # One at a time: each costs the server some milliseconds of its few slots, and a burst of
+        # them at a server that has just come back would make it late for everyone.
+        if self.opening or self.retired_at is not None or now < self._retry_at:
+            return False
+        return (bool(self.waiting) or not self.idle) and self.held(now) < self.share
+
+    def opened(self) -> None:
+        """Take note that a connection was opened: the next failure starts from a short wait."""
+        self._backoff = 0.0
+
+    def failed(self, error: HttpExchangeError, now: Millis) -> None:
+        """Take note that no connection could be opened, and tell everyone who waits."""
+        self._backoff = min(LONGEST_BACKOFF, max(FIRST_BACKOFF, 2 * self._backoff))
+        self._retry_at = now + self._backoff
+        if not self.busy:
+            self._fail_waiting(error)
+
+    def _fail_waiting(self, error: HttpExchangeError) -> None:
+        while self.waiting:
+            waiter = self.waiting.popleft()
+            waiter.error = error
+            waiter.ready.set()
+
+    def retire(self, now: Millis) -> None:
+        """Close what is idle and turn away who waits: another server has taken this id."""
+        self.share = 0
+        self.close_all(now)
+        message = f"{self.server.server_id} has moved"
+        self._fail_waiting(HttpExchangeError(message, ExchangeFault.NOT_SENT))
+
+    def unreachable(self, now: Millis) -> bool:
+        """Return whether there is no connection, and none may be opened yet."""
+        return now < self._retry_at and not self.idle and not self.busy
+
+    def drop_silent(self, before: Millis, now: Millis) -> None:
+        """Close the busy connections on which nothing has moved since a point in time."""
+        for conn in [conn for conn in self.busy if conn.progress_at < before]:
+            # The way between the two ends may have lost track of one connection while new ones
+            # work. So it is the connection that goes; whether the server is at fault as well is
+            # for the core to judge by what it hears from others.
+            self.silent += 1
+            self.drop(conn, now, ExchangeFault.SILENT)
+
+    def drop_old(self, before: Millis, now: Millis) -> None:
+        """Close at most one idle connection that was opened before a point in time."""
+        for conn in self.idle:
+            if conn.opened_at < before:
+                self.idle.remove(conn)
+                self.drop(conn, now)
+                return
+
+    def close_all(self, now: Millis) -> None:
+        """Close every idle connection."""
+        while self.idle:
+            self.drop(self.idle.pop(), now)
--- a/src/alderhatch/http/client.py
+++ b/src/alderhatch/http/client.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Sequence
+from enum import StrEnum
 from typing import NamedTuple
 
 import h11
@@ -13,6 +15,13 @@
 READ_BYTES = 65_536
 MAX_REPLY_HEAD_BYTES = 16_384
 MAX_REPLY_BODY_BYTES = 16 * 1024 * 1024
+MAX_INFORMATIONAL = 8
+"""1xx responses that may come before the real one."""
+KEEPALIVE_IDLE_S = 10
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_PROBES = 3
+USER_TIMEOUT_MS = 5000
+"""How long sent bytes may stay unacknowledged before the kernel gives the connection up."""
 
 
 class HttpReply(NamedTuple):
@@ -23,25 +32,64 @@
     """Header fields with lower-case names."""
     body: bytes
 
+    def header(self, name: bytes) -> bytes | None:
+        """Return the value of the first header field with a lower-case name, if there is one."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+class ExchangeFault(StrEnum):
+    """How an exchange came to no whole response."""
+
+    NOT_SENT = "not_sent"
+    """No byte of the request left this host."""
+    LOST = "lost"
+    """The connection broke after a byte may have been sent."""
+    SILENT = "silent"
+    """Nothing came for too long."""
+    GARBAGE = "garbage"
+    """What came was no HTTP response, or one beyond all limits."""
+
 
 class HttpExchangeError(Exception):
     """An exchange did not give a whole response; the connection is of no further use."""
 
-    def __init__(self, message: str, sent: bool) -> None:
+    def __init__(self, message: str, fault: ExchangeFault) -> None:
         super().__init__(message)
-        self.sent = sent
+        self.fault = fault
+
+    @property
+    def sent(self) -> bool:
         """Whether any byte of the request may have left this host."""
+        return self.fault is not ExchangeFault.NOT_SENT
 
 
 class HttpConnection:
     """One connection to a server. Exchanges on it must not overlap."""
 
-    def __init__(self, stream: trio.SocketStream, host: str) -> None:
+    def __init__(self, stream: trio.SocketStream, host: str, opened_at: Millis = 0.0) -> None:
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_REPLY_HEAD_BYTES)
-        self._host = host
+        self._host = host.encode("ascii")
+        self._closed_for: ExchangeFault | None = None
         self.usable = True
         """False once the connection can't carry another exchange."""
+        self.opened_at = opened_at
+        self.progress_at = opened_at
+        """When the present exchange last saw a byte move; its owner sets the start of it."""
+
+    @property
+    def alive(self) -> bool:
+        """Whether an idle connection can be used: open, and with no byte waiting on it.
+
+        A server closes idle connections when it likes, and a late byte may still arrive after an
+        exchange was over. Used all the same, the first would lose a request that another
+        connection could have carried, and the second would be read as the answer to the next
+        request. One look at the socket before each use finds both.
+        """
+        return self.usable and not self._stream.socket.is_readable()
 
     async def exchange(
         self,
@@ -70,50 +118,72 @@
             HttpExchangeError: If the connection broke, or the server sent no valid response.
         """
         if not self.usable:
-            raise HttpExchangeError("the connection is no longer usable", sent=False)
+            message = "the connection is no longer usable"
+            raise HttpExchangeError(message, ExchangeFault.NOT_SENT)
         self.usable = False
         data = self._request_bytes(method, target, body, headers)
         try:
             await self._stream.send_all(data)
             reply = await self._read_reply(max_body)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-            raise HttpExchangeError(f"the connection broke: {exc}", sent=True) from exc
+            fault = self._closed_for or ExchangeFault.LOST
+            raise HttpExchangeError(f"the connection broke: {exc}", fault) from exc
         except h11.RemoteProtocolError as exc:
-            raise HttpExchangeError(f"not a response: {exc}", sent=True) from exc
+            raise HttpExchangeError(f"not a response: {exc}", self._protocol_fault()) from exc
         self._make_usable()
         return reply
 
+    def _protocol_fault(self) -> ExchangeFault:
+        # A response that breaks off in the middle is a lost connection, not a server that talks
+        # nonsense: h11 reports both alike, but only the first has come to the end of the stream.
+        return ExchangeFault.LOST if self._http.trailing_data[1] else ExchangeFault.GARBAGE
+
     def _request_bytes(
         self, method: str, target: str, body: bytes, headers: Sequence[tuple[str, str]]
     ) -> bytes:
-        fields = [("Host", self._host), ("Content-Length", str(len(body)))]
+        fields = [
+            (b"Host", self._host),
+            (b"Content-Length", b"%d" % len(body)),
+        ]
         if body:
-            fields.append(("Content-Type", "application/json"))
-        fields += headers
-        data = self._http.send(h11.Request(method=method, target=target, headers=fields)) or b""
+            fields.append((b"Content-Type", b"application/json"))
+        fields += [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
+        send = self._http.send
+        data = send(h11.Request(method=method, target=target, headers=fields)) or b""
         if body:
-            data += self._http.send(h11.Data(data=body)) or b""
-        return data + (self._http.send(h11.EndOfMessage()) or b"")
+            data += send(h11.Data(data=body)) or b""
+        return data + (send(h11.EndOfMessage()) or b"")
 
     async def _read_reply(self, max_body: int) -> HttpReply:
         head: h11.Response | None = None
         chunks: list[bytes] = []
         size = 0
+        informational = 0
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
-                self._http.receive_data(await self._stream.receive_some(READ_BYTES))
+                data = await self._stream.receive_some(READ_BYTES)
+                self.progress_at = trio.current_time() * SECOND
+                self._http.receive_data(data)
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > max_body:
-                    raise HttpExchangeError(f"a body of over {max_body} bytes", sent=True)
+                    message = f"a body of over {max_body} bytes"
+                    raise HttpExchangeError(message, ExchangeFault.GARBAGE)
                 chunks.append(bytes(event.data))
             elif isinstance(event, h11.Response):
                 head = event
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 break
-            elif not isinstance(event, h11.InformationalResponse):
-                raise HttpExchangeError("the server closed the connection", sent=True)
+            elif isinstance(event, h11.InformationalResponse):
+                # Each of them counts as progress, so a server that sends them without end would
+                # hold the exchange for good.
+                informational += 1
+                if informational > MAX_INFORMATIONAL:
+                    raise HttpExchangeError("1xx without end", ExchangeFault.GARBAGE)
+            else:
+                message = "the server closed the connection"
+                raise HttpExchangeError(message, ExchangeFault.LOST)
         return HttpReply(head.status_code, list(head.headers), b"".join(chunks))
 
     def _make_usable(self) -> None:
@@ -125,10 +195,29 @@
             self._http.start_next_cycle()
             self.usable = True
 
+    def close(self, fault: ExchangeFault | None = None) -> None:
+        """Close the connection at once; an exchange under way on it fails.
+
+        Args:
+            fault: What that exchange reports; ``lost`` if none is given.
+        """
+        self.usable = False
+        self._closed_for = fault
+        self._stream.socket.close()
+
     async def aclose(self) -> None:
         """Close the connection at once."""
-        self.usable = False
-        await trio.aclose_forcefully(self._stream)
+        self.close()
+        await trio.lowlevel.checkpoint()
+
+
+def _watch_for_dead_peer(stream: trio.SocketStream) -> None:
+    """Let the kernel find a connection whose other end, or the way there, is gone."""
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
 async def open_http(address: str, port: int, timeout: Millis = 2000.0) -> HttpConnection:
@@ -140,14 +229,38 @@
         timeout: The longest time to wait, in milliseconds.
 
     Raises:
-        HttpExchangeError: With ``sent`` false if there is no connection in time.
+        HttpExchangeError: Of the fault ``not_sent`` if there is no connection in time.
     """
     try:
         with trio.fail_after(timeout / SECOND):
             stream = await trio.open_tcp_stream(address, port)
     except (OSError, trio.TooSlowError) as exc:
-        raise HttpExchangeError(f"no connection to {address}:{port}: {exc}", sent=False) from exc
-    return HttpConnection(stream, f"{address}:{port}")
+        message = f"no connection to {address}:{port}: {exc}"
+        raise HttpExchangeError(message, ExchangeFault.NOT_SENT) from exc
+    _watch_for_dead_peer(stream)
+    return HttpConnection(stream, f"{address}:{port}", trio.current_time() * SECOND)
+
+
+async def exchange_within(
+    conn: HttpConnection,
+    timeout: Millis,
+    method: str,
+    target: str,
+    body: bytes = b"",
+    headers: Sequence[tuple[str, str]] = (),
+    max_body: int = MAX_REPLY_BODY_BYTES,
+) -> HttpReply:
+    """Make one exchange that is over after a time, in milliseconds, whatever happens.
+
+    Raises:
+        HttpExchangeError: Of the fault ``silent`` if there was no whole response in time.
+    """
+    try:
+        with trio.fail_after(timeout / SECOND):
+            return await conn.exchange(method, target, body, headers, max_body)
+    except trio.TooSlowError as exc:
+        message = f"no answer within {timeout} ms"
+        raise HttpExchangeError(message, ExchangeFault.SILENT) from exc
 
 
 async def http_once(
@@ -166,10 +279,6 @@
     """
     conn = await open_http(address, port, timeout)
     try:
-        with trio.fail_after(timeout / SECOND):
-            return await conn.exchange(method, target, body, headers)
-    except trio.TooSlowError as exc:
-        raise HttpExchangeError(f"no answer within {timeout} ms", sent=True) from exc
+        return await exchange_within(conn, timeout, method, target, body, headers)
     finally:
-        with trio.CancelScope(shield=True):
-            await conn.aclose()
+        conn.close()
--- a/src/alderhatch/http/server.py
+++ b/src/alderhatch/http/server.py
@@ -9,7 +9,7 @@
 import h11
 import trio
 
-from ..clock import SECOND
+from ..clock import SECOND, Millis
 from ..errors import AlderhatchError, ErrorKind, Failure
 from ..log import log_event
 from ..log_events import LogEvent
@@ -19,12 +19,26 @@
 READ_BYTES = 65_536
 MAX_EARLY_BYTES = 65_536
 """What a client may send ahead while its request is being answered."""
+LINGER: Millis = 1000.0
+MAX_LINGER_BYTES = 4 * 1024 * 1024
+
+
+class ServeState:
+    """What a server has under way, and whether it is about to end."""
+
+    def __init__(self) -> None:
+        self.connections = 0
+        self.exchanges = 0
+        """Requests that are being answered, from their last byte to the last byte sent back."""
+        self.closing = False
+        """Set to close each connection with its next answer, so that clients go elsewhere."""
 
 
 async def serve_http(
     listeners: list[trio.SocketListener],
     handler: Handler,
     limits: HttpLimits = HttpLimits(),
+    state: ServeState | None = None,
     task_status: trio.TaskStatus[list[trio.SocketListener]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Answer HTTP requests until cancelled.
@@ -37,22 +51,22 @@
         listeners: Open listening sockets.
         handler: Called once for each whole request.
         limits: What is taken from one client; more connections than the limit are closed at once.
+        state: Shows what is under way, and takes the word that the server is about to end.
         task_status: Told when requests are taken.
     """
-    open_connections = 0
+    known = state or ServeState()
 
     async def on_connection(stream: trio.SocketStream) -> None:
-        nonlocal open_connections
-        if open_connections >= limits.connections:
+        if known.connections >= limits.connections:
             await trio.aclose_forcefully(stream)
             return
-        open_connections += 1
+        known.connections += 1
         try:
-            await _ServerConnection(stream, handler, limits).run()
+            await _ServerConnection(stream, handler, limits, known).run()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
         finally:
-            open_connections -= 1
+            known.connections -= 1
             await trio.aclose_forcefully(stream)
 
     await trio.serve_listeners(on_connection, listeners, task_status=task_status)
@@ -61,8 +75,11 @@
 class _ServerConnection:
     """One client's connection, which carries requests one after the other."""
 
-    def __init__(self, stream: trio.SocketStream, handler: Handler, limits: HttpLimits) -> None:
+    def __init__(
+        self, stream: trio.SocketStream, handler: Handler, limits: HttpLimits, state: ServeState
+    ) -> None:
         self._stream = stream
+        self._state = state
         self._handler = handler
         self._limits = limits
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
@@ -75,17 +92,34 @@
             except AlderhatchError as exc:
                 log_event(LogEvent.CALLER_INPUT_REFUSED, why=str(exc))
                 await self._send(failure_response(exc.failure), close=True)
+                await self._linger()
                 return
             if req is None:
                 return
-            response = await self._handle(req)
-            if response is None:
-                return
-            await self._send(response)
+            self._state.exchanges += 1
+            try:
+                response = await self._handle(req)
+                if response is None:
+                    return
+                await self._send(response, close=self._state.closing)
+            finally:
+                self._state.exchanges -= 1
             if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
                 return
             self._http.start_next_cycle()
 
+    async def _linger(self) -> None:
+        # A socket closed with bytes unread resets the connection, and the reset can overtake the
+        # answer: a caller whose body was too large would see a broken connection and no reason.
+        with trio.move_on_after(LINGER / SECOND):
+            await self._stream.send_eof()
+            left = MAX_LINGER_BYTES
+            while left > 0:
+                data = await self._stream.receive_some(READ_BYTES)
+                if not data:
+                    return
+                left -= len(data)
+
     async def _read_request(self) -> HttpRequest | None:
         with trio.move_on_after(self._limits.idle_timeout / SECOND):
             if not await self._first_bytes():
--- a/src/alderhatch/settings/models.py
+++ b/src/alderhatch/settings/models.py
@@ -87,6 +87,11 @@
     """How long callers keep an answer about addresses."""
     drain_ms: Span = 30_000.0
     """How long a planned stop waits for requests that run; more than ``address_ttl_ms``."""
+    connections_per_server: Annotated[int, Field(ge=1, le=1000)] = 2
+    """Connections to each upstream server, as long as no lease of control gives shares."""
+    progress_timeout_ms: Span = 1000.0
+    """How long an exchange with an upstream may stand still until its connection is dropped."""
+    platform_poll_ms: Span = 1000.0
     limits: CallerLimits = CallerLimits()
 
 
--- a/src/alderhatch/standin/demo.py
+++ b/src/alderhatch/standin/demo.py
@@ -4,7 +4,7 @@
 
 import tomllib
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import orjson
 import trio
@@ -14,10 +14,11 @@
 
 from ..clock import LoopClock
 from ..core.rule_list import RuleList, parse_rules
-from ..core.shard_map import Snapshot
-from ..entry.entry_node import EntryAddress, EntryNode
+from ..entry.address_book import EntryAddress
+from ..entry.entry_node import EntryNode
 from ..http.client import HttpConnection, http_once, open_http
 from ..settings.models import Endpoint, EntrySettings, UpstreamSettings
+from .answer_check import check_answer
 from .corpus import TOPICS
 from .deployments import BRAZOS, TRAFIKKFORBUND, Deployment
 from .standin_upstream import StandinUpstream
@@ -47,29 +48,6 @@
     why: str
 
 
-def check_answer(upstream: StandinUpstream, topic: str, body: dict[str, Any]) -> str | None:
-    """Compare an answer with what the stand-in holds at the snapshot that the answer names.
-
-    Args:
-        upstream: The stand-in that was asked.
-        topic: The topic that was asked for.
-        body: The answer's JSON body.
-
-    Returns:
-        What is wrong, or None if the answer is whole and its coverage true.
-    """
-    snapshot = Snapshot(body["snapshot"]["version"], body["snapshot"]["epoch"])
-    missing = {item["shard"] for item in body["missing"]}
-    shards = dict.fromkeys(server.shard for server in upstream.servers)
-    covered = [shard for shard in shards if shard not in missing]
-    rows = [row for shard in covered for row in upstream.corpus.rows(shard, snapshot, topic)]
-    if body["rows"] != rows:
-        return f"{len(body['rows'])} rows instead of {len(rows)}"
-    if abs(body["coverage"] - len(covered) / len(shards)) > 1e-9:
-        return f"coverage {body['coverage']} with {len(missing)} of {len(shards)} shards missing"
-    return None
-
-
 class DemoRun:
     """One deployment's demo."""
 
@@ -97,10 +75,10 @@
                 entry.change_rules(1, self.rules)
                 self.entries.append(entry)
             for entry in self.entries:
-                entry.roster = [
+                entry.set_roster(
                     EntryAddress(LOOPBACK, other.port, zone)
                     for other, zone in zip(self.entries, self._entry_zones(), strict=True)
-                ]
+                )
             async with trio.open_nursery() as callers:
                 for name in self.upstreams:
                     callers.start_soon(self._caller, name)
--- a/src/alderhatch/standin/deployments.py
+++ b/src/alderhatch/standin/deployments.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from .standin_upstream import UpstreamShape
+from .standin_server import UpstreamShape
 
 
 class Deployment(NamedTuple):
--- /dev/null
+++ b/src/alderhatch/standin/garbled_answer.py
@@ -0,0 +1,97 @@
+"""The bytes of answers that break the upstream protocol."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+import orjson
+
+from .server_faults import Garbage
+
+CHUNK = b"1000\r\n" + b" " * 4096 + b"\r\n"
+FILLER_HEADER = b"X-Filler: " + b"x" * 1000 + b"\r\n"
+PROCESSING = b"HTTP/1.1 102 Processing\r\n\r\n"
+
+
+class RawAnswer(NamedTuple):
+    """Bytes to be written as they are."""
+
+    data: bytes
+    repeat: bytes = b""
+    """Written again and again after that."""
+    pause_ms: float = 0.0
+    """Between two repeats."""
+    close: bool = False
+    """Close the connection after the data."""
+
+
+def http_answer(status: int, body: bytes, length: int | None = None) -> bytes:
+    """Return a whole HTTP answer, with a Content-Length that may be told to be wrong."""
+    size = len(body) if length is None else length
+    head = (
+        f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {size}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def garbled_answer(
+    kind: Garbage, answer: dict[str, Any], previous: dict[str, Any] | None
+) -> RawAnswer:
+    """Return the bytes that stand in place of an answer.
+
+    Args:
+        kind: How it is wrong.
+        answer: The right answer's body.
+        previous: The body of the server's previous answer, if there was one.
+    """
+    body = orjson.dumps(answer)
+    match kind:
+        case Garbage.BAD_JSON:
+            return RawAnswer(http_answer(200, body[:-1]))
+        case Garbage.NOT_AN_OBJECT:
+            return RawAnswer(http_answer(200, b"[1]"))
+        case Garbage.WRONG_ID:
+            return _changed(answer, id="another-1")
+        case Garbage.CROSSED:
+            return RawAnswer(http_answer(200, orjson.dumps(previous or answer | {"id": "other"})))
+        case Garbage.WRONG_SHARD:
+            return _changed(answer, shard="another")
+        case Garbage.WRONG_VERSION:
+            return _changed(answer, version=answer["version"] + 1)
+        case Garbage.MISSING_ROWS:
+            return _changed(answer, rows=None)
+        case Garbage.ROWS_NO_LIST:
+            return _changed(answer, rows={"0": "row"})
+        case Garbage.SHORT_LENGTH:
+            return RawAnswer(http_answer(200, body, len(body) - 5))
+        case Garbage.LONG_LENGTH:
+            return RawAnswer(http_answer(200, body, len(body) + 50), close=True)
+        case Garbage.LONG_LENGTH_OPEN:
+            return RawAnswer(http_answer(200, body, len(body) + 50))
+        case Garbage.ENDLESS_BODY:
+            return RawAnswer(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", CHUNK)
+        case Garbage.ENDLESS_HEAD:
+            return RawAnswer(b"HTTP/1.1 200 OK\r\n", FILLER_HEADER)
+        case Garbage.INFORMATIONAL_FLOOD:
+            return RawAnswer(PROCESSING, PROCESSING)
+        case Garbage.NOT_HTTP:
+            return RawAnswer(b"\x00\x01 no HTTP at all \r\n\r\n")
+        case Garbage.ANSWER_TWICE:
+            false_rows = answer | {"rows": [{"key": "false"}]}
+            return RawAnswer(http_answer(200, body) + http_answer(200, orjson.dumps(false_rows)))
+        case Garbage.DRIP:
+            return RawAnswer(http_answer(200, b"{", 10_000_000), b" ", 20.0)
+        case Garbage.ERROR_PAGE:
+            return RawAnswer(http_answer(503, b"<html>try later</html>"))
+        case Garbage.CROSSED_REFUSAL:
+            return _refusal(503, "shed", "another-1")
+        case Garbage.WRONG_STATUS:
+            return _refusal(404, "shed", answer["id"])
+
+
+def _changed(answer: dict[str, Any], **fields: object) -> RawAnswer:
+    return RawAnswer(http_answer(200, orjson.dumps(answer | fields)))
+
+
+def _refusal(status: int, error: str, request_id: str) -> RawAnswer:
+    return RawAnswer(http_answer(status, orjson.dumps({"id": request_id, "error": error})))
--- a/src/alderhatch/standin/standin_upstream.py
+++ b/src/alderhatch/standin/standin_upstream.py
@@ -2,107 +2,13 @@
 
 from __future__ import annotations
 
-from functools import partial
 from random import Random
-from typing import Any, NamedTuple
 
-import orjson
 import trio
 
-from ..clock import SECOND, Millis
 from ..core.shard_map import Snapshot
-from ..http.messages import HttpLimits, HttpRequest, HttpResponse, json_response
-from ..http.server import serve_http
-from .corpus import Corpus
-
-
-class UpstreamShape(NamedTuple):
-    """How many servers an upstream has, and what each can do."""
-
-    name: str
-    shards: int
-    servers_per_shard: int
-    slots: int
-    connections: int
-    connect_ms: Millis
-    """What a new connection costs a server."""
-
-
-class ServiceTime(NamedTuple):
-    """How long a shard request takes: log-normal, with stragglers now and then."""
-
-    median: Millis = 2.0
-    sigma: float = 0.5
-    straggler_share: float = 0.02
-    straggler_factor: float = 10.0
-
-    def draw(self, rng: Random) -> Millis:
-        """Return the time of one shard request."""
-        span = self.median * rng.lognormvariate(0.0, self.sigma)
-        return span * self.straggler_factor if rng.random() < self.straggler_share else span
-
-
-class StandinServer:
-    """One server of a stand-in upstream."""
-
-    def __init__(
-        self, upstream: StandinUpstream, server_id: str, shard: str, zone: str, rng: Random
-    ) -> None:
-        self.upstream = upstream
-        self.server_id = server_id
-        self.shard = shard
-        self.zone = zone
-        self.port = 0
-        self.draining = False
-        self.rng = rng
-        self.received = 0
-        """Shard requests received so far."""
-        self._slots = trio.CapacityLimiter(upstream.shape.slots)
-
-    async def serve(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
-        """Listen on a port that the kernel chooses, until cancelled."""
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        self.port = listeners[0].socket.getsockname()[1]
-        limits = HttpLimits(connections=self.upstream.shape.connections)
-        async with trio.open_nursery() as nursery:
-            await nursery.start(partial(serve_http, listeners, self.handle, limits))
-            task_status.started()
-
-    async def handle(self, req: HttpRequest) -> HttpResponse:
-        """Answer one exchange of the upstream protocol."""
-        match req.path:
-            case "/shard-map":
-                return json_response(200, self.upstream.map_as_json())
-            case "/health":
-                state = "draining" if self.draining else "ready"
-                return json_response(200, {"state": state} | self._load())
-            case "/shard" if req.method == "POST":
-                return await self._run(orjson.loads(req.body))
-        return json_response(404, {"error": "not_found"})
-
-    def _load(self) -> dict[str, int]:
-        stats = self._slots.statistics()
-        return {"in_flight": stats.borrowed_tokens, "queued": stats.tasks_waiting}
-
-    async def _run(self, ask: dict[str, Any]) -> HttpResponse:
-        self.received += 1
-        if self.draining:
-            return json_response(503, {"id": ask["id"], "error": "draining"})
-        snapshot = Snapshot(ask["version"], ask["epoch"])
-        if snapshot not in self.upstream.snapshots:
-            return json_response(409, {"id": ask["id"], "error": "version_gone"})
-        async with self._slots:
-            await trio.sleep(self.upstream.service_time.draw(self.rng) / SECOND)
-        topic = ask["query"].get("topic", "")
-        answer = {
-            "id": ask["id"],
-            "shard": ask["shard"],
-            "version": snapshot.version,
-            "epoch": snapshot.epoch,
-            "rows": self.upstream.corpus.rows(ask["shard"], snapshot, topic),
-            "load": self._load(),
-        }
-        return json_response(200, answer)
+from .corpus import Corpus, Layout
+from .standin_server import ServiceTime, StandinServer, UpstreamShape
 
 
 class StandinUpstream:
@@ -125,37 +31,87 @@
         service_time: ServiceTime = ServiceTime(),
     ) -> None:
         self.shape = shape
-        self.corpus = Corpus(shape.name, documents_per_shard)
+        self.corpus = Corpus(shape.name)
         self.service_time = service_time
-        self.snapshots = [Snapshot(1, 1)]
-        """The snapshots that the servers still hold; the last one is the newest."""
+        self.runs: list[tuple[str, str]] = []
+        """Request id and server of each run of a request that may not be repeated."""
+        shards = [f"s{number:02d}" for number in range(shape.shards)]
+        holders = {
+            shard: tuple(f"{shape.name}-{shard[1:]}-{n}" for n in range(shape.servers_per_shard))
+            for shard in shards
+        }
+        first = Layout(Snapshot(1, 1), dict.fromkeys(shards, documents_per_shard), holders)
+        self.layouts = {first.snapshot: first}
+        """What the servers hold, by snapshot; the last one is the newest."""
+        self.published = dict(self.layouts)
+        """All that the servers ever held, to check answers by."""
         self.servers = [
-            self._make_server(shard, replica, zones, seed)
-            for shard in range(shape.shards)
-            for replica in range(shape.servers_per_shard)
+            self._make_server(number + replica, server_id, zones, seed)
+            for number, shard in enumerate(shards)
+            for replica, server_id in enumerate(holders[shard])
         ]
 
     def _make_server(
-        self, shard: int, replica: int, zones: tuple[str, ...], seed: int
+        self, number: int, server_id: str, zones: tuple[str, ...], seed: int
     ) -> StandinServer:
-        server_id = f"{self.shape.name}-{shard:02d}-{replica}"
-        zone = zones[(shard + replica) % len(zones)]
         rng = Random(f"{seed}/{server_id}")
-        return StandinServer(self, server_id, f"s{shard:02d}", zone, rng)
+        return StandinServer(self, server_id, zones[number % len(zones)], rng)
+
+    @property
+    def newest(self) -> Layout:
+        """What new queries should read."""
+        return next(reversed(self.layouts.values()))
+
+    def server(self, server_id: str) -> StandinServer:
+        """Return the server of an id.
+
+        Raises:
+            StopIteration: If there is none.
+        """
+        return next(item for item in self.servers if item.server_id == server_id)
+
+    def holders(self, shard: str) -> list[StandinServer]:
+        """Return the servers that hold a shard of the newest layout."""
+        return [self.server(server_id) for server_id in self.newest.servers[shard]]
+
+    def publish_version(self) -> Snapshot:
+        """Add the next index version, with the shards as they are."""
+        last = self.newest
+        snapshot = Snapshot(last.snapshot.version + 1, last.snapshot.epoch)
+        return self._publish(last._replace(snapshot=snapshot))
+
+    def _publish(self, layout: Layout) -> Snapshot:
+        self.layouts[layout.snapshot] = layout
+        self.published[layout.snapshot] = layout
+        return layout.snapshot
+
+    def repartition(self) -> Snapshot:
+        """Split each shard in two of unequal size, on the same servers, in a new epoch."""
+        last = self.newest
+        snapshot = Snapshot(last.snapshot.version + 1, last.snapshot.epoch + 1)
+        documents: dict[str, int] = {}
+        servers: dict[str, tuple[str, ...]] = {}
+        for shard, count in last.documents.items():
+            small = count // 3
+            for name, size in ((f"{shard}a", small), (f"{shard}b", count - small)):
+                documents[name] = size
+                servers[name] = last.servers[shard]
+        return self._publish(Layout(snapshot, documents, servers))
+
+    def forget(self, snapshot: Snapshot) -> None:
+        """Let all servers drop a snapshot."""
+        del self.layouts[snapshot]
 
     def map_as_json(self) -> dict[str, object]:
         """Return the newest shard map as the protocol shows it."""
-        snapshot = self.snapshots[-1]
-        shards: dict[str, list[str]] = {}
-        for server in self.servers:
-            shards.setdefault(server.shard, []).append(server.server_id)
+        layout = self.newest
         return {
             "upstream": self.shape.name,
-            "version": snapshot.version,
-            "epoch": snapshot.epoch,
+            "version": layout.snapshot.version,
+            "epoch": layout.snapshot.epoch,
             "shards": [
-                {"name": name, "documents": self.corpus.documents_per_shard, "servers": servers}
-                for name, servers in shards.items()
+                {"name": name, "documents": documents, "servers": list(layout.servers[name])}
+                for name, documents in layout.documents.items()
             ],
             "servers": [self._server_as_json(server) for server in self.servers],
         }
