--- /dev/null
+++ b/features/entry_world.py
@@ -0,0 +1,234 @@
+"""A loop in a thread with stand-in upstreams and entries, which steps talk to one call at a time."""
+
+from __future__ import annotations
+
+import threading
+from functools import partial
+
+import orjson
+import trio
+
+from alderhatch.core.rule_list import parse_rules
+from alderhatch.entry.address_book import EntryAddress
+from alderhatch.entry.app import planned_stop
+from alderhatch.entry.entry_node import EntryNode
+from alderhatch.http.client import HttpExchangeError, http_once
+from alderhatch.settings.models import CallerLimits, Endpoint, EntrySettings, UpstreamSettings
+from alderhatch.standin.answer_check import check_answer
+from alderhatch.standin.standin_platform import StandinPlatform
+from alderhatch.standin.standin_server import ServiceTime, UpstreamShape
+from alderhatch.standin.standin_upstream import StandinUpstream
+
+LOOPBACK = "127.0.0.1"
+NOWHERE = Endpoint(address=LOOPBACK, port=0)
+PATIENCE_S = 60
+ZONES = ("austin-hall", "waco-hall")
+
+
+class EntryWorld:
+    """Runs trio in a thread of its own; ``call`` runs one coroutine function in that loop."""
+
+    def __init__(self):
+        self.upstream = None
+        self.platform = None
+        self.entries = []
+        self.scopes = []
+        self.rule = {"deadline_ms": 3000, "retries": 2}
+        self.settings = {}
+        self.replies = []
+        self._ready = threading.Event()
+        self._thread = threading.Thread(target=trio.run, args=(self._main,))
+        self._thread.start()
+        self._ready.wait()
+
+    async def _main(self):
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self._token = trio.lowlevel.current_trio_token()
+            self._ready.set()
+            await trio.sleep_forever()
+
+    def call(self, function, *args):
+        async def patiently():
+            with trio.fail_after(PATIENCE_S):
+                return await function(*args)
+
+        return trio.from_thread.run(patiently, trio_token=self._token)
+
+    def close(self):
+        trio.from_thread.run_sync(self._nursery.cancel_scope.cancel, trio_token=self._token)
+        self._thread.join()
+
+    async def start_upstream(self, shards, servers, **shape):
+        shape = UpstreamShape(
+            "navigator",
+            shards,
+            servers,
+            shape.get("slots", 4),
+            shape.get("connections", 30),
+            shape.get("connect_ms", 0.0),
+        )
+        self.upstream = StandinUpstream(shape, ZONES, service_time=ServiceTime(1.0, 0.0, 0.0))
+        await self._nursery.start(self.upstream.serve)
+
+    async def start_platform(self):
+        self.platform = StandinPlatform()
+        await self._nursery.start(self.platform.serve)
+
+    async def start_entry(self):
+        number = len(self.entries)
+        seed = Endpoint(address=LOOPBACK, port=self.upstream.servers[0].port)
+        upstream = UpstreamSettings(
+            name="navigator",
+            seeds=(seed,),
+            map_poll_ms=self.settings.get("map_poll_ms", 50),
+            health_poll_ms=self.settings.get("health_poll_ms", 100),
+        )
+        platform = None
+        if self.platform is not None:
+            platform = Endpoint(address=LOOPBACK, port=self.platform.port)
+        cfg = EntrySettings(
+            name=f"entry-{number + 1}",
+            zone=ZONES[number % len(ZONES)],
+            callers=NOWHERE,
+            operators=NOWHERE,
+            upstreams=(upstream,),
+            platform=platform,
+            platform_poll_ms=50,
+            address_ttl_ms=self.settings.get("address_ttl_ms", 200),
+            drain_ms=10_000,
+            connections_per_server=self.settings.get("connections_per_server", 2),
+            progress_timeout_ms=self.settings.get("progress_timeout_ms", 300),
+            limits=CallerLimits(**self.settings.get("limits", {})),
+        )
+        entry = EntryNode(cfg, seed=number)
+        scope = trio.CancelScope()
+        entry.change_rules(1, parse_rules([{"name": "only", "then": self.rule}]))
+        await self._nursery.start(self._run_entry, entry, scope)
+        self.entries.append(entry)
+        self.scopes.append(scope)
+        self._share_roster()
+        return entry
+
+    async def _run_entry(self, entry, scope, task_status=trio.TASK_STATUS_IGNORED):
+        with scope:
+            await entry.run(task_status)
+
+    def _share_roster(self):
+        roster = [EntryAddress(LOOPBACK, item.port, item.cfg.zone) for item in self.entries]
+        for entry in self.entries:
+            entry.set_roster(roster)
+
+    async def end_entry(self, number):
+        self.scopes[number].cancel()
+        await trio.sleep(0)
+
+    async def stop_entry(self, number):
+        await planned_stop(self.entries[number])
+        self.scopes[number].cancel()
+
+    async def query(self, entry=0, path="/query", **fields):
+        body = {
+            "request_id": "query-1",
+            "caller": "tests",
+            "kind": "route",
+            "upstream": "navigator",
+            "query": {"topic": ""},
+        } | fields
+        reply = await http_once(
+            LOOPBACK, self.entries[entry].port, "POST", path, orjson.dumps(body), timeout=20_000
+        )
+        answer = orjson.loads(reply.body)
+        self.replies.append((reply.status, answer))
+        return reply.status, answer
+
+    async def queries_at_once(self, count, entry=0):
+        replies = []
+
+        async def one():
+            replies.append(await self.query(entry))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(count):
+                nursery.start_soon(one)
+        return replies
+
+    async def load(self, task_status=trio.TASK_STATUS_IGNORED, callers=4):
+        """Send queries to every entry until the scope that is given as started is cancelled."""
+        scope = trio.CancelScope()
+        counts = {"right": 0, "wrong": [], "broken": []}
+
+        async def caller(number):
+            while not stop.is_set():
+                entry = number % len(self.entries)
+                try:
+                    status, answer = await self.query(entry)
+                except HttpExchangeError as exc:
+                    counts["broken"].append((entry, str(exc)))
+                    continue
+                if status != 200:
+                    counts["wrong"].append((status, answer))
+                elif self.check(answer) is None:
+                    counts["right"] += 1
+                else:
+                    counts["wrong"].append(self.check(answer))
+
+        stop = trio.Event()
+        with scope:
+            async with trio.open_nursery() as nursery:
+                for number in range(callers):
+                    nursery.start_soon(caller, number)
+                task_status.started((stop, counts))
+        self._load_ended.set()
+
+    async def start_load(self, callers=4):
+        self._load_ended = trio.Event()
+        self.stop_load, self.load_counts = await self._nursery.start(
+            partial(self.load, callers=callers)
+        )
+
+    async def end_load(self):
+        self.stop_load.set()
+        await self._load_ended.wait()
+        return self.load_counts
+
+    def check(self, answer, topic=""):
+        return check_answer(self.upstream, topic, answer)
+
+    async def until(self, condition):
+        while not condition():
+            await trio.sleep(0.005)
+
+    async def nap(self, seconds):
+        await trio.sleep(seconds)
+
+    async def raw(self, port, pieces, pause_s=0.0, read=True):
+        """Send bytes as they are and return everything that comes back until the other end closes."""
+        stream = await trio.open_tcp_stream(LOOPBACK, port)
+        received = b""
+        async with stream:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._send_pieces, stream, pieces, pause_s)
+                try:
+                    while read and (data := await stream.receive_some()):
+                        received += data
+                except trio.BrokenResourceError:
+                    received += b"<reset>"
+                nursery.cancel_scope.cancel()
+        return received
+
+    async def _send_pieces(self, stream, pieces, pause_s):
+        try:
+            for piece in pieces:
+                await stream.send_all(piece)
+                await trio.sleep(pause_s)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+
+def world(context) -> EntryWorld:
+    """Return the scenario's world, which ends with the scenario."""
+    if not hasattr(context, "entry_world"):
+        context.entry_world = EntryWorld()
+        context.add_cleanup(context.entry_world.close)
+    return context.entry_world
--- a/src/alderhatch/entry/caller_side.py
+++ b/src/alderhatch/entry/caller_side.py
@@ -16,6 +16,8 @@
     """What runs callers' requests."""
 
     addresses: AddressBook
+    upstreams: frozenset[str]
+    """The names of the upstreams that there are."""
 
     async def outcome_of(self, request: Request) -> Outcome:
         """Run one request."""
@@ -47,6 +49,9 @@
         raise AlderhatchError(Failure(ErrorKind.NOT_FOUND, f"nothing at {req.method} {req.path}"))
 
     async def _run(self, request: Request) -> HttpResponse:
+        if request.upstream not in self._runner.upstreams:
+            message = f"upstream: no upstream {request.upstream!r} is configured"
+            raise AlderhatchError(Failure(ErrorKind.UNKNOWN_UPSTREAM, message, "upstream"))
         outcome = await self._runner.outcome_of(request)
         return outcome_response(request.request_id, outcome)
 
--- a/src/alderhatch/entry/entry_node.py
+++ b/src/alderhatch/entry/entry_node.py
@@ -76,6 +76,7 @@
         self.pool = ConnectionPool(cfg.connections_per_server, cfg.progress_timeout_ms)
         self.attempts = AttemptRunner(self.pool, self.feed)
         self.addresses = AddressBook(cfg.address_ttl_ms)
+        self.upstreams = frozenset(upstream.name for upstream in cfg.upstreams)
         self.metrics = EntryMetrics()
         self.callers = ServeState()
         self.maps = [MapPoller(upstream, self.pool, self._adopt) for upstream in cfg.upstreams]
--- a/src/alderhatch/http/client.py
+++ b/src/alderhatch/http/client.py
@@ -14,7 +14,7 @@
 
 READ_BYTES = 65_536
 MAX_REPLY_HEAD_BYTES = 16_384
-MAX_REPLY_BODY_BYTES = 16 * 1024 * 1024
+MAX_REPLY_BODY_BYTES = 4 * 1024 * 1024
 MAX_INFORMATIONAL = 8
 """1xx responses that may come before the real one."""
 KEEPALIVE_IDLE_S = 10
--- a/src/alderhatch/http/server.py
+++ b/src/alderhatch/http/server.py
@@ -162,6 +162,10 @@
             return None
         if not isinstance(head, h11.Request):
             raise _refused(ErrorKind.BAD_REQUEST, "expected a request")
+        # h11 bounds only a head that is still incomplete; one that came in a single read passes.
+        if sum(len(name) + len(value) for name, value in head.headers) > self._limits.head_bytes:
+            message = f"the head is larger than {self._limits.head_bytes} bytes"
+            raise _refused(ErrorKind.TOO_LARGE, message)
         chunks: list[bytes] = []
         size = 0
         while True:
--- a/src/alderhatch/standin/standin_server.py
+++ b/src/alderhatch/standin/standin_server.py
@@ -52,6 +52,7 @@
     service_time: ServiceTime
     corpus: Corpus
     layouts: dict[Snapshot, Layout]
+    published: dict[Snapshot, Layout]
     runs: list[tuple[str, str]]
 
     def map_as_json(self) -> dict[str, object]:
@@ -130,6 +131,11 @@
         for conn in self._connections:
             conn.frozen = side
 
+    @property
+    def silent_connections(self) -> int:
+        """How many open connections have gone silent."""
+        return sum(conn.frozen is not None for conn in self._connections)
+
     @property
     def boot_id(self) -> str:
         """Changes with each start."""
@@ -223,7 +229,8 @@
         return None
 
     def _answer_to(self, ask: dict[str, Any]) -> dict[str, Any]:
-        layout = self.upstream.layouts[Snapshot(ask["version"], ask["epoch"])]
+        # What was begun is read to its end, even if the snapshot was forgotten meanwhile.
+        layout = self.upstream.published[Snapshot(ask["version"], ask["epoch"])]
         if ask["idempotent"]:
             rows = self.upstream.corpus.rows(layout, ask["shard"], ask["query"].get("topic", ""))
         else:
