Core in small modules: choice of replicas, retries, hedges, admission, claims, lease, quarantine

Cause: the thin core knew only a random replica and a simple retry; the shell needs the whole seam. Change: entry_core.py is a thin dispatcher over arrival/admission, dispatcher, fan_out, hedging, at_most_once, crash_watch, server_table/server_view.

--- /dev/null
+++ b/src/alderhatch/core/attempt.py
@@ -0,0 +1,37 @@
+"""One shard request sent to one server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..clock import Millis
+from .server_view import ServerView
+
+if TYPE_CHECKING:
+    from .run import Run, ShardState
+
+
+class Attempt:
+    """One shard request that is out."""
+
+    __slots__ = ("alone", "hedge", "number", "run", "sent_at", "server", "state")
+
+    def __init__(
+        self,
+        number: int,
+        run: Run,
+        state: ShardState,
+        server: ServerView,
+        sent_at: Millis,
+        hedge: bool,
+        alone: bool,
+    ) -> None:
+        self.number = number
+        self.run = run
+        self.state = state
+        self.server = server
+        self.sent_at = sent_at
+        self.hedge = hedge
+        """Whether it is a second copy beside another attempt."""
+        self.alone = alone
+        """Whether its body may have crashed another server."""
--- /dev/null
+++ b/src/alderhatch/core/core_state.py
@@ -0,0 +1,68 @@
+"""What the parts of the entry's core share during a step."""
+
+from __future__ import annotations
+
+from random import Random
+
+from ..clock import Millis
+from ..errors import ErrorKind, Failure
+from .crash_watch import CrashWatch
+from .entry_events import EntryEffect, Finish, Refused
+from .policy import Policy
+from .ratio_budget import RatioBudget
+from .rule import Rule, Serve
+from .rule_list import RuleList
+from .run import Run
+from .server_table import ServerTable
+from .timers import Timers
+
+MAX_HEDGE_BUDGETS = 2000
+
+
+class CoreState:
+    """The shared state, with the present time and the effects of the step under way."""
+
+    def __init__(self, name: str, zone: str, rng: Random, policy: Policy) -> None:
+        self.name = name
+        self.zone = zone
+        self.rng = rng
+        self.policy = policy
+        self.now: Millis = 0.0
+        self.effects: list[EntryEffect] = []
+        self.servers = ServerTable(policy)
+        self.timers = Timers()
+        self.crashes = CrashWatch(policy.quarantine_ms)
+        self.rules = RuleList()
+        self.revision = 0
+        self.runs: dict[int, Run] = {}
+        """The requests under way, by their numbers."""
+        self.hedges: dict[str, RatioBudget] = {}
+        """Hedge budgets by the rule's name."""
+        self.shard_requests_sent = 0
+        self.shard_requests_needed = 0
+        self.wasted = 0
+        """Attempts that were cancelled or whose answer was of no use."""
+
+    def hedge_budget(self, rule: Rule, serve: Serve) -> RatioBudget:
+        """Return the budget of a rule."""
+        budget = self.hedges.get(rule.name)
+        if budget is None:
+            if len(self.hedges) >= MAX_HEDGE_BUDGETS:
+                self.hedges.clear()
+            budget = RatioBudget(serve.hedge, self.policy.hedge_burst, 1.0)
+            self.hedges[rule.name] = budget
+        budget.ratio = serve.hedge
+        return budget
+
+    def refuse(
+        self,
+        query: int,
+        rule: Rule | None,
+        kind: ErrorKind,
+        message: str,
+        retry_after: Millis | None = None,
+    ) -> None:
+        """Give a caller its refusal."""
+        failure = Failure(kind, message, retry_after_ms=retry_after)
+        name = rule.name if rule is not None else ""
+        self.effects.append(Finish(query, Refused(failure, name, self.revision)))
--- /dev/null
+++ b/src/alderhatch/core/crash_watch.py
@@ -0,0 +1,149 @@
+"""Bodies that crash the servers which run them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from typing import NamedTuple, TypeVar
+
+from xxhash import xxh3_128_hexdigest
+
+from ..clock import SECOND, Millis
+from .request import Request
+
+CRASH_LIMIT = 2
+"""Servers that one body may crash; then it is refused."""
+CONFIRM_WITHIN: Millis = 5 * SECOND
+"""A restart or refused connection this long after a lost connection makes it a crash."""
+HOLD: Millis = 5 * SECOND
+"""How long a body is refused after two losses while it is not known whether they were crashes."""
+MAX_BODIES = 4096
+MANY_SERVERS = 3
+MANY_WITHIN: Millis = 250.0
+
+T = TypeVar("T")
+
+
+class Crash(NamedTuple):
+    """A body that was running on a server which crashed."""
+
+    fingerprint: str
+    upstream: str
+    server_id: str
+
+
+class _Loss(NamedTuple):
+    fingerprint: str
+    upstream: str
+    at: Millis
+
+
+def fingerprint_of(request: Request) -> str:
+    """Return the hash by which a body is known tier-wide."""
+    return xxh3_128_hexdigest(
+        b"\0".join((request.upstream.encode(), request.kind.encode(), request.body))
+    )
+
+
+class CrashWatch:
+    """Counts losses by body and server, and says which bodies are refused.
+
+    A body that any server answered is never blamed: it was only on the same server as the one at
+    fault.
+
+    Args:
+        quarantine: How long a body is refused here after it crashed two servers.
+    """
+
+    def __init__(self, quarantine: Millis) -> None:
+        self._quarantine = quarantine
+        self._safe: OrderedDict[str, None] = OrderedDict()
+        self._losses: dict[str, list[_Loss]] = {}
+        self._lost_on: OrderedDict[str, dict[str, Millis]] = OrderedDict()
+        self._crashed: OrderedDict[str, set[str]] = OrderedDict()
+        self._refused_until: OrderedDict[str, Millis] = OrderedDict()
+        self._lost_servers: dict[str, Millis] = {}
+        self.tier_wide: frozenset[str] = frozenset()
+        """What control has quarantined."""
+
+    def refused_for(self, fingerprint: str, now: Millis) -> Millis | None:
+        """Return how long a body is refused, or None if it is not."""
+        if fingerprint in self.tier_wide:
+            return self._quarantine
+        until = self._refused_until.get(fingerprint)
+        return until - now if until is not None and now < until else None
+
+    def is_safe(self, fingerprint: str) -> bool:
+        """Return whether some server has answered this body."""
+        return fingerprint in self._safe
+
+    def losses(self, fingerprint: str, now: Millis) -> int:
+        """Return on how many servers a body that no server has answered was lost lately."""
+        servers = self._lost_on.get(fingerprint)
+        if not servers:
+            return 0
+        return sum(1 for at in servers.values() if now - at < CONFIRM_WITHIN)
+
+    def answered(self, fingerprint: str) -> None:
+        """Note that a server answered this body."""
+        if fingerprint in self._safe:
+            return
+        _put(self._safe, fingerprint, None)
+        self._lost_on.pop(fingerprint, None)
+
+    def lost(self, fingerprint: str, upstream: str, server_id: str, now: Millis) -> int:
+        """Note a connection lost while a body ran.
+
+        Returns:
+            On how many servers the body was lost, as far as it is a suspect; 0 if it is none.
+        """
+        self._lost_servers[server_id] = now
+        if len(self._lost_servers) > MAX_BODIES:
+            self._lost_servers.pop(next(iter(self._lost_servers)))
+        if fingerprint in self._safe:
+            return 0
+        losses = self._losses.setdefault(server_id, [])
+        losses[:] = [loss for loss in losses if now - loss.at < CONFIRM_WITHIN][-MAX_BODIES:]
+        losses.append(_Loss(fingerprint, upstream, now))
+        servers = self._lost_on.get(fingerprint, {})
+        servers = {s: at for s, at in servers.items() if now - at < CONFIRM_WITHIN}
+        servers[server_id] = now
+        _put(self._lost_on, fingerprint, servers)
+        # A whole zone or network that goes takes many servers at the same moment. One body can't:
+        # it is on two servers at most until one has answered it.
+        if len(servers) >= CRASH_LIMIT and not self._many_lost(now):
+            _put(self._refused_until, fingerprint, now + HOLD)
+        return len(servers)
+
+    def _many_lost(self, around: Millis) -> bool:
+        near = [at for at in self._lost_servers.values() if abs(at - around) < MANY_WITHIN]
+        return len(near) >= MANY_SERVERS
+
+    def confirm(self, server_id: str, now: Millis) -> list[Crash]:
+        """Note that a server was started anew or takes no connection.
+
+        Returns:
+            The crashes to be reported: bodies that were lost there shortly before.
+        """
+        losses = self._losses.pop(server_id, ())
+        crashes = []
+        for loss in losses:
+            if now - loss.at >= CONFIRM_WITHIN or loss.fingerprint in self._safe:
+                continue
+            crashes.append(Crash(loss.fingerprint, loss.upstream, server_id))
+            servers = self._crashed.get(loss.fingerprint, set()) | {server_id}
+            _put(self._crashed, loss.fingerprint, servers)
+            if len(servers) >= CRASH_LIMIT and not self._many_lost(loss.at):
+                _put(self._refused_until, loss.fingerprint, now + self._quarantine)
+        return crashes
+
+    def refused(self, now: Millis) -> Iterable[str]:
+        """Return the bodies that this entry refuses on its own account."""
+        return [name for name, until in self._refused_until.items() if now < until]
+
+
+def _put(table: OrderedDict[str, T], key: str, value: T) -> None:
+    table[key] = value
+    table.move_to_end(key)
+    if len(table) > MAX_BODIES:
+        table.popitem(last=False)
--- a/src/alderhatch/core/entry_core.py
+++ b/src/alderhatch/core/entry_core.py
@@ -2,33 +2,46 @@
 
 from __future__ import annotations
 
-import heapq
 from random import Random
+from typing import Any
 
 from ..clock import Millis
-from ..errors import ErrorKind, Failure
+from .arrival import Arrival
+from .at_most_once import AtMostOnce
+from .core_state import CoreState
+from .dispatcher import Dispatcher
 from .entry_events import (
     AttemptFailed,
     AttemptFault,
     CallerGone,
-    CancelAttempt,
+    ClaimDecided,
     EntryEffect,
     EntryEvent,
-    Finish,
+    HealthReported,
+    LeaseChanged,
     QueryArrived,
-    Refused,
+    ReportCrash,
     RulesChanged,
-    SendShard,
+    ServersLeaving,
+    ServerState,
     ShardAnswer,
     ShardAnswered,
     ShardMapFetched,
+    StopRequested,
     WakeAt,
     Woke,
 )
-from .query_run import QueryRun, ShardState
-from .rule import Refuse, Rule, Serve
+from .fan_out import FanOut
+from .policy import Policy
+from .query_run import QueryRun
 from .rule_list import RuleList
+from .run import Run, ShardState
 from .shard_map import ShardMap
+from .single_run import SingleRun
+from .state_dump import dump_state
+from .timers import TimerKind
+
+DEFAULT_POLICY = Policy()
 
 
 class EntryCore:
@@ -37,27 +50,37 @@
     Args:
         name: The entry's name; part of the ids of its shard requests.
         rng: The source of every random choice, seeded by whoever makes the core.
+        zone: The entry's availability zone.
+        policy: The numbers that decisions are tuned by.
     """
 
-    def __init__(self, name: str, rng: Random) -> None:
-        self._name = name
-        self._rng = rng
-        self._maps: dict[str, ShardMap] = {}
-        self._rules = RuleList()
-        self._revision = 0
-        self._runs: dict[int, QueryRun] = {}
-        self._attempts: dict[int, tuple[QueryRun, ShardState]] = {}
-        self._next_attempt = 0
-        self._timers: list[tuple[Millis, int]] = []
-        self.shard_requests_sent = 0
-        """Shard requests sent since the start."""
-        self.shard_requests_needed = 0
-        """Shards that the queries so far were planned over."""
+    def __init__(
+        self, name: str, rng: Random, zone: str = "", policy: Policy = DEFAULT_POLICY
+    ) -> None:
+        self._state = CoreState(name, zone, rng, policy)
+        self._dispatcher = Dispatcher(self._state)
+        self._fan_out = FanOut(self._state, self._dispatcher)
+        self._at_most_once = AtMostOnce(self._state, self._dispatcher)
+        self._arrival = Arrival(self._state, self._start)
 
     @property
     def running(self) -> int:
-        """How many queries are under way."""
-        return len(self._runs)
+        """How many requests are under way, those that wait for admission included."""
+        return len(self._state.runs)
+
+    @property
+    def shard_requests_sent(self) -> int:
+        """Shard requests sent since the start."""
+        return self._state.shard_requests_sent
+
+    @property
+    def shard_requests_needed(self) -> int:
+        """Shards that the requests so far were planned over."""
+        return self._state.shard_requests_needed
+
+    def dump(self, now: Millis) -> dict[str, Any]:
+        """Return what the core knows as plain data of a bounded size, for operators."""
+        return dump_state(self._state, self._arrival, self._dispatcher, now)
 
     def step(self, event: EntryEvent, now: Millis) -> list[EntryEffect]:
         """Take one event.
@@ -69,170 +92,143 @@
         Returns:
             What is to be done, in this order.
         """
-        effects: list[EntryEffect] = []
+        state = self._state
+        state.now = now
+        state.effects = []
         match event:
-            case QueryArrived():
-                self._arrive(event, now, effects)
             case ShardAnswered(attempt=attempt, answer=answer):
-                self._answered(attempt, answer, now, effects)
-            case AttemptFailed():
-                self._failed(event, now, effects)
+                self._answered(attempt, answer)
+            case AttemptFailed(attempt=attempt, fault=fault, retry_after_ms=retry_after):
+                self._failed(attempt, fault, retry_after)
+            case QueryArrived(query=query, request=request):
+                self._arrival.arrive(query, request)
+            case Woke():
+                self._wake()
             case CallerGone(query=query):
-                run = self._runs.get(query)
-                if run is not None:
-                    self._drop(run, effects)
+                self._caller_gone(query)
+            case ClaimDecided():
+                self._decided(event)
             case ShardMapFetched(shard_map=shard_map):
                 self._adopt(shard_map)
             case RulesChanged(revision=revision, rules=rules):
                 self._change_rules(revision, rules)
-            case Woke():
-                self._wake(now, effects)
-        return effects
-
-    def _adopt(self, shard_map: ShardMap) -> None:
-        known = self._maps.get(shard_map.upstream)
-        if known is None or shard_map.snapshot > known.snapshot:
-            self._maps[shard_map.upstream] = shard_map
-
-    def _change_rules(self, revision: int, rules: RuleList) -> None:
-        if revision > self._revision:
-            self._revision = revision
-            self._rules = rules
-
-    def _arrive(self, event: QueryArrived, now: Millis, effects: list[EntryEffect]) -> None:
-        request = event.request
-        rule = self._rules.match(request)
-        match rule.then:
-            case Refuse(refuse=reason, retry_after_ms=retry_after):
-                failure = Failure(ErrorKind.REFUSED_BY_RULE, reason, retry_after_ms=retry_after)
-                effects.append(self._refusal(event.query, failure, rule))
-            case Serve() as serve:
-                self._plan(event, rule, serve, now, effects)
-
-    def _refusal(self, query: int, failure: Failure, rule: Rule) -> Finish:
-        return Finish(query, Refused(failure, rule.name, self._revision))
-
-    def _plan(
-        self,
-        event: QueryArrived,
-        rule: Rule,
-        serve: Serve,
-        now: Millis,
-        effects: list[EntryEffect],
-    ) -> None:
-        request = event.request
-        shard_map = self._maps.get(request.upstream)
-        if shard_map is None:
-            failure = Failure(ErrorKind.NO_SNAPSHOT, f"no shard map of {request.upstream} yet")
-            effects.append(self._refusal(event.query, failure, rule))
+            case HealthReported():
+                self._health(event)
+            case ServersLeaving(source=source, server_ids=server_ids):
+                state.servers.set_leaving(source, server_ids)
+                self._resume(self._dispatcher.take_parked())
+            case LeaseChanged():
+                self._lease(event)
+            case StopRequested():
+                self._arrival.stopping = True
+        self._resume(self._dispatcher.take_ready())
+        self._arrival.admit_waiting()
+        at = state.timers.arm()
+        if at is not None:
+            state.effects.append(WakeAt(at))
+        return state.effects
+
+    def _start(self, run: Run) -> None:
+        if isinstance(run, QueryRun):
+            self._fan_out.start(run)
+        elif isinstance(run, SingleRun):
+            self._at_most_once.start(run)
+
+    def _answered(self, number: int, answer: ShardAnswer) -> None:
+        attempt = self._dispatcher.attempts.get(number)
+        if attempt is None:
             return
-        run = QueryRun(event.query, request, rule, serve, shard_map)
-        span = min(serve.deadline_ms, request.deadline_ms or serve.deadline_ms)
-        run.deadline = now + span
-        self._runs[event.query] = run
-        self.shard_requests_needed += len(run.shards)
-        for state in run.shards.values():
-            self._send(run, state, effects)
-        self._set_timer(run, run.deadline, effects)
-
-    def _send(self, run: QueryRun, state: ShardState, effects: list[EntryEffect]) -> bool:
-        choices = [server for server in state.shard.servers if server not in state.tried]
-        if not choices:
-            return False
-        server_id = self._rng.choice(choices)
-        self._next_attempt += 1
-        attempt = self._next_attempt
-        state.attempts[attempt] = server_id
-        state.tried.add(server_id)
-        self._attempts[attempt] = (run, state)
-        self.shard_requests_sent += 1
-        effects.append(
-            SendShard(
-                attempt,
-                f"{self._name}-{attempt}",
-                run.request.upstream,
-                server_id,
-                state.shard.name,
-                run.shard_map.snapshot,
-                run.deadline,
-                run.request,
-            )
-        )
-        return True
-
-    def _answered(
-        self, attempt: int, answer: ShardAnswer, now: Millis, effects: list[EntryEffect]
-    ) -> None:
-        known = self._attempts.pop(attempt, None)
-        if known is None:
+        # Answers can come late or crossed: of an earlier exchange on the same connection, of
+        # another shard, of another index version. None of these may reach the merge.
+        if (
+            answer.request_id != f"{self._state.name}-{number}"
+            or answer.shard != attempt.state.plan.shard.name
+            or answer.snapshot != attempt.run.shard_map.snapshot
+        ):
+            self._failed(number, AttemptFault.WRONG_ANSWER, None)
             return
-        run, state = known
-        del state.attempts[attempt]
-        if answer.shard != state.shard.name or not run.take(answer):
-            state.reason = AttemptFault.WRONG_ANSWER
-            self._retry(run, state, effects)
-            self._settle(run, now, effects)
+        self._dispatcher.answered(number, answer.load)
+        run = attempt.run
+        if isinstance(run, QueryRun):
+            self._fan_out.answered(run, attempt.state, answer)
+        elif isinstance(run, SingleRun):
+            self._at_most_once.answered(run, attempt.state, answer)
+
+    def _failed(self, number: int, fault: AttemptFault, retry_after: Millis | None) -> None:
+        attempt = self._dispatcher.failed(number, fault, retry_after)
+        if attempt is None:
             return
-        self._settle(run, now, effects)
+        server_id = attempt.server.server_id
+        if fault is AttemptFault.NOT_SENT:
+            self._confirm_crash(server_id)
+        run = attempt.run
+        if isinstance(run, QueryRun):
+            self._fan_out.failed(run, attempt.state, fault, server_id)
+        elif isinstance(run, SingleRun):
+            self._at_most_once.failed(run, attempt.state, fault, server_id)
+
+    def _confirm_crash(self, server_id: str) -> None:
+        state = self._state
+        for crash in state.crashes.confirm(server_id, state.now):
+            report = ReportCrash(crash.fingerprint, crash.server_id, crash.upstream)
+            state.effects.append(report)
+
+    def _health(self, event: HealthReported) -> None:
+        restarted = self._state.servers.take_health(event, self._state.now)
+        if restarted or event.state is ServerState.UNREACHABLE:
+            self._confirm_crash(event.server_id)
+
+    def _lease(self, event: LeaseChanged) -> None:
+        self._arrival.serve_until = event.serve_until
+        self._state.crashes.tier_wide = event.quarantined
+        self._state.servers.set_shares(event.shares)
+        self._resume(self._dispatcher.take_parked())
 
-    def _failed(self, event: AttemptFailed, now: Millis, effects: list[EntryEffect]) -> None:
-        known = self._attempts.pop(event.attempt, None)
-        if known is None:
-            return
-        run, state = known
-        del state.attempts[event.attempt]
-        state.reason = event.fault
-        self._retry(run, state, effects)
-        self._settle(run, now, effects)
-
-    def _retry(self, run: QueryRun, state: ShardState, effects: list[EntryEffect]) -> None:
-        state.failures += 1
-        if state.failures <= run.serve.retries:
-            self._send(run, state, effects)
-
-    def _settle(self, run: QueryRun, now: Millis, effects: list[EntryEffect]) -> None:
-        if run.complete or not any(state.attempts for state in run.shards.values()):
-            self._finish(run, effects)
+    def _adopt(self, shard_map: ShardMap) -> None:
+        if not self._state.servers.adopt(shard_map, self._state.now):
             return
-        if run.coverage >= run.serve.coverage and run.early_finish is None:
-            run.early_finish = now + run.serve.straggler_ms
-            if run.early_finish <= now:
-                self._finish(run, effects)
-                return
-            self._set_timer(run, run.early_finish, effects)
-
-    def _finish(self, run: QueryRun, effects: list[EntryEffect]) -> None:
-        self._drop(run, effects)
-        if run.coverage < run.serve.min_coverage:
-            message = f"covered {run.coverage:.4f}, at least {run.serve.min_coverage} was wanted"
-            failure = Failure(ErrorKind.COVERAGE_TOO_LOW, message)
-            effects.append(self._refusal(run.query, failure, run.rule))
+        for run in list(self._state.runs.values()):
+            if isinstance(run, QueryRun) and run.upstream.name == shard_map.upstream:
+                self._fan_out.map_changed(run)
+
+    def _change_rules(self, revision: int, rules: RuleList) -> None:
+        # Pushes can overtake each other. A revision that went down would bring back rules that an
+        # operator has withdrawn.
+        if revision > self._state.revision:
+            self._state.revision = revision
+            self._state.rules = rules
+
+    def _caller_gone(self, query: int) -> None:
+        run = self._state.runs.get(query)
+        if run is None or self._arrival.withdraw(run):
             return
-        effects.append(Finish(run.query, run.outcome(self._revision)))
-
-    def _drop(self, run: QueryRun, effects: list[EntryEffect]) -> None:
-        del self._runs[run.query]
-        for state in run.shards.values():
-            for attempt in state.attempts:
-                del self._attempts[attempt]
-                effects.append(CancelAttempt(attempt))
-            state.attempts.clear()
-
-    def _set_timer(self, run: QueryRun, at: Millis, effects: list[EntryEffect]) -> None:
-        earliest = self._timers[0][0] if self._timers else None
-        heapq.heappush(self._timers, (at, run.query))
-        if earliest is None or at < earliest:
-            effects.append(WakeAt(at))
-
-    def _wake(self, now: Millis, effects: list[EntryEffect]) -> None:
-        while self._timers and self._timers[0][0] <= now:
-            _, query = heapq.heappop(self._timers)
-            run = self._runs.get(query)
-            if run is None:
-                continue
-            if run.deadline <= now or (run.early_finish is not None and run.early_finish <= now):
-                self._finish(run, effects)
-        while self._timers and self._timers[0][1] not in self._runs:
-            heapq.heappop(self._timers)
-        if self._timers:
-            effects.append(WakeAt(self._timers[0][0]))
+        if isinstance(run, QueryRun):
+            self._fan_out.drop(run)
+        elif isinstance(run, SingleRun):
+            self._at_most_once.caller_gone(run)
+
+    def _decided(self, event: ClaimDecided) -> None:
+        run = self._state.runs.get(event.query)
+        if isinstance(run, SingleRun):
+            self._at_most_once.decided(run, event)
+
+    def _resume(self, ready: list[tuple[Run, ShardState]]) -> None:
+        for run, shard in ready:
+            if isinstance(run, QueryRun) and not run.ended and not shard.closed:
+                self._fan_out.resume(run, shard)
+            elif isinstance(run, SingleRun) and not run.ended:
+                self._at_most_once.resume(run)
+
+    def _wake(self) -> None:
+        timers = self._state.timers
+        timers.woke()
+        while (timer := timers.due(self._state.now)) is not None:
+            run = timer.run
+            if timer.kind is TimerKind.WAITING or run is None:
+                self._resume(self._dispatcher.take_parked())
+            elif timer.kind is TimerKind.QUEUE:
+                self._arrival.too_late(run)
+            elif isinstance(run, QueryRun):
+                self._fan_out.wake(run, timer.kind)
+            elif isinstance(run, SingleRun):
+                self._at_most_once.wake(run, timer.kind)
--- a/src/alderhatch/core/entry_events.py
+++ b/src/alderhatch/core/entry_events.py
@@ -271,6 +271,25 @@
 
     fingerprint: str
     server_id: str
+    upstream: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeServer:
+    """Read a server's health endpoint now, without waiting for the next poll.
+
+    A connection to it was lost while a request ran. Whether the server crashed shows in its health
+    report: another boot id, or ``unreachable`` if it takes no connection.
+    """
+
+    server_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class FetchShardMap:
+    """Fetch an upstream's shard map now: a server no longer has the snapshot that is known."""
+
+    upstream: str
 
 
 class MissingShard(NamedTuple):
@@ -315,5 +334,13 @@
 
 
 EntryEffect: TypeAlias = (
-    SendShard | CancelAttempt | WakeAt | ClaimRun | RecordOutcome | ReportCrash | Finish
+    SendShard
+    | CancelAttempt
+    | WakeAt
+    | ClaimRun
+    | RecordOutcome
+    | ReportCrash
+    | ProbeServer
+    | FetchShardMap
+    | Finish
 )
--- /dev/null
+++ b/src/alderhatch/core/outcome_codec.py
@@ -0,0 +1,58 @@
+"""The bytes in which the run ledger stores an outcome, for resends at any entry."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import cbor2
+
+from ..errors import ErrorKind, Failure
+from .entry_events import Answered, MissingShard, Outcome, Refused
+from .shard_map import Snapshot
+
+ANSWERED = 1
+REFUSED = 2
+
+
+def encode_outcome(outcome: Outcome) -> bytes:
+    """Return the bytes of an outcome."""
+    match outcome:
+        case Answered():
+            fields: list[Any] = [
+                ANSWERED,
+                list(outcome.snapshot),
+                outcome.coverage,
+                [list(item) for item in outcome.missing],
+                outcome.rows,
+                outcome.rule,
+                outcome.revision,
+            ]
+        case Refused(failure=failure, rule=rule, revision=revision):
+            fields = [REFUSED, failure.kind.value, failure.message, rule, revision]
+    return cbor2.dumps(fields)
+
+
+def decode_outcome(data: bytes) -> Outcome | None:
+    """Return the outcome that the bytes stand for, or None if they stand for none."""
+    try:
+        fields = cbor2.loads(data)
+        return _from_fields(fields)
+    except (cbor2.CBORError, ValueError, TypeError, IndexError, RecursionError):
+        return None
+
+
+def _from_fields(fields: Any) -> Outcome | None:
+    if fields[0] == ANSWERED:
+        _, snapshot, coverage, missing, rows, rule, revision = fields
+        return Answered(
+            Snapshot(*snapshot),
+            coverage,
+            tuple(MissingShard(*item) for item in missing),
+            rows,
+            rule,
+            revision,
+        )
+    if fields[0] == REFUSED:
+        _, kind, message, rule, revision = fields
+        return Refused(Failure(ErrorKind(kind), message), rule, revision)
+    return None
--- /dev/null
+++ b/src/alderhatch/core/policy.py
@@ -0,0 +1,82 @@
+"""The numbers that the entry's decisions are tuned by."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ..clock import SECOND, Millis
+
+
+class Policy(NamedTuple):
+    """Tunable numbers; docs/design/ gives the measurement behind each default."""
+
+    path_cost_ms: Millis = 2.0
+    """The way of a shard answer back through this entry to the caller."""
+    zone_cost_ms: Millis = 1.0
+    """What a replica in another availability zone is held to cost more."""
+    first_latency_ms: Millis = 5.0
+    """What a shard request is held to take before any has been answered."""
+    report_age_ms: Millis = 40.0
+    """A reported load counts for less and less up to this age, and then not at all."""
+    latency_weight: float = 0.1
+    """The weight of the newest answer in a server's moving latency."""
+    latency_half_life_ms: Millis = 2 * SECOND
+    """How fast the latency of a server that is not asked returns to the upstream's typical one."""
+    slow_start_ms: Millis = 5 * SECOND
+    """How long a server that has just started is treated as cold."""
+    slow_start_factor: float = 4.0
+    """How much slower than usual a cold server is held to be at first."""
+    eject_failures: int = 3
+    """Failures in a row after which a server is ejected for a while."""
+    eject_ms: Millis = 500.0
+    """The first ejection; each further one doubles it."""
+    max_eject_ms: Millis = 10 * SECOND
+    max_ejected_share: float = 0.5
+    """No more than this part of an upstream's servers is ejected at the same time."""
+    silent_window_ms: Millis = 10 * SECOND
+    """Silence on a second connection within this span is held against the server."""
+    shed_ms: Millis = 100.0
+    """How long a server that shed a request is left alone if it does not say."""
+    max_shed_ms: Millis = 5 * SECOND
+    drained_ms: Millis = 5 * SECOND
+    """How long a server that said it is draining gets nothing, from each time it says so."""
+    hedge_burst: float = 20.0
+    """The most hedges that a rule can save up."""
+    hedge_first_quantile: float = 0.94
+    """The quantile of shard latency after which a hedge is sent while the budget is full."""
+    hedge_last_quantile: float = 0.985
+    """The same while the budget is nearly empty."""
+    hedge_few_share: float = 0.1
+    """Hedges go to queries that wait for no more than this share of their shards, first."""
+    hedge_patience: float = 2.0
+    """A query that waits for more is hedged after this multiple of the delay."""
+    hedges_per_shard: int = 2
+    retry_share: float = 0.1
+    """Retries of an upstream, as a fraction of its shard requests."""
+    retry_burst: float = 60.0
+    canaries: int = 2
+    """Shards that are asked first with a body that no server is known to have survived."""
+    canary_patience: float = 3.0
+    """The rest is sent after this multiple of the 95 % latency even without an answer."""
+    queue_low: float = 0.5
+    """Below this many waiting requests for each slot, an upstream's limit may grow."""
+    queue_high: float = 1.5
+    """Above it the limit shrinks."""
+    limit_interval_ms: Millis = 50.0
+    """How often the limit is moved at most."""
+    limit_shrink: float = 0.9
+    limit_grow: float = 1.05
+    min_limit: float = 4.0
+    queue: int = 256
+    """Requests that wait for admission at one entry."""
+    batch_share: float = 0.7
+    """The part of the limit that batch requests may fill; the rest stays free for others."""
+    normal_share: float = 0.9
+    take_back_hedges: bool = False
+    """Whether a hedge is cancelled when new work comes to its server."""
+    map_wait_ms: Millis = 250.0
+    """How long a query waits for a newer shard map when its snapshot is gone."""
+    linger_ms: Millis = 30 * SECOND
+    """How long after its deadline the outcome of a claimed request is still recorded."""
+    quarantine_ms: Millis = 600 * SECOND
+    """How long this entry refuses a body after it crashed two servers."""
--- a/src/alderhatch/core/query_run.py
+++ b/src/alderhatch/core/query_run.py
@@ -8,43 +8,46 @@
 from .entry_events import Answered, MissingShard, ShardAnswer
 from .request import Request
 from .rule import Rule, Serve
-from .shard_map import Shard, ShardMap
+from .run import Run, ShardState
+from .server_table import UpstreamView
+from .shard_map import ShardMap
 
 
-class ShardState:
-    """What one query knows of one shard."""
-
-    __slots__ = ("attempts", "failures", "reason", "rows", "shard", "tried")
-
-    def __init__(self, shard: Shard) -> None:
-        self.shard = shard
-        self.rows: list[Any] | None = None
-        """The rows of the answer that counts; None until there is one."""
-        self.attempts: dict[int, str] = {}
-        """Attempts that are out, with their servers."""
-        self.tried: set[str] = set()
-        """Servers that were asked."""
-        self.failures = 0
-        self.reason = "no answer in time"
-        """Why the shard is missing, if it stays so."""
-
-
-class QueryRun:
+class QueryRun(Run):
     """The state of one query. It pins one shard map and never mixes answers of two."""
 
     def __init__(
-        self, query: int, request: Request, rule: Rule, serve: Serve, shard_map: ShardMap
+        self,
+        query: int,
+        request: Request,
+        rule: Rule,
+        serve: Serve,
+        fingerprint: str,
+        upstream: UpstreamView,
+        shard_map: ShardMap,
+        now: Millis,
     ) -> None:
-        self.query = query
-        self.request = request
-        self.rule = rule
-        self.serve = serve
-        self.shard_map = shard_map
-        self.shards = {shard.name: ShardState(shard) for shard in shard_map.shards}
-        self.covered_documents = 0
-        self.deadline: Millis = 0.0
+        super().__init__(query, request, rule, serve, fingerprint, upstream, shard_map, now)
+        self.replans = 0
+        self.waits_for_map = False
         self.early_finish: Millis | None = None
         """When the stragglers' time is up, once the coverage wanted is reached."""
+        self.hedge_at: Millis | None = None
+        """When a timer will look for shards to hedge."""
+        self.canary = False
+        """Whether only the first few shards have been asked yet."""
+        self.any_failed = False
+        """Whether a server said that it ran the request and failed, or answered nonsense."""
+        self.pin(shard_map)
+
+    def pin(self, shard_map: ShardMap) -> None:
+        """Plan over a shard map; whatever was gathered over an earlier one is dropped."""
+        self.shard_map = shard_map
+        self.shards = [ShardState(plan) for plan in self.upstream.plans]
+        self.by_name = {state.plan.shard.name: state for state in self.shards}
+        self.open = len(self.shards)
+        """Shards that have neither answered nor been given up."""
+        self.covered_documents = 0
 
     @property
     def coverage(self) -> float:
@@ -53,11 +56,9 @@
         return self.covered_documents / documents if documents else 1.0
 
     @property
-    def complete(self) -> bool:
-        """Whether every shard has answered."""
-        return self.covered_documents == self.shard_map.documents and all(
-            state.rows is not None for state in self.shards.values()
-        )
+    def attempts_out(self) -> int:
+        """How many attempts are out."""
+        return sum(len(state.attempts) for state in self.shards)
 
     def take(self, answer: ShardAnswer) -> bool:
         """Count an answer in.
@@ -68,7 +69,7 @@
         Returns:
             False if it belongs to another shard or snapshot, or came twice: it changes nothing.
         """
-        state = self.shards.get(answer.shard)
+        state = self.by_name.get(answer.shard)
         # Index versions change while queries run. Rows of another version merged in would give
         # the caller an answer that never was true at any one time.
         if state is None or answer.snapshot != self.shard_map.snapshot:
@@ -76,16 +77,19 @@
         if state.rows is not None:
             return False
         state.rows = answer.rows
-        self.covered_documents += state.shard.documents
+        self.covered_documents += state.plan.shard.documents
+        if not state.closed:
+            state.closed = True
+            self.open -= 1
         return True
 
     def outcome(self, revision: int) -> Answered:
         """Return the answer with what is there now."""
         rows: list[Any] = []
         missing: list[MissingShard] = []
-        for name, state in self.shards.items():
+        for state in self.shards:
             if state.rows is None:
-                missing.append(MissingShard(name, state.reason))
+                missing.append(MissingShard(state.plan.shard.name, state.reason))
             else:
                 rows += state.rows
         return Answered(
--- /dev/null
+++ b/src/alderhatch/core/replica_choice.py
@@ -0,0 +1,57 @@
+"""Which replica of a shard is asked."""
+
+from __future__ import annotations
+
+from collections.abc import Container, Sequence
+from random import Random
+
+from ..clock import Millis
+from .server_view import ServerView
+
+NEAR = 0.02
+"""Estimates that differ by less than this ratio are equal; chance decides between them."""
+
+
+def choose_replica(
+    replicas: Sequence[ServerView],
+    excluded: Container[str],
+    zone: str,
+    zone_cost: Millis,
+    now: Millis,
+    rng: Random,
+    alone: bool = False,
+) -> ServerView | None:
+    """Return the replica that is likely to answer first.
+
+    Args:
+        replicas: The servers that hold the shard.
+        excluded: Ids of servers that are not to be asked.
+        zone: The availability zone that is preferred.
+        zone_cost: What any other zone is held to cost more, in milliseconds.
+        now: The present time.
+        rng: Decides between equals.
+        alone: Whether servers that run a suspected body are left out.
+
+    Returns:
+        The replica; doubtful ones only if there is no other; None if none can be asked now.
+    """
+    best: ServerView | None = None
+    best_key = (True, 0.0)
+    for server in replicas:
+        if server.server_id in excluded or server.in_flight >= server.cap or server.barred(now):
+            continue
+        if alone and server.suspects:
+            continue
+        cost = server.estimate(now)
+        if server.server.zone != zone:
+            cost += zone_cost
+        key = (server.doubtful(now), cost)
+        if best is not None:
+            if key[0] is best_key[0] and abs(cost - best_key[1]) <= NEAR * cost:
+                if rng.random() < 0.5:
+                    continue
+            elif key > best_key:
+                continue
+        best = server
+        best_key = key
+    return best
--- /dev/null
+++ b/src/alderhatch/core/server_table.py
@@ -0,0 +1,149 @@
+"""The servers of all upstreams, and what is known of each upstream as a whole."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from ..clock import Millis
+from .entry_events import HealthReported, ServerState
+from .latency_histogram import LatencyHistogram
+from .policy import Policy
+from .ratio_budget import RatioBudget
+from .server_view import NEVER, ServerView
+from .shard_map import Shard, ShardMap
+
+
+class ShardPlan(NamedTuple):
+    """A shard with the views of the servers that hold it."""
+
+    shard: Shard
+    replicas: tuple[ServerView, ...]
+
+
+class UpstreamView:
+    """One upstream: its newest map, latencies and retry budget."""
+
+    def __init__(self, name: str, policy: Policy) -> None:
+        self.name = name
+        self.latencies = LatencyHistogram(policy.first_latency_ms)
+        self.retries = RatioBudget(policy.retry_share, policy.retry_burst, policy.retry_burst)
+        self.shard_map: ShardMap | None = None
+        self.plans: tuple[ShardPlan, ...] = ()
+        """The shards of the newest map, in its order."""
+        self.servers: dict[str, ServerView] = {}
+        self.ejected: set[str] = set()
+
+
+class ServerTable:
+    """All upstreams and servers that this entry knows."""
+
+    def __init__(self, policy: Policy) -> None:
+        self._policy = policy
+        self.upstreams: dict[str, UpstreamView] = {}
+        self.servers: dict[str, ServerView] = {}
+        self._leaving: dict[str, frozenset[str]] = {}
+        self._shares: Mapping[str, int] = {}
+
+    def adopt(self, shard_map: ShardMap, now: Millis) -> bool:
+        """Take a shard map; return False if it is not newer than the one that is known."""
+        view = self.upstreams.get(shard_map.upstream)
+        if view is None:
+            view = self.upstreams[shard_map.upstream] = UpstreamView(
+                shard_map.upstream, self._policy
+            )
+        known = view.shard_map
+        # Answers about the map can overtake each other. An older one taken back would send new
+        # queries to index versions that the servers have dropped.
+        if known is not None and shard_map.snapshot <= known.snapshot:
+            return False
+        view.shard_map = shard_map
+        self._renew(view, shard_map, now, first=known is None)
+        return True
+
+    def _renew(self, view: UpstreamView, shard_map: ShardMap, now: Millis, first: bool) -> None:
+        earlier = view.servers
+        view.servers = {}
+        for server in shard_map.servers:
+            known = earlier.get(server.server_id)
+            if known is None:
+                known = ServerView(server, view.latencies, self._policy)
+                known.cold_since = NEVER if first else now
+                known.leaving = {s for s, ids in self._leaving.items() if server.server_id in ids}
+            known.server = server
+            view.servers[server.server_id] = known
+            self.servers[server.server_id] = known
+            self._share(known)
+        for server_id in earlier.keys() - view.servers.keys():
+            del self.servers[server_id]
+        view.ejected &= view.servers.keys()
+        held: dict[str, list[str]] = {}
+        for shard in shard_map.shards:
+            for server_id in shard.servers:
+                held.setdefault(server_id, []).append(shard.name)
+        for server_id, known in view.servers.items():
+            known.shards = tuple(held.get(server_id, ()))
+        view.plans = tuple(
+            ShardPlan(shard, tuple(view.servers[s] for s in shard.servers if s in view.servers))
+            for shard in shard_map.shards
+        )
+
+    def _share(self, server: ServerView) -> None:
+        # Without any shares the entry runs alone. With them, a server that control has not
+        # divided up yet gets nothing: otherwise all entries together could go over its limit.
+        if self._shares:
+            server.share = self._shares.get(server.server_id, 0)
+        else:
+            server.share = server.server.max_connections
+
+    def set_shares(self, shares: Mapping[str, int]) -> None:
+        """Take the shares of connections that came with the lease."""
+        self._shares = shares
+        for server in self.servers.values():
+            self._share(server)
+
+    def set_leaving(self, source: str, server_ids: frozenset[str]) -> None:
+        """Take one source's word on which servers are leaving."""
+        self._leaving[source] = server_ids
+        for server_id, server in self.servers.items():
+            if server_id in server_ids:
+                server.leaving.add(source)
+            else:
+                server.leaving.discard(source)
+
+    def take_health(self, event: HealthReported, now: Millis) -> bool:
+        """Take what a health endpoint says; return whether the server was started anew."""
+        server = self.servers.get(event.server_id)
+        if server is None:
+            return False
+        restarted = (
+            event.boot_id is not None
+            and server.boot_id is not None
+            and event.boot_id != server.boot_id
+        )
+        was_starting = server.health is ServerState.STARTING
+        if restarted or (was_starting and event.state is ServerState.READY):
+            server.saw_start(now)
+        server.boot_id = event.boot_id or server.boot_id
+        server.health = event.state
+        if event.load is not None:
+            server.saw_report(event.load, now)
+        return restarted
+
+    def fail(self, upstream: str, server: ServerView, now: Millis) -> None:
+        """Count a failure of a server; eject it after some in a row, within the cap."""
+        server.failures += 1
+        if server.failures < self._policy.eject_failures or now < server.ejected_until:
+            return
+        view = self.upstreams[upstream]
+        ejected = {s for s in view.ejected if s in view.servers}
+        ejected = {s for s in ejected if now < view.servers[s].ejected_until}
+        # A fault of this entry's own network looks like a fault of every server. Without the cap
+        # all of them would be out and the load would fall on the few that are left.
+        if len(ejected) + 1 > max(1.0, self._policy.max_ejected_share * len(view.servers)):
+            view.ejected = ejected
+            return
+        span = self._policy.eject_ms * 2.0**server.ejections
+        server.ejected_until = now + min(span, self._policy.max_eject_ms)
+        server.ejections = min(server.ejections + 1, 10)
+        view.ejected = ejected | {server.server_id}
--- /dev/null
+++ b/src/alderhatch/core/server_view.py
@@ -0,0 +1,191 @@
+"""What one entry knows of one server, from what it saw and from what it was told."""
+
+from __future__ import annotations
+
+from ..clock import Millis
+from .entry_events import LoadReport, ServerState
+from .latency_histogram import LatencyHistogram
+from .policy import Policy
+from .shard_map import Server
+
+NEVER: Millis = float("-inf")
+CLIP = 8.0
+"""A single latency counts for at most this multiple of the upstream's median."""
+DISTRUST_RATIO = 4.0
+DISTRUST_AT = 0.5
+DISTRUST_WEIGHT = 0.1
+
+
+class ServerView:
+    """One server as this entry sees it."""
+
+    __slots__ = (
+        "adaptive_cap",
+        "boot_id",
+        "cold_since",
+        "drained_until",
+        "ejected_until",
+        "ejections",
+        "failures",
+        "health",
+        "in_flight",
+        "latency",
+        "latency_at",
+        "leaving",
+        "misses",
+        "others",
+        "others_at",
+        "policy",
+        "server",
+        "server_id",
+        "shards",
+        "share",
+        "shed_until",
+        "silent_at",
+        "suspects",
+        "typical",
+    )
+
+    def __init__(self, server: Server, typical: LatencyHistogram, policy: Policy) -> None:
+        self.server = server
+        self.server_id = server.server_id
+        self.policy = policy
+        self.typical = typical
+        """The latencies of all servers of the upstream."""
+        self.shards: tuple[str, ...] = ()
+        """The shards that it holds in the newest map."""
+        self.in_flight = 0
+        """Attempts of this entry that are out."""
+        self.share = server.max_connections
+        """Connections that this entry may hold."""
+        self.adaptive_cap = float(server.max_connections)
+        """Attempts that the server has shown to bear; shrinks when it sheds."""
+        self.others = 0.0
+        """Load of other entries by its last report."""
+        self.others_at: Millis = NEVER
+        self.misses = 0.0
+        """How often, lately, its report disagreed with the latency that was seen."""
+        self.latency: Millis = 0.0
+        """A moving mean; 0 until there is a sample."""
+        self.latency_at: Millis = NEVER
+        self.health = ServerState.READY
+        self.boot_id: str | None = None
+        self.cold_since: Millis = NEVER
+        self.leaving: set[str] = set()
+        """The sources that say that it leaves."""
+        self.shed_until: Millis = NEVER
+        self.drained_until: Millis = NEVER
+        self.ejected_until: Millis = NEVER
+        self.ejections = 0
+        self.failures = 0
+        """Failures in a row."""
+        self.silent_at: Millis = NEVER
+        self.suspects = 0
+        """Attempts out there whose body may have crashed another server."""
+
+    @property
+    def cap(self) -> float:
+        """How many attempts of this entry may be out there."""
+        return min(self.share, self.adaptive_cap)
+
+    def barred(self, now: Millis) -> bool:
+        """Return whether it must get nothing now, whatever the other replicas are like."""
+        return bool(self.leaving) or now < self.shed_until or now < self.drained_until
+
+    def doubtful(self, now: Millis) -> bool:
+        """Return whether it is asked only if no other replica is there.
+
+        A health endpoint can be wrong in both directions. Taken at its word it could empty a
+        shard that is well, seen as missing coverage; so its word only moves a server back.
+        """
+        return now < self.ejected_until or self.health is not ServerState.READY
+
+    def estimate(self, now: Millis) -> Millis:
+        """Return how long a request sent now is likely to take, in milliseconds."""
+        latency = self.latency
+        idle = now - self.latency_at
+        if idle > self.policy.report_age_ms:
+            typical = self.typical.quantile(0.5)
+            fade = 0.5 ** (idle / self.policy.latency_half_life_ms) if latency else 0.0
+            latency = typical + (latency - typical) * fade
+        load = float(self.in_flight)
+        age = now - self.others_at
+        if age < self.policy.report_age_ms and self.misses < DISTRUST_AT:
+            load += self.others * (1.0 - age / self.policy.report_age_ms)
+        span = latency * (1.0 + load / max(1, self.server.slots))
+        cold = now - self.cold_since
+        if cold < self.policy.slow_start_ms:
+            span *= 1.0 + (self.policy.slow_start_factor - 1.0) * (
+                1.0 - cold / self.policy.slow_start_ms
+            )
+        return span
+
+    def saw_answer(self, latency: Millis, load: LoadReport | None, now: Millis) -> None:
+        """Count an answer; the attempt is no longer counted in ``in_flight``."""
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until = NEVER
+        self.silent_at = NEVER
+        self.adaptive_cap = min(self.server.max_connections, self.adaptive_cap + 0.1)
+        if load is not None:
+            self._check_report(latency, load)
+            self.saw_report(load, now)
+        self.saw_latency(latency, now)
+
+    def saw_latency(self, latency: Millis, now: Millis) -> None:
+        """Count a latency, or for a cancelled attempt the time that it had taken so far."""
+        clipped = min(latency, CLIP * self.typical.quantile(0.5))
+        if not self.latency:
+            self.latency = clipped
+        else:
+            self.latency += self.policy.latency_weight * (clipped - self.latency)
+        self.latency_at = now
+
+    def saw_report(self, load: LoadReport, now: Millis) -> None:
+        """Take a reported load."""
+        self.others = float(max(0, load.in_flight + load.queued - self.in_flight))
+        self.others_at = now
+
+    def _check_report(self, latency: Millis, load: LoadReport) -> None:
+        # A report that lags or lies draws all requests to a server that is slow; it shows as a
+        # latency far from what the report lets expect. Such reports are left out of the estimate.
+        expected = self.typical.quantile(0.5) * (1.0 + load.queued / max(1, self.server.slots))
+        wrong = latency > DISTRUST_RATIO * expected or latency * DISTRUST_RATIO < expected
+        self.misses += DISTRUST_WEIGHT * (float(wrong) - self.misses)
+
+    def saw_shed(self, retry_after: Millis | None, now: Millis) -> None:
+        """Count a refusal by load."""
+        span = self.policy.shed_ms if retry_after is None else retry_after
+        self.shed_until = max(self.shed_until, now + min(span, self.policy.max_shed_ms))
+        self.adaptive_cap = max(1.0, min(self.adaptive_cap, self.in_flight + 1.0) / 2)
+
+    def saw_draining(self, now: Millis) -> None:
+        """Count its own word that it is leaving."""
+        self.drained_until = now + self.policy.drained_ms
+
+    def saw_start(self, now: Millis) -> None:
+        """Note that it has just started."""
+        self.cold_since = now
+        self.latency = 0.0
+        self.others_at = NEVER
+        self.drained_until = NEVER
+        self.shed_until = NEVER
+        self.ejected_until = NEVER
+        self.failures = 0
+        self.adaptive_cap = float(self.server.max_connections)
+
+    def why_not(self, now: Millis) -> list[str]:
+        """Return the reasons, if any, why it is not asked as usual."""
+        reasons = [f"leaving ({source})" for source in sorted(self.leaving)]
+        for held, reason in (
+            (now < self.shed_until, "shed"),
+            (now < self.drained_until, "draining"),
+            (now < self.ejected_until, "ejected"),
+            (self.health is not ServerState.READY, f"health says {self.health}"),
+            (now - self.cold_since < self.policy.slow_start_ms, "cold"),
+            (self.misses >= DISTRUST_AT, "load report distrusted"),
+            (self.in_flight >= self.cap, "full"),
+        ):
+            if held:
+                reasons.append(reason)
+        return reasons
--- /dev/null
+++ b/src/alderhatch/core/state_dump.py
@@ -0,0 +1,88 @@
+"""The core's state as plain data, for the dump that an operator asks for."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from ..clock import Millis
+from .core_state import CoreState
+from .dispatcher import Dispatcher
+from .server_table import UpstreamView
+from .server_view import ServerView
+
+if TYPE_CHECKING:
+    from .arrival import Arrival
+
+MAX_ITEMS = 500
+"""The most servers, requests or bodies that one dump lists of each."""
+
+
+def dump_state(
+    state: CoreState, arrival: Arrival, dispatcher: Dispatcher, now: Millis
+) -> dict[str, Any]:
+    """Return what the core knows as maps, lists, numbers and strings."""
+    lease = arrival.serve_until
+    return {
+        "revision": state.revision,
+        "rules": len(state.rules.rules),
+        "stopping": arrival.stopping,
+        "lease_ms_left": None if lease is None else round(lease - now, 1),
+        "running": len(state.runs),
+        "attempts_out": len(dispatcher.attempts),
+        "waiting_for_server": dispatcher.parked,
+        "shard_requests_sent": state.shard_requests_sent,
+        "shard_requests_needed": state.shard_requests_needed,
+        "wasted": state.wasted,
+        "hedges": {
+            rule: {"tokens": round(budget.tokens, 2), "spent": budget.spent}
+            for rule, budget in list(state.hedges.items())[:MAX_ITEMS]
+        },
+        "upstreams": {
+            name: _upstream(view, arrival, now) for name, view in state.servers.upstreams.items()
+        },
+        "requests": [
+            {
+                "query": run.query,
+                "rule": run.rule.name,
+                "upstream": run.upstream.name,
+                "age_ms": round(now - run.started_at, 1),
+                "admitted": run.gate is not None,
+                "open_shards": run.units,
+            }
+            for run in list(state.runs.values())[:MAX_ITEMS]
+        ],
+        "refused_bodies": list(state.crashes.refused(now))[:MAX_ITEMS],
+    }
+
+
+def _upstream(view: UpstreamView, arrival: Arrival, now: Millis) -> dict[str, Any]:
+    gate = arrival.admission.gates.get(view.name)
+    snapshot = view.shard_map.snapshot if view.shard_map is not None else None
+    servers = list(view.servers.values())[:MAX_ITEMS]
+    return {
+        "snapshot": None if snapshot is None else list(snapshot),
+        "latency_ms": {
+            "p50": round(view.latencies.quantile(0.5), 2),
+            "p95": round(view.latencies.quantile(0.95), 2),
+        },
+        "retry_tokens": round(view.retries.tokens, 1),
+        "limit": None if gate is None else round(gate.limit, 1),
+        "open_shards": 0 if gate is None else gate.open,
+        "waiting": 0 if gate is None else len(gate.waiting),
+        "server_queue": 0.0 if gate is None else round(gate.queue, 3),
+        "servers": {server.server_id: _server(server, now) for server in servers},
+    }
+
+
+def _server(server: ServerView, now: Millis) -> dict[str, Any]:
+    return {
+        "zone": server.server.zone,
+        "in_flight": server.in_flight,
+        "cap": round(server.cap, 1),
+        "latency_ms": round(server.latency, 2),
+        "estimate_ms": round(server.estimate(now), 2),
+        "others": round(server.others, 1),
+        "failures": server.failures,
+        "boot_id": server.boot_id,
+        "reasons": server.why_not(now),
+    }
