--- a/features/entry_world.py
+++ b/features/entry_world.py
@@ -203,7 +203,7 @@
         await trio.sleep(seconds)
 
     async def raw(self, port, pieces, pause_s=0.0, read=True):
-    def check(self, answer, topic=""):
+        """Send bytes as they are and return what comes back until the other end closes."""
         stream = await trio.open_tcp_stream(LOOPBACK, port)
         received = b""
         async with stream:
