Test of control hosts that are down: keep their ports taken

The ports of the closed servers were free, so the kernel could give them to a server of another feature that ran at the same time, which then answered. Ruled out: five runs of the feature alone pass, so the command itself is not at fault. Change: the step holds bound sockets that do not listen.

--- a/features/steps/cli_changes_steps.py
+++ b/features/steps/cli_changes_steps.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import socket
+
 from behave import given, then, when
 
 from features.support.cli_support import KEY, ScriptedControls, call, key_file
@@ -20,10 +22,13 @@
 
 @given("control hosts that are all down")
 def step_all_down(context):
-    step_controls(context, 2, 1)
-    for server in context.controls.servers:
-        server.shutdown()
-        server.server_close()
+    # Bound but not listening: connections are refused, and no other test that runs at the same
+    # time is given these ports by the kernel.
+    sockets = [socket.socket() for _ in range(2)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+        context.add_cleanup(sock.close)
+    context.cli_places = ",".join(f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets)
 
 
 @given("the scripted leader loses its next answer after applying the change")
