--- /dev/null
+++ b/features/lease.feature
@@ -0,0 +1,47 @@
+Feature: Leases of entries
+
+  Scenario: Whatever is lost, late or overtaken, leases keep their promises
+    # Renewals and grants get lost, arrive late, or overtake each other on their way through another
+    # control host; entries die and restart; clocks run at different rates; leaders change. If a
+    # lease outlived its promise, an operator would be told that a change is in force while an entry
+    # still answers by the old rules, or servers would refuse connections because two entries use
+    # the same share.
+    Then leases keep their promises under 300 random schedules
+
+  Scenario Outline: An entry serves only on a live lease
+    # The lease counts from when the renewal was sent. Counted from when the grant came, a grant
+    # that was delayed on its way would let the entry serve on after control took it for dead.
+    Given a lease of 3000 ms whose renewal was sent at 1000 ms and answered at <answered> ms
+    Then the lease says "<may>" at <now> ms
+
+    Examples:
+      | answered | now  | may   |
+      | 1010     | 1011 | serve |
+      | 1010     | 3999 | serve |
+      | 1010     | 4000 | stop  |
+      | 3500     | 3999 | serve |
+      | 3500     | 4001 | stop  |
+      | 5000     | 5000 | stop  |
+
+  Scenario Outline: A grant that may be out of date gives no lease
+    # A leader that was cut off goes on answering for a moment, and an old answer can wait in a
+    # socket. Taken at its word, it would hand out rules that have been replaced.
+    Given a lease held in term 5 at version 7
+    When a grant comes that <fault>
+    Then the lease takes it as "<taken>" and its end is unchanged
+
+    Examples:
+      | fault                              | taken     |
+      | answers an earlier renewal         | ignored   |
+      | is of term 4                       | ignored   |
+      | is at version 6                    | went_back |
+      | lacks the updates to its version   | behind    |
+      | says that it is not registered yet | pending   |
+
+  Scenario: A new leader waits out what its predecessor may have granted
+    # The old leader is gone, and with it its table of leases. An entry that only the old leader
+    # could reach may still serve by the old rules for as long as its lease lasts.
+    Given an entry with a lease of the leader before
+    When a new leader takes over at 10000 ms and nobody renews
+    Then it waits for the entry at 13299 ms
+    And it takes the lease as run out at 13300 ms and not a second time
--- /dev/null
+++ b/features/steps/lease_steps.py
@@ -0,0 +1,111 @@
+from __future__ import annotations
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from alderhatch.core.control.control_state import ControlState
+from alderhatch.core.control.entry_lease import EntryIdentity, EntryLease
+from alderhatch.core.control.feed import UPDATES, Update
+from alderhatch.core.control.lease_messages import Grant, GrantReply
+from alderhatch.core.control.lease_table import LeaseTable
+from alderhatch.core.control.operations import EntryKey
+from features.support.lease_model import run_events
+
+ME = EntryIdentity("entry-1", "run-1", "waco-hall", "10.0.0.1", 8080)
+KINDS = ["join", "kill", "tick", "send", "renewal", "reply", "drop", "settle", "change", "leader"]
+OFTEN = ["send", "renewal", "reply", "tick", "settle", "send", "renewal", "reply"]
+
+
+@then("leases keep their promises under {count:d} random schedules")
+def step_lease_schedules(context, count):
+    events = st.tuples(st.sampled_from(KINDS + OFTEN), st.integers(0, 99))
+    served = []
+
+    @settings(max_examples=count)
+    @for_all(st.lists(events, min_size=10, max_size=150))
+    def check(schedule):
+        model = run_events([("join", 0), ("join", 1), ("join", 2), *schedule])
+        model.calm_down()
+        count_now = len(model.entries)
+        for entry in model.entries.values():
+            assert entry.lease.may_serve(entry.clock(model.now)), entry.name
+            assert entry.lease.share == count_now, (entry.lease.share, count_now)
+            assert entry.lease.view.version == model.state.feed.version
+        served.append(count_now)
+
+    check()
+    assert len(served) >= count and max(served) >= 4
+
+
+def _grant(sequence, version=0, lease=3000.0, share=1):
+    return Grant(sequence, lease, version, share, "")
+
+
+@given("a lease of 3000 ms whose renewal was sent at {sent:d} ms and answered at {answered:d} ms")
+def step_lease_answered(context, sent, answered):
+    context.lease = EntryLease(ME)
+    renewal = context.lease.renewal(float(sent))
+    reply = GrantReply(1, _grant(renewal.sequence), [])
+    context.lease.take(reply, float(answered))
+
+
+@then('the lease says "{may}" at {now:d} ms')
+def step_lease_may(context, may, now):
+    assert context.lease.may_serve(float(now)) == (may == "serve")
+
+
+@given("a lease held in term 5 at version 7")
+def step_lease_held(context):
+    context.lease = EntryLease(ME)
+    renewal = context.lease.renewal(0.0)
+    updates = [UPDATES.encode(Update(base, base + 1, 0, [])) for base in range(7)]
+    context.lease.take(GrantReply(5, _grant(renewal.sequence, 7), updates), 1.0)
+    assert context.lease.view.version == 7
+    context.end = context.lease.serve_until
+
+
+@when("a grant comes that {fault}")
+def step_faulty_grant(context, fault):
+    sequence = context.lease.renewal(1000.0).sequence
+    good = GrantReply(5, _grant(sequence, 7), [])
+    replies = {
+        "answers an earlier renewal": good._replace(grant=_grant(sequence - 1, 7)),
+        "is of term 4": good._replace(term=4),
+        "is at version 6": good._replace(grant=_grant(sequence, 6)),
+        "lacks the updates to its version": good._replace(grant=_grant(sequence, 9)),
+        "says that it is not registered yet": good._replace(grant=_grant(sequence, 7, 0.0)),
+    }
+    context.taken = context.lease.take(replies[fault], 1001.0)
+
+
+@then('the lease takes it as "{taken}" and its end is unchanged')
+def step_grant_taken(context, taken):
+    assert context.taken == taken
+    assert context.lease.serve_until == context.end
+    assert context.lease.view.version == 7
+
+
+@given("an entry with a lease of the leader before")
+def step_registered_entry(context):
+    context.key = EntryKey("entry-1", "run-1")
+    context.state = ControlState()
+
+
+@when("a new leader takes over at {now:d} ms and nobody renews")
+def step_new_leader(context, now):
+    context.leases = LeaseTable(3000.0, [context.key], None, float(now))
+
+
+@then("it waits for the entry at {now:d} ms")
+def step_waits(context, now):
+    assert context.leases.waiting_for(0, float(now)) == ["entry-1"]
+    assert context.leases.take_run_out(float(now)) == []
+
+
+@then("it takes the lease as run out at {now:d} ms and not a second time")
+def step_run_out(context, now):
+    assert context.leases.waiting_for(0, float(now)) == []
+    assert context.leases.take_run_out(float(now)) == [context.key]
+    assert context.leases.take_run_out(float(now)) == []
--- /dev/null
+++ b/features/support/lease_model.py
@@ -0,0 +1,177 @@
+"""A leader and entries whose messages are lost, repeated late or overtaken, in virtual time.
+
+Entries' clocks run up to 4 % fast or slow. After every event the promises are checked: no more
+connections than all the shares allow, no entry that serves on an older version than one which the
+leader has called in force, and no version that goes down.
+"""
+
+from __future__ import annotations
+
+from fractions import Fraction
+
+from alderhatch.core.control.actions import ChangeSettings
+from alderhatch.core.control.control_state import ControlState
+from alderhatch.core.control.entry_lease import EntryIdentity, EntryLease
+from alderhatch.core.control.lease_messages import GrantReply
+from alderhatch.core.control.lease_table import LeaseTable
+from alderhatch.core.control.operations import EntryKey, RegisterEntry, RemoveEntries
+
+from .control_commands import Applier, change
+
+LEASE = 3000.0
+RATES = (1.0, 0.96, 1.04)
+
+
+class ModelEntry:
+    def __init__(self, number, incarnation):
+        self.name = f"entry-{number}"
+        self.key = EntryKey(self.name, f"run-{incarnation}")
+        zone = f"zone-{number % 3}"
+        identity = EntryIdentity(*self.key, zone, "10.0.0.1", 8080)
+        self.lease = EntryLease(identity)
+        self.rate = RATES[number % len(RATES)]
+        self.version = 0
+
+    def clock(self, now):
+        return now * self.rate
+
+
+class LeaseModel:
+    def __init__(self):
+        self.applier = Applier(ControlState())
+        self.state = self.applier.state
+        self.now = 0.0
+        self.term = 1
+        self.entries = {}
+        self.renewals = []
+        self.replies = []
+        self.promised = 0
+        self.incarnations = 0
+        self.table = LeaseTable(LEASE, [], None, 0.0)
+
+    # What may happen
+
+    def join(self, number):
+        self.incarnations += 1
+        self.entries[number] = ModelEntry(number, self.incarnations)
+
+    def kill(self, number):
+        self.entries.pop(number, None)
+
+    def tick(self, span):
+        self.now += span
+        self.applier.now += span
+        for entry in self.entries.values():
+            entry.lease.drop_share_if_over(entry.clock(self.now))
+        gone = self.table.take_run_out(self.now)
+        if gone:
+            self.applier.one(RemoveEntries(gone))
+            self._sync()
+
+    def send(self, number):
+        if number in self.entries:
+            entry = self.entries[number]
+            self.renewals.append((self.term, entry, entry.lease.renewal(entry.clock(self.now))))
+
+    def deliver_renewal(self, index):
+        if not self.renewals:
+            return
+        term, entry, renewal = self.renewals.pop(index % len(self.renewals))
+        if term != self.term:
+            return
+        grant = self.table.renew(renewal, self.state.feed.version, self.now)
+        if grant is None:
+            return
+        if grant.lease <= 0:
+            self.applier.one(RegisterEntry(*renewal[1:6]))
+            self._sync()
+        updates = self.state.updates_since(renewal.version)
+        self.replies.append((entry, GrantReply(self.term, grant, updates)))
+
+    def deliver_reply(self, index):
+        if self.replies:
+            entry, reply = self.replies.pop(index % len(self.replies))
+            entry.lease.take(reply, entry.clock(self.now))
+
+    def drop(self, index):
+        if self.renewals:
+            self.renewals.pop(index % len(self.renewals))
+        if self.replies:
+            self.replies.pop(index % len(self.replies))
+
+    def settle(self, number):
+        if number in self.entries:
+            self.entries[number].lease.share_settled()
+
+    def change_configuration(self):
+        budget = (self.state.revision % 10) / 20
+        action = ChangeSettings({"hedge_budget": budget + 0.01})
+        self.applier.one(change(f"c-{self.applier.index}", self.state.revision, action))
+
+    def change_leader(self):
+        self.term += 1
+        hosts = self.state.hosts
+        registered = [EntryKey(one.name, one.incarnation) for one in hosts.entries.values()]
+        since = None if hosts.last_removal is None else self.applier.now - hosts.last_removal
+        self.table = LeaseTable(LEASE, registered, since, self.now)
+
+    def _sync(self):
+        entries = self.state.hosts.entries.values()
+        registered = {one.name: EntryKey(one.name, one.incarnation) for one in entries}
+        self.table.sync(registered, self.now)
+
+    # What must hold
+
+    def check(self):
+        version = self.state.feed.version
+        if not self.table.waiting_for(version, self.now):
+            self.promised = max(self.promised, version)
+        shares = [entry.lease.share for entry in self.entries.values()]
+        assert sum(Fraction(1, share) for share in shares if share) <= 1, shares
+        for entry in self.entries.values():
+            held = entry.lease.view.version
+            assert held >= entry.version, (entry.name, held, entry.version)
+            entry.version = held
+            if entry.lease.may_serve(entry.clock(self.now)):
+                assert held >= self.promised, (entry.name, held, self.promised)
+
+    def calm_down(self):
+        """Let time pass without any fault."""
+        for _ in range(120):
+            self.tick(100.0)
+            for number in list(self.entries):
+                self.settle(number)
+                self.send(number)
+            while self.renewals:
+                self.deliver_renewal(0)
+            while self.replies:
+                self.deliver_reply(0)
+            self.check()
+
+
+def run_events(events):
+    model = LeaseModel()
+    for kind, number in events:
+        match kind:
+            case "join":
+                model.join(number % 5)
+            case "kill":
+                model.kill(number % 5)
+            case "tick":
+                model.tick(float(number * 37 % 1500))
+            case "send":
+                model.send(number % 5)
+            case "renewal":
+                model.deliver_renewal(number)
+            case "reply":
+                model.deliver_reply(number)
+            case "drop":
+                model.drop(number)
+            case "settle":
+                model.settle(number % 5)
+            case "change":
+                model.change_configuration()
+            case "leader":
+                model.change_leader()
+        model.check()
+    return model
--- a/src/alderhatch/core/control/control_state.py
+++ b/src/alderhatch/core/control/control_state.py
@@ -186,7 +186,8 @@
             case RecordOutcome():
                 return Noted(self.ledger.record(operation))
             case ReleaseClaim():
-                return Noted(self.ledger.release(operation, self.now))
+                horizon = self.settings.ledger_horizon_ms
+                return Noted(self.ledger.release(operation, self.now, horizon))
             case Change():
                 return self._change(operation)
             case RegisterEntry():
--- a/src/alderhatch/core/control/run_ledger.py
+++ b/src/alderhatch/core/control/run_ledger.py
@@ -129,10 +129,14 @@
             self._outcome_bytes += len(outcome.outcome)
         return True
 
-    def release(self, release: ReleaseClaim, now: Millis) -> bool:
+    def release(self, release: ReleaseClaim, now: Millis, horizon: Millis) -> bool:
         """Take a claim back of which nothing was sent; return whether it is taken back now."""
         key = LedgerKey(release.caller, release.request_id)
         record = self._records.get(key)
+        if record is None and self._is_too_old(key, now, horizon):
+            # Another sending of this id may have run and been dropped since. A record made here
+            # would say that the id is free, and the next resend would run a second time.
+            return False
         if record is None:
             # The claim itself may still be on its way through another control host. Granted after
             # this release, it would have no holder and block the id until the entry restarts.
@@ -196,10 +200,7 @@
         return ledger
 
     def _claim_new(self, key: LedgerKey, claim: Claim, now: Millis, horizon: Millis) -> ClaimAnswer:
-        issued = issued_at(claim.request_id)
-        if issued is not None and issued + horizon <= now:
-            return ClaimAnswer(ClaimStatus.TOO_OLD)
-        if id_digest(*key) in self._forgotten:
+        if self._is_too_old(key, now, horizon):
             return ClaimAnswer(ClaimStatus.TOO_OLD)
         if len(self._records) >= MAX_RECORDS:
             self._make_room(now, horizon)
@@ -208,6 +209,12 @@
         self._grant(key, claim, now, ())
         return ClaimAnswer(ClaimStatus.GRANTED)
 
+    def _is_too_old(self, key: LedgerKey, now: Millis, horizon: Millis) -> bool:
+        issued = issued_at(key.request_id)
+        if issued is not None and issued + horizon <= now:
+            return True
+        return id_digest(*key) in self._forgotten
+
     def _grant(self, key: LedgerKey, claim: Claim, now: Millis, released: tuple[str, ...]) -> None:
         record = RunRecord(
             claim.fingerprint,
