--- /dev/null
+++ b/features/cli_programs.feature
@@ -0,0 +1,35 @@
+Feature: The programs start from checked settings, log as JSON and stop gracefully
+
+  Scenario: An entry serves from start to planned stop
+    Given a running tier of 0 control hosts and 1 entry
+    When a caller asks the tier for towels
+    Then the command ends with exit code 0
+    And the command printed the error "coverage 1.0000"
+    And the program "entry-1" ends with exit code 0 after SIGTERM
+    And the log of "entry-1" has the events "entry_started, entry_stopping, entry_stopped" as JSON
+
+  Scenario Outline: A program does not start with settings that have mistakes
+    When the program "<program>" is started with a file of two mistakes
+    Then the program ends with exit code 3
+    And the program printed the two mistakes with their lines
+
+    Examples:
+      | program |
+      | entry   |
+
+  Scenario: An address that is taken is told, without a traceback
+    # Another process still listens on the port, such as the entry's predecessor. A traceback alone
+    # would send whoever is on call looking for a fault in the code.
+    Given a running tier of 0 control hosts and 1 entry
+    When the entry "entry-1" is started a second time
+    Then the program ends with exit code 10
+    And the program logged "program_cannot_start" with "in use" and no traceback
+
+  Scenario: Settings can be checked on their host without starting anything
+    Given a running tier of 0 control hosts and 1 entry
+    When the settings of "entry-1" are checked by their program
+    Then the program ends with exit code 0
+
+  Scenario: A stand-in upstream tells where it listens
+    When the stand-in upstream is started with 3 shards of 2 servers
+    Then it prints 6 servers with their ports and ends with exit code 0 after SIGTERM
--- /dev/null
+++ b/features/steps/cli_programs_steps.py
@@ -0,0 +1,116 @@
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+
+from behave import given, then, when
+
+from features.support.cli_support import call, new_folder
+from features.support.tier import Tier
+
+TWO_MISTAKES = {
+    "entry": ('name = "Entry"\nzone = "waco-hall"\ndrain_ms = 0\n', ":1: name: ", ":3: drain_ms: "),
+    "control": ('name = "a"\nzone = "Waco"\nlease_ms = 1\n', ":2: zone: ", ":3: lease_ms: "),
+}
+
+
+def _command(program, *words):
+    return [sys.executable, "-m", f"alderhatch.cli.{program}", *words]
+
+
+def _env():
+    return os.environ | {"PYTHONPATH": "src"}
+
+
+def _run(context, program, *words):
+    context.program = subprocess.run(
+        _command(program, *words), env=_env(), capture_output=True, text=True, timeout=60
+    )
+
+
+@given("a running tier of {controls:d} control hosts and {entries:d} entry")
+@given("a running tier of {controls:d} control hosts and {entries:d} entries")
+def step_tier(context, controls, entries):
+    context.tier = Tier(controls, entries)
+    context.add_cleanup(context.tier.stop)
+    context.tier.start()
+
+
+@when("a caller asks the tier for towels")
+def step_ask(context):
+    words = ["--entry", context.tier.entry_places, "query", '{"topic": "towels"}']
+    call(context, *words, "--upstream", "navigator", "--kind", "order-status")
+
+
+@then('the program "{name}" ends with exit code {code:d} after SIGTERM')
+def step_sigterm(context, name, code):
+    found = context.tier.end(name, signal.SIGTERM)
+    assert found == code, (found, context.tier.log_of(name))
+
+
+@then('the log of "{name}" has the events "{events}" as JSON')
+def step_log_events(context, name, events):
+    lines = [json.loads(line) for line in context.tier.log_of(name).splitlines()]
+    for line in lines:
+        assert {"time", "level", "event", "number", "program", "fields"} <= set(line), line
+    found = [line["event"] for line in lines]
+    assert set(events.split(", ")) <= set(found), found
+
+
+@when('the program "{program}" is started with a file of two mistakes')
+def step_two_mistakes(context, program):
+    path = new_folder(context) / "settings.toml"
+    text, *context.mistakes = TWO_MISTAKES[program]
+    path.write_text(text)
+    _run(context, program, str(path))
+
+
+@then("the program ends with exit code {code:d}")
+def step_program_code(context, code):
+    assert context.program.returncode == code, context.program
+
+
+@then("the program printed the two mistakes with their lines")
+def step_mistakes(context):
+    for mistake in context.mistakes:
+        assert mistake in context.program.stderr, context.program.stderr
+    assert "Traceback" not in context.program.stderr
+
+
+@when('the entry "{name}" is started a second time')
+def step_second_time(context, name):
+    _run(context, "entry", str(context.tier.folder / f"{name}.toml"))
+
+
+@then('the program logged "{event}" with "{text}" and no traceback')
+def step_logged(context, event, text):
+    lines = [json.loads(line) for line in context.program.stderr.splitlines()]
+    found = [line for line in lines if line["event"] == event]
+    assert len(found) == 1 and text in found[0]["fields"]["why"], lines
+    assert "Traceback" not in context.program.stderr
+
+
+@when('the settings of "{name}" are checked by their program')
+def step_check_by_program(context, name):
+    _run(context, "entry", "--check", str(context.tier.folder / f"{name}.toml"))
+
+
+@when("the stand-in upstream is started with {shards:d} shards of {servers:d} servers")
+def step_upstream(context, shards, servers):
+    words = ["spotbook", "--shards", str(shards), "--servers", str(servers)]
+    context.upstream = subprocess.Popen(
+        _command("upstream", *words), env=_env(), stdout=subprocess.PIPE, text=True
+    )
+    context.add_cleanup(context.upstream.stdout.close)
+    context.add_cleanup(context.upstream.kill)
+
+
+@then("it prints {count:d} servers with their ports and ends with exit code {code:d} after SIGTERM")
+def step_upstream_prints(context, count, code):
+    servers = json.loads(context.upstream.stdout.readline())["servers"]
+    assert len({server["port"] for server in servers}) == count, servers
+    context.upstream.send_signal(signal.SIGTERM)
+    assert context.upstream.wait(30) == code
--- a/src/alderhatch/cli/ctl_caller.py
+++ b/src/alderhatch/cli/ctl_caller.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import secrets
 from collections.abc import Mapping, Sequence
 from typing import Annotated, Any, NamedTuple
 
 import orjson
 import typer
 
-from ..clock import SECOND, LoopClock, Millis
+from ..clock import SECOND, LoopClock, Millis, WallClock
 from ..core.priority import Priority
 from ..errors import ErrorKind, Ran, Resend
 from ..http.client import HttpExchangeError, http_once
@@ -17,12 +16,12 @@
 from .ctl_look import require_entries
 from .operator_client import Place, RemoteError, read_error
 from .printing import OutputFormat, print_json
+from .request_ids import new_request_id
 
 app = typer.Typer()
 
 QUERY_PATH = "/query"
 RUN_PATH = "/run"
-REQUEST_ID_BYTES = 8
 MARGIN: Millis = 2 * SECOND
 """How much longer than the request's own deadline this program waits for its answer."""
 DEFAULT_DEADLINE: Millis = 30 * SECOND
@@ -71,7 +70,7 @@
     output: OutputOption = OutputFormat.TABLE,
 ) -> None:
     """Ask for an address, send a query there and print the answer with its coverage."""
-    request_id = f"q-{secrets.token_hex(REQUEST_ID_BYTES)}"
+    request_id = new_request_id(WallClock().now())
     body = _body(request_id, json, upstream, kind, caller, zone, priority, deadline_ms)
     _send(ctx, _Ask(QUERY_PATH, body, _headers(header), zone), output)
 
@@ -94,7 +93,7 @@
     output: OutputOption = OutputFormat.TABLE,
 ) -> None:
     """Send a dispatch or booking, which runs at most once, and print its outcome."""
-    request_id = request_id or f"b-{secrets.token_hex(REQUEST_ID_BYTES)}"
+    request_id = request_id or new_request_id(WallClock().now())
     typer.echo(f"request id {request_id}", err=True)
     body = _body(request_id, json, upstream, kind, caller, zone, priority, deadline_ms)
     _send(ctx, _Ask(RUN_PATH, body, _headers(header), zone), output)
--- a/src/alderhatch/cli/program.py
+++ b/src/alderhatch/cli/program.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 from enum import StrEnum
 from pathlib import Path
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import trio
 import typer
@@ -21,6 +21,12 @@
 _Settings = TypeVar("_Settings")
 
 
+SettingsArgument = Annotated[
+    Path,
+    typer.Argument(metavar="FILE", help="Settings as TOML; docs/SETTINGS.md lists every key."),
+]
+
+
 class LogLevel(StrEnum):
     """The lowest level of events that is logged."""
 
@@ -50,20 +56,26 @@
         raise typer.Exit(ExitCode.INVALID) from exc
 
 
-def run_program(program: str, level: LogLevel, run: Callable[[], Awaitable[None]]) -> ExitCode:
-    """Run a program's main task until it ends by itself or a signal stops it.
+def run_program(
+    program: str,
+    level: LogLevel,
+    run: Callable[[], Awaitable[None]],
+    stop_on_signal: bool = False,
+) -> ExitCode:
+    """Run a program's main task until it ends.
 
     Args:
         program: The program's name, for its log lines.
         level: The lowest level that is logged.
         run: The main task.
+        stop_on_signal: Whether SIGTERM and SIGINT cancel it; False if it handles them itself.
 
     Returns:
         The program's exit code.
     """
     set_up_logs(program, getattr(logging, level.name))
     try:
-        trio.run(_run_until_signal, run)
+        trio.run(_run_until_signal if stop_on_signal else _run, run)
     except BaseException as exc:
         cause = _first_cause(exc)
         match cause:
@@ -83,6 +95,10 @@
     return exc
 
 
+async def _run(run: Callable[[], Awaitable[None]]) -> None:
+    await run()
+
+
 async def _run_until_signal(run: Callable[[], Awaitable[None]]) -> None:
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_cancel_on_signal, nursery.cancel_scope)
