--- a/features/entry_world.py
+++ b/features/entry_world.py
@@ -1,4 +1,4 @@
-"""A loop in a thread with stand-in upstreams and entries, which steps talk to one call at a time."""
+"""A loop in a thread with stand-in upstreams and entries, for steps to call into."""
 
 from __future__ import annotations
 
@@ -203,7 +203,7 @@
         await trio.sleep(seconds)
 
     async def raw(self, port, pieces, pause_s=0.0, read=True):
-        """Send bytes as they are and return everything that comes back until the other end closes."""
+        """Send bytes as they are and return what comes back until the other end closes."""
         stream = await trio.open_tcp_stream(LOOPBACK, port)
         received = b""
         async with stream:
--- a/src/alderhatch/entry/entry_metrics.py
+++ b/src/alderhatch/entry/entry_metrics.py
@@ -2,65 +2,56 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from typing import TYPE_CHECKING
 
-from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
-from aioprometheus.renderer import render
-
-from ..clock import SECOND, Millis
+from ..clock import Millis
 from ..core.entry_events import Answered, Outcome, Refused
+from ..metric_catalogue import Metric
+from ..metrics import Metrics, MetricsPage
+
+if TYPE_CHECKING:
+    from .entry_node import EntryNode
 
-BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.29, 0.5, 1.0, 2.0, 5.0, float("inf"))
 ANSWERED = "answered"
 
 
 class EntryMetrics:
-    """Counts requests by rule and outcome; gauges are read when somebody asks."""
+    """Counts requests by rule and outcome; the rest is read when somebody asks for the page.
+
+    Args:
+        node: The entry.
+    """
 
-    def __init__(self) -> None:
-        self._registry = Registry()
-        self._requests = Counter(
-            "alderhatch_requests_total",
-            "Requests that were answered, by rule and outcome.",
-            registry=self._registry,
-        )
-        self._seconds = Histogram(
-            "alderhatch_request_seconds",
-            "Time from a whole request to its answer, by rule.",
-            registry=self._registry,
-            buckets=BUCKETS_S,
-        )
-        self._uncovered = Counter(
-            "alderhatch_uncovered_total",
-            "The sum of what answers did not cover, by rule; 1 is a whole snapshot.",
-            registry=self._registry,
-        )
-        self._gauges: dict[str, Gauge] = {}
+    def __init__(self, node: EntryNode) -> None:
+        self._node = node
+        self._metrics = Metrics(node.cfg.name)
+        self._metrics.add_source(self._copy)
 
     def count(self, outcome: Outcome, span: Millis) -> None:
         """Count one outcome and the time that it took, in milliseconds."""
-        rule = {"rule": outcome.rule}
+        metrics = self._metrics
         match outcome:
-            case Answered(coverage=coverage):
-                self._requests.inc(rule | {"outcome": ANSWERED})
-                self._seconds.observe(rule, span / SECOND)
-                if coverage < 1:
-                    self._uncovered.add(rule, 1 - coverage)
-            case Refused(failure=failure):
-                self._requests.inc(rule | {"outcome": str(failure.kind)})
-
-    def show(self, gauges: Mapping[str, float]) -> bytes:
-        """Return everything in the text format of Prometheus.
-
-        Args:
-            gauges: Present values by their names, without the prefix.
-        """
-        for name, value in gauges.items():
-            gauge = self._gauges.get(name)
-            if gauge is None:
-                full_name = f"alderhatch_{name}"
-                doc = name.replace("_", " ").capitalize() + "."
-                gauge = self._gauges[name] = Gauge(full_name, doc, registry=self._registry)
-            gauge.set({}, value)
-        content, _ = render(self._registry, [])
-        return bytes(content)
+            case Answered(rule=rule, coverage=coverage):
+                metrics.inc(Metric.ENTRY_REQUESTS, rule, ANSWERED)
+                metrics.observe(Metric.ENTRY_DURATION, span, rule)
+                metrics.observe(Metric.ENTRY_COVERAGE, coverage, rule)
+            case Refused(rule=rule, failure=failure):
+                metrics.inc(Metric.ENTRY_REQUESTS, rule, failure.kind)
+
+    def page(self) -> MetricsPage:
+        """Return the page in Prometheus' text format."""
+        return self._metrics.render()
+
+    def _copy(self) -> None:
+        node = self._node
+        copied = {
+            Metric.ENTRY_SHARD_REQUESTS: node.core.shard_requests_sent,
+            Metric.ENTRY_SHARD_REQUESTS_NEEDED: node.core.shard_requests_needed,
+            Metric.ENTRY_CONNECTIONS_OPENED: node.pool.opened,
+            Metric.ENTRY_CONNECTIONS_SILENT: node.pool.silent,
+            Metric.ENTRY_CONNECTIONS: node.pool.held,
+            Metric.ENTRY_CALLERS: node.callers.connections,
+            Metric.ENTRY_RUNNING: node.core.running,
+        }
+        for metric, value in copied.items():
+            self._metrics.set(metric, value)
--- a/src/alderhatch/entry/entry_node.py
+++ b/src/alderhatch/entry/entry_node.py
@@ -77,7 +77,6 @@
         self.attempts = AttemptRunner(self.pool, self.feed)
         self.addresses = AddressBook(cfg.address_ttl_ms)
         self.upstreams = frozenset(upstream.name for upstream in cfg.upstreams)
-        self.metrics = EntryMetrics()
         self.callers = ServeState()
         self.maps = [MapPoller(upstream, self.pool, self._adopt) for upstream in cfg.upstreams]
         self.stop_requested = trio.Event()
@@ -91,6 +90,7 @@
         self._stepping = False
         self._hosts: list[PlatformHost] = []
         self._leaving: frozenset[str] = frozenset()
+        self.metrics = EntryMetrics(self)
         self.port = 0
         """The port that callers connect to, once it listens."""
         self.operator_port = 0
--- a/src/alderhatch/entry/operator_side.py
+++ b/src/alderhatch/entry/operator_side.py
@@ -10,7 +10,6 @@
 if TYPE_CHECKING:
     from .entry_node import EntryNode
 
-METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 MAX_SHOWN = 500
 """Servers and entries that a dump lists at most; the counts beside them are whole."""
 
@@ -33,7 +32,7 @@
         """
         match (req.method, req.path):
             case ("GET", "/metrics"):
-                return HttpResponse(200, self._node.metrics.show(self._gauges()), METRICS_TYPE)
+                return HttpResponse(200, *self._node.metrics.page())
             case ("GET", "/ready"):
                 return self._ready()
             case ("GET", "/dump"):
@@ -49,11 +48,11 @@
             return json_response(503, {"ready": False, "why": f"no shard map of {lacking}"})
         return json_response(200, {"ready": True})
 
-    def _gauges(self) -> dict[str, float]:
+    def _counts(self) -> dict[str, int]:
         node = self._node
         return {
-            "queries_running": node.core.running,
-            "attempts_running": node.attempts.running,
+            "requests_running": node.core.running,
+            "shard_requests_running": node.attempts.running,
             "caller_connections": node.callers.connections,
             "upstream_connections": node.pool.held,
             "upstream_connections_opened": node.pool.opened,
@@ -70,7 +69,7 @@
             "zone": node.cfg.zone,
             "callers": {"address": node.cfg.callers.address, "port": node.port},
             "stopping": node.stop_requested.is_set(),
-            "counts": self._gauges(),
+            "counts": self._counts(),
             "maps": [self._map_line(poller.upstream) for poller in node.maps],
             "servers": self._server_lines(),
             "roster": [item._asdict() for item in node.addresses.roster[:MAX_SHOWN]],
--- a/src/alderhatch/metric_catalogue.py
+++ b/src/alderhatch/metric_catalogue.py
@@ -98,3 +98,27 @@
         Unit.ONE,
         "Connections opened to servers of upstreams.",
     )
+    ENTRY_CONNECTIONS_SILENT = MetricRow(
+        "alderhatch_entry_connections_silent_total",
+        MetricKind.COUNTER,
+        Unit.ONE,
+        "Connections to servers that were dropped because nothing moved on them.",
+    )
+    ENTRY_CONNECTIONS = MetricRow(
+        "alderhatch_entry_connections",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "Connections to servers of upstreams that are open.",
+    )
+    ENTRY_CALLERS = MetricRow(
+        "alderhatch_entry_caller_connections",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "Connections of callers that are open.",
+    )
+    ENTRY_RUNNING = MetricRow(
+        "alderhatch_entry_requests_running",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "Requests under way.",
+    )
