--- a/features/entry_world.py
+++ b/features/entry_world.py
@@ -33,6 +33,7 @@
         self.platform = None
         self.entries = []
         self.scopes = []
+        self.shape = {}
         self.rule = {"deadline_ms": 3000, "retries": 2}
         self.settings = {}
         self.replies = []
@@ -59,7 +60,8 @@
         trio.from_thread.run_sync(self._nursery.cancel_scope.cancel, trio_token=self._token)
         self._thread.join()
 
-    async def start_upstream(self, shards, servers, **shape):
+    async def start_upstream(self, shards, servers):
+        shape = self.shape
         shape = UpstreamShape(
             "navigator",
             shards,
@@ -123,6 +125,15 @@
         self.scopes[number].cancel()
         await trio.sleep(0)
 
+    async def replace_entry(self, number):
+        await self.end_entry(number)
+        entry = await self.start_entry()
+        self.entries.pop()
+        scope = self.scopes.pop()
+        self.entries[number] = entry
+        self.scopes[number] = scope
+        self._share_roster()
+
     async def stop_entry(self, number):
         await planned_stop(self.entries[number])
         self.scopes[number].cancel()
--- a/src/alderhatch/entry/map_poller.py
+++ b/src/alderhatch/entry/map_poller.py
@@ -13,6 +13,7 @@
 from ..log_events import LogEvent
 from ..settings.models import Endpoint, UpstreamSettings
 from .connection_pool import ConnectionPool
+from .server_connections import CLOSE_LINGER
 from .upstream_lists import parse_shard_map
 from .upstream_protocol import OK, ProtocolError
 
@@ -69,9 +70,12 @@
     async def _get(self, endpoint: Endpoint) -> HttpReply:
         server_id = self._server_at(endpoint)
         if server_id is None:
-            return await http_once(
+            reply = await http_once(
                 endpoint.address, endpoint.port, "GET", MAP_PATH, timeout=FETCH_TIMEOUT
             )
+            # The server may still count this connection when the first of the shared ones comes.
+            await trio.sleep(CLOSE_LINGER / SECOND)
+            return reply
         # A connection besides the shared ones would count against the server's limit too.
         conn = await self._pool.take_within(server_id, FETCH_TIMEOUT)
         try:
--- a/src/alderhatch/standin/standin_connection.py
+++ b/src/alderhatch/standin/standin_connection.py
@@ -44,6 +44,10 @@
         self.cancelled = 0
         """Requests whose other end went away before the answer."""
 
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._stream.socket.close()
+
     async def run(self) -> None:
         """Serve until the other end closes."""
         while True:
--- a/src/alderhatch/standin/standin_server.py
+++ b/src/alderhatch/standin/standin_server.py
@@ -131,6 +131,11 @@
         for conn in self._connections:
             conn.frozen = side
 
+    def close_open(self) -> None:
+        """Close every open connection, as a server does with idle ones."""
+        for conn in self._connections:
+            conn.close()
+
     @property
     def silent_connections(self) -> int:
         """How many open connections have gone silent."""
@@ -154,7 +159,7 @@
         try:
             await trio.sleep(self.upstream.shape.connect_ms / SECOND)
             await conn.run()
-        except trio.BrokenResourceError:
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
         finally:
             counts.connections -= 1
