Core: tests of failures, and the faults that they showed

Cause: the whole core had landed with its rules tested only. Change: features query, core_replicas, core_admission, core_hedging, core_crash, core_once and core_any_order with steps; hypothesis against naive versions for merge/coverage and the choice of replicas, and for at most once and whole life under any order of events. Faults they showed, mended here: an answer in no measurable time divided by zero; a replica without a sample was held to be as slow as the only one asked and so never tried; a lost canary went on to the other replica of the same shard and could empty it; bodies in flight when a zone goes were refused as crashing; an entry with few samples hedged on guesswork.

--- /dev/null
+++ b/features/core_crash.feature
@@ -0,0 +1,66 @@
+Feature: Requests that crash the servers which run them
+
+  Scenario: A body that crashes every server takes two with it at most at one entry
+    # One request makes each server that runs it exit. A query goes to every shard at once, so it
+    # would take a replica of each shard, and its retries the other ones.
+    Given crash cores of 1 entry over 20 shards
+    When a deadly query arrives at crash entry 1
+    Then 2 servers have crashed
+    And its caller is told upstream_failed, not to be sent again
+
+  Scenario: A body that was quarantined at one entry is refused at the others
+    # The caller of the deadly request sends it again, to one entry after another.
+    Given crash cores of 3 entries over 20 shards
+    When a deadly query arrives at crash entry 1
+    And it is sent again at crash entries 2, 3 and 1
+    Then 2 servers have crashed
+    And its resends are refused as quarantined
+
+  Scenario: A deadly body at an upstream of a single shard takes two servers at most
+    Given crash cores of 1 entry over 1 shard
+    When a deadly query arrives at crash entry 1
+    Then 2 servers have crashed
+    And its caller is told upstream_failed, not to be sent again
+
+  Scenario Outline: Innocent requests that were on a crashed server are answered and not blamed
+    # Twenty ordinary queries run on the server that the deadly one takes with it. Their connections
+    # are lost just the same.
+    Given crash cores of 1 entry over <shards> shards
+    When 20 harmless queries and a deadly one run at the same time
+    Then all harmless queries are answered in full
+    And no harmless body is refused when it comes again
+    And 2 servers have crashed
+
+    Examples:
+      | shards |
+      | 20     |
+      | 4      |
+
+  Scenario: The loss of many servers at once is not held against the bodies that ran there
+    # An availability zone goes. Every query in flight loses connections; none of them is at fault.
+    Given crash cores of 1 entry over 20 shards
+    When a zone is lost under 20 harmless queries
+    Then all harmless queries are answered in full
+    And no harmless body is refused when it comes again
+
+  Scenario: A lost connection to a server that did not restart is no crash
+    # The network drops connections. The server's boot id stays the same.
+    Given crash cores of 1 entry over 1 shard
+    When a harmless query's connection is lost and the server says that it runs on
+    Then nothing was reported as a crash
+
+  Scenario: The first answer of a canary lets the rest go
+    Given a core with canaries over 16 shards
+    When a new body arrives there
+    Then 2 shards of it are out
+    When one of them answers
+    Then all 16 shards of it are out or answered
+    When the same body arrives there again
+    Then 16 further shards are out
+
+  Scenario: Canaries that straggle don't hold up the query for ever
+    # Both servers that were asked first stall. The rest goes out after a while all the same.
+    Given a core with canaries over 6 shards
+    When a new body arrives there
+    And 100 ms pass in the core
+    Then all 6 shards of it are out or answered
--- /dev/null
+++ b/features/steps/core_admission_steps.py
@@ -0,0 +1,268 @@
+from __future__ import annotations
+
+from behave import given, then, when
+
+from alderhatch.core.crash_watch import fingerprint_of
+from alderhatch.core.entry_events import (
+    Answered,
+    CallerGone,
+    LeaseChanged,
+    LoadReport,
+    QueryArrived,
+    StopRequested,
+)
+from alderhatch.core.policy import Policy
+from alderhatch.core.priority import Priority
+from alderhatch.core.rule import Refuse, Rule, Serve, When
+from features.support.core_harness import CoreHarness, make_map, make_request
+
+ONE_AT_A_TIME = Policy(canaries=0, batch_share=0.001, normal_share=0.001)
+
+
+@given('an arrival core that "{state}"')
+def step_core_that(context, state):
+    core = context.core = CoreHarness(make_map(), Serve(hedge=0))
+    context.arriving = make_request(77)
+    match state:
+        case "is stopping":
+            core.feed(StopRequested())
+        case "has outlived its lease":
+            core.feed(LeaseChanged(1000.0, {}, frozenset()))
+            core.advance(1000.0)
+        case "has no shard map":
+            context.core = CoreHarness(None, Serve())
+        case "refuses it by rule":
+            core.rules(Refuse("closed for the month"), revision=2)
+        case "has the body under quarantine":
+            bodies = frozenset([fingerprint_of(context.arriving)])
+            core.feed(LeaseChanged(1e9, {}, bodies))
+        case "knows answers to take 50 ms or longer":
+            for _ in range(20):
+                core.arrive()
+                core.now += 50.0
+                core.answer_all()
+            context.arriving = make_request(77, deadline_ms=20.0)
+        case _:
+            raise AssertionError(state)
+
+
+@when("a request arrives at the core")
+def step_request_there(context):
+    context.sent_before = len(context.core.sent)
+    context.core_query = 77
+    context.core.feed(QueryArrived(77, context.arriving))
+
+
+@then("the core refuses it at once as {kind} and nothing of it was sent")
+def step_refused_unsent(context, kind):
+    failure = context.core.finished[context.core_query].failure
+    assert failure.kind == kind, failure
+    assert failure.answer.ran == "not_run"
+    assert len(context.core.sent) == context.sent_before
+
+
+@given("a core with a query under way")
+def step_under_way(context):
+    context.core = CoreHarness(make_map(), Serve(hedge=0))
+    context.core_query = context.core.arrive()
+
+
+@when("the core is told to stop")
+def step_told_to_stop(context):
+    context.core.feed(StopRequested())
+
+
+@when("the core loses its lease")
+def step_loses_lease(context):
+    context.core.feed(LeaseChanged(context.core.now + 1.0, {}, frozenset()))
+    context.core.advance(5.0)
+
+
+@then("the query under way is answered in full")
+def step_under_way_full(context):
+    context.core.answer_all()
+    outcome = context.core.finished[context.core_query]
+    assert isinstance(outcome, Answered) and outcome.coverage == 1.0, outcome
+
+
+@when("the core's lease is renewed")
+def step_renewed(context):
+    context.core.feed(LeaseChanged(context.core.now + 3000.0, {}, frozenset()))
+
+
+@then("a request at the core is sent")
+def step_request_sent(context):
+    context.core.arrive()
+    assert len(context.core.out) == 4
+
+
+@given("a core whose limit lets one query run")
+def step_one_at_a_time(context):
+    context.core = CoreHarness(make_map(), policy=ONE_AT_A_TIME)
+    wait_rules(context.core)
+
+
+@given("a core whose limit lets one query run and a queue of {size:d}")
+def step_one_with_queue(context, size):
+    context.core = CoreHarness(make_map(), policy=ONE_AT_A_TIME._replace(queue=size))
+    wait_rules(context.core)
+
+
+def wait_rules(core):
+    core.rules(Serve(hedge=0, deadline_ms=5000.0, max_load_share=0.01))
+    core.running_query = core.arrive(kind="first")
+
+
+@when('queries wait there as "{listed}"')
+def step_queries_wait(context, listed):
+    context.named = {}
+    context.started_at = context.core.now
+    for item in listed.split():
+        priority, deadline = item.split("/")
+        context.named[item] = context.core.arrive(
+            priority=Priority(priority), deadline_ms=float(deadline), kind=item
+        )
+
+
+@then('the core starts them in the order "{listed}"')
+def step_start_order(context, listed):
+    core = context.core
+    while core.out:
+        core.answer(next(iter(core.out)))
+    order = list(dict.fromkeys(send.request.kind for send in core.sent))
+    assert order == ["first", *listed.split()], order
+
+
+@then('the request "{item}" is refused as overloaded with a time to come back')
+def step_item_refused(context, item):
+    failure = context.core.finished[context.named[item]].failure
+    assert failure.kind == "overloaded", failure
+    assert failure.answer.ran == "not_run"
+    assert failure.retry_after_ms >= 50, failure
+    assert all(send.request.kind != item for send in context.core.sent)
+
+
+@when("the core's running query takes {span:d} ms")
+def step_running_takes(context, span):
+    context.refused_times = []
+    core = context.core
+    for _ in range(span):
+        core.advance(1.0)
+        if len(core.finished) and not context.refused_times:
+            context.refused_times.append(core.now)
+    core.answer_all()
+
+
+@then("the core refused it before {span:d} ms had passed")
+def step_refused_before(context, span):
+    assert context.refused_times[0] < context.started_at + span, context.refused_times
+
+
+@given("a core with a rule of {rate:d} requests a second for each caller")
+def step_rate_rule(context, rate):
+    context.core = CoreHarness(make_map(slots=20), Serve(hedge=0, caller_rate=float(rate)))
+
+
+@when('caller "{first}" sends {many:d} requests at once and caller "{second}" sends {few:d}')
+def step_callers_send(context, first, many, second, few):
+    for caller, count in ((first, many), (second, few)):
+        for _ in range(count):
+            context.core.arrive(caller=caller)
+
+
+@then('{many:d} of caller "{first}" and {few:d} of caller "{second}" are sent')
+def step_callers_sent(context, many, first, few, second):
+    for caller, count in ((first, many), (second, few)):
+        ids = {s.request.request_id for s in context.core.sent if s.request.caller == caller}
+        assert len(ids) == count, (caller, len(ids))
+
+
+@then("each refusal of the core says {kind} with a time between {low:d} and {high:d} ms")
+def step_rate_refusals(context, kind, low, high):
+    failures = [outcome.failure for outcome in context.core.finished.values()]
+    assert len(failures) == 5
+    for failure in failures:
+        assert failure.kind == kind and low <= failure.retry_after_ms <= high, failure
+    context.come_back = max(failure.retry_after_ms for failure in failures)
+
+
+@when("that time has passed in the core")
+def step_time_passed(context):
+    context.core.answer_all()
+    context.core.advance(context.come_back)
+
+
+@then('the next core request of caller "{caller}" is sent')
+def step_further_sent(context, caller):
+    context.core.arrive(caller=caller)
+    assert context.core.out
+
+
+@given('a core with a rule "{name}" that may hold {share:g} of the load beside others')
+def step_share_rule(context, name, share):
+    context.core = CoreHarness(make_map(slots=10))
+    context.core.rules(
+        Rule(name, Serve(hedge=0, max_load_share=share), When(kind=(name,))), Serve(hedge=0)
+    )
+
+
+@when('{count:d} queries of kind "{kind}" arrive there')
+def step_kind_arrive(context, count, kind):
+    for _ in range(count):
+        context.core.arrive(kind=kind)
+
+
+@then('the open shards of rule "{rule}" are at most {share:g} of the limit and one query more')
+def step_open_share(context, rule, share):
+    core = context.core
+    limit = core.core.dump(core.now)["upstreams"]["ix"]["limit"]
+    out = [send for send in core.out.values() if send.request.kind == rule]
+    assert 0 < len(out) <= share * limit + 4, (len(out), limit)
+
+
+@then('a query of kind "{kind}" is sent at once')
+def step_kind_sent(context, kind):
+    context.core.arrive(kind=kind)
+    assert any(send.request.kind == kind for send in context.core.out.values())
+
+
+def limit_of(core):
+    return core.core.dump(core.now)["upstreams"]["ix"]["limit"]
+
+
+@when("answers report {queued:d} waiting requests for some time")
+def step_report_queue(context, queued):
+    core = context.core
+    for _ in range(400):
+        for _ in range(8):
+            core.arrive()
+        core.now += 10.0
+        for attempt in list(core.out):
+            core.answer(attempt, load=LoadReport(2, queued))
+        core.advance(0.0)
+
+
+@then("the core's limit has fallen below {limit:d} shards")
+def step_limit_below(context, limit):
+    assert limit_of(context.core) < limit, limit_of(context.core)
+
+
+@then("the core's limit has risen above {limit:d} shards")
+def step_limit_above(context, limit):
+    assert limit_of(context.core) > limit, limit_of(context.core)
+
+
+@then("each shard request's deadline is before the query's")
+def step_deadlines(context):
+    assert {send.deadline for send in context.core.out.values()} == {998.0}
+
+
+@when('the caller of "{item}" leaves the queue')
+def step_leaves_queue(context, item):
+    context.core.feed(CallerGone(context.named[item]))
+
+
+@then('nothing of "{item}" was ever sent')
+def step_never_sent(context, item):
+    assert all(send.request.kind != item for send in context.core.sent)
+    assert context.named[item] not in context.core.finished
--- /dev/null
+++ b/features/steps/core_hedging_steps.py
@@ -0,0 +1,140 @@
+from __future__ import annotations
+
+from random import Random
+
+from behave import given, then, when
+
+from alderhatch.core.entry_events import Answered, Claim, ClaimDecided
+from alderhatch.core.rule import Serve
+from features.support.core_harness import CoreHarness, make_map
+
+
+def seasoned(serve):
+    """Return a core that has seen answers of 3 to 7 ms, and one in fifty of 12 ms."""
+    core = CoreHarness(make_map(), serve)
+    rng = Random(7)
+    for _ in range(200):
+        core.arrive()
+        start = core.now
+        spans = [12.0 if rng.random() < 0.02 else 3.0 + 4.0 * rng.random() for _ in range(4)]
+        due = sorted(zip(spans, list(core.out), strict=True))
+        for span, attempt in due:
+            core.advance(max(0.0, start + span - core.now))
+            if attempt in core.out:
+                core.answer(attempt)
+        core.answer_all()
+    return core
+
+
+@given("a core that has seen 200 queries over 4 shards of about 5 ms")
+def step_seasoned(context):
+    context.core = seasoned(Serve())
+
+
+@given("a core without hedges that has seen 200 queries over 4 shards of about 5 ms")
+def step_seasoned_without(context):
+    context.core = seasoned(Serve(hedge=0))
+
+
+@when("all but one shard of a query answer and {span:d} ms pass")
+def step_all_but_one(context, span):
+    run_all_but_one(context, span)
+
+
+@when("all but one shard of a query with a deadline of {deadline:d} ms answer and {span:d} ms pass")
+def step_all_but_one_deadline(context, deadline, span):
+    run_all_but_one(context, span, deadline_ms=float(deadline))
+
+
+def run_all_but_one(context, span, **fields):
+    core = context.core
+    context.sent_before = len(core.sent)
+    context.core_query = core.arrive(**fields)
+    core.advance(4.0)
+    *others, context.last = list(core.out)
+    for attempt in others:
+        core.answer(attempt)
+    core.advance(span - 4.0)
+
+
+@then("a second copy of the last shard is out on another server")
+def step_second_copy(context):
+    core = context.core
+    assert len(core.out) == 2, core.out
+    first, second = core.out.values()
+    assert first.shard == second.shard and first.server_id != second.server_id
+
+
+@when("the second copy answers")
+def step_second_answers(context):
+    context.core.answer(list(context.core.out)[-1])
+
+
+@then("the query is whole and the first copy was cancelled")
+def step_whole_cancelled(context):
+    outcome = context.core.finished[context.core_query]
+    assert isinstance(outcome, Answered) and outcome.coverage == 1.0, outcome
+    assert context.last in context.core.cancelled
+
+
+@when("{queries:d} queries run there with every answer taking {span:d} ms")
+def step_all_slow(context, queries, span):
+    core = context.core
+    for _ in range(queries):
+        core.arrive()
+        until = core.now + span
+        while core.now < until:
+            core.advance(1.0)
+        core.answer_all()
+
+
+@then("the core has sent at most {ratio:g} times the shard requests needed")
+def step_sent_ratio(context, ratio):
+    core = context.core.core
+    assert core.shard_requests_sent > core.shard_requests_needed
+    assert core.shard_requests_sent <= ratio * core.shard_requests_needed
+
+
+@then("no second copy is out")
+def step_no_second(context):
+    assert len(context.core.out) <= 1, context.core.out
+    assert len({s.shard for s in context.core.sent[context.sent_before :]}) == len(
+        context.core.sent[context.sent_before :]
+    )
+
+
+@when("a dispatch is claimed and sent and {span:d} ms pass")
+def step_dispatch_sent(context, span):
+    core = context.core
+    context.sent_before = len(core.sent)
+    query = core.arrive(idempotent=False, key="room-12")
+    core.feed(ClaimDecided(query, Claim.GRANTED))
+    assert len(core.out) == 1
+    core.advance(float(span))
+
+
+@then("a hedge comes later when the budget is nearly empty than when it is full")
+def step_delay_follows(context):
+    def hedge_after(core):
+        start = core.now
+        core.arrive()
+        core.advance(4.0)
+        for attempt in list(core.out)[:-1]:
+            core.answer(attempt)
+        sent = len(core.sent)
+        while len(core.sent) == sent and core.now < start + 100.0:
+            core.advance(0.1)
+        span = core.now - start
+        core.answer_all()
+        return span
+
+    core = context.core
+    while core.core.dump(core.now)["hedges"]["rule-0"]["tokens"] < 19.5:
+        core.arrive()
+        core.advance(4.0)
+        core.answer_all()
+    full = hedge_after(core)
+    while core.core.dump(core.now)["hedges"]["rule-0"]["tokens"] > 3.0:
+        hedge_after(core)
+    empty = hedge_after(core)
+    assert full < empty, (full, empty)
--- a/src/alderhatch/core/crash_watch.py
+++ b/src/alderhatch/core/crash_watch.py
@@ -32,6 +32,15 @@
     server_id: str
 
 
+class _Hold(NamedTuple):
+    """A body that is refused here."""
+
+    since: Millis
+    until: Millis
+    confirmed: bool
+    """Whether the servers are known to have crashed; otherwise only connections were lost."""
+
+
 class _Loss(NamedTuple):
     fingerprint: str
     upstream: str
@@ -61,7 +70,7 @@
         self._losses: dict[str, list[_Loss]] = {}
         self._lost_on: OrderedDict[str, dict[str, Millis]] = OrderedDict()
         self._crashed: OrderedDict[str, set[str]] = OrderedDict()
-        self._refused_until: OrderedDict[str, Millis] = OrderedDict()
+        self._holds: OrderedDict[str, _Hold] = OrderedDict()
         self._lost_servers: dict[str, Millis] = {}
         self.tier_wide: frozenset[str] = frozenset()
         """What control has quarantined."""
@@ -70,8 +79,12 @@
         """Return how long a body is refused, or None if it is not."""
         if fingerprint in self.tier_wide:
             return self._quarantine
-        until = self._refused_until.get(fingerprint)
-        return until - now if until is not None and now < until else None
+        hold = self._holds.get(fingerprint)
+        if hold is None or now >= hold.until:
+            return None
+        if not hold.confirmed and self._many_lost(hold.since):
+            return None
+        return hold.until - now
 
     def is_safe(self, fingerprint: str) -> bool:
         """Return whether some server has answered this body."""
@@ -82,7 +95,9 @@
         servers = self._lost_on.get(fingerprint)
         if not servers:
             return 0
-        return sum(1 for at in servers.values() if now - at < CONFIRM_WITHIN)
+        return sum(
+            1 for at in servers.values() if now - at < CONFIRM_WITHIN and not self._many_lost(at)
+        )
 
     def answered(self, fingerprint: str) -> None:
         """Note that a server answered this body."""
@@ -109,13 +124,14 @@
         servers = {s: at for s, at in servers.items() if now - at < CONFIRM_WITHIN}
         servers[server_id] = now
         _put(self._lost_on, fingerprint, servers)
-        # A whole zone or network that goes takes many servers at the same moment. One body can't:
-        # it is on two servers at most until one has answered it.
-        if len(servers) >= CRASH_LIMIT and not self._many_lost(now):
-            _put(self._refused_until, fingerprint, now + HOLD)
+        if len(servers) >= CRASH_LIMIT:
+            _put(self._holds, fingerprint, _Hold(now, now + HOLD, False))
         return len(servers)
 
     def _many_lost(self, around: Millis) -> bool:
+        # A whole zone or network that goes takes many servers at the same moment. One body can't:
+        # it is on two servers at most until one has answered it. Without the difference the bodies
+        # that were in flight when a zone went would be refused for minutes.
         near = [at for at in self._lost_servers.values() if abs(at - around) < MANY_WITHIN]
         return len(near) >= MANY_SERVERS
 
@@ -130,16 +146,19 @@
         for loss in losses:
             if now - loss.at >= CONFIRM_WITHIN or loss.fingerprint in self._safe:
                 continue
+            if self._many_lost(loss.at):
+                continue
             crashes.append(Crash(loss.fingerprint, loss.upstream, server_id))
             servers = self._crashed.get(loss.fingerprint, set()) | {server_id}
             _put(self._crashed, loss.fingerprint, servers)
-            if len(servers) >= CRASH_LIMIT and not self._many_lost(loss.at):
-                _put(self._refused_until, loss.fingerprint, now + self._quarantine)
+            if len(servers) >= CRASH_LIMIT:
+                hold = _Hold(now, now + self._quarantine, True)
+                _put(self._holds, loss.fingerprint, hold)
         return crashes
 
     def refused(self, now: Millis) -> Iterable[str]:
         """Return the bodies that this entry refuses on its own account."""
-        return [name for name, until in self._refused_until.items() if now < until]
+        return [name for name in self._holds if self.refused_for(name, now) is not None]
 
 
 def _put(table: OrderedDict[str, T], key: str, value: T) -> None:
--- a/src/alderhatch/core/dispatcher.py
+++ b/src/alderhatch/core/dispatcher.py
@@ -10,6 +10,7 @@
 from .core_state import CoreState
 from .crash_watch import CRASH_LIMIT
 from .entry_events import AttemptFault, CancelAttempt, LoadReport, ProbeServer, SendShard
+from .latency_histogram import LOWEST
 from .query_run import QueryRun
 from .replica_choice import choose_replica
 from .run import Run, ShardState
@@ -166,7 +167,7 @@
         if attempt is None:
             return None
         core = self._state
-        latency = core.now - attempt.sent_at
+        latency = max(LOWEST, core.now - attempt.sent_at)
         attempt.server.saw_answer(latency, load, core.now)
         attempt.run.upstream.latencies.record(latency)
         if attempt.run.gate is not None:
@@ -246,7 +247,7 @@
         a query's remaining shards were sent behind its canaries, this no longer bounds it.
         """
         core = self._state
-        if not run.canary and len(run.shards) > core.policy.canaries:
+        if not run.canary and len(run.shards) > 1:
             return True
         if core.crashes.is_safe(run.fingerprint):
             return True
--- a/src/alderhatch/core/fan_out.py
+++ b/src/alderhatch/core/fan_out.py
@@ -24,6 +24,8 @@
     )
 )
 MIN_RETRY_AFTER: Millis = 100.0
+VERDICT_MS: Millis = 5.0
+CRASHES = "not asked: the request seems to crash servers"
 REPLAN_LATENCIES = 2.0
 """A replan needs this many times the median latency before the deadline."""
 
@@ -46,7 +48,7 @@
 
     def _send_first(self, run: QueryRun) -> None:
         core = self._state
-        canaries = core.policy.canaries
+        canaries = min(core.policy.canaries, len(run.shards) // core.policy.canary_shards + 1)
         # A body that crashes each server which runs it would take a replica of every shard with it
         # at once. It is seen as many connections lost in the same moment. So a body that no server
         # is known to have survived goes to a few shards first.
@@ -68,10 +70,9 @@
 
     def release(self, run: QueryRun) -> None:
         """Send what was held back behind the canaries."""
-        if run.canary:
-            run.canary = False
-            self._send_all(run)
-            self._settle(run)
+        run.canary = False
+        self._send_all(run)
+        self._settle(run)
 
     def _send(self, run: QueryRun, state: ShardState) -> None:
         dispatcher = self._dispatcher
@@ -148,9 +149,20 @@
         free = fault in (AttemptFault.NOT_SENT, AttemptFault.DRAINING) and untried
         if not free and not run.upstream.retries.spend():
             return False
-        self._send(run, state)
+        self._send(run, self._next_canary(run, state, fault))
         return True
 
+    def _next_canary(self, run: QueryRun, state: ShardState, fault: AttemptFault) -> ShardState:
+        """Return the shard to ask after a failure: another one after a loss among the canaries.
+
+        The body may have crashed the server. Sent to the other replica of the same shard, it could
+        take the whole shard out, seen as coverage missing from every answer until a restart.
+        """
+        if not run.canary or fault is not AttemptFault.LOST:
+            return state
+        unasked = [other for other in run.shards if not other.tried and not other.closed]
+        return self._state.rng.choice(unasked) if unasked else state
+
     def _has_time(self, run: QueryRun) -> bool:
         core = self._state
         needed = run.upstream.latencies.quantile(0.25) + core.policy.path_cost_ms
@@ -224,7 +236,8 @@
             self._finish(run)
             return
         if run.canary and not run.attempts_out and not self._any_waiting(run):
-            self._end_canaries(run)
+            # Whether many servers were lost at the same moment shows a little later.
+            self._state.timers.add(self._state.now + VERDICT_MS, TimerKind.CANARY, run)
             return
         if run.early_finish is None and run.coverage >= run.serve.coverage:
             run.early_finish = self._state.now + run.serve.straggler_ms
@@ -240,15 +253,14 @@
 
     def _end_canaries(self, run: QueryRun) -> None:
         """Go on without an answer of a canary, or give up a body that seems to crash servers."""
-        core = self._state
-        if core.crashes.losses(run.fingerprint, core.now) >= CRASH_LIMIT:
-            for state in run.shards:
-                if not state.closed:
-                    state.reason = "not asked: the request seems to crash servers"
-                    self._close(run, state)
-            self._finish(run)
+        if not self._crashes(run):
+            self.release(run)
             return
-        self.release(run)
+        for state in run.shards:
+            if not state.closed:
+                state.reason = CRASHES
+                self._close(run, state)
+        self._finish(run)
 
     def wake(self, run: QueryRun, kind: TimerKind) -> None:
         """Look at a query whose timer has come up."""
@@ -258,7 +270,8 @@
             case TimerKind.HEDGE:
                 self._hedging.wake(run)
             case TimerKind.CANARY:
-                self.release(run)
+                if run.canary:
+                    self._end_canaries(run)
             case TimerKind.MAP:
                 if run.waits_for_map:
                     self.map_late(run)
--- a/src/alderhatch/core/hedging.py
+++ b/src/alderhatch/core/hedging.py
@@ -12,6 +12,8 @@
 MANY_LEVEL = 0.5
 """Queries that wait for many shards are hedged only while the budget is this full."""
 MIN_GAP: Millis = 1.0
+ENOUGH_SAMPLES = 50
+GUESS_FACTOR = 6.0
 
 
 class Hedging:
@@ -41,7 +43,12 @@
         policy = core.policy
         level = core.hedge_budget(run.rule, run.serve).level
         span = policy.hedge_last_quantile - policy.hedge_first_quantile
-        return run.upstream.latencies.quantile(policy.hedge_last_quantile - span * level)
+        delay = run.upstream.latencies.quantile(policy.hedge_last_quantile - span * level)
+        # Before there are enough samples a high quantile is a guess; an entry that has just started
+        # would spend its first tokens on requests that are as fast as any.
+        if run.upstream.latencies.samples < ENOUGH_SAMPLES:
+            return max(delay, GUESS_FACTOR * policy.first_latency_ms)
+        return delay
 
     def _few(self, run: QueryRun) -> int:
         return max(2, int(self._state.policy.hedge_few_share * len(run.shards)))
--- a/src/alderhatch/core/latency_histogram.py
+++ b/src/alderhatch/core/latency_histogram.py
@@ -31,6 +31,11 @@
         self._since_refresh = REFRESH_EVERY
         self._cache: dict[float, Millis] = {}
 
+    @property
+    def samples(self) -> float:
+        """How many samples there are; older ones count for less."""
+        return self._total
+
     @property
     def fastest(self) -> Millis:
         """A latency that only 5 % of the samples are below; 0 before the first sample."""
--- a/src/alderhatch/core/policy.py
+++ b/src/alderhatch/core/policy.py
@@ -55,7 +55,11 @@
     """Retries of an upstream, as a fraction of its shard requests."""
     retry_burst: float = 60.0
     canaries: int = 2
-    """Shards that are asked first with a body that no server is known to have survived."""
+    """Shards that are asked first with a body that no server is known to have survived; 0 for all
+    at once."""
+    canary_shards: int = 8
+    """Queries over fewer shards send one first: two bodies that share both servers of their first
+    shards could not be told apart when one of them crashes both."""
     canary_patience: float = 3.0
     """The rest is sent after this multiple of the 95 % latency even without an answer."""
     queue_low: float = 0.5
--- a/src/alderhatch/core/server_view.py
+++ b/src/alderhatch/core/server_view.py
@@ -13,7 +13,7 @@
 """A single latency counts for at most this multiple of the upstream's median."""
 DISTRUST_RATIO = 4.0
 DISTRUST_AT = 0.5
-DISTRUST_WEIGHT = 0.1
+DISTRUST_WEIGHT = 0.25
 
 
 class ServerView:
@@ -104,9 +104,13 @@
         """Return how long a request sent now is likely to take, in milliseconds."""
         latency = self.latency
         idle = now - self.latency_at
-        if idle > self.policy.report_age_ms:
+        if not latency:
+            # Held to be as slow as the one replica that was asked so far, a server without a
+            # sample would never be asked, however slow that one is.
+            latency = min(self.policy.first_latency_ms, self.typical.quantile(0.5))
+        elif idle > self.policy.report_age_ms:
             typical = self.typical.quantile(0.5)
-            fade = 0.5 ** (idle / self.policy.latency_half_life_ms) if latency else 0.0
+            fade = 0.5 ** (idle / self.policy.latency_half_life_ms)
             latency = typical + (latency - typical) * fade
         load = float(self.in_flight)
         age = now - self.others_at
