--- /dev/null
+++ b/src/alderhatch/entry/entry_metrics.py
@@ -0,0 +1,57 @@
+"""The numbers that an entry shows to Prometheus."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..clock import Millis
+from ..core.entry_events import Answered, Outcome, Refused
+from ..metric_catalogue import Metric
+from ..metrics import Metrics, MetricsPage
+
+if TYPE_CHECKING:
+    from .entry_node import EntryNode
+
+ANSWERED = "answered"
+
+
+class EntryMetrics:
+    """Counts requests by rule and outcome; the rest is read when somebody asks for the page.
+
+    Args:
+        node: The entry.
+    """
+
+    def __init__(self, node: EntryNode) -> None:
+        self._node = node
+        self._metrics = Metrics(node.cfg.name)
+        self._metrics.add_source(self._copy)
+
+    def count(self, outcome: Outcome, span: Millis) -> None:
+        """Count one outcome and the time that it took, in milliseconds."""
+        metrics = self._metrics
+        match outcome:
+            case Answered(rule=rule, coverage=coverage):
+                metrics.inc(Metric.ENTRY_REQUESTS, rule, ANSWERED)
+                metrics.observe(Metric.ENTRY_DURATION, span, rule)
+                metrics.observe(Metric.ENTRY_COVERAGE, coverage, rule)
+            case Refused(rule=rule, failure=failure):
+                metrics.inc(Metric.ENTRY_REQUESTS, rule, failure.kind)
+
+    def page(self) -> MetricsPage:
+        """Return the page in Prometheus' text format."""
+        return self._metrics.render()
+
+    def _copy(self) -> None:
+        node = self._node
+        copied = {
+            Metric.ENTRY_SHARD_REQUESTS: node.core.shard_requests_sent,
+            Metric.ENTRY_SHARD_REQUESTS_NEEDED: node.core.shard_requests_needed,
+            Metric.ENTRY_CONNECTIONS_OPENED: node.pool.opened,
+            Metric.ENTRY_CONNECTIONS_SILENT: node.pool.silent,
+            Metric.ENTRY_CONNECTIONS: node.pool.held,
+            Metric.ENTRY_CALLERS: node.callers.connections,
+            Metric.ENTRY_RUNNING: node.core.running,
+        }
+        for metric, value in copied.items():
+            self._metrics.set(metric, value)
