--- a/src/alderhatch/control/log_node.py
+++ b/src/alderhatch/control/log_node.py
@@ -35,7 +35,7 @@
 from .replicated_log import LogStatus, StateMachine
 
 MIN_VOTERS = 3
-"""With fewer, the loss of one host stops every change; see ``LogNode.remove``."""
+"""With fewer, the loss of one host stops every change; see ``LogNode.remove_member``."""
 RETRY_PAUSE: Millis = 50.0
 
 
@@ -226,7 +226,17 @@
         """
         return self._driver.node.lease_until(now)
 
-    def heard_hosts(self) -> frozenset[str]:
+    def holds_lease(self) -> bool:
+        """Return whether this host certainly is the only leader at this moment."""
+        now = self._clock.now()
+        return now < self._driver.node.lease_until(now)
+
+    def caught_up(self, name: str) -> bool:
+        """Return whether this leader's member has nearly all of the log on disk."""
+        member = self._find(name, voter=False) or self._find(name, voter=True)
+        return self.is_leader and member is not None and self._is_caught_up(member)
+
+    def heard_from(self) -> frozenset[str]:
         """Return the names of the members that this leader has heard from lately, itself included.
 
         A follower returns an empty set.
@@ -289,18 +299,21 @@
         if learner is None:
             raise failed(ErrorKind.INVALID_CHANGE, f"{name} is no learner")
         with trio.move_on_after(self._cfg.request_timeout / SECOND):
-            while self._lag(learner) > self._cfg.raft.max_lag_to_promote:
+            while not self._is_caught_up(learner):
                 await trio.sleep(RETRY_PAUSE / SECOND)
         old = self._find(name, voter=True)
         if old is not None:
             await self._change(Remove(old.member_id))
         await self._change(Promote(learner.member_id))
 
-    def _lag(self, member: Member) -> int:
+    def _is_caught_up(self, member: Member) -> bool:
         node = self._driver.node
-        return node.commit_index - node.match_index(member.member_id)
+        if member.member_id == node.member_id:
+            return True
+        lag = node.commit_index - node.match_index(member.member_id)
+        return lag <= self._cfg.raft.max_lag_to_promote
 
-    async def remove(self, name: str) -> None:
+    async def remove_member(self, name: str) -> None:
         """Remove a host from the cluster.
 
         Raises:
--- a/src/alderhatch/core/raft/_leadership.py
+++ b/src/alderhatch/core/raft/_leadership.py
@@ -12,7 +12,7 @@
 from .effects import Proposed, ReadReady, Refusal, Refused
 from .events import AddLearner, Change, Promote, Proposal, Remove
 from .log_entry import EntryKind
-from .membership import MAX_VOTERS, Membership
+from .membership import MAX_VOTERS_WHILE_REPLACING, Membership
 from .messages import AppendReply, Heartbeat, HeartbeatReply, SnapshotReply, TimeoutNow
 
 _ROUNDS_REMEMBERED = 256
@@ -322,8 +322,8 @@
         if membership.find(member_id) is None or membership.is_voter(member_id):
             self._refuse(tag, Refusal.INVALID, f"{member_id} is no learner")
             return None
-        if len(membership.voters) >= MAX_VOTERS:
-            self._refuse(tag, Refusal.INVALID, f"there are {MAX_VOTERS} voters already")
+        if len(membership.voters) >= MAX_VOTERS_WHILE_REPLACING:
+            self._refuse(tag, Refusal.INVALID, "there are as many voters as may be")
             return None
         # A voter that still lacks most of the log makes the majority larger without helping it:
         # if another host were lost now, nothing could be committed until it has caught up.
--- a/src/alderhatch/core/raft/membership.py
+++ b/src/alderhatch/core/raft/membership.py
@@ -7,6 +7,9 @@
 MAX_VOTERS = 7
 """The plan sets at most this many hosts aside for control."""
 
+MAX_VOTERS_WHILE_REPLACING = MAX_VOTERS + 1
+"""A replacement may have its vote already while the host that it replaces still has one."""
+
 
 class Member(NamedTuple):
     """One control host under one identity.
