--- a/features/support/raft_cluster.py
+++ b/features/support/raft_cluster.py
@@ -4,6 +4,7 @@
 
 import heapq
 import itertools
+from collections import Counter, defaultdict
 from hashlib import sha256
 from random import Random
 from typing import Any, NamedTuple
@@ -148,7 +149,12 @@
         self.reads_ready: dict[int, int] = {}
         self.leaders: dict[int, str] = {}
         self.max_acknowledged = 0
+        self.lease_checks = 0
         self.chunks_sent = 0
+        self.chunks_arrived: defaultdict[str, list[tuple[str, int]]] = defaultdict(list)
+        self.lose_chunk = lambda number: False
+        self.on_send = lambda sender, to, message: None
+        self.sent_by: Counter[str] = Counter()
         self._events: list[_Event] = []
         self._order = itertools.count()
         self._tags = itertools.count(1)
@@ -239,6 +245,8 @@
                     self._later(1, "step", one, one.life, PeerConnected(other.member.member_id))
 
     def _transmit(self, host: Host, to: str, message: Any) -> None:
+        self.sent_by[host.member.member_id] += 1
+        self.on_send(host.member.member_id, to, message)
         copies = 2 if self.random.random() < self.duplication else 1
         for _ in range(copies):
             if self.random.random() >= self.loss:
@@ -249,6 +257,8 @@
         host = self.hosts.get(to)
         if host is None or host.node is None or (sender, to) in self.cut:
             return
+        if isinstance(message, SnapshotChunk):
+            self.chunks_arrived[to].append((message.snapshot.checksum, message.offset))
         self._step(host, Received(sender, message))
 
     # Time
@@ -375,6 +385,8 @@
             return
         data = host.disk.snapshot[1][chunk.offset : chunk.offset + length]
         self.chunks_sent += 1
+        if self.lose_chunk(self.chunks_sent):
+            return
         self._transmit(host, to, chunk._replace(data=data))
 
     def _write_later(self, host: Host, effect: Any, data: bytes) -> None:
@@ -441,6 +453,7 @@
             for host in self.running()
             if host.node and self._clock(host) < host.node.lease_until(self._clock(host))
         ]
+        self.lease_checks += 1
         if len(holders) > 1:
             raise Violation(f"two leases at {self.now}: {[one.member for one in holders]}")
         for host in holders:
--- a/features/support/raft_schedule.py
+++ b/features/support/raft_schedule.py
@@ -36,6 +36,8 @@
     "remove",
 )
 
+WAITS = (0, 3, 5, 8, 20, 100, 400, 1500)
+
 
 class Action(NamedTuple):
     """One step of a schedule."""
@@ -55,7 +57,7 @@
             random.choice(KINDS),
             random.randint(0, 20),
             random.randint(0, 100),
-            random.choice((0, 3, 5, 8, 20, 100, 400, 1500)),
+            random.choice(WAITS),
         )
         for _ in range(count)
     ]
