--- a/src/alderhatch/settings/models.py
+++ b/src/alderhatch/settings/models.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Annotated
 
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, WithJsonSchema
 
 from ..clock import Millis
 
@@ -17,7 +17,9 @@
 
 
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
-Address = Annotated[str, AfterValidator(_check_ip)]
+Address = Annotated[
+    str, AfterValidator(_check_ip), WithJsonSchema({"type": "string", "format": "ip"})
+]
 Port = Annotated[int, Field(ge=0, le=65535)]
 """A TCP port; 0 lets the kernel choose, which only tests and the demo use."""
 Span = Annotated[Millis, Field(gt=0, le=86_400_000)]
@@ -87,6 +89,11 @@
     """How long callers keep an answer about addresses."""
     drain_ms: Span = 30_000.0
     """How long a planned stop waits for requests that run; more than ``address_ttl_ms``."""
+    connections_per_server: Annotated[int, Field(ge=1, le=1000)] = 2
+    """Connections to each upstream server, as long as no lease of control gives shares."""
+    progress_timeout_ms: Span = 1000.0
+    """How long an exchange with an upstream may stand still until its connection is dropped."""
+    platform_poll_ms: Span = 1000.0
     limits: CallerLimits = CallerLimits()
 
 
