--- /dev/null
+++ b/src/alderhatch/control/app.py
@@ -0,0 +1,94 @@
+"""The control process as a program: data folder, log, sockets and signals."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import AsyncIterator
+from contextlib import suppress
+
+import trio
+
+from ..clock import SECOND, Millis
+from ..codec import Codec
+from ..core.control.lease_messages import CONTROL_MESSAGES
+from ..core.raft.raft_config import RaftConfig
+from ..errors import AlderhatchError, ErrorKind, Failure
+from ..log import log_event
+from ..log_events import LogEvent
+from ..settings.models import ControlSettings
+from ..settings.secret import read_secret
+from ..storage.data_folder import DataFolder
+from ..storage.data_folder_error import DataFolderError
+from ..storage.files import DiskFiles
+from .control_server import ControlAddresses, ControlServer
+from .log_messages import PEER_MESSAGE_TYPES
+from .log_node import LogNode
+from .log_node_config import LogNodeConfig
+from .node_log import NodeLog
+from .observed_state import ObservedState
+from .operator_keys import KeyFileError, OperatorKeys, load_keys
+
+HAND_OVER_TIMEOUT: Millis = 2 * SECOND
+
+
+async def run_control(
+    cfg: ControlSettings,
+    *,
+    task_status: trio.TaskStatus[ControlAddresses] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run a control host until SIGTERM or SIGINT; a leader hands over before it ends.
+
+    Args:
+        cfg: The settings.
+        task_status: Told the ports once the host listens.
+
+    Raises:
+        AlderhatchError: ``storage_failed`` if the data folder is in use, damaged or foreign,
+            ``bad_request`` if the operators' key file has a mistake.
+        OSError: If an address can't be listened on, or the data folder not be used.
+        SettingsFaultsError: If the secret can't be used.
+    """
+    secret = read_secret(cfg.secret_file)
+    keys = _load_keys(cfg)
+    observed = ObservedState()
+    storage = _open_folder(cfg)
+    raft = RaftConfig(heartbeat=cfg.heartbeat_ms, election_timeout=cfg.election_timeout_ms)
+    node = LogNode(cfg.name, cfg.peers, storage, observed, secret, LogNodeConfig(raft=raft))
+    codec = Codec(*CONTROL_MESSAGES, *PEER_MESSAGE_TYPES)
+    server = ControlServer(cfg, NodeLog(node), observed, secret, keys, codec)
+    async with trio.open_nursery() as nursery:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            await nursery.start(node.run)
+            task_status.started(await nursery.start(server.run))
+            nursery.start_soon(_stop_on_signal, signals, node, nursery.cancel_scope)
+            await trio.sleep_forever()
+
+
+def _load_keys(cfg: ControlSettings) -> OperatorKeys:
+    try:
+        return load_keys(cfg.keys_file)
+    except KeyFileError as exc:
+        failure = Failure(ErrorKind.BAD_REQUEST, str(exc), "keys_file")
+        raise AlderhatchError(failure) from exc
+
+
+def _open_folder(cfg: ControlSettings) -> DataFolder:
+    try:
+        return DataFolder(DiskFiles(cfg.data_folder), cfg.name)
+    except DataFolderError as exc:
+        failure = Failure(ErrorKind.STORAGE_FAILED, str(exc), "data_folder")
+        raise AlderhatchError(failure) from exc
+
+
+async def _stop_on_signal(
+    signals: AsyncIterator[int], node: LogNode, scope: trio.CancelScope
+) -> None:
+    async for number in signals:
+        log_event(LogEvent.PROGRAM_STOPPED_BY_SIGNAL, signal=signal.Signals(number).name)
+        break
+    if node.is_leader:
+        # Without a hand-over the others notice only after an election timeout that nobody leads,
+        # and every change and claim waits for that long on each planned restart.
+        with trio.move_on_after(HAND_OVER_TIMEOUT / SECOND), suppress(AlderhatchError):
+            await node.transfer_leadership()
+    scope.cancel()
