--- a/src/alderhatch/cli/ctl_hosts.py
+++ b/src/alderhatch/cli/ctl_hosts.py
@@ -46,7 +46,7 @@
         print_json(answer)
         return
     typer.echo(f"revision {answer['revision']}")
-    columns = ("name", "zone", "address", "port", "state", "lease", "revision")
+    columns = ("name", "zone", "address", "port", "state", "lease", "version")
     _print_hosts("entry", columns, answer["entries"])
     columns = ("name", "zone", "operator_address", "operator_port", "state", "leader", "stop")
     _print_hosts("control", columns, answer["controls"])
--- a/src/alderhatch/cli/ctl_look.py
+++ b/src/alderhatch/cli/ctl_look.py
@@ -26,7 +26,7 @@
 )
 from .exit_codes import ExitCode
 from .operator_client import OperatorClient, Place, RemoteError, path_of
-from .printing import OutputFormat, print_fields, print_json, print_table
+from .printing import OutputFormat, print_fields, print_json, print_table, shown_time
 
 app = typer.Typer()
 quarantine_app = typer.Typer(help="Requests that crashed upstreams and are kept from them.")
@@ -134,7 +134,7 @@
     for name, condition in answer["passed_over"]:
         typer.echo(f"not {name}: {condition} does not hold")
     typer.echo(_taken_by(answer))
-    print_fields(answer["rule"])
+    print_fields({part: answer["rule"][part] for part in ("name", "when", "then")})
 
 
 def _header(word: str) -> tuple[str, str]:
@@ -168,11 +168,17 @@
     if output is OutputFormat.JSON:
         print_json(answer)
         return
-    columns = ("fingerprint", "since_ms", "until_ms", "servers")
-    print_table(columns, [[item[column] for column in columns] for item in answer["quarantines"]])
+    rows = [
+        [item["fingerprint"], shown_time(item["until_ms"]), item["servers"]]
+        for item in answer["quarantines"]
+    ]
+    print_table(("fingerprint", "until", "crashed servers"), rows)
     typer.echo("")
-    rows = [[item["fingerprint"], item["crashes"], item["last_ms"]] for item in answer["suspects"]]
-    print_table(("suspect", "crashes", "last ms"), rows)
+    rows = [
+        [item["fingerprint"], item["crashes"], shown_time(item["last_ms"])]
+        for item in answer["suspects"]
+    ]
+    print_table(("suspect", "crashes", "last"), rows)
 
 
 @quarantine_app.command("lift")
--- a/src/alderhatch/cli/ctl_rules.py
+++ b/src/alderhatch/cli/ctl_rules.py
@@ -28,7 +28,7 @@
 from .difference import compare_rules, compare_tier
 from .exit_codes import ExitCode
 from .operator_client import path_of
-from .printing import OutputFormat, print_fields, print_json, print_table
+from .printing import OutputFormat, print_fields, print_json, print_table, shown_time
 
 app = typer.Typer(help="Show and change the ordered list of rules; the first match decides.")
 
@@ -206,9 +206,12 @@
     if output is OutputFormat.JSON:
         print_json(answer)
         return
-    columns = ("revision", "at_ms", "who", "action", "change_id")
-    rows = [[item[column] for column in columns] for item in items]
-    print_table(("revision", "time", "who", "action", "change id"), rows)
+    columns = ("who", "action", "target", "change_id")
+    rows = [
+        [item["revision"], shown_time(item["at_ms"]), *(item.get(column) for column in columns)]
+        for item in items
+    ]
+    print_table(("revision", "time", "who", "action", "target", "change id"), rows)
 
 
 def _plain(declaration: Declaration) -> list[dict[str, Any]]:
--- a/src/alderhatch/cli/printing.py
+++ b/src/alderhatch/cli/printing.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping, Sequence
+from datetime import UTC, datetime
 from enum import StrEnum
 from typing import Any
 
 import orjson
 import typer
 
+from ..clock import SECOND
 from ..errors import ErrorKind, Ran, Resend
 from ..settings.fault import SettingsFault
 from .exit_codes import ExitCode
 from .operator_client import RemoteError
 
 GAP = "  "
+TIME_FIELDS = ("at_ms", "since_ms", "until_ms", "last_ms")
+"""Fields that are points in time, in milliseconds since 1970."""
 ADVICE = {
     Resend.NEVER: "The same again would not help.",
     Resend.SAME_ENTRY: "Try the same again later.",
@@ -35,6 +39,14 @@
     typer.echo(orjson.dumps(value, option=orjson.OPT_INDENT_2).decode())
 
 
+def shown_time(millis: float | None) -> str:
+    """Return a point in time, in milliseconds since 1970, as people read it."""
+    if millis is None:
+        return _cell(None)
+    moment = datetime.fromtimestamp(millis / SECOND, UTC)
+    return moment.isoformat(sep=" ", timespec="milliseconds").removesuffix("+00:00") + " UTC"
+
+
 def print_table(header: Sequence[str], rows: Iterable[Sequence[object]]) -> None:
     """Print rows below their headings, each column as wide as its widest cell."""
     cells = [[str(word).upper() for word in header]]
@@ -56,6 +68,8 @@
             for item in field:
                 print_fields(item, indent + GAP)
                 typer.echo("")
+        elif name in TIME_FIELDS:
+            typer.echo(f"{indent}{name.removesuffix('_ms')}: {shown_time(field)}")
         else:
             typer.echo(f"{indent}{name}: {_cell(field)}")
 
