--- /dev/null
+++ b/bench/policy/__init__.py
@@ -0,0 +1,1 @@
+"""The entry's policy under load and faults, measured on a virtual clock against naive baselines."""
--- a/src/alderhatch/core/admission.py
+++ b/src/alderhatch/core/admission.py
@@ -83,7 +83,8 @@
 
     def leave(self, run: Run, units: int) -> None:
         """Give back some of what a request holds."""
-        units = min(units, run.units)
+        if units > run.units:
+            units = run.units
         run.units -= units
         self.open -= units
         rule = run.rule.name
@@ -142,8 +143,8 @@
             self._floor *= FLOOR_RISE
         queue = self._latency / self._floor - LATENCY_SLACK
         if load is not None:
-            queue = max(queue, load.queued / max(1, slots))
-        self.queue += QUEUE_WEIGHT * (max(0.0, queue) - self.queue)
+            queue = max(queue, load.queued / slots)
+        self.queue += QUEUE_WEIGHT * (queue - self.queue if queue > 0.0 else -self.queue)
         if now - self._moved_at >= self.policy.limit_interval_ms:
             self._moved_at = now
             self._move()
--- a/src/alderhatch/core/arrival.py
+++ b/src/alderhatch/core/arrival.py
@@ -82,11 +82,12 @@
                 message = f"more than {serve.caller_rate:g} requests a second"
                 core.refuse(query, rule, ErrorKind.CALLER_LIMIT, message, wait)
                 return
-        run_type = QueryRun if request.idempotent else SingleRun
-        run = run_type(
-            query, request, rule, serve, fingerprint, upstream, upstream.shard_map, core.now
-        )
-        self._admit(run, upstream)
+        shard_map = upstream.shard_map
+        known = (query, request, rule, serve, fingerprint, upstream, shard_map, core.now)
+        if request.idempotent:
+            self._admit(QueryRun(*known, core.policy.hedge_few_share), upstream)
+        else:
+            self._admit(SingleRun(*known), upstream)
 
     def _admit(self, run: Run, upstream: UpstreamView) -> None:
         core = self._state
@@ -124,7 +125,7 @@
         )
 
     def _latest_start(self, run: Run) -> Millis:
-        typical = run.upstream.latencies.quantile(0.5)
+        typical = run.upstream.latencies.median
         return run.deadline - typical - self._state.policy.path_cost_ms
 
     def _enter(self, gate: UpstreamGate, run: Run) -> None:
--- a/src/alderhatch/core/dispatcher.py
+++ b/src/alderhatch/core/dispatcher.py
@@ -158,7 +158,7 @@
             hedges.append(new)
             return
         for held in hedges:
-            if len(held.state.attempts) > 1 and new.server.in_flight > new.server.server.slots:
+            if len(held.state.attempts) > 1 and new.server.in_flight > new.server.slots:
                 self.cancel(held)
 
     def answered(self, number: int, load: LoadReport | None) -> Attempt | None:
@@ -167,11 +167,13 @@
         if attempt is None:
             return None
         core = self._state
-        latency = max(LOWEST, core.now - attempt.sent_at)
+        latency = core.now - attempt.sent_at
+        if latency < LOWEST:
+            latency = LOWEST
         attempt.server.saw_answer(latency, load, core.now)
         attempt.run.upstream.latencies.record(latency)
         if attempt.run.gate is not None:
-            slots = attempt.server.server.slots
+            slots = attempt.server.slots
             attempt.run.gate.observe(latency, load, slots, core.now)
         return attempt
 
--- a/src/alderhatch/core/fan_out.py
+++ b/src/alderhatch/core/fan_out.py
@@ -203,7 +203,7 @@
         newest = run.upstream.shard_map
         if newest is None or newest.snapshot <= run.shard_map.snapshot:
             return False
-        needed = REPLAN_LATENCIES * run.upstream.latencies.quantile(0.5)
+        needed = REPLAN_LATENCIES * run.upstream.latencies.median
         if core.now + needed + core.policy.path_cost_ms >= run.deadline:
             return False
         self._cancel_all(run)
--- a/src/alderhatch/core/hedging.py
+++ b/src/alderhatch/core/hedging.py
@@ -50,12 +50,9 @@
             return max(delay, GUESS_FACTOR * policy.first_latency_ms)
         return delay
 
-    def _few(self, run: QueryRun) -> int:
-        return max(2, int(self._state.policy.hedge_few_share * len(run.shards)))
-
     def look(self, run: QueryRun) -> None:
         """Plan hedges for a query that waits for a few shards only."""
-        if run.serve.hedge <= 0 or run.open > self._few(run):
+        if run.serve.hedge <= 0 or run.open > run.few:
             return
         delay = self._delay(run)
         due = min(
@@ -85,7 +82,7 @@
         run.hedge_at = None
         delay = self._delay(run)
         late = core.now - delay
-        many = run.open > self._few(run)
+        many = run.open > run.few
         for state in run.shards:
             if state.closed or not state.attempts:
                 continue
@@ -104,7 +101,7 @@
             return
         if not self._dispatcher.within_crash_limit(run):
             return
-        typical = run.upstream.latencies.quantile(0.5) + core.policy.path_cost_ms
+        typical = run.upstream.latencies.median + core.policy.path_cost_ms
         if core.now + typical >= run.deadline or not budget.spend():
             return
         if not self._dispatcher.hedge(run, state, run.shard_map.snapshot):
--- a/src/alderhatch/core/latency_histogram.py
+++ b/src/alderhatch/core/latency_histogram.py
@@ -13,6 +13,8 @@
 FORGET_AT = 4000.0
 """With this many samples all counts are halved, so that older ones weigh less."""
 REFRESH_EVERY = 64
+PARTS = 1000
+"""Quantiles are told apart by this fraction."""
 
 _LOG_GROWTH = log(GROWTH)
 
@@ -29,7 +31,9 @@
         self._total = 0.0
         self._first = first
         self._since_refresh = REFRESH_EVERY
-        self._cache: dict[float, Millis] = {}
+        self._cache: dict[int, Millis] = {}
+        self.median = first
+        """The median, as of some dozens of samples ago at most."""
 
     @property
     def samples(self) -> float:
@@ -47,9 +51,16 @@
         self._counts[min(index, BUCKETS - 1)] += 1.0
         self._total += 1.0
         self._since_refresh += 1
+        if self._since_refresh >= REFRESH_EVERY:
+            self._refresh()
+
+    def _refresh(self) -> None:
+        self._since_refresh = 0
+        self._cache.clear()
         if self._total >= FORGET_AT:
             self._counts = [count / 2 for count in self._counts]
             self._total /= 2
+        self.median = self.quantile(0.5)
 
     def quantile(self, share: float) -> Millis:
         """Return the latency that this share of the samples does not exceed, within 8 %.
@@ -58,13 +69,10 @@
         """
         if self._total < 1.0:
             return self._first
-        if self._since_refresh >= REFRESH_EVERY:
-            self._since_refresh = 0
-            self._cache.clear()
-        share = round(share, 3)
-        known = self._cache.get(share)
+        key = int(share * PARTS + 0.5)
+        known = self._cache.get(key)
         if known is None:
-            known = self._cache[share] = self._find(share)
+            known = self._cache[key] = self._find(key / PARTS)
         return known
 
     def _find(self, share: float) -> Millis:
--- a/src/alderhatch/core/query_run.py
+++ b/src/alderhatch/core/query_run.py
@@ -26,8 +26,10 @@
         upstream: UpstreamView,
         shard_map: ShardMap,
         now: Millis,
+        few_share: float = 0.1,
     ) -> None:
         super().__init__(query, request, rule, serve, fingerprint, upstream, shard_map, now)
+        self.few_share = few_share
         self.replans = 0
         self.waits_for_map = False
         self.early_finish: Millis | None = None
@@ -45,6 +47,8 @@
         self.shard_map = shard_map
         self.shards = [ShardState(plan) for plan in self.upstream.plans]
         self.by_name = {state.plan.shard.name: state for state in self.shards}
+        self.few = max(2, int(self.few_share * len(self.shards)))
+        """So many open shards at most make it a query that waits for a few only."""
         self.open = len(self.shards)
         """Shards that have neither answered nor been given up."""
         self.covered_documents = 0
--- a/src/alderhatch/core/replica_choice.py
+++ b/src/alderhatch/core/replica_choice.py
@@ -36,22 +36,26 @@
         The replica; doubtful ones only if there is no other; None if none can be asked now.
     """
     best: ServerView | None = None
-    best_key = (True, 0.0)
+    best_cost = 0.0
+    best_doubtful = True
     for server in replicas:
-        if server.server_id in excluded or server.in_flight >= server.cap or server.barred(now):
+        if server.in_flight >= server.cap or server.server_id in excluded or server.barred(now):
             continue
         if alone and server.suspects:
             continue
+        doubtful = server.doubtful(now)
+        if doubtful and not best_doubtful:
+            continue
         cost = server.estimate(now)
-        if server.server.zone != zone:
+        if server.zone != zone:
             cost += zone_cost
-        key = (server.doubtful(now), cost)
-        if best is not None:
-            if key[0] is best_key[0] and abs(cost - best_key[1]) <= NEAR * cost:
+        if best is not None and doubtful is best_doubtful:
+            if -NEAR * cost <= cost - best_cost <= NEAR * cost:
                 if rng.random() < 0.5:
                     continue
-            elif key > best_key:
+            elif cost > best_cost:
                 continue
         best = server
-        best_key = key
+        best_cost = cost
+        best_doubtful = doubtful
     return best
--- a/src/alderhatch/core/server_table.py
+++ b/src/alderhatch/core/server_table.py
@@ -70,7 +70,7 @@
                 known = ServerView(server, view.latencies, self._policy)
                 known.cold_since = NEVER if first else now
                 known.leaving = {s for s, ids in self._leaving.items() if server.server_id in ids}
-            known.server = server
+            known.describe(server)
             view.servers[server.server_id] = known
             self.servers[server.server_id] = known
             self._share(known)
@@ -92,9 +92,9 @@
         # Without any shares the entry runs alone. With them, a server that control has not
         # divided up yet gets nothing: otherwise all entries together could go over its limit.
         if self._shares:
-            server.share = self._shares.get(server.server_id, 0)
+            server.set_share(self._shares.get(server.server_id, 0))
         else:
-            server.share = server.server.max_connections
+            server.set_share(server.server.max_connections)
 
     def set_shares(self, shares: Mapping[str, int]) -> None:
         """Take the shares of connections that came with the lease."""
--- a/src/alderhatch/core/server_view.py
+++ b/src/alderhatch/core/server_view.py
@@ -22,6 +22,7 @@
     __slots__ = (
         "adaptive_cap",
         "boot_id",
+        "cap",
         "cold_since",
         "drained_until",
         "ejected_until",
@@ -42,12 +43,13 @@
         "share",
         "shed_until",
         "silent_at",
+        "slots",
         "suspects",
         "typical",
+        "zone",
     )
 
     def __init__(self, server: Server, typical: LatencyHistogram, policy: Policy) -> None:
-        self.server = server
         self.server_id = server.server_id
         self.policy = policy
         self.typical = typical
@@ -60,6 +62,9 @@
         """Connections that this entry may hold."""
         self.adaptive_cap = float(server.max_connections)
         """Attempts that the server has shown to bear; shrinks when it sheds."""
+        self.cap = self.adaptive_cap
+        """How many attempts of this entry may be out there: the lower of the two."""
+        self.describe(server)
         self.others = 0.0
         """Load of other entries by its last report."""
         self.others_at: Millis = NEVER
@@ -83,10 +88,20 @@
         self.suspects = 0
         """Attempts out there whose body may have crashed another server."""
 
-    @property
-    def cap(self) -> float:
-        """How many attempts of this entry may be out there."""
-        return min(self.share, self.adaptive_cap)
+    def describe(self, server: Server) -> None:
+        """Take what the newest map says of it."""
+        self.server = server
+        self.zone = server.zone
+        self.slots = max(1, server.slots)
+
+    def set_share(self, share: int) -> None:
+        """Take the number of connections that this entry may hold."""
+        self.share = share
+        self.cap = min(share, self.adaptive_cap)
+
+    def _adapt(self, cap: float) -> None:
+        self.adaptive_cap = min(cap, float(self.server.max_connections))
+        self.cap = min(self.share, self.adaptive_cap)
 
     def barred(self, now: Millis) -> bool:
         """Return whether it must get nothing now, whatever the other replicas are like."""
@@ -107,16 +122,16 @@
         if not latency:
             # Held to be as slow as the one replica that was asked so far, a server without a
             # sample would never be asked, however slow that one is.
-            latency = min(self.policy.first_latency_ms, self.typical.quantile(0.5))
+            latency = min(self.policy.first_latency_ms, self.typical.median)
         elif idle > self.policy.report_age_ms:
-            typical = self.typical.quantile(0.5)
+            typical = self.typical.median
             fade = 0.5 ** (idle / self.policy.latency_half_life_ms)
             latency = typical + (latency - typical) * fade
         load = float(self.in_flight)
         age = now - self.others_at
         if age < self.policy.report_age_ms and self.misses < DISTRUST_AT:
             load += self.others * (1.0 - age / self.policy.report_age_ms)
-        span = latency * (1.0 + load / max(1, self.server.slots))
+        span = latency * (1.0 + load / self.slots)
         cold = now - self.cold_since
         if cold < self.policy.slow_start_ms:
             span *= 1.0 + (self.policy.slow_start_factor - 1.0) * (
@@ -130,7 +145,8 @@
         self.ejections = 0
         self.ejected_until = NEVER
         self.silent_at = NEVER
-        self.adaptive_cap = min(self.server.max_connections, self.adaptive_cap + 0.1)
+        if self.adaptive_cap < self.server.max_connections:
+            self._adapt(self.adaptive_cap + 0.1)
         if load is not None:
             self._check_report(latency, load)
             self.saw_report(load, now)
@@ -138,7 +154,7 @@
 
     def saw_latency(self, latency: Millis, now: Millis) -> None:
         """Count a latency, or for a cancelled attempt the time that it had taken so far."""
-        clipped = min(latency, CLIP * self.typical.quantile(0.5))
+        clipped = min(latency, CLIP * self.typical.median)
         if not self.latency:
             self.latency = clipped
         else:
@@ -147,13 +163,14 @@
 
     def saw_report(self, load: LoadReport, now: Millis) -> None:
         """Take a reported load."""
-        self.others = float(max(0, load.in_flight + load.queued - self.in_flight))
+        others = load.in_flight + load.queued - self.in_flight
+        self.others = float(others) if others > 0 else 0.0
         self.others_at = now
 
     def _check_report(self, latency: Millis, load: LoadReport) -> None:
         # A report that lags or lies draws all requests to a server that is slow; it shows as a
         # latency far from what the report lets expect. Such reports are left out of the estimate.
-        expected = self.typical.quantile(0.5) * (1.0 + load.queued / max(1, self.server.slots))
+        expected = self.typical.median * (1.0 + load.queued / self.slots)
         wrong = latency > DISTRUST_RATIO * expected or latency * DISTRUST_RATIO < expected
         self.misses += DISTRUST_WEIGHT * (float(wrong) - self.misses)
 
@@ -161,7 +178,7 @@
         """Count a refusal by load."""
         span = self.policy.shed_ms if retry_after is None else retry_after
         self.shed_until = max(self.shed_until, now + min(span, self.policy.max_shed_ms))
-        self.adaptive_cap = max(1.0, min(self.adaptive_cap, self.in_flight + 1.0) / 2)
+        self._adapt(max(1.0, min(self.adaptive_cap, self.in_flight + 1.0) / 2))
 
     def saw_draining(self, now: Millis) -> None:
         """Count its own word that it is leaving."""
@@ -176,7 +193,7 @@
         self.shed_until = NEVER
         self.ejected_until = NEVER
         self.failures = 0
-        self.adaptive_cap = float(self.server.max_connections)
+        self._adapt(float(self.server.max_connections))
 
     def why_not(self, now: Millis) -> list[str]:
         """Return the reasons, if any, why it is not asked as usual."""
