--- a/features/raft.feature
+++ b/features/raft.feature
@@ -36,9 +36,9 @@
     And another raft member leads and acknowledges a command
 
   Scenario: Two members restart right after they promised the leader not to elect another
-    # The promise is kept in memory only. A third member hears nothing from the leader because of a
-    # fault in one direction, and asks the two just when they are back. Were they to vote at once,
-    # two hosts would hold a lease.
+    # The promise is kept in memory only. A third member has heard nothing from the leader because
+    # of a fault in one direction, and asks the two just when they are back and the leader is cut
+    # off. Were they to vote at once, two hosts would hold a lease.
     Given a raft cluster of 5 members with 5 commands
     When one raft member hears nothing from the leader, one is down and two restart at each moment
     Then at no time two raft members held a lease
--- a/features/steps/raft_steps.py
+++ b/features/steps/raft_steps.py
@@ -164,6 +164,7 @@
         cluster.crash(down)
         cluster.cut.add((leader, deaf))
         cluster.run(250 + moment)
+        cluster.isolate(leader)
         for one in others:
             cluster.crash(one)
             cluster.start(one)
