--- a/src/alderhatch/control/_log_links.py
+++ b/src/alderhatch/control/_log_links.py
@@ -53,7 +53,9 @@
     dropped, and the log sends it again.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, link: Link) -> None:
+        self.link = link
+        """The link that the messages go over."""
         self._send, self._receive = trio.open_memory_channel[tuple[Any, ...]](_QUEUE_LENGTH)
 
     def put(self, message: tuple[Any, ...]) -> None:
@@ -103,6 +105,7 @@
         self._clock = LoopClock()
         self._nursery: trio.Nursery | None = None
         self._accepted: dict[str, Outbox] = {}
+        self._told_foreign: set[str] = set()
         self.remotes: dict[str, Remote] = {}
         """The peers by their hosts' names."""
         self.changed = trio.Event()
@@ -196,21 +199,23 @@
         is_news = (remote.member_id, remote.cluster_id) != (reply.member_id, reply.cluster_id)
         remote.member_id = reply.member_id
         remote.cluster_id = reply.cluster_id
-        if remote.outbox is None:
-            remote.outbox = Outbox()
-            nursery.start_soon(self._send_dialled, remote, remote.outbox, link)
+        if self._is_foreign(reply.cluster_id, link):
+            remote.outbox = None
+        elif remote.outbox is None:
+            remote.outbox = Outbox(link)
+            nursery.start_soon(self._send_dialled, remote, remote.outbox)
             self._handlers.on_connected(reply.member_id)
         elif not is_news:
             return
         self.changed.set()
         self.changed = trio.Event()
 
-    async def _send_dialled(self, remote: Remote, outbox: Outbox, link: Link) -> None:
+    async def _send_dialled(self, remote: Remote, outbox: Outbox) -> None:
         while True:
             message = await outbox.get()
             if not isinstance(message, TimeoutNow):
                 self._expect_answer(remote)
-            if not await self._send(link, message):
+            if not await self._send(outbox.link, message):
                 return
 
     async def _probe(self, remote: Remote, link: Link) -> None:
@@ -247,28 +252,43 @@
 
     async def serve(self, link: Link) -> None:
         """Answer a peer over the link that it dialled, until the link is gone."""
-        outbox = Outbox()
+        outbox = Outbox(link)
         sender = cluster_id = ""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._send_accepted, outbox, link)
+            nursery.start_soon(self._send_accepted, outbox)
             while True:
                 message = await self._receive_accepted(link)
                 if message is None:
                     break
                 if isinstance(message, PeerHello):
-                    if not self._is_welcome(link, message):
-                        break
-                    sender = message.member_id
-                    self._accepted[sender] = outbox
-                    own = self._hello()
-                    outbox.put(PeerHelloReply(own.member_id, own.cluster_id))
-                    cluster_id = message.cluster_id
+                    sender, cluster_id = message.member_id, message.cluster_id
+                    self._greet(message, outbox)
                 elif cluster_id and self._is_question(message) and self._handlers.join(cluster_id):
                     self._handlers.on_message(sender, message)
             nursery.cancel_scope.cancel()
         if self._accepted.get(sender) is outbox:
             del self._accepted[sender]
 
+    def _greet(self, hello: PeerHello, outbox: Outbox) -> None:
+        own = self._hello()
+        self._accepted[hello.member_id] = outbox
+        outbox.put(PeerHelloReply(own.member_id, own.cluster_id))
+        self._is_foreign(hello.cluster_id, outbox.link)
+
+    def _is_foreign(self, cluster_id: str, link: Link) -> bool:
+        own = self._hello().cluster_id
+        if "" in (cluster_id, own) or cluster_id == own:
+            return False
+        if link.peer.name not in self._told_foreign:
+            self._told_foreign.add(link.peer.name)
+            log_event(
+                LogEvent.LOG_PEER_REFUSED,
+                peer=link.peer.name,
+                cluster=cluster_id,
+                own_cluster=own,
+            )
+        return True
+
     def _is_question(self, message: Any) -> bool:
         return not isinstance(message, (PeerHelloReply, *REPLIES))
 
@@ -280,19 +300,7 @@
                 return None
         return None
 
-    def _is_welcome(self, link: Link, hello: PeerHello) -> bool:
-        own = self._hello()
-        if "" in (hello.cluster_id, own.cluster_id) or hello.cluster_id == own.cluster_id:
-            return True
-        log_event(
-            LogEvent.LOG_PEER_REFUSED,
-            peer=link.peer.name,
-            cluster=hello.cluster_id,
-            own_cluster=own.cluster_id,
-        )
-        return False
-
-    async def _send_accepted(self, outbox: Outbox, link: Link) -> None:
+    async def _send_accepted(self, outbox: Outbox) -> None:
         while True:
-            if not await self._send(link, await outbox.get()):
+            if not await self._send(outbox.link, await outbox.get()):
                 return
--- a/src/alderhatch/control/log_node.py
+++ b/src/alderhatch/control/log_node.py
@@ -35,7 +35,7 @@
 from .replicated_log import LogStatus, StateMachine
 
 MIN_VOTERS = 3
-"""With fewer, the loss of one host stops every change; see ``LogNode.remove_member``."""
+"""With fewer, the loss of one host stops every change; see ``LogNode.remove``."""
 RETRY_PAUSE: Millis = 50.0
 
 
@@ -236,7 +236,7 @@
         member = self._find(name, voter=False) or self._find(name, voter=True)
         return self.is_leader and member is not None and self._is_caught_up(member)
 
-    def heard_from(self) -> frozenset[str]:
+    def heard_hosts(self) -> frozenset[str]:
         """Return the names of the members that this leader has heard from lately, itself included.
 
         A follower returns an empty set.
@@ -277,11 +277,11 @@
                 remote = self._links.remotes.get(name)
                 if remote is None:
                     raise failed(ErrorKind.INVALID_CHANGE, f"no address is known for {name}")
+                if remote.cluster_id not in (None, "", self._storage.cluster_id):
+                    raise failed(ErrorKind.INVALID_CHANGE, f"{name} belongs to another cluster")
                 if remote.outbox is not None:
                     break
                 await changed.wait()
-            if remote.cluster_id not in ("", self._storage.cluster_id):
-                raise failed(ErrorKind.INVALID_CHANGE, f"{name} belongs to another cluster")
             return Member(remote.member_id, name, remote.where.address, remote.where.port)
         raise failed(ErrorKind.NO_LEADER, f"{name} was not reached in time")
 
@@ -313,7 +313,7 @@
         lag = node.commit_index - node.match_index(member.member_id)
         return lag <= self._cfg.raft.max_lag_to_promote
 
-    async def remove_member(self, name: str) -> None:
+    async def remove(self, name: str) -> None:
         """Remove a host from the cluster.
 
         Raises:
