Features of control hosts and entries over real files and links; an entry's goodbye is its last word

Cause: the planned stop of an entry ended with its re-registration: a renewal that arrived after the goodbye registered the entry again, and callers would have been sent to a process that had exited. Change: the last renewal, which reports no share, is answered before the goodbye is sent, and none follows it. Features: races, resends, restart, repair, planned stops, cut-off leader, silent links, bookings at another entry, keys, malformed requests.

--- /dev/null
+++ b/features/steps/control_entries_steps.py
@@ -0,0 +1,165 @@
+from __future__ import annotations
+
+import trio
+from behave import then
+
+from alderhatch.clock import SECOND
+from alderhatch.settings.models import NamedEndpoint
+from features.support.control_commands import rule
+from features.support.control_tier import LOOPBACK, Forwarder, control_tier
+
+ADD = {"change_id": "c-1", "expected_revision": 0, "rule": rule("night")}
+
+
+@then("a change is in force only after the entry that is cut off has stopped serving")
+def step_entry_cut_off(context):
+    trio.run(_entry_cut_off)
+
+
+async def _entry_cut_off():
+    async with control_tier() as tier:
+        forwarders = []
+        for name in tier.hosts:
+            forwarder = Forwarder(tier.ports[name][0])
+            await tier.nursery.start(forwarder.run)
+            forwarders.append(forwarder)
+        controls = [
+            NamedEndpoint(name=name, address=LOOPBACK, port=one.own_port)
+            for name, one in zip(tier.hosts, forwarders, strict=True)
+        ]
+        cut = await tier.start_entry("entry-1", controls=controls)
+        well = await tier.start_entry("entry-2")
+        await cut.wait_ready()
+        for forwarder in forwarders:
+            # Old connections go silent, and new ones are never answered.
+            forwarder.silent = True
+            forwarder.port = 9
+        served_until = []
+
+        async def note_end():
+            while cut.may_serve():
+                await trio.sleep(0.001)
+            served_until.append(trio.current_time())
+
+        tier.nursery.start_soon(note_end)
+        leader = await tier.leader()
+        status, answer = await tier.call(
+            leader, "POST", "/v1/rules?wait=in_force&timeout_ms=20000", ADD
+        )
+        told_at = trio.current_time()
+        assert status == 200 and answer["in_force"], answer
+        assert served_until and served_until[0] <= told_at
+        assert cut.view.revision == 0 and well.view.revision == 1
+        assert not cut.may_serve() and well.may_serve()
+
+
+@then("an entry whose connection goes silent keeps its lease through another control host")
+def step_silent_link(context):
+    trio.run(_silent_link)
+
+
+async def _silent_link():
+    async with control_tier() as tier:
+        follower = await tier.follower()
+        forwarder = Forwarder(tier.ports[follower][0])
+        await tier.nursery.start(forwarder.run)
+        controls = [NamedEndpoint(name="silent", address=LOOPBACK, port=forwarder.own_port)]
+        client = await tier.start_entry("entry-1", controls=controls)
+        # It has to begin at the host whose connection will go silent, so it learns of the others now.
+        client._controls += tier.endpoints(list(tier.hosts))
+        lapses = []
+
+        async def watch():
+            while True:
+                if not client.may_serve():
+                    lapses.append(trio.current_time())
+                await trio.sleep(0.005)
+
+        tier.nursery.start_soon(watch)
+        assert client.control_host == "silent"
+        forwarder.silent = True
+        await tier.until(lambda: client.control_host not in (None, "silent"))
+        await trio.sleep(2 * tier.hosts[follower].cfg.lease_ms / SECOND)
+        assert client.may_serve() and lapses == []
+
+
+@then('a booking resent at another entry after "{event}" is told "{status}"')
+def step_booking(context, event, status):
+    trio.run(_booking, event, status)
+
+
+async def _booking(event, status):
+    async with control_tier() as tier:
+        first = await tier.start_entry("entry-1")
+        second = await tier.start_entry("entry-2")
+        if event == "its caller went away during the claim":
+            await _claim_and_go(tier, first)
+        answer = await first.claim("trafikk", "booking-1", "body")
+        assert answer.status == "granted"
+        ledger = tier.state(await tier.leader()).ledger
+        match event:
+            case "its outcome was stored":
+                first.record_outcome("trafikk", "booking-1", b"booked")
+                await tier.until(lambda: not ledger.counts().in_progress)
+            case "its outcome was stored and the leader died":
+                first.record_outcome("trafikk", "booking-1", b"booked")
+                await tier.until(lambda: not ledger.counts().in_progress)
+                await tier.kill_control(await tier.leader())
+            case "the first entry died":
+                tier.kill_entry("entry-1")
+                await tier.until(lambda: not ledger.counts().in_progress)
+            case "the first entry released it" | "its caller went away during the claim":
+                first.release_claim("trafikk", "booking-1")
+                await tier.until(lambda: not ledger.counts().in_progress)
+        again = await second.claim("trafikk", "booking-1", "body", timeout=10_000.0)
+        assert again.status == status, again
+        assert (again.outcome == b"booked") == (status == "stored")
+
+
+async def _claim_and_go(tier, client):
+    """Claim and be cancelled before the answer comes, as when the caller closes its connection."""
+    with trio.move_on_after(0.001):
+        await client.claim("trafikk", "booking-1", "body")
+    ledger = tier.state(await tier.leader()).ledger
+    await tier.until(lambda: ledger.counts().records and not ledger.counts().in_progress)
+
+
+@then("a planned stop shows at every entry, and after the goodbye the others have its share")
+def step_entry_stop_planned(context):
+    trio.run(_entry_stop)
+
+
+async def _entry_stop():
+    async with control_tier() as tier:
+        clients = [await tier.start_entry(f"entry-{n}") for n in range(3)]
+        await tier.until(lambda: [one.share for one in clients] == [3, 3, 3])
+        body = {"change_id": "c-1", "expected_revision": 0}
+        path = "/v1/hosts/entry-0/stop?wait=in_force"
+        status, answer = await tier.change("POST", path, body)
+        assert status == 200 and answer["in_force"], answer
+        assert all(one.view.roster["entry-0"].leaving for one in clients)
+        assert [one.stop_planned for one in clients] == [True, False, False]
+        leaving, *others = clients
+        assert leaving.may_serve()
+        with trio.fail_after(10):
+            await leaving.leave(5000.0)
+        await tier.until(lambda: all("entry-0" not in one.view.roster for one in others))
+        tier.kill_entry("entry-0")
+        await tier.until(lambda: [one.share for one in others] == [2, 2])
+
+
+@then("a restarted entry gets its lease only once the old process's lease has run out")
+def step_entry_restarts(context):
+    trio.run(_entry_restarts)
+
+
+async def _entry_restarts():
+    async with control_tier() as tier:
+        old = await tier.start_entry("entry-1", incarnation="run-1")
+        tier.kill_entry("entry-1")
+        old_end = old.serve_until
+        new = await tier.start_entry("entry-1", incarnation="run-2")
+        assert trio.current_time() * SECOND >= old_end
+        assert new.may_serve()
+        entries = tier.state(await tier.leader()).hosts.entries
+        assert entries["entry-1"].incarnation == "run-2"
--- /dev/null
+++ b/features/steps/control_tier_steps.py
@@ -0,0 +1,182 @@
+from __future__ import annotations
+
+import trio
+from behave import then
+
+from alderhatch.core.control.operations import OPERATIONS, KeepHouse
+from features.support.control_commands import rule
+from features.support.control_tier import control_tier
+
+
+def _add(name, expected, change_id):
+    return {"change_id": change_id, "expected_revision": expected, "rule": rule(name)}
+
+
+def _set(expected, change_id, budget):
+    settings = {"hedge_budget": budget}
+    return {"change_id": change_id, "expected_revision": expected, "settings": settings}
+
+
+@then("of two operators at two control hosts exactly one wins and the other sees what won")
+def step_tier_race(context):
+    trio.run(_race)
+
+
+async def _race():
+    async with control_tier() as tier:
+        answers = {}
+
+        async def send(who, at):
+            body = _add(f"{who}s-rule", 0, f"{who}-1")
+            answers[who] = await tier.change("POST", "/v1/rules", body, who, at)
+
+        leader, follower = await tier.leader(), await tier.follower()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send, "anna", leader)
+            nursery.start_soon(send, "bjorn", follower)
+        assert sorted(status for status, _ in answers.values()) == [200, 409], answers
+        winner = next(who for who, (status, _) in answers.items() if status == 200)
+        loser = next(who for who in answers if who != winner)
+        won = answers[loser][1]["won"]
+        assert [(item["who"], item["target"]) for item in won] == [(winner, f"{winner}s-rule")]
+        _, rules = await tier.call(leader, "GET", "/v1/rules")
+        assert [one["name"] for one in rules["rules"]] == [f"{winner}s-rule"]
+
+
+@then("a change resent to the next leader gets its first answer")
+def step_tier_resend(context):
+    trio.run(_resend)
+
+
+async def _resend():
+    async with control_tier() as tier:
+        body = _add("night", 0, "c-1")
+        status, first = await tier.change("POST", "/v1/rules", body)
+        assert status == 200 and not first["repeated"]
+        await tier.kill_control(await tier.leader())
+        status, second = await tier.change("POST", "/v1/rules", body)
+        assert (status, second) == (200, first | {"repeated": True})
+        status, third = await tier.change("POST", "/v1/rules", _add("day", 1, "c-2"))
+        assert (status, third["revision"]) == (200, 2)
+
+
+@then("rules, revision, history and answers are there again after all hosts restart")
+def step_tier_restart(context):
+    trio.run(_restart)
+
+
+async def _restart():
+    async with control_tier(compact_entries=150) as tier:
+        leader = await tier.leader()
+        proposer = tier.hosts[leader].server.host.proposer
+        for number in range(250):
+            body = _set(number, f"c-{number}", (number + 1) / 1000)
+            status, answer = await tier.call(leader, "PUT", "/v1/settings", body)
+            assert status == 200, answer
+            await proposer.submit([OPERATIONS.encode(KeepHouse())])
+        status, last = await tier.call(leader, "POST", "/v1/rules", _add("night", 250, "last"))
+        assert status == 200
+        before = {path: (await tier.call(leader, "GET", path))[1] for path in _SHOWN}
+        assert tier.hosts[leader].server.host.log.status().snapshot_index > 0
+        names = list(tier.hosts)
+        for name in names:
+            await tier.kill_control(name)
+        for name in names:
+            await tier.start_control(name)
+        leader = await tier.leader()
+        after = {path: (await tier.call(leader, "GET", path))[1] for path in _SHOWN}
+        assert after == before
+        status, answer = await tier.change("POST", "/v1/rules", _add("night", 250, "last"))
+        assert (status, answer) == (200, last | {"repeated": True})
+
+
+_SHOWN = ("/v1/rules", "/v1/settings", "/v1/history?limit=200", "/v1/rules/night")
+
+
+@then("a second host can be lost right after a repair without losing a change")
+def step_tier_repair(context):
+    trio.run(_repair)
+
+
+async def _repair():
+    async with control_tier() as tier:
+        await tier.change("POST", "/v1/rules", _add("night", 0, "c-1"))
+        lost = await tier.follower()
+        await tier.kill_control(lost)
+        tier.founders = tier.endpoints(["control-1", "control-2", "control-3"])
+        await tier.start_control("control-4")
+        replacement = {"name": "control-4", "zone": "austin-hall", "address": "127.0.0.1"}
+        replacement["port"] = tier.ports["control-4"][0]
+        body = {"change_id": "c-2", "expected_revision": 1, "replacement": replacement}
+        status, answer = await tier.change("POST", f"/v1/hosts/{lost}/repair", body)
+        assert status == 200, answer
+        leader = await tier.leader()
+        log = tier.hosts[leader].server.host.log
+        await tier.until(lambda: set(log.status().voters) == set(tier.hosts))
+        status, _ = await tier.change("POST", "/v1/rules", _add("day", 2, "c-3"))
+        assert status == 200
+        await tier.kill_control(leader)
+        status, _ = await tier.change("POST", "/v1/rules", _add("dusk", 3, "c-4"))
+        assert status == 200
+        _, rules = await tier.call(await tier.leader(), "GET", "/v1/rules")
+        assert [one["name"] for one in rules["rules"]] == ["night", "day", "dusk"]
+
+
+@then("a stop planned for the leader moves the leadership before anything is stopped")
+def step_tier_stop(context):
+    trio.run(_planned_stop)
+
+
+async def _planned_stop():
+    async with control_tier() as tier:
+        old = await tier.leader()
+        body = {"change_id": "c-1", "expected_revision": 0}
+        status, answer = await tier.change("POST", f"/v1/hosts/{old}/stop", body)
+        assert status == 200, answer
+        host = tier.hosts[old].server.host
+        await tier.until(lambda: host.leadership is None)
+        new = await tier.leader()
+        assert new != old
+        other = next(name for name in tier.hosts if name not in (old, new))
+        body = {"change_id": "c-2", "expected_revision": 1}
+        status, answer = await tier.change("POST", f"/v1/hosts/{other}/stop", body)
+        assert (status, answer["error"]) == (409, "stop_refused")
+        await tier.kill_control(old)
+        status, _ = await tier.change("POST", "/v1/rules", _add("night", 1, "c-3"))
+        assert status == 200
+        await tier.start_control(old)
+        controls = tier.state(new).hosts.controls
+        await tier.until(lambda: controls[old].mark == "")
+
+
+@then("a cut-off leader grants nothing, and takes no part in disturbing the others on its return")
+def step_tier_cut_off(context):
+    trio.run(_cut_off)
+
+
+async def _cut_off():
+    async with control_tier() as tier:
+        old = await tier.leader()
+        host = tier.hosts[old].server.host
+        node = host.log._node
+        links, serve = node._links, node.serve_peer
+        # The hosts' messages vanish in both directions; no connection is closed.
+        real_send, real_receive = links.send, node._driver.receive
+        links.send = lambda to, message: None
+        node._driver.receive = lambda sender, message: None
+        await tier.until(lambda: not host.log.holds_lease())
+        others = [name for name in tier.hosts if name != old]
+        await tier.until(lambda: any(tier.hosts[n].server.host.leadership for n in others))
+        await tier.until(lambda: host.leadership is None)
+        status, answer = await tier.call(old, "GET", "/v1/rules")
+        assert (status, answer["error"]) == (503, "no_leader")
+        new = next(name for name in others if tier.hosts[name].server.host.leadership)
+        status, _ = await tier.call(new, "POST", "/v1/rules", _add("night", 0, "c-1"))
+        assert status == 200
+        await trio.sleep(1.5)
+        term = tier.hosts[new].server.host.log.status().term
+        links.send, node._driver.receive = real_send, real_receive
+        assert node.serve_peer == serve
+        await tier.until(lambda: host.state.revision == 1)
+        assert tier.hosts[new].server.host.log.status().term == term
+        assert await tier.leader() == new
--- a/src/alderhatch/entry/_control_session.py
+++ b/src/alderhatch/entry/_control_session.py
@@ -37,16 +37,25 @@
 
     def __init__(self) -> None:
         self._wanted = False
+        self._last_wanted = False
         self._signal = Signal()
+        self.ended = trio.Event()
+        """Set when the last renewal has been answered; none follows it."""
 
     def request(self) -> None:
         """Ask for a renewal at once."""
         self._wanted = True
         self._signal.notify()
 
-    def clear(self) -> None:
-        """Note that a renewal is being sent."""
+    def request_last(self) -> None:
+        """Ask for one more renewal, and none after it."""
+        self._last_wanted = True
+        self.request()
+
+    def clear(self) -> bool:
+        """Note that a renewal is being sent; return whether it is the last one."""
         self._wanted = False
+        return self._last_wanted
 
     async def wait_for(self, timeout: Millis) -> None:
         """Wait for a request, but not longer than the timeout."""
@@ -95,10 +104,12 @@
             nursery.cancel_scope.cancel()
 
     async def _renew(self, link: Link) -> None:
+        if self._hurry.ended.is_set():
+            await trio.sleep_forever()
         while self._failures < MAX_FAILURES:
             self._answered = trio.Event()
             self._taken = None
-            self._hurry.clear()
+            is_last = self._hurry.clear()
             version = self._lease.view.version
             await link.send(self._lease.renewal(self._clock.now()))
             with trio.move_on_after(ANSWER_TIMEOUT / SECOND):
@@ -109,6 +120,12 @@
                 return
             if self._taken is Taken.WENT_BACK:
                 return
+            if is_last and self._taken is not None:
+                # A renewal that arrived after the goodbye would register the entry again, and
+                # callers would be sent to a process that has exited.
+                self._hurry.ended.set()
+            if self._hurry.ended.is_set():
+                await trio.sleep_forever()
             confirmed = self._lease.view.version == version
             if self._taken is not Taken.RENEWED or confirmed:
                 await self._hurry.wait_for(self._interval)
--- a/src/alderhatch/entry/control_client.py
+++ b/src/alderhatch/entry/control_client.py
@@ -223,10 +223,11 @@
         Whatever does not get through in time is found out when the lease runs out.
         """
         self._lease.leave()
-        self._hurry.request()
+        self._hurry.request_last()
         goodbye = RemoveEntries([EntryKey(self._me.name, self._me.incarnation)])
         with trio.move_on_after(timeout / SECOND):
             await self._owed.wait_empty()
+            await self._hurry.ended.wait()
             while await self._calls.ask([OPERATIONS.encode(goodbye)]) is None:
                 await trio.sleep(CLAIM_RETRY / SECOND)
 
