--- a/features/steps/control_entries_steps.py
+++ b/features/steps/control_entries_steps.py
@@ -65,7 +65,7 @@
         await tier.nursery.start(forwarder.run)
         controls = [NamedEndpoint(name="silent", address=LOOPBACK, port=forwarder.own_port)]
         client = await tier.start_entry("entry-1", controls=controls)
-        # It has to begin at the host whose connection will go silent, so it learns of the others now.
+        # It had to begin at the host whose connection will go silent.
         client._controls += tier.endpoints(list(tier.hosts))
         lapses = []
 
