--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,8 @@
 format: $(DEV_OK)
 	$(PY) -m black -q $(LINTED)
 	$(PY) -m ruff check --fix $(LINTED)
+
+.PHONY: bench-control
+
+bench-control: $(RUNTIME_OK)
+	$(PY) -m bench.control
--- a/features/steps/control_tier_steps.py
+++ b/features/steps/control_tier_steps.py
@@ -158,7 +158,7 @@
     async with control_tier() as tier:
         old = await tier.leader()
         host = tier.hosts[old].server.host
-        node = host.log._node
+        node = host.log
         links, serve = node._links, node.serve_peer
         # The hosts' messages vanish in both directions; no connection is closed.
         real_send, real_receive = links.send, node._driver.receive
--- a/features/support/control_tier.py
+++ b/features/support/control_tier.py
@@ -14,7 +14,6 @@
 from alderhatch.control.log_messages import PEER_MESSAGE_TYPES
 from alderhatch.control.log_node import LogNode
 from alderhatch.control.log_node_config import LogNodeConfig
-from alderhatch.control.node_log import NodeLog
 from alderhatch.control.observed_state import ObservedState
 from alderhatch.control.operator_keys import parse_keys
 from alderhatch.core.control.entry_lease import EntryIdentity
@@ -91,7 +90,7 @@
         node = LogNode(host.cfg.name, host.cfg.peers, storage, observed, SECRET, cfg)
         codec = Codec(*CONTROL_MESSAGES, *PEER_MESSAGE_TYPES)
         keys = parse_keys(KEYS)
-        host.server = ControlServer(host.cfg, NodeLog(node), observed, SECRET, keys, codec)
+        host.server = ControlServer(host.cfg, node, observed, SECRET, keys, codec)
         try:
             with trio.CancelScope() as host.scope:
                 async with trio.open_nursery() as nursery:
--- a/src/alderhatch/control/app.py
+++ b/src/alderhatch/control/app.py
@@ -24,7 +24,6 @@
 from .log_messages import PEER_MESSAGE_TYPES
 from .log_node import LogNode
 from .log_node_config import LogNodeConfig
-from .node_log import NodeLog
 from .observed_state import ObservedState
 from .operator_keys import KeyFileError, OperatorKeys, load_keys
 
@@ -55,7 +54,7 @@
     raft = RaftConfig(heartbeat=cfg.heartbeat_ms, election_timeout=cfg.election_timeout_ms)
     node = LogNode(cfg.name, cfg.peers, storage, observed, secret, LogNodeConfig(raft=raft))
     codec = Codec(*CONTROL_MESSAGES, *PEER_MESSAGE_TYPES)
-    server = ControlServer(cfg, NodeLog(node), observed, secret, keys, codec)
+    server = ControlServer(cfg, node, observed, secret, keys, codec)
     async with trio.open_nursery() as nursery:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             await nursery.start(node.run)
--- a/src/alderhatch/entry/control_client.py
+++ b/src/alderhatch/entry/control_client.py
@@ -4,6 +4,7 @@
 
 import uuid
 from collections.abc import Sequence
+from typing import NamedTuple
 
 import trio
 
@@ -25,7 +26,7 @@
     ReportCrash,
 )
 from ..errors import AlderhatchError, ErrorKind, Failure
-from ..link import LinkClosedError, Peer, open_link
+from ..link import Link, LinkClosedError, Peer, open_link
 from ..log import log_event
 from ..log_events import LogEvent
 from ..settings.models import NamedEndpoint
@@ -43,6 +44,13 @@
 MAX_NAME_LENGTH = 256
 
 
+class Traffic(NamedTuple):
+    """Payload bytes of an entry's links to control."""
+
+    sent: int
+    received: int
+
+
 class ControlClient:
     """Keeps the lease alive through one control host at a time.
 
@@ -82,10 +90,8 @@
         """Notified when anything that this object shows has changed."""
         self.control_host: str | None = None
         """The control host that the open link leads to."""
-        self.received_bytes = 0
-        """Payload bytes received over links that are closed."""
-        self.sent_bytes = 0
-        """Payload bytes sent over links that are closed."""
+        self._link: Link | None = None
+        self._closed_bytes = Traffic(0, 0)
 
     # What is in force
 
@@ -138,6 +144,15 @@
         if self._lease.share_settled():
             self._hurry.request()
 
+    @property
+    def traffic(self) -> Traffic:
+        """The payload bytes of all links so far, without the frames and headers round them."""
+        link = self._link
+        if link is None:
+            return self._closed_bytes
+        sent, received = self._closed_bytes
+        return Traffic(sent + link.sent_bytes, received + link.received_bytes)
+
     # Work
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -270,12 +285,13 @@
         ) as link:
             scope.deadline = float("inf")
             self.control_host = endpoint.name
+            self._link = link
             try:
                 await session.run(link)
             finally:
                 self.control_host = None
-                self.received_bytes += link.received_bytes
-                self.sent_bytes += link.sent_bytes
+                self._closed_bytes = self.traffic
+                self._link = None
                 over.set()
 
     async def _watch(self) -> None:
