--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONHASHSEED := 0
 LINTED := src features bench tools
 
-.PHONY: demo test format-check lint types features format
+.PHONY: demo test format-check lint types features format bench-capacity catalogues
 
 # The stamps carry a checksum of the pinned lists, so that a changed list installs anew.
 RUNTIME_OK := $(VENV)/runtime-$(shell cat requirements.lock | cksum | cut -d' ' -f1).ok
@@ -41,3 +41,10 @@
 format: $(DEV_OK)
 	$(PY) -m black -q $(LINTED)
 	$(PY) -m ruff check --fix $(LINTED)
+
+bench-capacity: $(DEV_OK)
+	PYTHONPATH=src:. $(PY) -m bench.capacity
+
+# The pages of docs/ that show closed lists of the code.
+catalogues: $(DEV_OK)
+	PYTHONPATH=src:. $(PY) tools/write_catalogues.py
--- a/src/alderhatch/cli/ctl_caller.py
+++ b/src/alderhatch/cli/ctl_caller.py
@@ -90,12 +90,17 @@
         str | None,
         typer.Option(help="The id of a booking whose answer was lost; it won't run twice."),
     ] = None,
+    key: Annotated[
+        str | None, typer.Option(help="What it is about; decides the shard that runs it.")
+    ] = None,
     output: OutputOption = OutputFormat.TABLE,
 ) -> None:
     """Send a dispatch or booking, which runs at most once, and print its outcome."""
     request_id = request_id or new_request_id(WallClock().now())
     typer.echo(f"request id {request_id}", err=True)
     body = _body(request_id, json, upstream, kind, caller, zone, priority, deadline_ms)
+    if key is not None:
+        body["key"] = key
     _send(ctx, _Ask(RUN_PATH, body, _headers(header), zone), output)
 
 
--- a/src/alderhatch/control/operator_api.py
+++ b/src/alderhatch/control/operator_api.py
@@ -53,6 +53,7 @@
 )
 from ._operator_views import OperatorViews, history_row
 from .control_host import ControlHost
+from .control_metrics import ControlMetrics
 from .leadership import Leadership
 from .operator_keys import Operator, OperatorKeys, OperatorRole
 
@@ -87,6 +88,7 @@
         self._host = host
         self._keys = keys
         self._views = OperatorViews(host, name, zone)
+        self._metrics = ControlMetrics(host, name)
         read, change = OperatorRole.READ, OperatorRole.CHANGE
         self._routes = [
             _Route("GET", ("rules",), read, self._get_rules),
@@ -124,6 +126,9 @@
         if req.path == "/readyz":
             ready = self._views.ready()
             return json_response(200 if ready else 503, {"ready": ready})
+        if req.path == "/metrics":
+            page = self._metrics.page()
+            return HttpResponse(200, page.body, page.content_type)
         operator = self._find_operator(req)
         route, name = self._find_route(req)
         if route.role is OperatorRole.CHANGE and operator.role is not OperatorRole.CHANGE:
@@ -229,6 +234,7 @@
             ACTIONS.encode(action),
         )
         (answer,) = await self._host.proposer.submit([OPERATIONS.encode(change)])
+        self._metrics.count_change(answer)
         if not isinstance(answer, ChangeAccepted):
             return _refused(call, change, answer)
         _log_accepted(call, answer)
--- a/src/alderhatch/metric_catalogue.py
+++ b/src/alderhatch/metric_catalogue.py
@@ -122,3 +122,94 @@
         Unit.ONE,
         "Requests under way.",
     )
+    CONTROL_REVISION = MetricRow(
+        "alderhatch_control_revision",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "The configuration's revision as this control host has applied it.",
+    )
+    CONTROL_LEADS = MetricRow(
+        "alderhatch_control_leads",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "1 while this control host leads and grants leases, else 0.",
+    )
+    CONTROL_TERM = MetricRow(
+        "alderhatch_control_term",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "The term of the replicated log; it goes up with each election.",
+    )
+    CONTROL_LAST_INDEX = MetricRow(
+        "alderhatch_control_last_index",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "The last place in this host's log.",
+    )
+    CONTROL_COMMIT_INDEX = MetricRow(
+        "alderhatch_control_commit_index",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "The last place that a majority is known to have.",
+    )
+    CONTROL_APPLIED_INDEX = MetricRow(
+        "alderhatch_control_applied_index",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "The last place that this host's state reflects.",
+    )
+    CONTROL_VOTERS = MetricRow(
+        "alderhatch_control_voters",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "Control hosts that vote.",
+    )
+    CONTROL_STORAGE_FAILED = MetricRow(
+        "alderhatch_control_storage_failed",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "1 after this host's disk failed or was full, else 0.",
+    )
+    CONTROL_ENTRIES = MetricRow(
+        "alderhatch_control_entries",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "Entries that take part.",
+    )
+    CONTROL_ENTRIES_LIVE = MetricRow(
+        "alderhatch_control_entries_live",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "Entries with a live lease; only the leader shows it.",
+    )
+    CONTROL_QUARANTINES = MetricRow(
+        "alderhatch_control_quarantines",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "Bodies that are kept from upstreams because they crashed servers.",
+    )
+    CONTROL_LEDGER_RECORDS = MetricRow(
+        "alderhatch_control_ledger_records",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "Requests that the run ledger remembers whole.",
+    )
+    CONTROL_LEDGER_RUNNING = MetricRow(
+        "alderhatch_control_ledger_running",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "Claims whose outcome is not recorded yet.",
+    )
+    CONTROL_LEDGER_BYTES = MetricRow(
+        "alderhatch_control_ledger_outcome_bytes",
+        MetricKind.GAUGE,
+        Unit.BYTES,
+        "Stored outcomes.",
+    )
+    CONTROL_CHANGES = MetricRow(
+        "alderhatch_control_changes_total",
+        MetricKind.COUNTER,
+        Unit.ONE,
+        "Operators' changes that this host answered; outcome is accepted or the kind of error.",
+        ("outcome",),
+    )
--- a/src/alderhatch/settings/attribute_docs.py
+++ b/src/alderhatch/settings/attribute_docs.py
@@ -4,6 +4,7 @@
 
 import ast
 import inspect
+import textwrap
 from itertools import pairwise
 from typing import Any
 
@@ -21,7 +22,7 @@
 
 
 def _own_docs(owner: type[Any]) -> dict[str, str]:
-    tree = ast.parse(inspect.cleandoc(inspect.getsource(owner)))
+    tree = ast.parse(textwrap.dedent(inspect.getsource(owner)))
     body = tree.body[0].body if isinstance(tree.body[0], ast.ClassDef) else []
     found: dict[str, str] = {}
     for attribute, text in pairwise(body):
