--- a/features/support/tier.py
+++ b/features/support/tier.py
@@ -74,6 +74,8 @@
         self._start_upstream()
         for name in self.controls:
             self.start_control(name)
+        for _, operators in self.controls.values():
+            self.wait_for(f"http://{LOOPBACK}:{operators}/readyz")
         for name in self.entries:
             self.start_entry(name)
         for _, operators in self.entries.values():
--- a/src/alderhatch/cli/ctl_look.py
+++ b/src/alderhatch/cli/ctl_look.py
@@ -80,7 +80,7 @@
 
 async def _dump_of(client: OperatorClient, process: str) -> dict[str, Any]:
     place = await _place_of(client, process)
-    return await client.get_from(place, "/v1/dump")
+    return await client.dump_of(place)
 
 
 async def _place_of(client: OperatorClient, process: str) -> Place:
--- a/src/alderhatch/cli/operator_client.py
+++ b/src/alderhatch/cli/operator_client.py
@@ -14,6 +14,8 @@
 from ..http.client import HttpExchangeError, HttpReply, http_once
 
 ATTEMPT_TIMEOUT: Millis = 3 * SECOND
+CONTROL_DUMP = "/v1/dump"
+ENTRY_DUMP = "/dump"
 PAUSE: Millis = 200.0
 """Between two rounds over all control hosts."""
 
@@ -99,13 +101,22 @@
         Raises:
             RemoteError: If it was refused, or the process did not answer.
         """
+        return await self._read_from(place, path, self._headers)
+
+    async def dump_of(self, place: Place) -> dict[str, Any]:
+        """Read the state dump of an entry or a control host.
+
+        Raises:
+            RemoteError: If it was refused, or the process did not answer.
+        """
+        # Entries show their dump without a key. It is not sent to them, since whatever listens
+        # at a mistyped address would then hold it.
         try:
-            reply = await http_once(
-                place.address, place.port, "GET", path, b"", self._headers, ATTEMPT_TIMEOUT
-            )
-        except HttpExchangeError as exc:
-            raise RemoteError(ErrorKind.NO_LEADER, f"{place}: {exc}", {}) from exc
-        return _read(reply)
+            return await self._read_from(place, ENTRY_DUMP, ())
+        except RemoteError as exc:
+            if exc.kind not in (ErrorKind.UNAUTHORIZED, ErrorKind.NOT_FOUND):
+                raise
+        return await self.get_from(place, CONTROL_DUMP)
 
     async def change(
         self, method: str, path: str, fields: Mapping[str, Any], notes: ChangeNotes
@@ -135,6 +146,17 @@
         wait = notes.in_force_timeout or 0.0
         return await self._ask(method, target, orjson.dumps(body), wait, is_change=True)
 
+    async def _read_from(
+        self, place: Place, path: str, headers: Sequence[tuple[str, str]]
+    ) -> dict[str, Any]:
+        try:
+            reply = await http_once(
+                place.address, place.port, "GET", path, b"", headers, ATTEMPT_TIMEOUT
+            )
+        except HttpExchangeError as exc:
+            raise RemoteError(ErrorKind.NO_LEADER, f"{place}: {exc}", {}) from exc
+        return _read(reply)
+
     async def _ask(
         self, method: str, target: str, body: bytes, wait: Millis = 0.0, is_change: bool = False
     ) -> dict[str, Any]:
--- a/src/alderhatch/cli/upstream.py
+++ b/src/alderhatch/cli/upstream.py
@@ -18,15 +18,13 @@
 app = typer.Typer(name=PROGRAM, rich_markup_mode=None)
 
 
-@app.command(
-    help=f"""Run all servers of a stand-in upstream on loopback, on ports that the kernel chooses.
+@app.command(help=f"""Run all servers of a stand-in upstream on loopback.
 
     It follows the page of the upstream protocol. Once all servers listen, it prints one JSON line
     with their ids, addresses and ports; the first of them serves as seed for an entry's settings.
 
     {exit_code_help()}
-    """
-)
+    """)
 def upstream(
     name: Annotated[str, typer.Argument(metavar="NAME", help="The upstream's name.")],
     shards: Annotated[int, typer.Option(min=1, max=1000, help="Shards.")] = 4,
@@ -44,6 +42,10 @@
     zone: Annotated[
         list[str] | None, typer.Option(help="Availability zones of the servers; repeatable.")
     ] = None,
+    first_port: Annotated[
+        int,
+        typer.Option(min=0, max=65535, help="The first server's port, and up; 0: any are taken."),
+    ] = 0,
     seed: Annotated[int, typer.Option(help="Fixes the service times.")] = 1,
     log_level: Annotated[
         LogLevel, typer.Option(help="The lowest level logged.")
@@ -53,6 +55,9 @@
     shape = UpstreamShape(name, shards, servers, slots, connections, connect_ms)
     zones = tuple(zone or ["zone-1"])
     standin = StandinUpstream(shape, zones, seed=seed, service_time=ServiceTime(median_ms))
+    if first_port:
+        for number, server in enumerate(standin.servers):
+            server.port = first_port + number
     run = run_program(PROGRAM, log_level, lambda: _serve(standin), stop_on_signal=True)
     raise typer.Exit(run)
 
