--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,7 @@
 format: $(DEV_OK)
 	$(PY) -m black -q $(LINTED)
 	$(PY) -m ruff check --fix $(LINTED)
+
+.PHONY: bench-policy
+bench-policy: $(DEV_OK)
+	$(PY) -m bench.policy
--- a/features/steps/core_hedging_steps.py
+++ b/features/steps/core_hedging_steps.py
@@ -129,7 +129,7 @@
         return span
 
     core = context.core
-    while core.core.dump(core.now)["hedges"]["rule-0"]["tokens"] < 19.5:
+    while core.core.dump(core.now)["hedges"]["rule-0"]["tokens"] < core.policy.hedge_burst - 0.5:
         core.arrive()
         core.advance(4.0)
         core.answer_all()
--- a/src/alderhatch/core/hedging.py
+++ b/src/alderhatch/core/hedging.py
@@ -14,6 +14,7 @@
 MIN_GAP: Millis = 1.0
 ENOUGH_SAMPLES = 50
 GUESS_FACTOR = 6.0
+ROUNDING: Millis = 1e-6
 
 
 class Hedging:
@@ -54,19 +55,33 @@
         """Plan hedges for a query that waits for a few shards only."""
         if run.serve.hedge <= 0 or run.open > run.few:
             return
-        delay = self._delay(run)
-        due = min(
-            (
-                attempt.sent_at + delay
-                for state in run.shards
-                if not state.closed and state.hedges < self._state.policy.hedges_per_shard
-                for attempt in list(state.attempts.values())[-1:]
-            ),
-            default=None,
-        )
+        due = self._next_due(run)
         if due is not None and (run.hedge_at is None or due < run.hedge_at):
             self._set(run, due)
 
+    def _next_due(self, run: QueryRun) -> Millis | None:
+        first, again = self._delays(run)
+        most = self._state.policy.hedges_per_shard
+        due: Millis | None = None
+        for state in run.shards:
+            if state.closed or not state.attempts or state.hedges >= most:
+                continue
+            newest = next(reversed(state.attempts.values()))
+            at = newest.sent_at + (again if state.hedges else first)
+            if due is None or at < due:
+                due = at
+        return due
+
+    def _delays(self, run: QueryRun) -> tuple[Millis, Millis]:
+        """Return the delay before a first hedge and the one before a further hedge.
+
+        A shard whose hedge is late as well has made its query late already. It is rare enough that
+        a third copy after a shorter time costs little.
+        """
+        first = self._delay(run)
+        again = run.upstream.latencies.quantile(self._state.policy.hedge_again_quantile)
+        return first, min(first, again)
+
     def _set(self, run: QueryRun, at: Millis) -> None:
         if at >= run.deadline:
             return
@@ -80,8 +95,7 @@
         if run.hedge_at is None or run.hedge_at > core.now or run.canary:
             return
         run.hedge_at = None
-        delay = self._delay(run)
-        late = core.now - delay
+        first, again = self._delays(run)
         many = run.open > run.few
         for state in run.shards:
             if state.closed or not state.attempts:
@@ -89,9 +103,10 @@
             if state.hedges >= core.policy.hedges_per_shard:
                 continue
             newest = next(reversed(state.attempts.values()))
-            if newest.sent_at <= late + 1e-6:
+            delay = again if state.hedges else first
+            if newest.sent_at + delay <= core.now + ROUNDING:
                 self._hedge(run, state, many)
-        self._again(run, delay)
+        self._plan_next(run)
 
     def _hedge(self, run: QueryRun, state: ShardState, many: bool) -> None:
         core = self._state
@@ -107,7 +122,7 @@
         if not self._dispatcher.hedge(run, state, run.shard_map.snapshot):
             budget.give_back()
 
-    def _again(self, run: QueryRun, delay: Millis) -> None:
-        core = self._state
-        if run.open:
-            self._set(run, core.now + max(MIN_GAP, delay / 2))
+    def _plan_next(self, run: QueryRun) -> None:
+        due = self._next_due(run)
+        if due is not None:
+            self._set(run, max(due, self._state.now + MIN_GAP))
--- a/src/alderhatch/core/policy.py
+++ b/src/alderhatch/core/policy.py
@@ -40,17 +40,19 @@
     max_shed_ms: Millis = 5 * SECOND
     drained_ms: Millis = 5 * SECOND
     """How long a server that said it is draining gets nothing, from each time it says so."""
-    hedge_burst: float = 20.0
+    hedge_burst: float = 60.0
     """The most hedges that a rule can save up."""
-    hedge_first_quantile: float = 0.94
+    hedge_first_quantile: float = 0.955
     """The quantile of shard latency after which a hedge is sent while the budget is full."""
-    hedge_last_quantile: float = 0.985
+    hedge_last_quantile: float = 0.9875
     """The same while the budget is nearly empty."""
-    hedge_few_share: float = 0.1
+    hedge_few_share: float = 0.2
     """Hedges go to queries that wait for no more than this share of their shards, first."""
     hedge_patience: float = 2.0
     """A query that waits for more is hedged after this multiple of the delay."""
     hedges_per_shard: int = 2
+    hedge_again_quantile: float = 0.8
+    """The quantile after which a shard whose hedge is late as well gets one more."""
     retry_share: float = 0.1
     """Retries of an upstream, as a fraction of its shard requests."""
     retry_burst: float = 60.0
@@ -60,7 +62,7 @@
     canary_shards: int = 8
     """Queries over fewer shards send one first: two bodies that share both servers of their first
     shards could not be told apart when one of them crashes both."""
-    canary_patience: float = 3.0
+    canary_patience: float = 1.0
     """The rest is sent after this multiple of the 95 % latency even without an answer."""
     queue_low: float = 0.5
     """Below this many waiting requests for each slot, an upstream's limit may grow."""
--- a/src/alderhatch/core/query_run.py
+++ b/src/alderhatch/core/query_run.py
@@ -47,7 +47,7 @@
         self.shard_map = shard_map
         self.shards = [ShardState(plan) for plan in self.upstream.plans]
         self.by_name = {state.plan.shard.name: state for state in self.shards}
-        self.few = max(2, int(self.few_share * len(self.shards)))
+        self.few = max(1, int(self.few_share * len(self.shards)))
         """So many open shards at most make it a query that waits for a few only."""
         self.open = len(self.shards)
         """Shards that have neither answered nor been given up."""
