--- a/Makefile
+++ b/Makefile
@@ -53,3 +53,7 @@
 # The pages of docs/ that show closed lists of the code.
 catalogues: $(DEV_OK)
 	PYTHONPATH=src:. $(PY) tools/write_catalogues.py
+
+.PHONY: bench-policy
+bench-policy: $(DEV_OK)
+	$(PY) -m bench.policy
