--- a/features/steps/log_node_steps.py
+++ b/features/steps/log_node_steps.py
@@ -238,7 +238,7 @@
             cluster, lambda node: node.add_learner("control-4", "127.0.0.1", new.port)
         )
         await _until_done(cluster, lambda node: node.promote("control-4"))
-        await _until_done(cluster, lambda node: node.remove(removed))
+        await _until_done(cluster, lambda node: node.remove_member(removed))
         context.removed = removed
         await _propose_all(cluster, 5, context.acknowledged)
         await _record(context, cluster)
--- a/src/alderhatch/control/log_node.py
+++ b/src/alderhatch/control/log_node.py
@@ -35,7 +35,7 @@
 from .replicated_log import LogStatus, StateMachine
 
 MIN_VOTERS = 3
-"""With fewer, the loss of one host stops every change; see ``LogNode.remove``."""
+"""With fewer, the loss of one host stops every change; see ``LogNode.remove_member``."""
 RETRY_PAUSE: Millis = 50.0
 
 
@@ -236,7 +236,7 @@
         member = self._find(name, voter=False) or self._find(name, voter=True)
         return self.is_leader and member is not None and self._is_caught_up(member)
 
-    def heard_hosts(self) -> frozenset[str]:
+    def heard_from(self) -> frozenset[str]:
         """Return the names of the members that this leader has heard from lately, itself included.
 
         A follower returns an empty set.
@@ -313,7 +313,7 @@
         lag = node.commit_index - node.match_index(member.member_id)
         return lag <= self._cfg.raft.max_lag_to_promote
 
-    async def remove(self, name: str) -> None:
+    async def remove_member(self, name: str) -> None:
         """Remove a host from the cluster.
 
         Raises:
