A host that has just joined a cluster tells its peers at once

Cause: peers take no questions over a link whose other end said that it is in no cluster, and the next probe came up to a second later. So the first election and a hand-over right after the founding could fail. The new scenario failed before (terms 2 and 4) and passes after.

--- a/features/log_node.feature
+++ b/features/log_node.feature
@@ -45,6 +45,13 @@
     When the log leader of 3 hands over and is stopped while commands come in
     Then the log lost no acknowledged command and its term rose
 
+  Scenario: A hand-over right after the founding
+    # Hosts that have just joined are in the cluster, but their peers had been told before that
+    # they are in none. Were their requests for votes not taken, the hand-over would fail and
+    # nothing be accepted for a second.
+    When 5 log hosts are founded and the leader hands over at once
+    Then the log has a new leader in the next term
+
   Scenario: The disk of the leading control host fills up
     # The disk is full. The host must say so and leave, not go on with acknowledgements that the
     # next start can't keep.
--- a/features/steps/log_node_steps.py
+++ b/features/steps/log_node_steps.py
@@ -10,7 +10,7 @@
 from alderhatch.errors import AlderhatchError, ErrorKind
 from alderhatch.link import Link
 from alderhatch.storage.files import DiskFiles
-from features.support.log_cluster import LogCluster, run_log_cluster
+from features.support.log_cluster import CFG, LogCluster, run_log_cluster
 
 FULL = "disk is full"
 
@@ -274,6 +274,25 @@
     run_log_cluster(3, scenario)
 
 
+@when("5 log hosts are founded and the leader hands over at once")
+def step_early_hand_over(context):
+    context.log_terms = []
+
+    async def scenario(cluster):
+        leader = await cluster.leader()
+        context.log_terms.append(leader.term)
+        await leader.transfer_leadership()
+        context.log_terms.append((await cluster.leader()).term)
+
+    run_log_cluster(5, scenario, cfg=CFG._replace(probe=30_000, silence=5000))
+
+
+@then("the log has a new leader in the next term")
+def step_next_term(context):
+    first, second = context.log_terms
+    assert second == first + 1, context.log_terms
+
+
 @when("the disk of the log leader of 3 is full")
 def step_full(context):
     context.acknowledged = []
--- a/src/alderhatch/control/_log_driver.py
+++ b/src/alderhatch/control/_log_driver.py
@@ -140,6 +140,7 @@
             self.step(StorageFailed(str(exc)))
             return False
         log_event(LogEvent.LOG_JOINED, cluster=cluster_id, member=storage.member_id)
+        self._links.greet_all()
         return True
 
     def step(self, event: Event) -> None:
--- a/src/alderhatch/control/_log_links.py
+++ b/src/alderhatch/control/_log_links.py
@@ -154,6 +154,17 @@
             if remote.member_id == to and remote.outbox is not None:
                 remote.outbox.put(message)
 
+    def greet_all(self) -> None:
+        """Tell every peer anew who this host is, because it has joined a cluster.
+
+        A peer takes no questions over a link whose other end is in no cluster as far as it knows.
+        Without this, a host that was just founded could neither be elected nor take over before
+        its next probe; a hand-over in the first second ended in a second without a leader.
+        """
+        for remote in self.remotes.values():
+            if remote.outbox is not None:
+                remote.outbox.put(self._hello())
+
     # Dialled links
 
     async def _keep_dialling(self, remote: Remote) -> None:
--- a/src/alderhatch/control/log_node.py
+++ b/src/alderhatch/control/log_node.py
@@ -119,6 +119,7 @@
     async def _found(self) -> None:
         founding = LogFounding(self.name, self._founders, self._storage, self._links)
         if await founding.wait():
+            self._links.greet_all()
             self._driver.start()
 
     def _hello(self) -> PeerHello:
