--- a/Makefile
+++ b/Makefile
@@ -57,3 +57,14 @@
 .PHONY: bench-policy
 bench-policy: $(DEV_OK)
 	$(PY) -m bench.policy
+
+# A longer search for schedules that break the replicated log than CI has time for.
+SEEDS ?= 1000
+FIRST_SEED ?= 0
+.PHONY: sweep-raft
+sweep-raft: $(DEV_OK)
+	PYTHONPATH=src:. $(PY) -m features.support.raft_schedule $(SEEDS) $(FIRST_SEED)
+
+.PHONY: bench-control-log
+bench-control-log: $(RUNTIME_OK)
+	PYTHONPATH=src:. $(PY) -m bench.control_log
--- a/src/alderhatch/control/_log_driver.py
+++ b/src/alderhatch/control/_log_driver.py
@@ -37,7 +37,7 @@
 from ..log_events import LogEvent
 from ..storage.data_folder import DataFolder
 from ._log_links import LogLinks, PeerAddress
-from ._log_waiters import RefusedError, Waiters
+from ._log_waiters import RefusedError, Waiters, failed
 from ._log_writer import LogWriter, SaveState
 from .log_node_config import LogNodeConfig
 from .replicated_log import LogStatus, StateMachine
@@ -219,6 +219,15 @@
         member = self.node.membership.find(member_id)
         return member.name if member else member_id.rpartition(".")[0]
 
+    def check_usable(self) -> None:
+        """Refuse a request if this host's disk failed.
+
+        Raises:
+            AlderhatchError: With kind ``storage_failed``.
+        """
+        if self.node.failure is not None:
+            raise failed(ErrorKind.STORAGE_FAILED, self.node.failure)
+
     def status(self) -> LogStatus:
         """Return what this host knows of the log now."""
         node = self.node
--- a/src/alderhatch/control/_log_founding.py
+++ b/src/alderhatch/control/_log_founding.py
@@ -4,6 +4,9 @@
 
 import os
 
+import trio
+
+from ..clock import SECOND, Millis
 from ..core.raft.log_entry import EntryKind, HardState, LogEntry
 from ..core.raft.membership import Member, Membership
 from ..log import log_event
@@ -12,6 +15,8 @@
 from ._log_links import LogLinks, PeerAddress
 
 FOUNDING_TERM = 1
+WARN_AFTER: Millis = 2000.0
+"""A host that is being founded with the others joins long before."""
 _CLUSTER_ID_BYTES = 8
 
 
@@ -40,17 +45,24 @@
         """
         if self._name != min(self._founders, default=""):
             return False
-        told = False
         while not self._all_are_empty():
-            if not told and self._some_remember():
-                told = True
-                log_event(LogEvent.LOG_FOLDER_IS_NEW, member=self._storage.member_id)
             await self._links.changed.wait()
         if self._storage.cluster_id:
             return False
         self._found()
         return True
 
+    async def warn(self) -> None:
+        """Say so once if this host's folder is empty while others remember a cluster.
+
+        The operator has to declare the repair; until then this host does nothing.
+        """
+        while not self._storage.cluster_id:
+            await trio.sleep(WARN_AFTER / SECOND)
+            if self._some_remember() and not self._storage.cluster_id:
+                log_event(LogEvent.LOG_FOLDER_IS_NEW, member=self._storage.member_id)
+                return
+
     def _others(self) -> list[str]:
         return [name for name in self._founders if name != self._name]
 
--- a/src/alderhatch/control/_log_waiters.py
+++ b/src/alderhatch/control/_log_waiters.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import itertools
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import trio
@@ -67,9 +69,13 @@
         self._by_tag[waiter.tag] = waiter
         return waiter
 
-    def forget(self, waiter: Waiter) -> None:
-        """Note that nobody waits any more."""
-        self._by_tag.pop(waiter.tag, None)
+    @contextmanager
+    def forgetting(self, waiter: Waiter) -> Iterator[None]:
+        """Forget a waiter at the end of a ``with`` block, whether it was told anything or not."""
+        try:
+            yield
+        finally:
+            self._by_tag.pop(waiter.tag, None)
 
     def resolve(self, tag: int, result: object) -> None:
         """Tell a result."""
--- a/src/alderhatch/core/raft/messages.py
+++ b/src/alderhatch/core/raft/messages.py
@@ -126,3 +126,25 @@
 
 REPLIES = (PreVoteReply, VoteReply, AppendReply, HeartbeatReply, SnapshotReply)
 """The messages that go back over the link on which the question came."""
+
+
+def answer_to_stale(message: Message, term: int) -> Message | None:
+    """Return the answer to a message of an older term, which tells its sender the newer one.
+
+    Args:
+        message: The message.
+        term: The receiver's term.
+
+    Returns:
+        The answer; None if the message is an answer itself, or wants none.
+    """
+    match message:
+        case Append():
+            return AppendReply(term, False, message.prev_index, 0)
+        case Heartbeat():
+            return HeartbeatReply(term, message.round)
+        case Vote():
+            return VoteReply(term, False)
+        case SnapshotChunk():
+            return SnapshotReply(term, message.snapshot.index, 0, False)
+    return None
--- a/src/alderhatch/core/raft/raft_node.py
+++ b/src/alderhatch/core/raft/raft_node.py
@@ -41,6 +41,7 @@
     TimeoutNow,
     Vote,
     VoteReply,
+    answer_to_stale,
 )
 from .raft_config import RaftConfig
 from .raft_log import RaftLog
@@ -332,24 +333,14 @@
                 self._state.send(sender, VoteReply(self.term, False))
                 return
         if message.term < self.term:
-            self._answer_stale(sender, message)
+            answer = answer_to_stale(message, self.term)
+            if answer is not None:
+                self._state.send(sender, answer)
             return
         if message.term > self.term:
             self._become_follower(message.term, None, now)
         self._on_current(sender, message, now)
 
-    def _answer_stale(self, sender: str, message: Message) -> None:
-        match message:
-            case Append():
-                self._state.send(sender, AppendReply(self.term, False, message.prev_index, 0))
-            case Heartbeat():
-                self._state.send(sender, HeartbeatReply(self.term, message.round))
-            case Vote():
-                self._state.send(sender, VoteReply(self.term, False))
-            case SnapshotChunk():
-                reply = SnapshotReply(self.term, message.snapshot.index, 0, False)
-                self._state.send(sender, reply)
-
     def _on_current(self, sender: str, message: Message, now: Millis) -> None:
         match message:
             case Vote():
