--- a/features/raft.feature
+++ b/features/raft.feature
@@ -101,6 +101,13 @@
     Then the raft change is refused as "not_ready"
     And the raft membership has 4 voters
 
+  Scenario: A removed member hears of it
+    # An operator takes a host out while it runs. If it never heard of it, it would ask for votes
+    # for as long as it runs, and look like a host that has lost its leader.
+    Given a raft cluster of 5 members with 5 commands
+    When a raft follower is removed and 3 seconds pass
+    Then the removed raft member is no voter and sends nothing any more
+
   Scenario: A planned stop of the leader
     # An operator stops the leader's host. Without a hand-over every change would wait until the
     # others notice that the leader is gone.
--- a/features/steps/raft_steps.py
+++ b/features/steps/raft_steps.py
@@ -270,9 +270,21 @@
 
 
 def _change(cluster, change):
-    tag = cluster.change(_leader_id(cluster), change)
-    assert cluster.run_until(lambda: tag in cluster.acknowledged), cluster.refused.get(tag)
-    return tag
+    """Ask until the change is accepted, as ``LogNode`` does while a learner catches up."""
+    for _ in range(100):
+        tag = cluster.change(_leader_id(cluster), change)
+        if (
+            cluster.run_until(lambda tag=tag: _is_known(cluster, tag))
+            and tag not in cluster.refused
+        ):
+            return
+        assert cluster.refused[tag].refusal in ("not_caught_up", "not_ready"), cluster.refused[tag]
+        cluster.run(20)
+    raise AssertionError(f"never accepted: {change}")
+
+
+def _is_known(cluster, tag):
+    return tag in cluster.acknowledged or tag in cluster.refused
 
 
 @then("the raft cluster acknowledges new commands")
@@ -313,6 +325,22 @@
     assert len(node.membership.voters) == count
 
 
+@when("a raft follower is removed and 3 seconds pass")
+def step_removed(context):
+    context.raft_removed = _follower_id(context.raft)
+    _change(context.raft, Remove(context.raft_removed))
+    context.raft.run(3000)
+
+
+@then("the removed raft member is no voter and sends nothing any more")
+def step_removed_is_quiet(context):
+    cluster = context.raft
+    before = cluster.sent_by[context.raft_removed]
+    cluster.run(5000)
+    assert cluster.node(context.raft_removed).role is Role.LEARNER
+    assert cluster.sent_by[context.raft_removed] == before
+
+
 @when("the raft leader hands over")
 def step_hand_over(context):
     cluster = context.raft
--- a/src/alderhatch/control/_log_driver.py
+++ b/src/alderhatch/control/_log_driver.py
@@ -183,7 +183,11 @@
 
     def _send_chunk(self, effect: SendChunk) -> None:
         snapshot = effect.snapshot
-        data = self._storage.read_chunk(snapshot, effect.offset, effect.length)
+        try:
+            data = self._storage.read_chunk(snapshot, effect.offset, effect.length)
+        except OSError as exc:
+            self._writer.fail(exc)
+            return
         if data is not None:
             chunk = SnapshotChunk(effect.term, snapshot, effect.offset, data)
             self._links.send(effect.to, chunk)
--- a/src/alderhatch/control/_log_links.py
+++ b/src/alderhatch/control/_log_links.py
@@ -168,6 +168,7 @@
     # Dialled links
 
     async def _keep_dialling(self, remote: Remote) -> None:
+        pause = self._cfg.redial
         with remote.scope:
             while True:
                 try:
@@ -175,8 +176,10 @@
                 except LinkClosedError:
                     pass
                 finally:
+                    was_open = remote.outbox is not None
                     remote.outbox = None
-                await trio.sleep(self._cfg.redial / SECOND)
+                pause = self._cfg.redial if was_open else min(2 * pause, self._cfg.max_redial)
+                await trio.sleep(pause / SECOND)
 
     async def _use_dialled(self, remote: Remote) -> None:
         where = remote.where
--- a/src/alderhatch/control/_log_writer.py
+++ b/src/alderhatch/control/_log_writer.py
@@ -55,6 +55,7 @@
         self._on_event = on_event
         self._queue: deque[Write] = deque()
         self._wanted = trio.Event()
+        self._read_error: OSError | None = None
         self.syncs = 0
         """How often the journal was synced."""
 
@@ -63,6 +64,11 @@
         self._queue.append(write)
         self._wanted.set()
 
+    def fail(self, error: OSError) -> None:
+        """Write nothing more, because the disk failed in reading."""
+        self._read_error = error
+        self._wanted.set()
+
     async def run(self) -> None:
         """Write until cancelled, or until the disk fails."""
         while True:
@@ -72,6 +78,8 @@
             try:
                 while self._queue:
                     await self._write_next()
+                if self._read_error is not None:
+                    raise self._read_error
             except OSError as exc:
                 self._queue.clear()
                 self._on_event(StorageFailed(str(exc)))
--- a/src/alderhatch/control/log_node_config.py
+++ b/src/alderhatch/control/log_node_config.py
@@ -15,7 +15,9 @@
     request_timeout: Millis = 5000.0
     """How long a proposal, a read barrier or a membership change waits for its outcome."""
     redial: Millis = 100.0
-    """How long a host waits before it dials a peer again."""
+    """How long a host waits before it dials a peer again; longer after each failure."""
+    max_redial: Millis = 500.0
+    """How long it waits at most."""
     probe: Millis = 1000.0
     """How often a host checks that a link to a peer still works."""
     silence: Millis = 700.0
--- a/src/alderhatch/core/raft/_leadership.py
+++ b/src/alderhatch/core/raft/_leadership.py
@@ -45,6 +45,8 @@
         self._reads: list[_PendingRead] = []
         self._transfer: _Transfer | None = None
         self._lease_given_up = False
+        self._leaving: dict[str, Millis] = {}
+        """Members that were removed, and until when they are still sent the log."""
         self._sync_members(now)
         self._first_index = state.append(EntryKind.NOOP).index
         self.next_heartbeat = now
@@ -111,6 +113,9 @@
         """Send what is due."""
         if now < self.next_heartbeat:
             return
+        for gone in [one for one, until in self._leaving.items() if now >= until]:
+            del self._leaving[gone]
+            del self._progress[gone]
         self._beat(now)
         self._replicator.retry_overdue(now)
         self._replicator.replicate_all(now)
@@ -336,8 +341,12 @@
     def _sync_members(self, now: Millis) -> None:
         wanted = {one.member_id for one in self._state.membership.members}
         wanted.discard(self._state.member_id)
-        for gone in set(self._progress) - wanted:
-            del self._progress[gone]
+        # A removed member that never hears of it would ask for votes for as long as it runs, and
+        # its operator would see a host without a leader. So it is sent the log a little longer.
+        for gone in set(self._progress) - wanted - set(self._leaving):
+            self._leaving[gone] = now + 2 * self._state.cfg.election_timeout
+        for back in wanted & set(self._leaving):
+            del self._leaving[back]
         for new in sorted(wanted - set(self._progress)):
             self._progress[new] = Progress(self._state.log.last_index + 1, now)
 
--- a/src/alderhatch/storage/snapshot_files.py
+++ b/src/alderhatch/storage/snapshot_files.py
@@ -107,7 +107,11 @@
         if meta != self.newest:
             return None
         name = snapshot_name(meta.index, meta.term)
-        return self._files.read_part(name, self._data_offset + offset, length)
+        try:
+            return self._files.read_part(name, self._data_offset + offset, length)
+        except FileNotFoundError:
+            # A worker thread has just put a newer one in its place.
+            return None
 
     # Receiving
 
