Planned stop, addresses, operators' side and the link to control; hurried probes and map fetches

Cause: the entry had no way out that cuts off nothing, and nothing told its core of leases, rules, leaving servers and claims.

Change: run_entry with signals; a planned stop leaves the addresses, serves on for their time to live and a margin, refuses truly, finishes what runs, says goodbye and keeps its door open for one more time to live. ControlLink turns the control client's state into events. ProbeServer and FetchShardMap are carried out. Servers show by 102 that they are at work, so that the progress timeout tells a slow answer from a silent connection.

Known red: shard requests of a query that is pinned to an older map are never taken up again once they wait, since the core looks for them under the newest map's shard names. The same fault makes 'partitioned anew while queries run' fail now and then; and 'loses its requests' / 'fine and fails' fail now and then because the core counts a lost connection as a crash although the server's boot id did not change. Both lie in src/alderhatch/core.

--- a/features/caller_input.feature
+++ b/features/caller_input.feature
@@ -52,3 +52,12 @@
     When 8 callers connect to the entry and stay
     Then 3 callers of the entry are still connected
     And a caller of the entry that was connected before is answered
+
+  Scenario: A booking is asked for where there are no control hosts
+    # The entry runs alone, so there is no ledger that could keep the booking from running twice.
+    # The caller is told that it did not run.
+    Given an upstream for the entry of 2 shards with 1 server each
+    And the entry runs
+    When the entry is asked to run a booking
+    Then the booking is answered 503 by the entry with "ledger_unavailable" and "not_run"
+    And nothing ran at the upstream
--- a/features/entry_connections.feature
+++ b/features/entry_connections.feature
@@ -27,12 +27,13 @@
     And the entry is asked 5 times
     And the entry's answers are right and lack nothing
 
-  Scenario: A lease runs out
-    # The entry is cut off from control, which hands its places to others once the lease is over.
+  Scenario: A lease leaves no connections
+    # The entry was cut off from control, which hands its places to others once the lease and the
+    # grace after it are over.
     Given an upstream for the entry of 2 shards with 1 server each
     And the entry runs
     And the entry was asked 4 times
-    When a lease of 200 ms gives the entry 2 connections to each server
+    When a lease gives the entry 0 connection to each server
     Then soon each server of the upstream has 0 connections
 
   Scenario: A warm connection is used before a new one is opened
--- a/features/entry_snapshot.feature
+++ b/features/entry_snapshot.feature
@@ -18,6 +18,18 @@
       | is partitioned anew                      |
       | publishes a version and forgets the last |
 
+  Scenario: The upstream is partitioned anew while shard requests wait for a server
+    # At the end of the month more queries come than the servers take at a time, and in that moment
+    # documents move to other shards. The queries that had begun are pinned to the old map; what of
+    # them still waits must be sent all the same, or they end at their deadline with nothing.
+    Given an upstream for the entry of 2 shards with 1 server each
+    And the entry holds 1 connections to each server when it needs them
+    And each server of the upstream takes 50 ms longer
+    And the entry runs
+    And the entry was asked 1 times
+    When the upstream is partitioned anew while 8 queries of the entry are under way
+    Then the entry's answers are right and lack nothing
+
   Scenario: One server does not hold the new version yet
     # Versions reach the servers one after the other. A server that is behind says so, and the
     # shard is asked of the other one instead of being read at the old version.
--- a/features/steps/entry_connections_steps.py
+++ b/features/steps/entry_connections_steps.py
@@ -81,18 +81,13 @@
 
 @when("a lease gives the entry {count:d} connection to each server")
 def step_lease(context, count):
-    _give_lease(world(context), 60_000, count)
+    _give_lease(world(context), count)
 
 
-@when("a lease of {span:d} ms gives the entry {count:d} connections to each server")
-def step_short_lease(context, span, count):
-    _give_lease(world(context), span, count)
-
-
-def _give_lease(here, span, count):
+def _give_lease(here, count):
     async def give():
         shares = {server.server_id: count for server in here.upstream.servers}
-        until = trio.current_time() * 1000 + span
+        until = trio.current_time() * 1000 + 60_000
         here.entries[0].feed(LeaseChanged(until, shares, frozenset()))
 
     here.call(give)
--- a/features/steps/entry_snapshot_steps.py
+++ b/features/steps/entry_snapshot_steps.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import trio
 from behave import given, then, when
 
 from alderhatch.core.shard_map import Snapshot
@@ -69,6 +70,25 @@
     return newest is not None and newest.snapshot == here.upstream.newest.snapshot
 
 
+@when("the upstream is partitioned anew while {count:d} queries of the entry are under way")
+def step_repartition_meanwhile(context, count):
+    here = world(context)
+    received = sum(server.counts.received for server in here.upstream.servers)
+
+    async def change():
+        await here.until(
+            lambda: sum(item.counts.received for item in here.upstream.servers) > received
+        )
+        here.upstream.repartition()
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(change)
+            return await here.queries_at_once(count)
+
+    context.entry_replies = here.call(run)
+
+
 @given("the upstream publishes a version that the first server of each shard lacks")
 def step_behind(context):
     upstream = world(context).upstream
--- /dev/null
+++ b/features/steps/entry_stop_steps.py
@@ -0,0 +1,262 @@
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import orjson
+import trio
+from behave import given, then, when
+
+from alderhatch.entry.app import planned_stop
+from alderhatch.entry.operator_side import OperatorSide
+from alderhatch.errors import AlderhatchError
+from alderhatch.http.client import HttpExchangeError, http_once
+from alderhatch.http.messages import HttpRequest
+from features.entry_world import LOOPBACK, world
+
+ROOT = Path(__file__).resolve().parents[2]
+PROGRAM = """
+import json, sys, trio
+from alderhatch.entry.app import run_entry
+from alderhatch.log import set_up_logs
+from alderhatch.settings.models import EntrySettings
+set_up_logs("alderhatch-entry")
+trio.run(run_entry, EntrySettings.model_validate(json.loads(sys.argv[1])))
+"""
+
+
+@given("callers ask the entries for addresses and send queries to them without a pause")
+def step_callers(context):
+    here = world(context)
+
+    async def caller(number, counts, stop):
+        """Act as the caller API asks: keep an answer about addresses for its time to live."""
+        known, until = [here.entries[number % 2].port], 0.0
+        while not stop.is_set():
+            if trio.current_time() >= until:
+                try:
+                    reply = await http_once(LOOPBACK, known[0], "GET", "/addresses?zone=waco-hall")
+                except HttpExchangeError as exc:
+                    counts["errors"].append((known[0], str(exc)))
+                    return
+                answer = orjson.loads(reply.body)
+                known = [item["port"] for item in answer["addresses"]]
+                until = trio.current_time() + answer["ttl_ms"] / 1000
+            port = known[number % len(known)]
+            entry = next(at for at, item in enumerate(here.entries) if item.port == port)
+            try:
+                status, body = await here.query(entry)
+            except HttpExchangeError as exc:
+                counts["errors"].append((entry, str(exc)))
+                continue
+            counts["answered"] += 1
+            if status != 200 or here.check(body) is not None:
+                counts["errors"].append((entry, body))
+
+    async def start():
+        context.caller_counts = {"answered": 0, "errors": []}
+        context.callers_stop = trio.Event()
+        for number in range(6):
+            here.spawn(caller, number, context.caller_counts, context.callers_stop)
+
+    here.call(start)
+
+
+@when("entry {number:d} makes a planned stop while {count:d} queries and more are sent")
+def step_stop_under_load(context, number, count):
+    here = world(context)
+    entry = here.entries[number - 1]
+
+    async def stop():
+        await here.until(lambda: context.caller_counts["answered"] >= count)
+        before = entry.core.shard_requests_needed
+        await here.stop_entry(number - 1)
+        context.ran_since = entry.core.shard_requests_needed - before
+        wanted = context.caller_counts["answered"] + count
+        await here.until(lambda: context.caller_counts["answered"] >= wanted)
+        context.callers_stop.set()
+
+    here.call(stop)
+
+
+@then("no caller of the entries saw an error or a broken connection")
+def step_no_errors(context):
+    assert context.caller_counts["errors"] == [], context.caller_counts
+
+
+@then("entry {number:d} ran queries after its stop had begun")
+def step_ran_since(context, number):
+    assert context.ran_since > 0
+
+
+@when("the entry is asked and makes a planned stop once the query has reached the upstream")
+def step_stop_with_query(context):
+    here = world(context)
+    context.order = []
+
+    async def stop():
+        await here.until(lambda: all(item.counts.received for item in here.upstream.servers))
+        await here.stop_entry(0)
+        context.order.append("ended")
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop)
+            reply = await here.query()
+            context.order.append("answered")
+        return [reply]
+
+    context.entry_replies = here.call(run)
+
+
+@then("the entry had ended after its last answer")
+def step_order(context):
+    assert context.order == ["answered", "ended"], context.order
+
+
+@when("the entry drains with a query under way and is asked once more")
+def step_late_query(context):
+    here = world(context)
+    replies = []
+
+    async def first():
+        replies.append(await here.query())
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(first)
+            await here.until(lambda: all(item.counts.received for item in here.upstream.servers))
+            nursery.start_soon(planned_stop, here.entries[0])
+            await here.until(lambda: here.entries[0].callers.closing)
+            context.late_reply = await here.query(request_id="late-1")
+        return replies
+
+    context.entry_replies = here.call(run)
+
+
+@then('the later query was refused by the entry with "{error}" and "{ran}" and "{resend}"')
+def step_late_refused(context, error, ran, resend):
+    status, answer = context.late_reply
+    assert status == 503, answer
+    assert (answer["error"], answer["ran"], answer["resend"]) == (error, ran, resend), answer
+
+
+@when("the entry's program runs on a file of rules and gets {signals}")
+def step_program(context, signals):
+    here = world(context)
+    with tempfile.TemporaryDirectory() as folder:
+        rules = Path(folder) / "rules.toml"
+        rules.write_text('[[rule]]\nname = "from-file"\nthen = {coverage = 1.0}\n')
+        here.call(_run_program, context, here, rules, signals.split())
+
+
+async def _run_program(context, here, rules, signals):
+    seed = {"address": LOOPBACK, "port": here.upstream.servers[0].port}
+    slow = len(signals) > 1
+    cfg = {
+        "name": "entry-1",
+        "zone": "austin-hall",
+        "callers": {"address": LOOPBACK, "port": 0},
+        "operators": {"address": LOOPBACK, "port": 0},
+        "rules_file": str(rules),
+        "upstreams": [{"name": "navigator", "seeds": [seed]}],
+        "address_ttl_ms": 60_000 if slow else 100,
+    }
+    process = await trio.lowlevel.open_process(
+        [sys.executable, "-c", PROGRAM, json.dumps(cfg)],
+        stderr=subprocess.PIPE,
+        cwd=ROOT,
+        env=os.environ | {"PYTHONPATH": str(ROOT / "src")},
+    )
+    context.program_events = []
+    context.program_answer = None
+    log = b""
+    while data := await process.stderr.receive_some():
+        log += data
+        *lines, log = log.split(b"\n")
+        for line in lines:
+            event = json.loads(line)
+            context.program_events.append(event["event"])
+            if event["event"] == "entry_started":
+                port = event["fields"]["port"]
+                body = {
+                    "request_id": "program-1",
+                    "caller": "tests",
+                    "kind": "route",
+                    "upstream": "navigator",
+                    "query": {},
+                }
+                reply = await http_once(LOOPBACK, port, "POST", "/query", orjson.dumps(body))
+                context.program_answer = orjson.loads(reply.body)
+                process.send_signal(getattr(signal, signals[0]))
+            if event["event"] == "entry_stopping" and slow:
+                process.send_signal(getattr(signal, signals[0]))
+    context.program_code = await process.wait()
+
+
+@then('the entry\'s program ended with exit code {code:d} and the event "{event}"')
+def step_program_ended(context, code, event):
+    assert context.program_code == code, (context.program_code, context.program_events)
+    assert context.program_events[-1] == event, context.program_events
+
+
+@then('the entry\'s program answered a query by the rule "{rule}" before')
+def step_program_answered(context, rule):
+    assert context.program_answer["rule"] == rule, context.program_answer
+    assert context.program_answer["coverage"] == 1
+
+
+@given("the entry runs with its operators' side")
+def step_operators(context):
+    here = world(context)
+    here.call(here.start_entry)
+    context.operator_side = OperatorSide(here.entries[0])
+
+
+def _get(context, path):
+    async def get():
+        try:
+            return await context.operator_side.handle(HttpRequest("GET", path, {}, {}, b""))
+        except AlderhatchError as exc:
+            return exc.failure
+
+    return world(context).call(get)
+
+
+@when("an operator reads metrics, readiness and dump of the entry")
+def step_read(context):
+    context.operator_pages = {path: _get(context, path) for path in ("/metrics", "/ready", "/dump")}
+
+
+@then("the entry's metrics count {count:d} answered requests")
+def step_metrics(context, count):
+    page = context.operator_pages["/metrics"]
+    assert page.content_type.startswith("text/plain")
+    lines = [line for line in page.body.decode().splitlines() if "requests_total" in line]
+    counted = [line for line in lines if 'outcome="answered"' in line and 'rule="only"' in line]
+    assert len(counted) == 1 and float(counted[0].rsplit(" ", 1)[1]) == count, lines
+
+
+@then("the entry is ready")
+def step_ready(context):
+    assert context.operator_pages["/ready"].status == 200
+
+
+@then("the entry's dump names its upstream, snapshot and servers")
+def step_dump(context):
+    dump = orjson.loads(context.operator_pages["/dump"].body)
+    (line,) = dump["maps"]
+    assert line["upstream"] == "navigator" and line["snapshot"] == {"version": 1, "epoch": 1}
+    assert [item["server"] for item in dump["servers"]] == ["navigator-00-0", "navigator-01-0"]
+    assert dump["core"]["running"] == 0
+
+
+@then("after the stop has begun the entry is not ready")
+def step_not_ready(context):
+    world(context).entries[0].request_stop()
+    assert _get(context, "/ready").status == 503
--- a/src/alderhatch/entry/address_book.py
+++ b/src/alderhatch/entry/address_book.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from typing import NamedTuple
 
 from ..clock import Millis
@@ -42,13 +43,13 @@
         self.ttl = ttl
         self.roster: tuple[EntryAddress, ...] = ()
         """Every entry that control knows of; this one alone where there is no control."""
-        self.leaving: frozenset[tuple[str, int]] = frozenset()
-        """Addresses with ports that are leaving by any other source, this entry's own stop
-        included."""
+        self.platform_leaving: Collection[tuple[str, int]] = ()
+        """Addresses with ports that the platform says are leaving."""
+        self._left: set[tuple[str, int]] = set()
 
     def leave(self, address: str, port: int) -> None:
         """Name an entry in no answer from now on."""
-        self.leaving |= {(address, port)}
+        self._left.add((address, port))
 
     def answer(self, zone: str) -> list[WeightedAddress]:
         """Return the addresses for a caller, its own zone's first.
@@ -56,10 +57,11 @@
         Args:
             zone: The caller's availability zone; empty if it did not say.
         """
+        gone = self._left.union(self.platform_leaving)
         staying = [
             item
             for item in self.roster
-            if not item.leaving and (item.address, item.port) not in self.leaving
+            if not item.leaving and (item.address, item.port) not in gone
         ]
         # A caller whose answer were empty could not ask anybody any more, so the last ones are
         # named even though they leave: they still say truly that nothing ran.
--- a/src/alderhatch/entry/app.py
+++ b/src/alderhatch/entry/app.py
@@ -13,12 +13,15 @@
 from ..clock import SECOND, LoopClock, Millis
 from ..core.entry_events import StopRequested
 from ..core.rule_list import RuleList, parse_rules
+from ..errors import AlderhatchError, ErrorKind, Failure
 from ..http.messages import HttpLimits
 from ..http.server import serve_http
 from ..log import log_event
 from ..log_events import LogEvent
 from ..settings.models import EntrySettings
+from ..settings.secret import read_secret
 from .control_hook import ControlHookMaker
+from .control_link import ControlLink
 from .entry_node import EntryNode
 from .operator_side import OperatorSide
 
@@ -26,6 +29,9 @@
 """The revision of rules that were read from a file."""
 DRAIN_CHECK_EVERY: Millis = 10.0
 MAX_OPERATORS = 50
+ADDRESS_MARGIN: Millis = 250.0
+"""How much later than the time to live a caller may still connect by an answer: it was on its way
+for a moment, and so is the request."""
 
 
 async def run_entry(
@@ -49,7 +55,7 @@
         RuleFaultsError: If the file of rules has mistakes.
     """
     rules = _read_rules(cfg)
-    node = EntryNode(cfg, make_control=make_control)
+    node = EntryNode(cfg, make_control=make_control or _control_of(cfg))
     async with trio.open_nursery() as nursery:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             if rules is not None:
@@ -66,6 +72,16 @@
             nursery.cancel_scope.cancel()
 
 
+def _control_of(cfg: EntrySettings) -> ControlHookMaker | None:
+    if not cfg.controls:
+        return None
+    if cfg.secret_file is None:
+        raise AlderhatchError(
+            Failure(ErrorKind.BAD_REQUEST, "controls need a secret_file", "secret_file")
+        )
+    return partial(ControlLink, secret=read_secret(cfg.secret_file))
+
+
 def _read_rules(cfg: EntrySettings) -> RuleList | None:
     if cfg.controls or cfg.rules_file is None:
         return None
@@ -105,9 +121,15 @@
     end = clock.now() + node.cfg.drain_ms
     node.request_stop()
     node.leave_addresses()
-    await trio.sleep(node.cfg.address_ttl_ms / SECOND)
+    await trio.sleep((node.cfg.address_ttl_ms + ADDRESS_MARGIN) / SECOND)
     node.callers.closing = True
     node.feed(StopRequested())
     while node.callers.exchanges and clock.now() < end:
         await trio.sleep(DRAIN_CHECK_EVERY / SECOND)
-    log_event(LogEvent.ENTRY_STOPPED, name=node.cfg.name, cut_off=node.callers.exchanges)
+    cut_off = node.callers.exchanges
+    await node.say_goodbye()
+    # A caller's time to live starts when its answer arrives, and other entries name this one until
+    # control has told them. Whoever still comes is refused truly and told of the other addresses;
+    # a closed port would look like a lost request.
+    await trio.sleep(node.cfg.address_ttl_ms / SECOND)
+    log_event(LogEvent.ENTRY_STOPPED, name=node.cfg.name, cut_off=cut_off)
--- a/src/alderhatch/entry/connection_pool.py
+++ b/src/alderhatch/entry/connection_pool.py
@@ -90,6 +90,11 @@
             return self._default_share
         return self._shares.get(server_id, 0)
 
+    def within_shares(self) -> bool:
+        """Return whether no server may count more connections than its share."""
+        now = self._clock.now()
+        return all(conns.held(now) <= conns.share for conns in self._servers.values())
+
     def server_ids(self, upstream: str | None = None) -> list[str]:
         """Return the ids of the known servers, of one upstream or of all."""
         return [
--- a/src/alderhatch/entry/control_hook.py
+++ b/src/alderhatch/entry/control_hook.py
@@ -1,4 +1,4 @@
-"""What an entry asks of its link to the control hosts."""
+"""What an entry and its link to the control hosts ask of each other."""
 
 from __future__ import annotations
 
@@ -8,6 +8,8 @@
 import trio
 
 from ..core.entry_events import ClaimRun, EntryEvent, RecordOutcome, ReportCrash
+from ..core.shard_map import Server
+from ..settings.models import EntrySettings
 from .address_book import EntryAddress
 
 ControlEffect: TypeAlias = ClaimRun | RecordOutcome | ReportCrash
@@ -15,11 +17,21 @@
 
 
 class EntryHooks(Protocol):
-    """What the link to control may do to its entry."""
+    """What the link to control may see of its entry and do to it."""
+
+    cfg: EntrySettings
+    port: int
+    """The port that callers connect to; it listens by the time the link runs."""
 
     def feed(self, event: EntryEvent) -> None:
         """Tell the core what happened."""
 
+    def known_servers(self) -> Iterable[Server]:
+        """Return the servers of all shard maps."""
+
+    def within_shares(self) -> bool:
+        """Return whether no server may count more connections than the present share."""
+
     def set_roster(self, roster: Iterable[EntryAddress]) -> None:
         """Take the entries that callers may be told of."""
 
@@ -36,8 +48,11 @@
     def carry_out(self, effect: ControlEffect) -> None:
         """Begin what the core asked for; it must not wait."""
 
-    def leave(self) -> None:
-        """Tell control that this entry is stopping, so that nobody is sent to it."""
+    def servers_changed(self) -> None:
+        """Take note that a shard map has changed, so that new servers get their shares."""
+
+    async def leave(self) -> None:
+        """Say goodbye at the end of a planned stop, when no connection is open any more."""
 
 
 ControlHookMaker: TypeAlias = Callable[[EntryHooks], ControlHook]
--- /dev/null
+++ b/src/alderhatch/entry/control_link.py
@@ -0,0 +1,142 @@
+"""Turns what control says into events of the core, and what the core asks for into claims."""
+
+from __future__ import annotations
+
+import uuid
+from functools import partial
+
+import trio
+
+from ..clock import LoopClock, Millis
+from ..core.control.entry_lease import EntryIdentity
+from ..core.control.operations import ClaimStatus
+from ..core.entry_events import (
+    Claim,
+    ClaimDecided,
+    ClaimRun,
+    LeaseChanged,
+    RecordOutcome,
+    ReportCrash,
+    RulesChanged,
+    ServersLeaving,
+)
+from ..errors import AlderhatchError, Ran
+from .address_book import EntryAddress
+from .control_client import ControlClient
+from .control_hook import ControlEffect, EntryHooks
+
+CONTROL = "control"
+LOOK_EVERY: Millis = 50.0
+LEAVE_TIMEOUT: Millis = 2000.0
+NEVER: Millis = 0.0
+
+_CLAIMS = {
+    ClaimStatus.GRANTED: Claim.GRANTED,
+    ClaimStatus.STORED: Claim.DONE,
+    ClaimStatus.IN_PROGRESS: Claim.IN_PROGRESS,
+    ClaimStatus.OUTCOME_UNKNOWN: Claim.OUTCOME_UNKNOWN,
+    ClaimStatus.REUSED: Claim.ID_REUSED,
+    ClaimStatus.TOO_OLD: Claim.ID_TOO_OLD,
+}
+
+
+class ControlLink:
+    """The entry's link to the control hosts.
+
+    Args:
+        entry: The entry.
+        secret: The secret shared by our own processes.
+    """
+
+    def __init__(self, entry: EntryHooks, secret: bytes) -> None:
+        self._entry = entry
+        self._secret = secret
+        self._clock = LoopClock()
+        self._client: ControlClient | None = None
+        self._nursery: trio.Nursery | None = None
+        self._lease: LeaseChanged | None = None
+        self._revision = 0
+        self._leaving: frozenset[str] = frozenset()
+
+    @property
+    def client(self) -> ControlClient:
+        """The client; there is one from the start of ``run`` on."""
+        assert self._client is not None
+        return self._client
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Keep the link until cancelled."""
+        cfg = self._entry.cfg
+        me = EntryIdentity(
+            cfg.name, uuid.uuid4().hex, cfg.zone, cfg.callers.address, self._entry.port
+        )
+        self._client = ControlClient(me, cfg.controls, self._secret, self._clock)
+        # Until the first lease is there, the core must not take the entry for one without control.
+        self._entry.feed(LeaseChanged(NEVER, {}, frozenset()))
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await nursery.start(self._client.run)
+            task_status.started()
+            while True:
+                self._look()
+                await self._client.changed.wait_for(LOOK_EVERY)
+
+    def servers_changed(self) -> None:
+        """Take note that a shard map has changed, so that new servers get their shares."""
+        if self._client is not None:
+            self._look()
+
+    def _look(self) -> None:
+        """Tell the core what is new."""
+        view = self.client.view
+        if view.revision > self._revision:
+            self._revision = view.revision
+            self._entry.feed(RulesChanged(view.revision, view.rules))
+        if self.client.leaving_server_ids != self._leaving:
+            self._leaving = self.client.leaving_server_ids
+            self._entry.feed(ServersLeaving(CONTROL, self._leaving))
+        self._renew()
+        self._entry.set_roster(
+            EntryAddress(row.address, row.port, row.zone, row.leaving)
+            for row in view.roster.values()
+        )
+        if self.client.stop_planned:
+            self._entry.request_stop()
+
+    def _renew(self) -> None:
+        shares = {
+            server.server_id: self.client.connection_limit(server.max_connections)
+            for server in self._entry.known_servers()
+        }
+        lease = LeaseChanged(self.client.serve_until, shares, self.client.view.quarantines)
+        if lease != self._lease:
+            self._lease = lease
+            self._entry.feed(lease)
+        if self._entry.within_shares():
+            self.client.shares_settled()
+
+    def carry_out(self, effect: ControlEffect) -> None:
+        """Begin what the core asked for."""
+        match effect:
+            case ClaimRun():
+                assert self._nursery is not None
+                self._nursery.start_soon(partial(self._claim, effect))
+            case RecordOutcome(ran=Ran.NOT_RUN, caller=caller, request_id=request_id):
+                self.client.release_claim(caller, request_id)
+            case RecordOutcome(caller=caller, request_id=request_id, outcome=outcome):
+                self.client.record_outcome(caller, request_id, outcome)
+            case ReportCrash(fingerprint=fingerprint, server_id=server_id):
+                self.client.report_crash(fingerprint, server_id)
+
+    async def _claim(self, claim: ClaimRun) -> None:
+        try:
+            answer = await self.client.claim(claim.caller, claim.request_id, claim.fingerprint)
+        except AlderhatchError:
+            self._entry.feed(ClaimDecided(claim.query, Claim.UNAVAILABLE))
+            return
+        decided = _CLAIMS.get(answer.status, Claim.UNAVAILABLE)
+        self._entry.feed(ClaimDecided(claim.query, decided, answer.outcome))
+
+    async def leave(self) -> None:
+        """Say goodbye, so that the other entries get this one's share at once."""
+        await self.client.leave(LEAVE_TIMEOUT)
--- a/src/alderhatch/entry/entry_node.py
+++ b/src/alderhatch/entry/entry_node.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from ..clock import LoopClock
+from ..clock import LoopClock, Millis
 from ..core.entry_core import EntryCore
 from ..core.entry_events import (
     CallerGone,
@@ -19,9 +19,11 @@
     ClaimRun,
     EntryEffect,
     EntryEvent,
+    FetchShardMap,
     Finish,
     LeaseChanged,
     Outcome,
+    ProbeServer,
     QueryArrived,
     RecordOutcome,
     Refused,
@@ -35,7 +37,7 @@
 )
 from ..core.request import Request
 from ..core.rule_list import RuleList
-from ..core.shard_map import ShardMap
+from ..core.shard_map import Server, ShardMap
 from ..errors import ErrorKind, Failure
 from ..http.messages import HttpLimits
 from ..http.server import ServeState, serve_http
@@ -49,13 +51,14 @@
 from .control_hook import ControlEffect, ControlHook, ControlHookMaker
 from .entry_metrics import EntryMetrics
 from .health_poller import HealthPoller
-from .lease_watch import LeaseWatch
 from .map_poller import MapPoller
 from .platform_poller import PlatformPoller
 from .upstream_lists import PlatformHost
 from .wake_timer import WakeTimer
 
 PLATFORM = "platform"
+FOREVER: Millis = float("inf")
+"""The end of the lease of an entry that runs without control."""
 
 
 class EntryNode:
@@ -72,17 +75,20 @@
     ) -> None:
         self.cfg = cfg
         self._clock = LoopClock()
-        self.core = EntryCore(cfg.name, Random(f"{cfg.name}/{seed}"))
+        self.core = EntryCore(cfg.name, Random(f"{cfg.name}/{seed}"), cfg.zone)
         self.pool = ConnectionPool(cfg.connections_per_server, cfg.progress_timeout_ms)
         self.attempts = AttemptRunner(self.pool, self.feed)
         self.addresses = AddressBook(cfg.address_ttl_ms)
         self.upstreams = frozenset(upstream.name for upstream in cfg.upstreams)
         self.callers = ServeState()
         self.maps = [MapPoller(upstream, self.pool, self._adopt) for upstream in cfg.upstreams]
+        self._probers = [
+            HealthPoller(upstream, self.pool, partial(getattr, poller, "newest"), self.feed)
+            for upstream, poller in zip(cfg.upstreams, self.maps, strict=True)
+        ]
         self.stop_requested = trio.Event()
         """Set once somebody wants a planned stop."""
         self._control: ControlHook | None = make_control(self) if make_control else None
-        self._lease = LeaseWatch(self.pool)
         self._timer = WakeTimer(partial(self.feed, Woke()))
         self._waiting: dict[int, Callable[[Outcome], None]] = {}
         self._last_query = 0
@@ -109,10 +115,9 @@
             await nursery.start(self.pool.run)
             await nursery.start(self.attempts.run)
             nursery.start_soon(self._timer.run)
-            nursery.start_soon(self._lease.run)
-            await self._start_pollers(nursery)
             if self._control is not None:
                 await nursery.start(self._control.run)
+            await self._start_pollers(nursery)
             await nursery.start(serve)
             log_event(LogEvent.ENTRY_STARTED, name=self.cfg.name, port=self.port)
             task_status.started()
@@ -131,10 +136,10 @@
         async with trio.open_nursery() as first:
             for poller in self.maps:
                 first.start_soon(poller.fetch)
-        for upstream, poller in zip(self.cfg.upstreams, self.maps, strict=True):
+        for poller in self.maps:
             nursery.start_soon(poller.run)
-            newest = partial(getattr, poller, "newest")
-            nursery.start_soon(HealthPoller(upstream, self.pool, newest, self.feed).run)
+        for prober in self._probers:
+            nursery.start_soon(prober.run)
         platform = self.cfg.platform
         if platform is not None:
             poll = PlatformPoller(platform, self.cfg.platform_poll_ms, self._take_hosts)
@@ -153,10 +158,23 @@
         self.stop_requested.set()
 
     def leave_addresses(self) -> None:
-        """Have nobody sent here from now on, while requests are still served."""
+        """Name this entry to no caller from now on, while requests are still served."""
         self.addresses.leave(self.cfg.callers.address, self.port)
+
+    async def say_goodbye(self) -> None:
+        """Close what is idle and tell control that this entry is gone, if there is control."""
+        self.pool.set_shares({})
         if self._control is not None:
-            self._control.leave()
+            await self._control.leave()
+
+    def known_servers(self) -> list[Server]:
+        """Return the servers of all shard maps."""
+        maps = [poller.newest for poller in self.maps if poller.newest is not None]
+        return [server for shard_map in maps for server in shard_map.servers]
+
+    def within_shares(self) -> bool:
+        """Return whether no server may count more connections than the present share."""
+        return self.pool.within_shares()
 
     async def outcome_of(self, request: Request) -> Outcome:
         """Run one request; if the caller of this is cancelled, so is the request."""
@@ -197,7 +215,7 @@
 
     def _step(self, event: EntryEvent) -> None:
         if isinstance(event, LeaseChanged):
-            self._lease.renew(event.serve_until, event.shares)
+            self.pool.set_shares(event.shares)
         try:
             effects = self.core.step(event, self._clock.now())
         except Exception as exc:
@@ -223,6 +241,12 @@
                 self._finish(query, outcome)
             case ClaimRun() | RecordOutcome() | ReportCrash():
                 self._ask_control(effect)
+            case ProbeServer(server_id=server_id):
+                for prober in self._probers:
+                    prober.hurry(server_id)
+            case FetchShardMap(upstream=upstream):
+                for poller in self.maps:
+                    poller.hurry(upstream)
 
     def _finish(self, query: int, outcome: Outcome) -> None:
         finish = self._waiting.pop(query, None)
@@ -242,8 +266,19 @@
         gone = [item for item in self.pool.server_ids(shard_map.upstream) if item not in known]
         self.pool.adopt(shard_map.upstream, shard_map.servers, gone)
         self.feed(ShardMapFetched(shard_map))
+        self._share_out()
         self._tell_leaving()
 
+    def _share_out(self) -> None:
+        if self._control is not None:
+            self._control.servers_changed()
+            return
+        most = self.cfg.connections_per_server
+        shares = {
+            server.server_id: min(most, server.max_connections) for server in self.known_servers()
+        }
+        self.feed(LeaseChanged(FOREVER, shares, frozenset()))
+
     def _take_hosts(self, hosts: list[PlatformHost]) -> None:
         self._hosts = [host for host in hosts if host.leaving]
         self._tell_leaving()
@@ -251,10 +286,14 @@
     def _tell_leaving(self) -> None:
         leaving = frozenset(
             server.server_id
-            for poller in self.maps
-            for server in (poller.newest.servers if poller.newest is not None else ())
+            for server in self.known_servers()
             if any(host.names(server.address, server.port) for host in self._hosts)
         )
+        self.addresses.platform_leaving = [
+            (item.address, item.port)
+            for item in self.addresses.roster
+            if any(host.names(item.address, item.port) for host in self._hosts)
+        ]
         if leaving != self._leaving:
             self._leaving = leaving
             self.feed(ServersLeaving(PLATFORM, leaving))
--- a/src/alderhatch/entry/health_poller.py
+++ b/src/alderhatch/entry/health_poller.py
@@ -46,19 +46,36 @@
         self._current_map = current_map
         self._report = report
         self._probing: set[str] = set()
+        self._nursery: trio.Nursery | None = None
+
+    def hurry(self, server_id: str) -> None:
+        """Probe a server now, if it is one of this upstream's."""
+        shard_map = self._current_map()
+        if shard_map is not None and server_id in shard_map.by_server_id:
+            self._start(server_id)
+
+    def _start(self, server_id: str) -> None:
+        if self._nursery is not None and server_id not in self._probing:
+            self._nursery.start_soon(self._probe, server_id)
 
     async def run(self) -> None:
         """Probe until cancelled."""
         async with trio.open_nursery() as nursery:
-            while True:
-                shard_map = self._current_map()
-                servers = shard_map.servers if shard_map is not None else ()
-                for server in servers:
-                    if server.server_id not in self._probing:
-                        nursery.start_soon(self._probe, server.server_id)
-                    await trio.sleep(self._cfg.health_poll_ms / SECOND / len(servers))
-                if not servers:
-                    await trio.sleep(self._cfg.health_poll_ms / SECOND)
+            self._nursery = nursery
+            try:
+                await self._take_turns()
+            finally:
+                self._nursery = None
+
+    async def _take_turns(self) -> None:
+        while True:
+            shard_map = self._current_map()
+            servers = shard_map.servers if shard_map is not None else ()
+            for server in servers:
+                self._start(server.server_id)
+                await trio.sleep(self._cfg.health_poll_ms / SECOND / len(servers))
+            if not servers:
+                await trio.sleep(self._cfg.health_poll_ms / SECOND)
 
     async def _probe(self, server_id: str) -> None:
         self._probing.add(server_id)
--- a/src/alderhatch/entry/map_poller.py
+++ b/src/alderhatch/entry/map_poller.py
@@ -38,17 +38,28 @@
         self._pool = pool
         self._adopt = adopt
         self.newest: ShardMap | None = None
-        self._next = 0
+        self._hurry = trio.Event()
 
     async def run(self) -> None:
-        """Fetch the map at its interval until cancelled."""
+        """Fetch the map at its interval, or as soon as it is needed, until cancelled."""
         while True:
-            await trio.sleep(self._cfg.map_poll_ms / SECOND)
+            with trio.move_on_after(self._cfg.map_poll_ms / SECOND):
+                await self._hurry.wait()
+            self._hurry = trio.Event()
             await self.fetch()
 
+    def hurry(self, upstream: str) -> None:
+        """Fetch the map of an upstream now, if it is this one."""
+        if upstream == self.upstream:
+            self._hurry.set()
+
     async def fetch(self) -> None:
         """Ask the seeds and the known servers in turn until one gives a valid map."""
         for endpoint in self._endpoints():
+            server_id = self._server_at(endpoint)
+            if server_id is not None and self._pool.share_of(server_id) == 0:
+                # Without a lease, or on its way out, the entry has no business there.
+                continue
             try:
                 reply = await self._get(endpoint)
                 if reply.status != OK:
--- a/src/alderhatch/entry/operator_side.py
+++ b/src/alderhatch/entry/operator_side.py
@@ -4,6 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+import trio
+
+from ..clock import SECOND
 from ..errors import AlderhatchError, ErrorKind, Failure
 from ..http.messages import HttpRequest, HttpResponse, json_response
 
@@ -72,6 +75,7 @@
             "counts": self._counts(),
             "maps": [self._map_line(poller.upstream) for poller in node.maps],
             "servers": self._server_lines(),
+            "core": node.core.dump(trio.current_time() * SECOND),
             "roster": [item._asdict() for item in node.addresses.roster[:MAX_SHOWN]],
         }
 
--- a/src/alderhatch/http/client.py
+++ b/src/alderhatch/http/client.py
@@ -15,8 +15,8 @@
 READ_BYTES = 65_536
 MAX_REPLY_HEAD_BYTES = 16_384
 MAX_REPLY_BODY_BYTES = 4 * 1024 * 1024
-MAX_INFORMATIONAL = 8
-"""1xx responses that may come before the real one."""
+MAX_INFORMATIONAL = 256
+"""1xx responses that may come before the real one; servers show by them that they are at work."""
 KEEPALIVE_IDLE_S = 10
 KEEPALIVE_INTERVAL_S = 5
 KEEPALIVE_PROBES = 3
--- a/src/alderhatch/standin/standin_connection.py
+++ b/src/alderhatch/standin/standin_connection.py
@@ -8,11 +8,12 @@
 import h11
 import trio
 
-from ..clock import SECOND
-from .garbled_answer import RawAnswer
+from ..clock import SECOND, Millis
+from .garbled_answer import PROCESSING, RawAnswer
 from .server_faults import FrozenSide
 
 READ_BYTES = 65_536
+PROGRESS_EVERY: Millis = 200.0
 
 
 class Ask(NamedTuple):
@@ -92,6 +93,7 @@
         answer: RawAnswer | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch, nursery.cancel_scope)
+            nursery.start_soon(self._show_progress)
             answer = await self._handler(ask)
             nursery.cancel_scope.cancel()
         return answer
@@ -104,6 +106,12 @@
                 self.cancelled += 1
                 scope.cancel()
 
+    async def _show_progress(self) -> None:
+        while True:
+            await trio.sleep(PROGRESS_EVERY / SECOND)
+            if self.frozen is not FrozenSide.WRITE:
+                await self._stream.send_all(PROCESSING)
+
     async def _until_closed(self) -> None:
         try:
             while await self._stream.receive_some(READ_BYTES):
--- a/src/alderhatch/standin/standin_platform.py
+++ b/src/alderhatch/standin/standin_platform.py
@@ -20,6 +20,8 @@
         self.port = 0
         self.states: dict[int, str] = {}
         """``live`` or ``leaving`` for each port on loopback."""
+        self.asked = 0
+        """How often the list was fetched."""
         self.broken = False
         """Answers with something that is no list."""
 
@@ -34,6 +36,7 @@
     async def _handle(self, req: HttpRequest) -> HttpResponse:
         if (req.method, req.path) != ("GET", "/hosts"):
             raise AlderhatchError(Failure(ErrorKind.NOT_FOUND, f"nothing at {req.path}"))
+        self.asked += 1
         if self.broken:
             return json_response(200, {"hosts": "all of them"})
         hosts = [
