--- a/src/alderhatch/control/control_server.py
+++ b/src/alderhatch/control/control_server.py
@@ -71,17 +71,15 @@
 
     async def run(
         self,
-        link_listeners: list[trio.SocketListener] | None = None,
         task_status: trio.TaskStatus[ControlAddresses] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve until cancelled.
 
         Args:
-            link_listeners: Open listeners for links; made from the settings if none are given.
             task_status: Told the ports when the host listens.
         """
         cfg = self._cfg
-        links = link_listeners or await listen(cfg.links.address, cfg.links.port)
+        links = await listen(cfg.links.address, cfg.links.port)
         operators = await listen(cfg.operators.address, cfg.operators.port)
         addresses = ControlAddresses(_port(links), _port(operators))
         me = Peer(cfg.name, "control")
