--- a/src/alderhatch/entry/connection_pool.py
+++ b/src/alderhatch/entry/connection_pool.py
@@ -228,18 +228,23 @@
 
     async def _sweep(self) -> None:
         try:
+            swept_at = self._clock.now()
             while True:
                 await trio.sleep(SWEEP_EVERY / SECOND)
-                self._sweep_once()
+                now = self._clock.now()
+                # While this process itself stood still, nobody read what had come. Without the
+                # allowance, one stall would drop every connection that was busy as silent.
+                stall = max(0.0, now - swept_at - SWEEP_EVERY)
+                self._sweep_once(now, stall)
+                swept_at = now
         finally:
             # The nursery closes after its last task. Exchanges that end later, while the entry is
             # on its way down, still give connections back and must open no new ones.
             self._nursery = None
 
-    def _sweep_once(self) -> None:
-        now = self._clock.now()
+    def _sweep_once(self, now: Millis, stall: Millis) -> None:
         for server_id, conns in list(self._servers.items()):
-            conns.drop_silent(now - self._progress_timeout, now)
+            conns.drop_silent(now - self._progress_timeout - stall, now)
             conns.drop_old(now - MAX_AGE, now)
             self._grow(conns)
             if conns.retired_at is not None and conns.retired_at + RETIRE_AFTER <= now:
