The whole tier as separate processes, killed, frozen and stopped

Cause: what must always hold has to be shown on the real programs, not only on their cores. Change: a feature that starts control hosts and entries as processes of an address of their own in 127.0.0.0/8, with the stand-in upstream in the test: end to end, leader killed, leader frozen for long, power cut, entry killed during a dispatch, planned stop under load, control out of reach.

--- /dev/null
+++ b/features/steps/processes_steps.py
@@ -0,0 +1,230 @@
+from __future__ import annotations
+
+import signal
+import tempfile
+import threading
+
+from behave import given, then, when
+
+from features.support.tier_processes import Tier, until
+
+
+@given("the programs of a tier with {controls:d} control hosts and {entries:d} entries run")
+def step_tier(context, controls, entries):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.tier = Tier(folder.name, controls, entries)
+    context.add_cleanup(context.tier.close)
+    context.rule_count = 0
+    context.victim = None
+    context.tier.start()
+
+
+@given("each server of the tier's upstream takes {span:d} ms longer")
+def step_slow(context, span):
+    for server in context.tier.upstream.upstream.servers:
+        server.faults.straggle_ms = float(span)
+
+
+@when("each entry of the tier is asked a query")
+def step_ask_each(context):
+    context.answers = [context.tier.query(name, "route") for name in context.tier.entries]
+
+
+@then("each of the tier's answers covers every index and names one snapshot")
+def step_whole(context):
+    for reply in context.answers:
+        assert reply is not None and reply.status == 200, reply
+        assert reply.body["coverage"] == 1.0 and reply.body["missing"] == [], reply
+        assert reply.body["snapshot"] == {"version": 1, "epoch": 1}, reply
+        assert len(reply.body["rows"]) > 0
+
+
+@when('entry "{entry}" of the tier runs dispatch "{request_id}"')
+def step_dispatch(context, entry, request_id):
+    context.first = context.tier.run(entry, request_id)
+    assert context.first is not None and context.first.status == 200, context.first
+
+
+@when('entry "{entry}" of the tier is sent dispatch "{request_id}" again')
+def step_dispatch_again(context, entry, request_id):
+    context.second = context.tier.run(entry, request_id)
+
+
+@then("both of the tier's answers to the dispatch are the same")
+def step_same(context):
+    assert context.second is not None and context.second.status == 200, context.second
+    assert context.second.body["rows"] == context.first.body["rows"]
+    assert context.second.body["snapshot"] == context.first.body["snapshot"]
+
+
+@then('the tier\'s upstream ran dispatch "{request_id}" {count:d} time')
+def step_runs(context, request_id, count):
+    runs = context.tier.upstream.runs_of(request_id)
+    assert len(runs) == count, runs
+
+
+@then('the tier\'s upstream ran dispatch "{request_id}" at most {count:d} time')
+def step_runs_at_most(context, request_id, count):
+    runs = context.tier.upstream.runs_of(request_id)
+    assert len(runs) <= count, runs
+
+
+@given("{count:d} rules were accepted by the tier")
+@when("{count:d} more rules are accepted by the tier")
+def step_add_rules(context, count):
+    among = [name for name in context.tier.controls if name != context.victim]
+    for _ in range(count):
+        context.rule_count += 1
+        last = context.tier.add_rule(f"rule-{context.rule_count}", among, wait=False)
+    context.revision = last["revision"]
+
+
+@when("the tier's leading control host is {what}")
+def step_hurt_leader(context, what):
+    context.victim = context.tier.leader()
+    program = context.tier.controls[context.victim]
+    if what == "killed":
+        program.kill()
+    else:
+        assert what == "frozen", what
+        program.send(signal.SIGSTOP)
+
+
+@when("the tier's killed control host is started again")
+def step_restart(context):
+    context.tier.controls[context.victim].start()
+
+
+@when("the tier's frozen control host wakes")
+def step_wake(context):
+    context.tier.controls[context.victim].send(signal.SIGCONT)
+
+
+@then("all control hosts of the tier come to the same {count:d} rules")
+def step_same_rules(context, count):
+    expected = [f"rule-{number}" for number in range(count, 0, -1)]
+    for name in context.tier.controls:
+        rules = until(
+            lambda name=name: context.tier.rules(name) == (context.revision, expected),
+            f"{name} has {count} rules at revision {context.revision}",
+        )
+        assert rules
+
+
+@then("the tier's revision is what it was")
+def step_revision(context):
+    assert context.tier.revision(context.tier.leader()) == context.revision
+
+
+@then("each entry of the tier answers a query")
+def step_each_answers(context):
+    for name in context.tier.entries:
+        until(lambda name=name: context.tier.serves(name), f"{name} answers")
+
+
+@when("all processes of the tier are killed and started again")
+def step_power_cut(context):
+    for program in context.tier.programs.values():
+        program.kill()
+    for program in context.tier.programs.values():
+        program.start()
+    context.tier.leader()
+
+
+@when('entry "{entry}" of the tier is killed while dispatch "{request_id}" runs')
+def step_kill_entry(context, entry, request_id):
+    caller = threading.Thread(target=context.tier.run, args=(entry, request_id))
+    caller.start()
+    until(lambda: context.tier.upstream.runs_of(request_id), "the dispatch reached a server")
+    context.tier.entries[entry].kill()
+    caller.join()
+
+
+@when('entry "{entry}" of the tier is sent dispatch "{request_id}" until it answers for good')
+def step_resend(context, entry, request_id):
+    def final():
+        reply = context.tier.run(entry, request_id)
+        if reply is None or reply.body.get("error") in ("in_progress", "ledger_unavailable"):
+            return None
+        return reply
+
+    context.last = until(final, "a final answer to the dispatch")
+
+
+@then("the tier's last answer to the dispatch says that it may have run")
+def step_unknown(context):
+    assert context.last.status == 504, context.last
+    assert context.last.body["error"] == "outcome_unknown", context.last
+    assert context.last.body["ran"] == "unknown", context.last
+
+
+@when('entry "{entry}" of the tier is stopped while callers ask it without pause')
+def step_stop_under_load(context, entry):
+    context.replies = []
+    context.stopped = entry
+    program = context.tier.entries[entry]
+    program_done = threading.Event()
+
+    def caller():
+        while not program_done.is_set():
+            reply = context.tier.query(entry, "route")
+            if reply is None and not program.alive:
+                return
+            context.replies.append(reply)
+
+    callers = [threading.Thread(target=caller) for _ in range(4)]
+    for thread in callers:
+        thread.start()
+    until(lambda: len(context.replies) >= 20, "twenty answers")
+    program.send(signal.SIGTERM)
+    context.exit_code = program.wait()
+    program_done.set()
+    for thread in callers:
+        thread.join()
+
+
+@then("the entry of the tier exits with code {code:d}")
+def step_exit_code(context, code):
+    assert context.exit_code == code, context.tier.entries[context.stopped].log()
+
+
+@then("every query sent to it in the tier was answered whole or truly refused as not run")
+def step_nothing_cut_off(context):
+    whole = [reply for reply in context.replies if reply is not None and reply.status == 200]
+    other = [reply for reply in context.replies if reply is None or reply.status != 200]
+    assert len(whole) >= 20
+    for reply in whole:
+        assert reply.body["coverage"] == 1.0, reply
+    for reply in other:
+        # No connection at all is a refusal too: the process had ended or its door was closed.
+        assert reply is None or reply.body["ran"] == "not_run", reply
+
+
+@when("all control hosts of the tier are frozen")
+def step_freeze_all(context):
+    for program in context.tier.controls.values():
+        program.send(signal.SIGSTOP)
+
+
+@then('soon each entry of the tier refuses queries with "{error}"')
+def step_lease_expired(context, error):
+    for name in context.tier.entries:
+
+        def refused(name=name):
+            reply = context.tier.query(name, "route")
+            return reply is not None and reply.body.get("error") == error and reply
+
+        reply = until(refused, f"{name} refuses")
+        assert reply.body["ran"] == "not_run" and reply.body["resend"] == "other_entry", reply
+
+
+@when("all frozen control hosts of the tier wake")
+def step_wake_all(context):
+    for program in context.tier.controls.values():
+        program.send(signal.SIGCONT)
+
+
+@then("soon each entry of the tier answers again")
+def step_again(context):
+    step_each_answers(context)
