--- a/features/support/raft_schedule.py
+++ b/features/support/raft_schedule.py
@@ -8,8 +8,9 @@
 
 from alderhatch.core.raft.effects import Role
 from alderhatch.core.raft.events import AddLearner, Promote, Remove, TransferLeadership
+from alderhatch.core.raft.raft_config import RaftConfig
 
-from .raft_cluster import Cluster
+from .raft_cluster import CFG, Cluster
 
 KINDS = (
     "propose",
@@ -36,6 +37,31 @@
     "remove",
 )
 
+ROUGH_KINDS = (
+    "propose",
+    "propose",
+    "bounce",
+    "bounce",
+    "bounce_all",
+    "bounce_all",
+    "bounce_writing",
+    "isolate",
+    "cut_one_way",
+    "heal",
+    "heal",
+    "weather",
+    "slow_disk",
+    "transfer",
+    "replace",
+    "promote",
+    "promote",
+    "remove",
+    "read",
+)
+"""Hosts restart at once and often, so that more happens in the same time."""
+ROUGH_SEEDS = 1_000_000
+"""Seeds from here on use the rough kinds, and keep next to nothing behind a snapshot."""
+ROUGH_CFG = CFG._replace(compact_entries=4, keep_entries=1, max_inflight=2, chunk_bytes=40)
 WAITS = (0, 3, 5, 8, 20, 100, 400, 1500)
 
 
@@ -51,10 +77,10 @@
     """How many milliseconds pass afterwards."""
 
 
-def random_actions(random: Random, count: int) -> list[Action]:
+def random_actions(random: Random, count: int, kinds: tuple[str, ...] = KINDS) -> list[Action]:
     return [
         Action(
-            random.choice(KINDS),
+            random.choice(kinds),
             random.randint(0, 20),
             random.randint(0, 100),
             random.choice(WAITS),
@@ -63,8 +89,8 @@
     ]
 
 
-def run_schedule(seed: int, size: int, actions: list[Action]) -> Cluster:
-    cluster = Cluster(size, seed)
+def run_schedule(seed: int, size: int, actions: list[Action], cfg: RaftConfig = CFG) -> Cluster:
+    cluster = Cluster(size, seed, cfg)
     cluster.run(800)
     for number, action in enumerate(actions):
         _do(cluster, action, number)
@@ -77,8 +103,11 @@
 def run_seed(seed: int) -> Cluster:
     """Run the schedule, and the size of cluster, that a seed stands for."""
     random = Random(seed)
-    actions = random_actions(random, random.randint(10, 120))
-    return run_schedule(seed, random.choice((3, 5, 7)), actions)
+    is_rough = seed >= ROUGH_SEEDS
+    kinds = ROUGH_KINDS if is_rough else KINDS
+    actions = random_actions(random, random.randint(10, 120), kinds)
+    cfg = ROUGH_CFG if is_rough else CFG
+    return run_schedule(seed, random.choice((3, 5, 7)), actions, cfg)
 
 
 def _do(cluster: Cluster, action: Action, number: int) -> None:
@@ -108,6 +137,9 @@
                     _bounce(cluster, host.member.member_id)
             if action.amount % 3 == 0 and leader is not None:
                 cluster.isolate(leader_id)
+        case "bounce_all":
+            for host in cluster.running():
+                _bounce(cluster, host.member.member_id)
         case "bounce" if is_up:
             _bounce(cluster, chosen)
         case "start":
