An election waits for the disks that its votes are written to

Cause: with disks that take longer for a write than an election timeout, each attempt ended the one before, and nobody led. Ruled out: lost pre-votes (they were granted each time). A member doesn't stand while a vote of its own is being written, and waits twice that time more for the others'.

--- a/features/raft.feature
+++ b/features/raft.feature
@@ -133,6 +133,14 @@
     Then the raft term rose by at most 0
     And all raft members have the same state, with every acknowledged command
 
+  Scenario: The leader is lost while every disk is slow
+    # A vote counts only once it is on disk. With disks that need longer for that than a member
+    # waits before it stands for election again, every attempt would end the one before, and there
+    # would be no leader for as long as the disks are slow.
+    Given a raft cluster of 5 members with 5 commands
+    When every raft disk takes up to 1500 ms for a write and the leader is lost
+    Then another raft member leads within 12000 ms
+
   Scenario: A link breaks in the middle of a snapshot
     # A host that was away for long is sent the whole state. If each broken link began it anew, a
     # host behind a bad line would never catch up.
--- a/features/steps/raft_steps.py
+++ b/features/steps/raft_steps.py
@@ -390,6 +390,15 @@
     cluster.run(10 * span)
 
 
+@when("every raft disk takes up to {span:d} ms for a write and the leader is lost")
+def step_slow_election(context, span):
+    cluster = context.raft
+    for host in cluster.hosts.values():
+        host.persist_delay = span / 10
+    context.raft_old = _leader_id(cluster)
+    cluster.crash(context.raft_old)
+
+
 @when("a raft follower misses 200 commands and each 2nd piece of its snapshot is lost")
 def step_snapshot_pieces(context):
     cluster = context.raft
--- a/src/alderhatch/core/raft/_election.py
+++ b/src/alderhatch/core/raft/_election.py
@@ -49,10 +49,9 @@
         return [one for one in self._state.membership.voter_ids if one != own]
 
     def on_pre_vote_granted(self, sender: str, term: int) -> None:
-        """Count a pre-vote; with a majority of them the second round begins."""
+        """Count a pre-vote."""
         if self.is_pre_vote and term == self._state.term + 1:
             self._granted.add(sender)
-            self.advance()
 
     def on_vote_granted(self, sender: str) -> None:
         """Count a vote."""
@@ -64,10 +63,16 @@
         if not self.is_pre_vote and self._state.persisted_number >= self._vote_number:
             self._granted.add(self._state.member_id)
 
-    def advance(self) -> None:
-        """Go from the first round to the second if a majority would vote for this member."""
-        if self.is_pre_vote and self._has_majority:
-            self._ask_votes()
+    def advance(self) -> bool:
+        """Go from the first round to the second if a majority would vote for this member.
+
+        Returns:
+            Whether the second round has begun just now.
+        """
+        if not (self.is_pre_vote and self._has_majority):
+            return False
+        self._ask_votes()
+        return True
 
     @property
     def is_won(self) -> bool:
--- a/src/alderhatch/core/raft/raft_node.py
+++ b/src/alderhatch/core/raft/raft_node.py
@@ -91,6 +91,8 @@
         # a new leader could be elected while the old one's lease still holds.
         self._heard_at = now
         self._deadline = now if self._is_alone else now + self._election_delay()
+        self._vote_number = 0
+        self._vote_asked_at = now
         self._told_role: tuple[Role, int, str | None] = (self.role, self.term, None)
         self._told_membership = self.membership
 
@@ -242,7 +244,8 @@
 
     def _settle(self, now: Millis) -> None:
         if self._election is not None:
-            self._election.advance()
+            if self._election.advance():
+                self._on_vote_issued(now)
             if self._election.is_won:
                 self._become_leader(now)
         self._state.maybe_take_snapshot()
@@ -260,11 +263,31 @@
                 self._become_follower(self.term, None, now)
                 return
             self._leadership.tick(now)
+        elif self._is_writing_vote:
+            self._deadline = max(self._deadline, now + self._cfg.heartbeat)
         elif self._state.is_voter and now >= self._deadline:
             self._stand(now, transfer=False)
 
+    @property
+    def _is_writing_vote(self) -> bool:
+        return self._state.persisted_number < self._vote_number
+
+    def _on_vote_issued(self, now: Millis) -> None:
+        self._vote_number = self._state.issued_number
+        self._vote_asked_at = now
+
+    def _on_vote_written(self, now: Millis) -> None:
+        # The others' disks may be as slow as this one. A member that stood again before their
+        # votes can be there would end its own election, and with slow disks all round nobody
+        # would ever lead.
+        span = now - self._vote_asked_at
+        self._deadline = max(self._deadline, now + self._election_delay() + 2 * span)
+
     def _on_persisted(self, number: int, now: Millis) -> None:
+        was_writing_vote = self._is_writing_vote
         self._state.on_persisted(number)
+        if was_writing_vote and not self._is_writing_vote:
+            self._on_vote_written(now)
         if self._election is not None:
             self._election.on_persisted()
         if self._leadership is not None:
@@ -289,6 +312,8 @@
         self._leader = None
         self._deadline = now + self._election_delay()
         self._election = Election(self._state, transfer)
+        if transfer:
+            self._on_vote_issued(now)
 
     def _become_leader(self, now: Millis) -> None:
         self._election = None
@@ -386,4 +411,5 @@
             return
         self._state.set_hard_state(self.term, sender)
         self._deadline = now + self._election_delay()
+        self._on_vote_issued(now)
         self._state.send_persisted(sender, VoteReply(self.term, True))
