Core: a suspect's canary is waited for; waits bounded; no copies behind a queue

Change: patience ends only without a loss; a request starts only if 90 % of the queries lately made it in the time left, and is refused at once if it would wait for more than 0.3 of its time; a copy goes to the same server only if that has a free slot.

--- a/src/alderhatch/core/admission.py
+++ b/src/alderhatch/core/admission.py
@@ -73,6 +73,7 @@
         """Admit a request with all of its shards."""
         run.gate = self
         run.units = units
+        run.admitted_at = now
         self.open += units
         rule = run.rule.name
         self.open_by_rule[rule] = self.open_by_rule.get(rule, 0) + units
--- a/src/alderhatch/core/arrival.py
+++ b/src/alderhatch/core/arrival.py
@@ -18,6 +18,8 @@
 from .single_run import SingleRun
 from .timers import TimerKind
 
+MAX_START_SHARE = 0.5
+"""At most this part of a request's time is kept for its run when it waits."""
 SPREAD = 0.2
 """Callers are told to come back at times that differ by up to this share."""
 
@@ -103,8 +105,8 @@
             return
         wait = gate.expected_wait(run.rank)
         latest = self._latest_start(run)
-        if core.now + wait > latest:
-            self._refuse(run, gate, f"the wait of {wait:.0f} ms outlasts the deadline")
+        if core.now + wait > latest or wait > core.policy.max_wait_share * run.span:
+            self._refuse(run, gate, f"a wait of {wait:.0f} ms is too long")
             return
         if self.admission.full():
             other = gate.evict_below(run.rank)
@@ -125,8 +127,14 @@
         )
 
     def _latest_start(self, run: Run) -> Millis:
-        typical = run.upstream.latencies.median
-        return run.deadline - typical - self._state.policy.path_cost_ms
+        # A request that starts with hardly any time left takes servers' time and ends without an
+        # answer. Under overload all that wait are near their deadlines; without this the work that
+        # is done would be mostly for nothing.
+        policy = self._state.policy
+        needed = run.upstream.latencies.median
+        if isinstance(run, QueryRun):
+            needed = max(needed, run.upstream.queries.quantile(policy.start_quantile))
+        return run.deadline - min(needed, MAX_START_SHARE * run.span) - policy.path_cost_ms
 
     def _enter(self, gate: UpstreamGate, run: Run) -> None:
         core = self._state
--- a/src/alderhatch/core/dispatcher.py
+++ b/src/alderhatch/core/dispatcher.py
@@ -78,14 +78,15 @@
 
     def hedge(self, run: Run, shard: ShardState, snapshot: Snapshot) -> bool:
         """Send a second copy of a shard request if a server is free for it."""
-        server = self._choose(run, shard, shard.tried, False)
+        now = self._state.now
+        busy = {attempt.server.server_id for attempt in shard.attempts.values()}
+        server = self._choose(run, shard, busy, False)
         if server is None:
-            busy = {attempt.server.server_id for attempt in shard.attempts.values()}
-            server = self._choose(run, shard, busy, False) or self._choose(
-                run, shard, NOTHING, False
-            )
-        if server is None:
-            return False
+            server = self._choose(run, shard, NOTHING, False)
+            # A straggler is often the request's own bad luck, so the same server may well be faster
+            # a second time; but behind a queue a copy would only lengthen it.
+            if server is None or server.load(now) >= server.slots:
+                return False
         shard.hedges += 1
         self._emit(run, shard, server, snapshot, True, False)
         return True
@@ -158,7 +159,7 @@
             hedges.append(new)
             return
         for held in hedges:
-            if len(held.state.attempts) > 1 and new.server.in_flight > new.server.slots:
+            if len(held.state.attempts) > 1 and new.server.load(self._state.now) > new.server.slots:
                 self.cancel(held)
 
     def answered(self, number: int, load: LoadReport | None) -> Attempt | None:
--- a/src/alderhatch/core/fan_out.py
+++ b/src/alderhatch/core/fan_out.py
@@ -8,7 +8,7 @@
 from .crash_watch import CRASH_LIMIT
 from .dispatcher import Dispatcher, Sent
 from .entry_events import AttemptFault, FetchShardMap, Finish, ShardAnswer
-from .hedging import Hedging
+from .hedging import ENOUGH_SAMPLES, GUESS_FACTOR, Hedging
 from .query_run import QueryRun
 from .run import NOT_RUN_FAULTS, ShardState
 from .timers import TimerKind
@@ -58,7 +58,10 @@
             return
         for state in core.rng.sample(run.shards, canaries):
             self._send(run, state)
-        patience = core.policy.canary_patience * run.upstream.latencies.quantile(0.95)
+        latencies = run.upstream.latencies
+        patience = core.policy.canary_patience * latencies.quantile(0.95)
+        if latencies.samples < ENOUGH_SAMPLES:
+            patience = max(patience, GUESS_FACTOR * core.policy.first_latency_ms)
         core.timers.add(core.now + patience, TimerKind.CANARY, run)
 
     def _send_all(self, run: QueryRun) -> None:
@@ -262,6 +265,15 @@
                 self._close(run, state)
         self._finish(run)
 
+    def _canaries_late(self, run: QueryRun) -> None:
+        if not run.canary:
+            return
+        # After one loss the body is a suspect; patience with the other canary has no end then.
+        core = self._state
+        if run.attempts_out and core.crashes.losses(run.fingerprint, core.now):
+            return
+        self._end_canaries(run)
+
     def wake(self, run: QueryRun, kind: TimerKind) -> None:
         """Look at a query whose timer has come up."""
         match kind:
@@ -270,8 +282,7 @@
             case TimerKind.HEDGE:
                 self._hedging.wake(run)
             case TimerKind.CANARY:
-                if run.canary:
-                    self._end_canaries(run)
+                self._canaries_late(run)
             case TimerKind.MAP:
                 if run.waits_for_map:
                     self.map_late(run)
@@ -299,6 +310,7 @@
         self.drop(run)
         core = self._state
         nothing = run.covered_documents == 0 and run.shard_map.documents > 0
+        run.upstream.queries.record(core.now - run.admitted_at)
         if not nothing and run.coverage >= run.serve.min_coverage:
             core.effects.append(Finish(run.query, run.outcome(core.revision)))
             return
--- a/src/alderhatch/core/policy.py
+++ b/src/alderhatch/core/policy.py
@@ -75,6 +75,10 @@
     min_limit: float = 4.0
     queue: int = 256
     """Requests that wait for admission at one entry."""
+    max_wait_share: float = 0.3
+    """A request is refused at once if it is likely to wait for more than this part of its time."""
+    start_quantile: float = 0.9
+    """A request starts only if this share of the queries lately made it in the time left."""
     batch_share: float = 0.7
     """The part of the limit that batch requests may fill; the rest stays free for others."""
     normal_share: float = 0.9
--- a/src/alderhatch/core/run.py
+++ b/src/alderhatch/core/run.py
@@ -51,8 +51,10 @@
         self.shard_map = shard_map
         """The pinned map; every attempt reads its snapshot."""
         self.started_at = now
-        span = min(serve.deadline_ms, request.deadline_ms or serve.deadline_ms)
-        self.deadline = now + span
+        self.admitted_at = now
+        self.span = min(serve.deadline_ms, request.deadline_ms or serve.deadline_ms)
+        """From its arrival to its deadline."""
+        self.deadline = now + self.span
         self.priority: Priority = serve.priority or request.priority
         self.rank = self.priority.rank
         self.any_zone = serve.zone is ZonePreference.ANY_ZONE
--- a/src/alderhatch/core/server_table.py
+++ b/src/alderhatch/core/server_table.py
@@ -27,6 +27,8 @@
     def __init__(self, name: str, policy: Policy) -> None:
         self.name = name
         self.latencies = LatencyHistogram(policy.first_latency_ms)
+        self.queries = LatencyHistogram(policy.first_latency_ms)
+        """The times of whole queries from admission to answer."""
         self.retries = RatioBudget(policy.retry_share, policy.retry_burst, policy.retry_burst)
         self.shard_map: ShardMap | None = None
         self.plans: tuple[ShardPlan, ...] = ()
--- a/src/alderhatch/core/server_view.py
+++ b/src/alderhatch/core/server_view.py
@@ -115,6 +115,13 @@
         """
         return now < self.ejected_until or self.health is not ServerState.READY
 
+    def load(self, now: Millis) -> float:
+        """Return the requests that it is held to have: our own and those reported of others."""
+        age = now - self.others_at
+        if age >= self.policy.report_age_ms or self.misses >= DISTRUST_AT:
+            return float(self.in_flight)
+        return self.in_flight + self.others * (1.0 - age / self.policy.report_age_ms)
+
     def estimate(self, now: Millis) -> Millis:
         """Return how long a request sent now is likely to take, in milliseconds."""
         latency = self.latency
@@ -127,11 +134,7 @@
             typical = self.typical.median
             fade = 0.5 ** (idle / self.policy.latency_half_life_ms)
             latency = typical + (latency - typical) * fade
-        load = float(self.in_flight)
-        age = now - self.others_at
-        if age < self.policy.report_age_ms and self.misses < DISTRUST_AT:
-            load += self.others * (1.0 - age / self.policy.report_age_ms)
-        span = latency * (1.0 + load / self.slots)
+        span = latency * (1.0 + self.load(now) / self.slots)
         cold = now - self.cold_since
         if cold < self.policy.slow_start_ms:
             span *= 1.0 + (self.policy.slow_start_factor - 1.0) * (
