--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONHASHSEED := 0
 LINTED := src features bench tools
 
-.PHONY: demo test format-check lint types features format
+.PHONY: demo test format-check lint types features format bench-capacity catalogues
 
 # The stamps carry a checksum of the pinned lists, so that a changed list installs anew.
 RUNTIME_OK := $(VENV)/runtime-$(shell cat requirements.lock | cksum | cut -d' ' -f1).ok
@@ -42,6 +42,18 @@
 	$(PY) -m black -q $(LINTED)
 	$(PY) -m ruff check --fix $(LINTED)
 
+.PHONY: bench-control
+
+bench-control: $(RUNTIME_OK)
+	$(PY) -m bench.control
+
+bench-capacity: $(DEV_OK)
+	PYTHONPATH=src:. $(PY) -m bench.capacity
+
+# The pages of docs/ that show closed lists of the code.
+catalogues: $(DEV_OK)
+	PYTHONPATH=src:. $(PY) tools/write_catalogues.py
+
 .PHONY: bench-policy
 bench-policy: $(DEV_OK)
 	$(PY) -m bench.policy
