--- a/src/alderhatch/core/dispatcher.py
+++ b/src/alderhatch/core/dispatcher.py
@@ -19,6 +19,8 @@
 from .timers import TimerKind
 
 NOTHING: frozenset[str] = frozenset()
+COPY_ROOM = 1.0
+"""A copy goes to a server that was asked already if it has less than this load for each slot."""
 
 
 class Sent(Enum):
@@ -85,7 +87,7 @@
             server = self._choose(run, shard, NOTHING, False)
             # A straggler is often the request's own bad luck, so the same server may well be faster
             # a second time; but behind a queue a copy would only lengthen it.
-            if server is None or server.load(now) >= server.slots:
+            if server is None or server.load(now) >= COPY_ROOM * server.slots:
                 return False
         shard.hedges += 1
         self._emit(run, shard, server, snapshot, True, False)
--- a/src/alderhatch/core/policy.py
+++ b/src/alderhatch/core/policy.py
@@ -16,7 +16,7 @@
     """What a replica in another availability zone is held to cost more."""
     first_latency_ms: Millis = 5.0
     """What a shard request is held to take before any has been answered."""
-    report_age_ms: Millis = 40.0
+    report_age_ms: Millis = 20.0
     """A reported load counts for less and less up to this age, and then not at all."""
     latency_weight: float = 0.1
     """The weight of the newest answer in a server's moving latency."""
--- a/src/alderhatch/core/server_view.py
+++ b/src/alderhatch/core/server_view.py
@@ -36,6 +36,7 @@
         "misses",
         "others",
         "others_at",
+        "others_mean",
         "policy",
         "server",
         "server_id",
@@ -68,6 +69,8 @@
         self.others = 0.0
         """Load of other entries by its last report."""
         self.others_at: Millis = NEVER
+        self.others_mean = 0.0
+        """Its moving mean, which an old report fades into."""
         self.misses = 0.0
         """How often, lately, its report disagreed with the latency that was seen."""
         self.latency: Millis = 0.0
@@ -117,10 +120,13 @@
 
     def load(self, now: Millis) -> float:
         """Return the requests that it is held to have: our own and those reported of others."""
-        age = now - self.others_at
-        if age >= self.policy.report_age_ms or self.misses >= DISTRUST_AT:
+        if self.misses >= DISTRUST_AT:
             return float(self.in_flight)
-        return self.in_flight + self.others * (1.0 - age / self.policy.report_age_ms)
+        age = now - self.others_at
+        if age >= self.policy.report_age_ms:
+            return self.in_flight + self.others_mean
+        fresh = 1.0 - age / self.policy.report_age_ms
+        return self.in_flight + self.others_mean + (self.others - self.others_mean) * fresh
 
     def estimate(self, now: Millis) -> Millis:
         """Return how long a request sent now is likely to take, in milliseconds."""
@@ -168,6 +174,7 @@
         """Take a reported load."""
         others = load.in_flight + load.queued - self.in_flight
         self.others = float(others) if others > 0 else 0.0
+        self.others_mean += 0.1 * (self.others - self.others_mean)
         self.others_at = now
 
     def _check_report(self, latency: Millis, load: LoadReport) -> None:
