--- a/bench/policy/goals.py
+++ b/bench/policy/goals.py
@@ -47,9 +47,10 @@
         Goal("overload-sent-per-accepted", overload["sent ratio"], 1.1),
         Goal("overload-recovery-s", overload["recovery s"], 5.0),
     ]
-    healthy = table["healthy", "navigator", OURS, 0.5].p99
-    slow = table["slow server", "navigator", OURS, 0.5].p99
-    goals.append(Goal("slow-server-p99-ratio", slow / healthy, 1.2))
+    for load in (0.3, 0.5):
+        healthy = table["healthy", "navigator", OURS, load].p99
+        slow = table["slow server", "navigator", OURS, load].p99
+        goals.append(Goal(f"slow-server-p99-ratio-{load}", slow / healthy, 1.2))
     flood = table["flood with limits", "spotbook", OURS, 1.3].extra
     free = table["flood without limits", "spotbook", OURS, 1.3].extra
     goals.append(Goal("flood-desk-refused", flood["desk refused"], free["desk refused"] / 10))
--- a/bench/policy/scenarios.py
+++ b/bench/policy/scenarios.py
@@ -247,8 +247,9 @@
         add("loss", _with_fault, CLASHWATCH, 0.4, entry, "zone lost", _lose_zone)
     since = SLOW_FROM + 2 * SECOND
     for entry in (Baseline.RANDOM, DEFAULT):
-        add("slow", _with_fault, NAVIGATOR, 0.5, entry, "healthy", _nothing, since)
-        add("slow", _with_fault, NAVIGATOR, 0.5, entry, "slow server", _slow_server, since)
+        for load in (0.3, 0.5):
+            add("slow", _with_fault, NAVIGATOR, load, entry, "healthy", _nothing, since)
+            add("slow", _with_fault, NAVIGATOR, load, entry, "slow server", _slow_server, since)
     for entry in (Baseline.ROUND_ROBIN, DEFAULT):
         add("overload", _overload, entry)
     add("fairness", _fairness, FULL, "flood without limits")
--- a/src/alderhatch/core/entry_events.py
+++ b/src/alderhatch/core/entry_events.py
@@ -80,9 +80,9 @@
     query: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ShardAnswered:
-    """An attempt's answer arrived."""
+    """An attempt's answer arrived; not frozen for the same reason as ``SendShard``."""
 
     attempt: int
     answer: ShardAnswer
@@ -210,9 +210,13 @@
 # Effects
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class SendShard:
-    """Send a shard request to a server."""
+    """Send a shard request to a server.
+
+    It is not frozen because one is made for each shard request, and a frozen one takes about 2 µs
+    longer to make. Nothing changes it.
+    """
 
     attempt: int
     """A number that no other attempt of this entry has."""
@@ -227,7 +231,7 @@
     request: Request
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class CancelAttempt:
     """Close an attempt's exchange; whatever still comes of it is dropped."""
 
--- a/src/alderhatch/core/policy.py
+++ b/src/alderhatch/core/policy.py
@@ -18,9 +18,9 @@
     """What a shard request is held to take before any has been answered."""
     report_age_ms: Millis = 20.0
     """A reported load counts for less and less up to this age, and then not at all."""
-    latency_weight: float = 0.1
+    latency_weight: float = 0.3
     """The weight of the newest answer in a server's moving latency."""
-    latency_half_life_ms: Millis = 2 * SECOND
+    latency_half_life_ms: Millis = 8 * SECOND
     """How fast the latency of a server that is not asked returns to the upstream's typical one."""
     slow_start_ms: Millis = 5 * SECOND
     """How long a server that has just started is treated as cold."""
@@ -64,9 +64,9 @@
     shards could not be told apart when one of them crashes both."""
     canary_patience: float = 1.0
     """The rest is sent after this multiple of the 95 % latency even without an answer."""
-    queue_low: float = 0.5
+    queue_low: float = 0.8
     """Below this many waiting requests for each slot, an upstream's limit may grow."""
-    queue_high: float = 1.5
+    queue_high: float = 2.0
     """Above it the limit shrinks."""
     limit_interval_ms: Millis = 50.0
     """How often the limit is moved at most."""
