--- a/Makefile
+++ b/Makefile
@@ -57,3 +57,8 @@
 .PHONY: bench-policy
 bench-policy: $(DEV_OK)
 	$(PY) -m bench.policy
+
+# Processor time and memory of one entry against a bare trio + h11 loop; some minutes.
+.PHONY: bench-entry
+bench-entry: $(RUNTIME_OK)
+	PYTHONPATH=src:. $(PY) -m bench.entry
