--- a/src/alderhatch/entry/control_hook.py
+++ b/src/alderhatch/entry/control_hook.py
@@ -45,6 +45,9 @@
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Keep the link until cancelled."""
 
+    async def wait_share(self) -> None:
+        """Wait until there is a live lease with a share of the servers' connections."""
+
     def carry_out(self, effect: ControlEffect) -> None:
         """Begin what the core asked for; it must not wait."""
 
--- a/src/alderhatch/entry/control_link.py
+++ b/src/alderhatch/entry/control_link.py
@@ -81,6 +81,10 @@
                 self._look()
                 await self._client.changed.wait_for(LOOK_EVERY)
 
+    async def wait_share(self) -> None:
+        """Wait until there is a live lease with a share of the servers' connections."""
+        await self.client.wait_ready()
+
     def servers_changed(self) -> None:
         """Take note that a shard map has changed, so that new servers get their shares."""
         if self._client is not None:
--- a/src/alderhatch/entry/entry_node.py
+++ b/src/alderhatch/entry/entry_node.py
@@ -94,6 +94,8 @@
         self._last_query = 0
         self._events: deque[EntryEvent] = deque()
         self._stepping = False
+        self._serve_until = FOREVER
+        self._has_share = make_control is None
         self._hosts: list[PlatformHost] = []
         self._leaving: frozenset[str] = frozenset()
         self.metrics = EntryMetrics(self)
@@ -117,7 +119,9 @@
             nursery.start_soon(self._timer.run)
             if self._control is not None:
                 await nursery.start(self._control.run)
-            await self._start_pollers(nursery)
+                nursery.start_soon(self._poll_once_there_is_a_share, nursery, self._control)
+            else:
+                await self._start_pollers(nursery)
             await nursery.start(serve)
             log_event(LogEvent.ENTRY_STARTED, name=self.cfg.name, port=self.port)
             task_status.started()
@@ -132,6 +136,14 @@
             limits.idle_timeout_ms,
         )
 
+    async def _poll_once_there_is_a_share(
+        self, nursery: trio.Nursery, control: ControlHook
+    ) -> None:
+        # The first fetch of a shard map takes a connection to a server that others may have
+        # filled up to its limit; it would close that connection or one with a request on it.
+        await control.wait_share()
+        await self._start_pollers(nursery)
+
     async def _start_pollers(self, nursery: trio.Nursery) -> None:
         async with trio.open_nursery() as first:
             for poller in self.maps:
@@ -145,6 +157,11 @@
             poll = PlatformPoller(platform, self.cfg.platform_poll_ms, self._take_hosts)
             nursery.start_soon(poll.run)
 
+    @property
+    def may_serve(self) -> bool:
+        """Whether there is a live lease with connections, or the entry needs none."""
+        return self._has_share and self._clock.now() < self._serve_until
+
     def change_rules(self, revision: int, rules: RuleList) -> None:
         """Put a newer list of rules in force."""
         self.feed(RulesChanged(revision, rules))
@@ -178,6 +195,11 @@
 
     async def outcome_of(self, request: Request) -> Outcome:
         """Run one request; if the caller of this is cancelled, so is the request."""
+        if not self._has_share and not self.stop_requested.is_set():
+            # An entry that has just joined has to wait until the others have given up some of
+            # their connections. Its refusals would otherwise look as if the upstream were full.
+            message = "this entry has no share of connections yet"
+            return Refused(Failure(ErrorKind.LEASE_EXPIRED, message))
         self._last_query += 1
         query = self._last_query
         done = trio.Event()
@@ -215,6 +237,8 @@
 
     def _step(self, event: EntryEvent) -> None:
         if isinstance(event, LeaseChanged):
+            self._serve_until = event.serve_until
+            self._has_share = any(event.shares.values())
             self.pool.set_shares(event.shares)
         try:
             effects = self.core.step(event, self._clock.now())
--- a/src/alderhatch/entry/operator_side.py
+++ b/src/alderhatch/entry/operator_side.py
@@ -47,6 +47,8 @@
         lacking = [poller.upstream for poller in node.maps if poller.newest is None]
         if node.stop_requested.is_set():
             return json_response(503, {"ready": False, "why": "stopping"})
+        if not node.may_serve:
+            return json_response(503, {"ready": False, "why": "no lease with connections"})
         if lacking:
             return json_response(503, {"ready": False, "why": f"no shard map of {lacking}"})
         return json_response(200, {"ready": True})
