Declarations are checked strictly: text is no number and a number no truth value

Cause: pydantic's lax rules took coverage = "0.9", retries = 1.0 or idempotent = "no" for something that nobody wrote down.

--- a/features/settings_declarations.feature
+++ b/features/settings_declarations.feature
@@ -15,6 +15,10 @@
       | zone = "any_zone"        | zone = "waco-hall"           | 10   | rule 1 (conflict-check): then.zone | 'own_zone' or 'any_zone' | one of own_zone, any_zone |
       | priority = "urgent"      | priority = "now"             | 5    | rule 1 (conflict-check): when.priority[1] | 'urgent'         | one of urgent, normal, batch |
       | name = "x-a"             | name = "x-a", prefix = "b"   | 6    | rule 1 (conflict-check): when.headers[1] | exactly one of    | name, equals, prefix    |
+      | coverage = 0.99          | coverage = "0.99"            | 8    | rule 1 (conflict-check): then.coverage | wrong type         | a number from 0 to 1    |
+      | coverage = 0.99          | coverage = true              | 8    | rule 1 (conflict-check): then.coverage | wrong type         | a number from 0 to 1    |
+      | zone = "any_zone"        | retries = 1.0                | 10   | rule 1 (conflict-check): then.retries  | wrong type         | a whole number from 0 to 10 |
+      | priority = "urgent"      | idempotent = "no"            | 5    | rule 1 (conflict-check): when.idempotent | wrong type       | true or false           |
       | refuse = "no"            | refuse = ""                  | 15   | rule 2 (rest): then.refuse       | at least 1 character     | 1 to 200 characters     |
       | refuse = "no"            | refuse = "no"\ncoverage = 1  | 16   | rule 2 (rest): then.coverage     | does not go with the other | refuse, retry_after_ms |
 
