--- a/features/cli.feature
+++ b/features/cli.feature
@@ -36,6 +36,10 @@
     Then the command ends with exit code 2
     And the command printed the error "open to others"
 
+  Scenario: What needs no key asks for none
+    When alderhatchctl is called with "--key-file /nowhere check examples/brazos/rules.toml"
+    Then the command ends with exit code 0
+
   Scenario Outline: The example sets are sound as a whole
     When alderhatchctl checks every file of the example "<deployment>"
     Then the command ends with exit code 0
--- a/features/cli_programs.feature
+++ b/features/cli_programs.feature
@@ -16,6 +16,7 @@
     Examples:
       | program |
       | entry   |
+      | control |
 
   Scenario: An address that is taken is told, without a traceback
     # Another process still listens on the port, such as the entry's predecessor. A traceback alone
--- a/src/alderhatch/cli/ctl.py
+++ b/src/alderhatch/cli/ctl.py
@@ -9,7 +9,7 @@
 
 from .. import __version__
 from . import ctl_caller, ctl_check, ctl_hosts, ctl_look, ctl_rules
-from .ctl_context import CtlContext, parse_places, read_key, seconds
+from .ctl_context import CtlContext, parse_places, seconds
 from .exit_codes import ExitCode
 from .program import exit_code_help
 
@@ -94,7 +94,7 @@
     ctx.obj = CtlContext(
         parse_places(control or ()),
         parse_places(entry or ()),
-        read_key(key_file),
+        key_file,
         seconds(timeout),
         seconds(in_force_timeout),
     )
--- a/src/alderhatch/cli/ctl_context.py
+++ b/src/alderhatch/cli/ctl_context.py
@@ -88,17 +88,22 @@
 
     controls: tuple[Place, ...]
     entries: tuple[Place, ...]
-    key: str
+    key_file: Path | None
     timeout: Millis
     in_force_timeout: Millis
 
     def client(self) -> OperatorClient:
-        """Return a client of the operator API."""
+        """Return a client of the operator API.
+
+        Raises:
+            typer.BadParameter: If it is not said where to ask, or with which key.
+        """
+        key = read_key(self.key_file)
         if not self.controls:
             raise typer.BadParameter("give --control ADDRESS:PORT or set ALDERHATCH_CONTROLS")
-        if not self.key:
+        if not key:
             raise typer.BadParameter("give --key-file FILE or set ALDERHATCH_KEY_FILE")
-        return OperatorClient(self.controls, self.key, self.timeout)
+        return OperatorClient(self.controls, key, self.timeout)
 
 
 def context_of(ctx: typer.Context) -> CtlContext:
