--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,12 @@
 catalogues: $(DEV_OK)
 	PYTHONPATH=src:. $(PY) tools/write_catalogues.py
 
-.PHONY: bench-policy
+.PHONY: bench-policy policy-plots
 bench-policy: $(DEV_OK)
 	$(PY) -m bench.policy
+
+# The plots of docs/MEASUREMENTS.md, from a run of the bench.
+policy-plots: $(DEV_OK)
+	mkdir -p build
+	$(PY) -m bench.policy --json build/policy.json
+	$(PY) -m bench.policy.plots build/policy.json docs/plots
--- a/features/steps/core_any_order_steps.py
+++ b/features/steps/core_any_order_steps.py
@@ -122,3 +122,13 @@
     dump = core.core.dump(core.now)
     assert len(dump["requests"]) <= 500
     assert len(orjson.dumps(dump)) < 100_000
+
+
+@then("the core holds few timers after 5000 short queries with long deadlines")
+def step_few_timers(context):
+    core = CoreHarness(make_map(), Serve(deadline_ms=600_000.0))
+    for _ in range(5000):
+        core.arrive()
+        core.now += 1.0
+        core.answer_all()
+    assert core.core.dump(core.now)["timers"] <= 1001, core.core.dump(core.now)["timers"]
--- a/src/alderhatch/core/state_dump.py
+++ b/src/alderhatch/core/state_dump.py
@@ -28,6 +28,7 @@
         "stopping": arrival.stopping,
         "lease_ms_left": None if lease is None else round(lease - now, 1),
         "running": len(state.runs),
+        "timers": state.timers.size,
         "attempts_out": len(dispatcher.attempts),
         "waiting_for_server": dispatcher.parked,
         "shard_requests_sent": state.shard_requests_sent,
--- a/src/alderhatch/core/timers.py
+++ b/src/alderhatch/core/timers.py
@@ -12,6 +12,10 @@
     from .run import Run
 
 
+SWEEP_AT = 1000
+"""With this many timers at least, those of ended queries are taken out."""
+
+
 class TimerKind(IntEnum):
     """What is to be looked at."""
 
@@ -45,11 +49,26 @@
         self._heap: list[Timer] = []
         self._number = 0
         self._armed: Millis | None = None
+        self._sweep_at = SWEEP_AT
+
+    @property
+    def size(self) -> int:
+        """How many timers there are, those of ended queries included."""
+        return len(self._heap)
 
     def add(self, at: Millis, kind: TimerKind, run: Run | None) -> None:
         """Add a timer."""
         self._number += 1
         heapq.heappush(self._heap, Timer(at, self._number, kind, run))
+        if len(self._heap) > self._sweep_at:
+            self._sweep()
+
+    def _sweep(self) -> None:
+        # Queries end long before their deadlines. Their timers would hold them, with their answers,
+        # until then, seen as memory that grows with the deadlines that callers ask for.
+        self._heap = [timer for timer in self._heap if timer.run is None or not timer.run.ended]
+        heapq.heapify(self._heap)
+        self._sweep_at = max(SWEEP_AT, 2 * len(self._heap))
 
     def due(self, now: Millis) -> Timer | None:
         """Take out and return the next timer that is due, or return None."""
