--- a/src/alderhatch/core/latency_histogram.py
+++ b/src/alderhatch/core/latency_histogram.py
@@ -10,7 +10,7 @@
 GROWTH = 1.08
 BUCKETS = 190
 """Up to 0.05 ms * 1.08 ** 190, which is about 110 s."""
-FORGET_AT = 4000.0
+FORGET_AT = 1000.0
 """With this many samples all counts are halved, so that older ones weigh less."""
 REFRESH_EVERY = 64
 PARTS = 1000
