--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONHASHSEED := 0
 LINTED := src features bench tools
 
-.PHONY: demo test format-check lint types features format bench-capacity catalogues
+.PHONY: demo test format-check lint types features format
 
 # The stamps carry a checksum of the pinned lists, so that a changed list installs anew.
 RUNTIME_OK := $(VENV)/runtime-$(shell cat requirements.lock | cksum | cut -d' ' -f1).ok
@@ -42,34 +42,41 @@
 	$(PY) -m black -q $(LINTED)
 	$(PY) -m ruff check --fix $(LINTED)
 
-.PHONY: bench-control
+# Benchmarks; each closes with its goals.
 
-bench-control: $(RUNTIME_OK)
-	$(PY) -m bench.control
+.PHONY: bench-capacity bench-control bench-control-log bench-entry bench-policy policy-plots
 
 bench-capacity: $(DEV_OK)
 	PYTHONPATH=src:. $(PY) -m bench.capacity
 
-# The pages of docs/ that show closed lists of the code.
-catalogues: $(DEV_OK)
-	PYTHONPATH=src:. $(PY) tools/write_catalogues.py
+bench-control: $(RUNTIME_OK)
+	PYTHONPATH=src:. $(PY) -m bench.control
 
-.PHONY: bench-policy
-bench-policy: $(DEV_OK)
-	$(PY) -m bench.policy
+bench-control-log: $(RUNTIME_OK)
+	PYTHONPATH=src:. $(PY) -m bench.control_log
 
 # Processor time and memory of one entry against a bare trio + h11 loop; some minutes.
-.PHONY: bench-entry
 bench-entry: $(RUNTIME_OK)
 	PYTHONPATH=src:. $(PY) -m bench.entry
 
+bench-policy: $(DEV_OK)
+	PYTHONPATH=src:. $(PY) -m bench.policy
+
+# The plots of docs/MEASUREMENTS.md, from a run of the bench.
+policy-plots: $(DEV_OK)
+	mkdir -p build
+	PYTHONPATH=src:. $(PY) -m bench.policy --json build/policy.json
+	PYTHONPATH=src:. $(PY) -m bench.policy.plots build/policy.json docs/plots
+
+.PHONY: catalogues sweep-raft
+
+# The pages of docs/ that show closed lists of the code.
+catalogues: $(DEV_OK)
+	PYTHONPATH=src:. $(PY) tools/write_catalogues.py
+
 # A longer search for schedules that break the replicated log than CI has time for.
 SEEDS ?= 1000
 FIRST_SEED ?= 0
-.PHONY: sweep-raft
+
 sweep-raft: $(DEV_OK)
 	PYTHONPATH=src:. $(PY) -m features.support.raft_schedule $(SEEDS) $(FIRST_SEED)
-
-.PHONY: bench-control-log
-bench-control-log: $(RUNTIME_OK)
-	PYTHONPATH=src:. $(PY) -m bench.control_log
--- a/features/steps/core_crash_steps.py
+++ b/features/steps/core_crash_steps.py
@@ -255,3 +255,20 @@
 def step_all_shards_out(context, count):
     sent = context.core.sent[context.sent_before :]
     assert len(sent) == count and len({send.shard for send in sent}) == count, sent
+
+
+@when("a harmless query loses its first two connections to servers that run on")
+def step_two_lost(context):
+    tier = context.tier
+    tier.arrive(0, harmless(0))
+    (core,) = tier.cores
+    for _ in range(2):
+        (attempt,) = list(core.out)[:1]
+        core.fail(attempt, AttemptFault.LOST)
+    tier.run(300)
+
+
+@then("that query is answered in full")
+def step_answered_in_full(context):
+    (outcome,) = context.tier.outcomes(harmless(0))
+    assert isinstance(outcome, Answered) and outcome.coverage == 1.0, outcome
--- a/src/alderhatch/core/crash_watch.py
+++ b/src/alderhatch/core/crash_watch.py
@@ -135,6 +135,22 @@
         near = [at for at in self._lost_servers.values() if abs(at - around) < MANY_WITHIN]
         return len(near) >= MANY_SERVERS
 
+    def runs_on(self, server_id: str) -> None:
+        """Note that a server, asked after it lost connections, is the same process as before.
+
+        A network that drops connections, or a server that closes them, looks like a crash to the
+        query. Were the losses held against the body, harmless queries would be refused while a
+        replica of every shard could answer them. The losses stay known, so that a restart seen
+        later still counts as a crash.
+        """
+        for loss in self._losses.get(server_id, ()):
+            servers = self._lost_on.get(loss.fingerprint)
+            if servers is None or servers.pop(server_id, None) is None:
+                continue
+            hold = self._holds.get(loss.fingerprint)
+            if hold is not None and not hold.confirmed and len(servers) < CRASH_LIMIT:
+                del self._holds[loss.fingerprint]
+
     def confirm(self, server_id: str, now: Millis) -> list[Crash]:
         """Note that a server was started anew or takes no connection.
 
--- a/src/alderhatch/core/entry_core.py
+++ b/src/alderhatch/core/entry_core.py
@@ -174,9 +174,13 @@
             state.effects.append(report)
 
     def _health(self, event: HealthReported) -> None:
-        restarted = self._state.servers.take_health(event, self._state.now)
+        state = self._state
+        known = state.servers.boot_id_of(event.server_id)
+        restarted = state.servers.take_health(event, state.now)
         if restarted or event.state is ServerState.UNREACHABLE:
             self._confirm_crash(event.server_id)
+        elif known is not None and event.boot_id == known:
+            state.crashes.runs_on(event.server_id)
 
     def _lease(self, event: LeaseChanged) -> None:
         self._arrival.serve_until = event.serve_until
--- a/src/alderhatch/core/fan_out.py
+++ b/src/alderhatch/core/fan_out.py
@@ -25,6 +25,9 @@
 )
 MIN_RETRY_AFTER: Millis = 100.0
 VERDICT_MS: Millis = 5.0
+"""How often a query whose canaries were all lost looks whether their servers crashed."""
+VERDICT_WITHIN: Millis = 50.0
+"""How long it waits for the probes of those servers before it counts them as crashed."""
 CRASHES = "not asked: the request seems to crash servers"
 REPLAN_LATENCIES = 2.0
 """A replan needs this many times the median latency before the deadline."""
@@ -147,8 +150,9 @@
         if not self._has_time(run):
             return False
         if not self._dispatcher.within_crash_limit(run):
-            # The shard stays open until the other canary has answered or is lost too.
-            return run.canary and run.attempts_out > 0
+            # The shard stays open until the other canary has answered, or until it is known
+            # whether the lost servers crashed.
+            return run.canary
         free = fault in (AttemptFault.NOT_SENT, AttemptFault.DRAINING) and untried
         if not free and not run.upstream.retries.spend():
             return False
@@ -239,7 +243,9 @@
             self._finish(run)
             return
         if run.canary and not run.attempts_out and not self._any_waiting(run):
-            # Whether many servers were lost at the same moment shows a little later.
+            # Whether the servers crashed, or many were lost at the same moment, shows a little
+            # later: they are being probed.
+            run.verdict_by = run.verdict_by or self._state.now + VERDICT_WITHIN
             self._state.timers.add(self._state.now + VERDICT_MS, TimerKind.CANARY, run)
             return
         if run.early_finish is None and run.coverage >= run.serve.coverage:
@@ -272,6 +278,9 @@
         core = self._state
         if run.attempts_out and core.crashes.losses(run.fingerprint, core.now):
             return
+        if self._crashes(run) and core.now < run.verdict_by:
+            core.timers.add(core.now + VERDICT_MS, TimerKind.CANARY, run)
+            return
         self._end_canaries(run)
 
     def wake(self, run: QueryRun, kind: TimerKind) -> None:
--- a/src/alderhatch/core/server_table.py
+++ b/src/alderhatch/core/server_table.py
@@ -113,6 +113,11 @@
             else:
                 server.leaving.discard(source)
 
+    def boot_id_of(self, server_id: str) -> str | None:
+        """Return the boot id that a server last gave, or None if it never gave one."""
+        server = self.servers.get(server_id)
+        return None if server is None else server.boot_id
+
     def take_health(self, event: HealthReported, now: Millis) -> bool:
         """Take what a health endpoint says; return whether the server was started anew."""
         server = self.servers.get(event.server_id)
