--- a/src/alderhatch/core/query_run.py
+++ b/src/alderhatch/core/query_run.py
@@ -38,6 +38,8 @@
         """When a timer will look for shards to hedge."""
         self.canary = False
         """Whether only the first few shards have been asked yet."""
+        self.verdict_by: Millis = 0.0
+        """Until when probes may still show that servers lost under its canaries run on."""
         self.any_failed = False
         """Whether a server said that it ran the request and failed, or answered nonsense."""
         self.pin(shard_map)
