Entries are hurried at a pace that their number allows; link timeouts back off

Change: unscheduled renewals of one entry keep a gap that grows with the number of entries; the timeout for opening a link doubles up to 5.6 s while none opens; the bench starts a client each 20 ms.

--- a/bench/control.py
+++ b/bench/control.py
@@ -6,12 +6,15 @@
 from __future__ import annotations
 
 import argparse
+import logging
 import time
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 import trio
 
+from alderhatch.log import set_up_logs
+
 from .control_cluster import (
     ControlCluster,
     LeaseClients,
@@ -281,6 +284,7 @@
     sizes = [int(size) for size in parser.parse_args().sizes.split(",")]
     if max(sizes) > HOSTS:
         parser.error(f"at most {HOSTS} entries")
+    set_up_logs("bench-control", logging.CRITICAL)
     start = time.perf_counter()
     goals = trio.run(run, sizes)
     print(f"took {time.perf_counter() - start:.0f} s")
--- a/bench/control_cluster.py
+++ b/bench/control_cluster.py
@@ -25,6 +25,8 @@
 SECRET = "the secret of the benchmark of control"
 KEY = "the-key-of-the-benchmark"
 START_TIMEOUT_S = 30
+START_PAUSE_S = 0.02
+"""All clients share one loop here; started at once, they would hold each other up."""
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -167,6 +169,7 @@
     async def grow_to(self, count: int) -> None:
         """Start clients until there are so many, and wait until all of them may serve."""
         while len(self.clients) < count:
+            await trio.sleep(START_PAUSE_S)
             number = len(self.clients)
             zone = ("austin-hall", "waco-hall", "temple-hall")[number % 3]
             identity = EntryIdentity(f"entry-{number}", "run-1", zone, LOOPBACK, 8080)
--- a/src/alderhatch/control/link_server.py
+++ b/src/alderhatch/control/link_server.py
@@ -29,6 +29,7 @@
     RemoveEntries,
     ReportCrash,
 )
+from ..core.control.pace import hurry_gap
 from ..errors import AlderhatchError, ErrorKind
 from ..link import Link, LinkClosedError
 from ..log import log_event
@@ -86,15 +87,21 @@
                 nursery.cancel_scope.cancel()
 
     async def _nudge(self, link: Link, told: _Told) -> None:
-        """Tell an entry at once when there is a newer version than it was sent."""
+        """Tell an entry of a newer version than it was sent, at once unless it just was told."""
+        next_at = 0.0
         try:
             while True:
-                version = self._host.state.feed.version
-                if version <= told.version:
+                state = self._host.state
+                if state.feed.version <= told.version:
                     await self._host.observed.moved.wait()
                     continue
-                told.version = version
-                await link.send(Nudge(version))
+                if trio.current_time() < next_at:
+                    await trio.sleep_until(next_at)
+                    continue
+                told.version = state.feed.version
+                gap = hurry_gap(len(state.hosts.entries))
+                next_at = trio.current_time() + gap / SECOND
+                await link.send(Nudge(told.version))
         except LinkClosedError:
             return
 
--- a/src/alderhatch/entry/_control_session.py
+++ b/src/alderhatch/entry/_control_session.py
@@ -16,6 +16,7 @@
     OperationsFailed,
     RenewalFailed,
 )
+from ..core.control.pace import hurry_gap
 from ..link import Link, LinkClosedError
 from ..log import log_event
 from ..log_events import LogEvent
@@ -26,7 +27,6 @@
 """Without an answer to a renewal for this long, another control host is tried."""
 ANSWER_TIMEOUTS_PER_LEASE = 4.0
 """The same as a part of a short lease, so that there is time left for another control host."""
-PENDING_INTERVAL: Millis = 50.0
 FAILED_INTERVAL: Millis = 100.0
 MAX_FAILURES = 10
 """Renewals in a row for which the control host found no leader, before another host is tried."""
@@ -95,6 +95,7 @@
         self._interval: Millis = 0.0
         self._answer_timeout = ANSWER_TIMEOUT
         self._denied = ""
+        self._next_confirmation: Millis = 0.0
         self._failures = 0
 
     async def run(self, link: Link) -> None:
@@ -129,9 +130,16 @@
                 self._hurry.ended.set()
             if self._hurry.ended.is_set():
                 await trio.sleep_forever()
-            confirmed = self._lease.view.version == version
-            if self._taken is not Taken.RENEWED or confirmed:
-                await self._hurry.wait_for(self._interval)
+            await self._hurry.wait_for(self._pause(has_news=self._lease.view.version != version))
+
+    def _pause(self, has_news: bool) -> Millis:
+        """Return how long to wait before the next renewal; news are confirmed at once."""
+        if self._taken is not Taken.RENEWED or not has_news:
+            return self._interval
+        now = self._clock.now()
+        pause = max(0.0, self._next_confirmation - now)
+        self._next_confirmation = now + pause + hurry_gap(len(self._lease.view.roster))
+        return min(pause, self._interval)
 
     async def _read(self, link: Link, scope: trio.CancelScope) -> None:
         try:
@@ -169,7 +177,7 @@
             case Taken.WENT_BACK:
                 log_event(LogEvent.CONTROL_WENT_BACK, version=self._lease.view.version)
             case _:
-                self._interval = PENDING_INTERVAL
+                self._interval = hurry_gap(len(self._lease.view.roster))
                 self._note_problem(reply.grant.problem)
         self._answered.set()
         self._on_change()
--- a/src/alderhatch/entry/control_client.py
+++ b/src/alderhatch/entry/control_client.py
@@ -38,6 +38,12 @@
 
 OPEN_TIMEOUT: Millis = 700.0
 """A control host that takes longer to accept a link is passed over."""
+MAX_OPEN_TIMEOUT: Millis = 5.6 * SECOND
+"""The timeout doubles up to this while no link opens.
+
+When all entries connect at once, a busy control host accepts none of them in the short time, and
+entries that gave up and came back for ever would keep it busy for good.
+"""
 NEXT_HOST_INTERVAL: Millis = 50.0
 CLAIM_TIMEOUT: Millis = 2 * SECOND
 CLAIM_RETRY: Millis = 50.0
@@ -87,6 +93,7 @@
         # Entries begin at different control hosts, so that no host serves all of them.
         self._turn = sum(me.name.encode()) % max(1, len(self._controls))
         self._served = False
+        self._open_timeout = OPEN_TIMEOUT
         self.changed = Signal()
         """Notified when anything that this object shows has changed."""
         self.control_host: str | None = None
@@ -266,7 +273,8 @@
         why = "closed, silent or without a leader"
         try:
             with trio.CancelScope() as scope:
-                scope.deadline = trio.current_time() + OPEN_TIMEOUT / SECOND
+                scope.deadline = trio.current_time() + self._open_timeout / SECOND
+                self._open_timeout = min(2 * self._open_timeout, MAX_OPEN_TIMEOUT)
                 await self._use(endpoint, scope, over)
         except LinkClosedError as exc:
             why = str(exc)
@@ -285,6 +293,7 @@
             endpoint.address, endpoint.port, self._codec, self._secret, peer
         ) as link:
             scope.deadline = float("inf")
+            self._open_timeout = OPEN_TIMEOUT
             self.control_host = endpoint.name
             self._link = link
             try:
