alderhatchctl against a tier of real processes; fault scripts for the stand-in upstream

Cause: commands were run against a control server with a log in memory only, and secrets had to be looked for where real processes write.

--- a/features/cli_programs.feature
+++ b/features/cli_programs.feature
@@ -34,3 +34,8 @@
   Scenario: A stand-in upstream tells where it listens
     When the stand-in upstream is started with 3 shards of 2 servers
     Then it prints 6 servers with their ports and ends with exit code 0 after SIGTERM
+
+  Scenario: A stand-in upstream is not started with a fault script that has mistakes
+    When the stand-in upstream is started with a fault script of two mistakes
+    Then the program ends with exit code 3
+    And the program printed the two mistakes with their lines
--- a/features/steps/cli_programs_steps.py
+++ b/features/steps/cli_programs_steps.py
@@ -98,6 +98,14 @@
     _run(context, "entry", "--check", str(context.tier.folder / f"{name}.toml"))
 
 
+@when("the stand-in upstream is started with a fault script of two mistakes")
+def step_bad_faults(context):
+    path = new_folder(context) / "faults.toml"
+    path.write_text('[[fault]]\nservers = "n"\nafter_ms = -1\n[[fault]]\nstragle_ms = 3\n')
+    context.mistakes = (":3: fault[1].after_ms: ", ":5: fault[2].stragle_ms: unknown key; did you")
+    _run(context, "upstream", "navigator", "--faults", str(path))
+
+
 @when("the stand-in upstream is started with {shards:d} shards of {servers:d} servers")
 def step_upstream(context, shards, servers):
     words = ["spotbook", "--shards", str(shards), "--servers", str(servers)]
--- /dev/null
+++ b/features/steps/cli_tier_steps.py
@@ -0,0 +1,108 @@
+from __future__ import annotations
+
+import json
+import shlex
+import signal
+import time
+from urllib.request import urlopen
+
+from behave import then, when
+
+from features.support.cli_support import call
+from features.support.tier import CHANGE_KEY, LOOPBACK, READ_KEY
+
+END_TIMEOUT_S = 30
+BOOK = ("--upstream", "navigator", "--kind", "dispatch", "--output", "json")
+
+
+def _operate(context, *words, entries=None):
+    tier = context.tier
+    places = ("--control", tier.control_places, "--entry", entries or tier.entry_places)
+    call(context, *places, "--key-file", tier.change_key, *words)
+
+
+@when('the tier\'s operator runs "{words}"')
+def step_operate(context, words):
+    _operate(context, *shlex.split(words))
+
+
+@when('the tier\'s operator books a {thing} with request id "{request_id}" at "{entry}"')
+def step_book(context, thing, request_id, entry):
+    place = f"{LOOPBACK}:{context.tier.entries[entry][0]}"
+    body = json.dumps({"item": thing})
+    _operate(context, "book", body, *BOOK, "--request-id", request_id, entries=place)
+    context.bookings = [*getattr(context, "bookings", []), context.cli.stdout]
+
+
+@then("both bookings got the same outcome")
+def step_same_outcome(context):
+    first, second = (json.loads(text) for text in context.bookings[-2:])
+    assert first == second, (first, second)
+    assert first["rows"], first
+
+
+@then("every process of the tier shows its dump and its metrics")
+def step_dumps(context):
+    context.shown = []
+    for name, place in context.tier.dump_places.items():
+        _operate(context, "dump", place)
+        assert context.cli.exit_code == 0, context.cli.output
+        assert f'"{name}"' in context.cli.stdout, context.cli.stdout[:500]
+        with urlopen(f"http://{place}/metrics", timeout=10) as reply:
+            page = reply.read().decode()
+        assert f'alderhatch_process_cpu_seconds_total{{process="{name}"}}' in page, page[:500]
+        context.shown += [context.cli.stdout, page]
+    assert any("alderhatch_control_revision" in text for text in context.shown)
+    assert any("alderhatch_entry_requests_total" in text for text in context.shown)
+
+
+@then("no secret is in any log, dump or metrics page of the tier")
+def step_no_secret(context):
+    tier = context.tier
+    texts = [*context.shown, *(tier.log_of(name) for name in tier.processes)]
+    for secret in (tier.secret, CHANGE_KEY, READ_KEY):
+        assert not any(secret in text for text in texts)
+    assert not any("tray" in text for text in texts), "a request's body is shown"
+
+
+@when("the control host that leads is killed")
+def step_kill_leader(context):
+    _operate(context, "status", "--output", "json")
+    views = json.loads(context.cli.stdout)
+    leader = next(view["name"] for view in views if view["role"] == "leader")
+    context.tier.end(leader, signal.SIGKILL)
+
+
+@when("every control host is killed and started again")
+def step_restart_all(context):
+    tier = context.tier
+    for name in tier.controls:
+        if name in tier.processes:
+            tier.end(name, signal.SIGKILL)
+    for name in tier.controls:
+        tier.start_control(name)
+    for _, operators in tier.controls.values():
+        tier.wait_for(f"http://{LOOPBACK}:{operators}/readyz")
+
+
+@then('the program "{name}" ends by itself with exit code {code:d} and cut off nothing')
+def step_ends(context, name, code):
+    process = context.tier.processes.pop(name)
+    assert process.wait(END_TIMEOUT_S) == code
+    last = json.loads(context.tier.log_of(name).splitlines()[-1])
+    assert last["event"] == "entry_stopped", last
+    assert last["fields"]["cut_off"] == 0, last
+
+
+@then('the entry "{name}" no longer names "{gone}" to callers')
+def step_not_named(context, name, gone):
+    port = context.tier.entries[gone][0]
+    end = time.monotonic() + END_TIMEOUT_S
+    while True:
+        url = f"http://{LOOPBACK}:{context.tier.entries[name][0]}/addresses"
+        with urlopen(url, timeout=10) as reply:
+            ports = [item["port"] for item in json.loads(reply.read())["addresses"]]
+        if port not in ports:
+            return
+        assert time.monotonic() < end, ports
+        time.sleep(0.05)
--- a/src/alderhatch/cli/upstream.py
+++ b/src/alderhatch/cli/upstream.py
@@ -2,26 +2,41 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import Annotated
 
-import orjson
-import trio
 import typer
+from pydantic import TypeAdapter, ValidationError
 
+from ..settings.allowed import Allowed
+from ..settings.fault import SettingsFaultsError
+from ..settings.loader import explain_error, read_toml
+from ..standin.app import UpstreamOptions, run_upstream
+from ..standin.fault_script import FaultStep, parse_fault_script
 from ..standin.standin_server import ServiceTime, UpstreamShape
-from ..standin.standin_upstream import StandinUpstream
-from .program import LogLevel, exit_code_help, run_program
+from .program import LogLevel, exit_code_help, load_or_exit, run_program
 
 PROGRAM = "alderhatch-upstream"
-LOOPBACK = "127.0.0.1"
+DEFAULT_ZONE = "zone-1"
+FAULT_KEY = "fault"
 
 app = typer.Typer(name=PROGRAM, rich_markup_mode=None)
 
 
 @app.command(help=f"""Run all servers of a stand-in upstream on loopback.
 
-    It follows the page of the upstream protocol. Once all servers listen, it prints one JSON line
-    with their ids, addresses and ports; the first of them serves as seed for an entry's settings.
+    It follows the page of the upstream protocol. Once all servers listen, it prints the shard map
+    as one line of JSON, with their ids, addresses and ports; the first of them serves as seed for
+    an entry's settings.
+
+    The FILE of --faults is TOML with [[fault]] tables, such as
+
+    \b
+      [[fault]]
+      servers = "navigator-03"   # servers whose ids begin with this
+      after_ms = 5000
+      for_ms = 10000
+      straggle_ms = 200          # or shed_ms, draining, lose, crash, freeze, garbage, ...
 
     {exit_code_help()}
     """)
@@ -46,30 +61,36 @@
         int,
         typer.Option(min=0, max=65535, help="The first server's port, and up; 0: any are taken."),
     ] = 0,
+    faults: Annotated[
+        Path | None,
+        typer.Option(metavar="FILE", help="Which servers fail how, from when, for how long."),
+    ] = None,
     seed: Annotated[int, typer.Option(help="Fixes the service times.")] = 1,
     log_level: Annotated[
         LogLevel, typer.Option(help="The lowest level logged.")
     ] = LogLevel.WARNING,
 ) -> None:
     """Run a stand-in upstream until a signal."""
-    shape = UpstreamShape(name, shards, servers, slots, connections, connect_ms)
-    zones = tuple(zone or ["zone-1"])
-    standin = StandinUpstream(shape, zones, seed=seed, service_time=ServiceTime(median_ms))
-    if first_port:
-        for number, server in enumerate(standin.servers):
-            server.port = first_port + number
-    run = run_program(PROGRAM, log_level, lambda: _serve(standin), stop_on_signal=True)
+    options = UpstreamOptions(
+        UpstreamShape(name, shards, servers, slots, connections, connect_ms),
+        tuple(zone or [DEFAULT_ZONE]),
+        seed=seed,
+        service_time=ServiceTime(median_ms),
+        base_port=first_port,
+        faults=[] if faults is None else load_or_exit(_load_faults, faults),
+    )
+    run = run_program(PROGRAM, log_level, lambda: run_upstream(options), stop_on_signal=True)
     raise typer.Exit(run)
 
 
-async def _serve(standin: StandinUpstream) -> None:
-    async with trio.open_nursery() as nursery:
-        await nursery.start(standin.serve)
-        servers = [
-            {"id": server.server_id, "address": LOOPBACK, "port": server.port, "zone": server.zone}
-            for server in standin.servers
-        ]
-        typer.echo(orjson.dumps({"upstream": standin.shape.name, "servers": servers}).decode())
+def _load_faults(path: Path) -> list[FaultStep]:
+    file = read_toml(path)
+    try:
+        return parse_fault_script(file.raw.get(FAULT_KEY, []))
+    except ValidationError as exc:
+        allowed = Allowed(TypeAdapter(list[FaultStep]).json_schema())
+        found = [explain_error(file, allowed, error, (FAULT_KEY,)) for error in exc.errors()]
+        raise SettingsFaultsError(found) from exc
 
 
 def main() -> None:
