--- a/features/cli_programs.feature
+++ b/features/cli_programs.feature
@@ -18,6 +18,11 @@
       | entry   |
       | control |
 
+  Scenario: An entry does not start with a file of rules that has mistakes
+    When an entry is started alone with a file of rules of two mistakes
+    Then the program ends with exit code 3
+    And the program printed the two mistakes with their lines
+
   Scenario: An address that is taken is told, without a traceback
     # Another process still listens on the port, such as the entry's predecessor. A traceback alone
     # would send whoever is on call looking for a fault in the code.
--- a/features/steps/cli_programs_steps.py
+++ b/features/steps/cli_programs_steps.py
@@ -68,6 +68,19 @@
     _run(context, program, str(path))
 
 
+@when("an entry is started alone with a file of rules of two mistakes")
+def step_bad_rules_file(context):
+    folder = new_folder(context)
+    context.tier = Tier(0, 1)
+    context.add_cleanup(context.tier.stop)
+    context.tier.start()
+    settings = (context.tier.folder / "entry-1.toml").read_text()
+    (folder / "entry.toml").write_text(settings)
+    (folder / "rules.toml").write_text('[[rule]]\nname = "A"\nthen = { coverage = "all" }\n')
+    context.mistakes = ("rules.toml:2: rule 1 (A): name", "rules.toml:3: rule 1 (A): then.coverage")
+    _run(context, "entry", str(folder / "entry.toml"))
+
+
 @then("the program ends with exit code {code:d}")
 def step_program_code(context, code):
     assert context.program.returncode == code, context.program
--- a/src/alderhatch/cli/ctl_context.py
+++ b/src/alderhatch/cli/ctl_context.py
@@ -215,7 +215,11 @@
         typer.echo(f"change id {change_id}, on revision {expected}", err=True)
         return await client.change(method, path, fields, ChangeNotes(change_id, expected, wait))
 
-    return ask(options.output, send)
+    try:
+        return ask(options.output, send)
+    except KeyboardInterrupt as exc:
+        typer.echo("interrupted; it may be accepted. Send it again with its change id.", err=True)
+        raise typer.Exit(ExitCode.UNKNOWN) from exc
 
 
 def new_change_id() -> str:
--- a/src/alderhatch/cli/entry.py
+++ b/src/alderhatch/cli/entry.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import Annotated
 
 import typer
 
 from ..entry.app import run_entry
+from ..settings.declaration import load_declaration
 from ..settings.loader import load_entry
+from ..settings.models import EntrySettings
 from .exit_codes import ExitCode
 from .program import LogLevel, SettingsArgument, exit_code_help, load_or_exit, run_program
 
@@ -34,13 +37,20 @@
     log_level: Annotated[LogLevel, typer.Option(help="The lowest level logged.")] = LogLevel.INFO,
 ) -> None:
     """Run one entry."""
-    cfg = load_or_exit(load_entry, settings)
+    cfg = load_or_exit(_load, settings)
     if check:
         typer.echo(f"{settings}: no mistakes")
         raise typer.Exit(ExitCode.OK)
     raise typer.Exit(run_program(PROGRAM, log_level, lambda: run_entry(cfg)))
 
 
+def _load(path: Path) -> EntrySettings:
+    cfg = load_entry(path)
+    if cfg.rules_file is not None:
+        load_declaration(cfg.rules_file)
+    return cfg
+
+
 def main() -> None:
     """Run the program."""
     app()
