--- a/tools/write_catalogues.py
+++ b/tools/write_catalogues.py
@@ -208,8 +208,8 @@
             lines += ["", f"## `{path}`", "", *_command_lines(command)]
     return _page(
         "Commands",
-        "Every program prints the same with `--help`, and completes its words in the shell after "
-        "`--install-completion`.",
+        "Every program prints the same with `--help`. All but the demo complete their words in the "
+        "shell after `--install-completion`.",
         lines,
     )
 
