--- a/features/steps/cli_tier_steps.py
+++ b/features/steps/cli_tier_steps.py
@@ -54,6 +54,8 @@
         context.shown += [context.cli.stdout, page]
     assert any("alderhatch_control_revision" in text for text in context.shown)
     assert any("alderhatch_entry_requests_total" in text for text in context.shown)
+    assert any('alderhatch_entry_revision{process="entry-2"} 1' in text for text in context.shown)
+    assert any("alderhatch_entry_lease_left_seconds" in text for text in context.shown)
 
 
 @then("no secret is in any log, dump or metrics page of the tier")
--- a/src/alderhatch/core/entry_core.py
+++ b/src/alderhatch/core/entry_core.py
@@ -78,6 +78,21 @@
         """Shards that the requests so far were planned over."""
         return self._state.shard_requests_needed
 
+    @property
+    def shard_requests_wasted(self) -> int:
+        """Shard requests whose work was of no use, such as the loser of a hedge."""
+        return self._state.wasted
+
+    @property
+    def revision(self) -> int:
+        """The revision of the rules that are in force here."""
+        return self._state.revision
+
+    def lease_left(self, now: Millis) -> Millis | None:
+        """Return for how long new requests may still be taken; None without control hosts."""
+        until = self._arrival.serve_until
+        return None if until is None else max(0.0, until - now)
+
     def dump(self, now: Millis) -> dict[str, Any]:
         """Return what the core knows as plain data of a bounded size, for operators."""
         return dump_state(self._state, self._arrival, self._dispatcher, now)
--- a/src/alderhatch/entry/entry_metrics.py
+++ b/src/alderhatch/entry/entry_metrics.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ..clock import Millis
+from ..clock import SECOND, LoopClock, Millis
 from ..core.entry_events import Answered, Outcome, Refused
 from ..metric_catalogue import Metric
 from ..metrics import Metrics, MetricsPage
@@ -24,6 +24,7 @@
 
     def __init__(self, node: EntryNode) -> None:
         self._node = node
+        self._clock = LoopClock()
         self._metrics = Metrics(node.cfg.name)
         self._metrics.add_source(self._copy)
 
@@ -52,6 +53,11 @@
             Metric.ENTRY_CONNECTIONS: node.pool.held,
             Metric.ENTRY_CALLERS: node.callers.connections,
             Metric.ENTRY_RUNNING: node.core.running,
+            Metric.ENTRY_SHARD_REQUESTS_WASTED: node.core.shard_requests_wasted,
+            Metric.ENTRY_REVISION: node.core.revision,
         }
         for metric, value in copied.items():
             self._metrics.set(metric, value)
+        lease_left = node.core.lease_left(self._clock.now())
+        if lease_left is not None:
+            self._metrics.set(Metric.ENTRY_LEASE_LEFT, lease_left / SECOND)
--- a/src/alderhatch/metric_catalogue.py
+++ b/src/alderhatch/metric_catalogue.py
@@ -122,6 +122,24 @@
         Unit.ONE,
         "Requests under way.",
     )
+    ENTRY_SHARD_REQUESTS_WASTED = MetricRow(
+        "alderhatch_entry_shard_requests_wasted_total",
+        MetricKind.COUNTER,
+        Unit.ONE,
+        "Shard requests whose work was of no use, such as the loser of a hedge.",
+    )
+    ENTRY_REVISION = MetricRow(
+        "alderhatch_entry_revision",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "The revision of the rules that are in force at this entry.",
+    )
+    ENTRY_LEASE_LEFT = MetricRow(
+        "alderhatch_entry_lease_left_seconds",
+        MetricKind.GAUGE,
+        Unit.SECONDS,
+        "How long the lease still holds; at 0 every new request is refused.",
+    )
     CONTROL_REVISION = MetricRow(
         "alderhatch_control_revision",
         MetricKind.GAUGE,
