--- a/features/cli.feature
+++ b/features/cli.feature
@@ -90,6 +90,7 @@
     When alderhatchctl is called with "explain --file examples/brazos/rules.toml --kind x --upstream navigator"
     Then the command ends with exit code 0
     And the command printed "taken by the default rule"
+    And the command printed "when: any request"
 
   Scenario Outline: The difference between two lists of rules is the least that has to happen
     When the list of rules "<now>" is compared with "<declared>"
--- a/src/alderhatch/cli/ctl_look.py
+++ b/src/alderhatch/cli/ctl_look.py
@@ -134,7 +134,8 @@
     for name, condition in answer["passed_over"]:
         typer.echo(f"not {name}: {condition} does not hold")
     typer.echo(_taken_by(answer))
-    print_fields({part: answer["rule"][part] for part in ("name", "when", "then")})
+    rule = answer["rule"]
+    print_fields({"when": _given(rule["when"]) or "any request", "then": _given(rule["then"])})
 
 
 def _header(word: str) -> tuple[str, str]:
@@ -154,6 +155,11 @@
     }
 
 
+def _given(fields: dict[str, Any]) -> dict[str, Any]:
+    """Return the fields of a rule that say something."""
+    return {name: value for name, value in fields.items() if value not in (None, [])}
+
+
 def _taken_by(answer: dict[str, Any]) -> str:
     if answer["position"] == 0:
         return "taken by the default rule, because no other matches"
