--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,6 +1,6 @@
 """Slopes measured on this machine, and what they come to at the size to design for.
 
-``make bench-capacity`` runs it; it takes some two minutes and at most five processes. What it
+``make bench-capacity`` runs it; it takes some two minutes and at most six processes. What it
 prints is Markdown, and docs/CAPACITY.md shows one such run.
 """
 
