Demo: three control hosts, leases and bookings that are sent twice; extra load per rule

The table's extra load is counted at the upstreams, by request id. The test of warm connections allows no hedges: the loser of one closes its connection by design.

--- a/features/entry_connections.feature
+++ b/features/entry_connections.feature
@@ -40,6 +40,7 @@
     # Each new connection costs a server of today 6 ms, more than most shard requests take.
     Given an upstream for the entry of 4 shards with 1 server each
     And the entry's probes of health rest
+    And the entry's rule allows no hedges
     And the entry runs
     And the entry was asked 1 times
     And the entry has a spare connection to each server of the upstream
--- a/features/steps/entry_connections_steps.py
+++ b/features/steps/entry_connections_steps.py
@@ -200,3 +200,9 @@
 def step_further(context, further):
     conns, now, _ = context.pool_counts
     assert conns.wants_more(now) == (further == "wanted")
+
+
+@given("the entry's rule allows no hedges")
+def step_no_hedges(context):
+    # The loser of a hedge is cancelled by closing its connection, which is then opened anew.
+    world(context).rule["hedge"] = 0
--- /dev/null
+++ b/src/alderhatch/standin/demo_controls.py
@@ -0,0 +1,113 @@
+"""The control hosts of the demo, in the same loop as everything else."""
+
+from __future__ import annotations
+
+import secrets
+import socket
+from pathlib import Path
+
+import orjson
+import trio
+
+from ..codec import Codec
+from ..control.control_server import ControlServer
+from ..control.log_messages import PEER_MESSAGE_TYPES
+from ..control.log_node import LogNode
+from ..control.log_node_config import LogNodeConfig
+from ..control.observed_state import ObservedState
+from ..control.operator_keys import parse_keys
+from ..core.control.lease_messages import CONTROL_MESSAGES
+from ..core.rule_list import RuleList
+from ..http.client import HttpExchangeError, http_once
+from ..settings.models import ControlSettings, Endpoint, NamedEndpoint
+from ..storage.data_folder import DataFolder
+from ..storage.files import DiskFiles
+
+LOOPBACK = "127.0.0.1"
+CONTROLS = 3
+RETRY_S = 0.05
+OPERATOR = "demo"
+
+
+class DemoControls:
+    """Three control hosts with real files and sockets.
+
+    Args:
+        folder: Where their data folders are made.
+        zones: The availability zones that they are spread over.
+    """
+
+    def __init__(self, folder: Path, zones: tuple[str, ...]) -> None:
+        self.secret = secrets.token_bytes(32)
+        self._key = secrets.token_hex(16)
+        self._folder = folder
+        self._zones = zones
+        ports = _free_ports(2 * CONTROLS)
+        self._operator_ports = ports[CONTROLS:]
+        self.endpoints = tuple(
+            NamedEndpoint(name=f"control-{number + 1}", address=LOOPBACK, port=ports[number])
+            for number in range(CONTROLS)
+        )
+        """Where the hosts accept links."""
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Run the hosts until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for number in range(CONTROLS):
+                await nursery.start(self._run_host, number)
+            task_status.started()
+
+    async def _run_host(
+        self, number: int, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        cfg = self._settings(number)
+        observed = ObservedState()
+        storage = DataFolder(DiskFiles(cfg.data_folder), cfg.name)
+        node = LogNode(cfg.name, cfg.peers, storage, observed, self.secret, LogNodeConfig())
+        codec = Codec(*CONTROL_MESSAGES, *PEER_MESSAGE_TYPES)
+        keys = parse_keys(f"{OPERATOR} change {self._key}\n")
+        server = ControlServer(cfg, node, observed, self.secret, keys, codec)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(node.run)
+            await nursery.start(server.run)
+            task_status.started()
+
+    def _settings(self, number: int) -> ControlSettings:
+        endpoint = self.endpoints[number]
+        return ControlSettings(
+            name=endpoint.name,
+            zone=self._zones[number % len(self._zones)],
+            data_folder=self._folder / endpoint.name,
+            links=Endpoint(address=LOOPBACK, port=endpoint.port),
+            operators=Endpoint(address=LOOPBACK, port=self._operator_ports[number]),
+            peers=self.endpoints,
+            secret_file=self._folder / "not-used",
+            keys_file=self._folder / "not-used",
+        )
+
+    async def put_rules(self, rules: RuleList) -> None:
+        """Put a list of rules in force as an operator does; retry until there is a leader."""
+        change = {"change_id": "demo-rules", "expected_revision": 0, "rules": rules.to_plain()}
+        headers = [("Authorization", f"Bearer {self._key}")]
+        while True:
+            for port in self._operator_ports:
+                try:
+                    reply = await http_once(
+                        LOOPBACK, port, "PUT", "/v1/rules", orjson.dumps(change), headers
+                    )
+                except HttpExchangeError:
+                    continue
+                if reply.status == 200:
+                    return
+            await trio.sleep(RETRY_S)
+
+
+def _free_ports(count: int) -> list[int]:
+    """Return ports that the kernel chose; the hosts have to know each other's beforehand."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind((LOOPBACK, 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
--- a/src/alderhatch/standin/deployments.py
+++ b/src/alderhatch/standin/deployments.py
@@ -15,6 +15,8 @@
     upstreams: tuple[UpstreamShape, ...]
     kinds: dict[str, str]
     """For each upstream the kind of request that the demo sends to it."""
+    booked: str
+    """The upstream that the demo sends dispatches or bookings to."""
 
 
 BRAZOS = Deployment(
@@ -32,6 +34,7 @@
         "kitchenpass": "order-status",
         "linenlog": "log-lookup",
     },
+    "kitchenpass",
 )
 
 TRAFIKKFORBUND = Deployment(
@@ -49,4 +52,5 @@
         "sendelogg": "log-lookup",
         "rotasjon": "rotation",
     },
+    "spotbook",
 )
--- a/src/alderhatch/standin/standin_server.py
+++ b/src/alderhatch/standin/standin_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from random import Random
 from typing import Any, NamedTuple, Protocol
@@ -16,6 +17,9 @@
 from .server_faults import FrozenSide, ServerFaults
 from .standin_connection import Ask, StandinConnection
 
+MAX_COUNTED = 100_000
+"""Request ids whose shard requests are counted; then the count starts anew."""
+
 
 class UpstreamShape(NamedTuple):
     """How many servers an upstream has, and what each can do."""
@@ -54,6 +58,7 @@
     layouts: dict[Snapshot, Layout]
     published: dict[Snapshot, Layout]
     runs: list[tuple[str, str]]
+    received: Counter[str]
 
     def map_as_json(self) -> dict[str, object]:
         """Return the newest shard map as the protocol shows it."""
@@ -204,6 +209,7 @@
             self.crash()
             await trio.sleep_forever()
         ask = orjson.loads(body)
+        self._count(ask["request_id"])
         refusal = self._refuse(ask)
         if refusal is not None:
             return refusal
@@ -219,6 +225,12 @@
             return garbled_answer(faults.garbage, answer, previous)
         return _json(200, answer)
 
+    def _count(self, request_id: str) -> None:
+        received = self.upstream.received
+        if len(received) >= MAX_COUNTED:
+            received.clear()
+        received[request_id] += 1
+
     def _refuse(self, ask: dict[str, Any]) -> RawAnswer | None:
         if self.faults.shed_ms is not None:
             after = max(1, round(self.faults.shed_ms / SECOND))
--- a/src/alderhatch/standin/standin_upstream.py
+++ b/src/alderhatch/standin/standin_upstream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from random import Random
 
 import trio
@@ -40,6 +41,8 @@
             shard: tuple(f"{shape.name}-{shard[1:]}-{n}" for n in range(shape.servers_per_shard))
             for shard in shards
         }
+        self.received: Counter[str] = Counter()
+        """Shard requests that reached the servers, by the caller's request id."""
         first = Layout(Snapshot(1, 1), dict.fromkeys(shards, documents_per_shard), holders)
         self.layouts = {first.snapshot: first}
         """What the servers hold, by snapshot; the last one is the newest."""
