--- a/features/entry_world.py
+++ b/features/entry_world.py
@@ -20,7 +20,7 @@
 from alderhatch.standin.standin_platform import StandinPlatform
 from alderhatch.standin.standin_server import ServiceTime, UpstreamShape
 from alderhatch.standin.standin_upstream import StandinUpstream
-from features.support.control_tier import SECRET, ControlTier
+from features.support.control_tier import LEASE, SECRET, ControlTier
 
 LOOPBACK = "127.0.0.1"
 NOWHERE = Endpoint(address=LOOPBACK, port=0)
@@ -83,7 +83,7 @@
     async def start_controls(self, count):
         self._folder = tempfile.TemporaryDirectory()
         names = [f"control-{number + 1}" for number in range(count)]
-        self.controls = ControlTier(self._nursery, self._folder.name, names, 1000)
+        self.controls = ControlTier(self._nursery, self._folder.name, names, 1000, LEASE)
         for name in names:
             await self.controls.start_control(name)
         await self.controls.leader()
--- a/features/steps/upstream_garbage_steps.py
+++ b/features/steps/upstream_garbage_steps.py
@@ -51,6 +51,18 @@
     context.entry_replies = [here.call(here.query) for _ in range(count)]
 
 
+@when("the entry is asked {count:d} different queries")
+def step_ask_different(context, count):
+    here = world(context)
+    context.entry_replies = []
+    for number in range(count):
+
+        async def ask(number=number):
+            return await here.query(query={"topic": "", "number": number})
+
+        context.entry_replies.append(here.call(ask))
+
+
 @then('the entry\'s answers are right and lack only shard "{shard}"')
 def step_lacking(context, shard):
     for status, answer in context.entry_replies:
--- a/features/upstream_faults.feature
+++ b/features/upstream_faults.feature
@@ -45,13 +45,30 @@
       | does                          |
       | sheds                         |
       | drains                        |
-      | loses its requests            |
       | says that it is draining      |
       | says that it is starting      |
       | says nothing of its health    |
       | reports no load               |
       | reports a huge load           |
-      | says that it is fine and fails |
+
+  Scenario: One server of each shard loses its requests, and each query is new
+    # A fault in front of half of the servers cuts each connection off once a request is on it. The
+    # servers run on, with the same boot id, so that it is no request that crashes them; and for
+    # every shard there is another server. Queries that nobody has sent before are answered too.
+    Given an upstream for the entry of 4 shards with 2 servers each
+    And the entry runs
+    And the first server of each shard of the upstream loses its requests
+    When the entry is asked 30 different queries
+    Then the entry's answers are right and lack nothing
+
+  Scenario: One server of each shard says that it is fine and fails, and each query is new
+    # The same, while the health endpoint and the reported load of the failing servers look better
+    # than those of the good ones.
+    Given an upstream for the entry of 4 shards with 2 servers each
+    And the entry runs
+    And the first server of each shard of the upstream says that it is fine and fails
+    When the entry is asked 30 different queries
+    Then the entry's answers are right and lack nothing
 
   Scenario: Every server says that it is draining although none is
     # A fault in the deploy of a health endpoint shows all servers as leaving. Believed, it would
