--- a/features/entry_stop.feature
+++ b/features/entry_stop.feature
@@ -5,6 +5,7 @@
     # entry and connect by it for a while. Every request is answered; none finds a closed door.
     Given an upstream for the entry of 4 shards with 2 servers each
     And each server of the upstream takes 20 ms longer
+    And callers keep the entries' addresses for 1500 ms
     And 2 entries run
     And callers ask the entries for addresses and send queries to them without a pause
     When entry 2 makes a planned stop while 30 queries and more are sent
--- a/features/steps/entry_stop_steps.py
+++ b/features/steps/entry_stop_steps.py
@@ -30,6 +30,11 @@
 """
 
 
+@given("callers keep the entries' addresses for {span:d} ms")
+def step_address_ttl(context, span):
+    world(context).settings["address_ttl_ms"] = span
+
+
 @given("callers ask the entries for addresses and send queries to them without a pause")
 def step_callers(context):
     here = world(context)
