--- a/src/alderhatch/core/dispatcher.py
+++ b/src/alderhatch/core/dispatcher.py
@@ -43,7 +43,8 @@
         self._parked: dict[tuple[str, str], list[tuple[int, int, Run, ShardState]]] = {}
         self._park_number = 0
         self._hedges_on: dict[str, list[Attempt]] = {}
-        self._freed: list[tuple[str, ServerView]] = []
+        self._waiting_on: dict[str, dict[tuple[str, str], None]] = {}
+        self._freed: list[ServerView] = []
 
     @property
     def parked(self) -> int:
@@ -74,6 +75,8 @@
         key = (run.upstream.name, shard.plan.shard.name)
         entry = (run.rank, self._park_number, run, shard)
         heapq.heappush(self._parked.setdefault(key, []), entry)
+        for server in shard.plan.replicas:
+            self._waiting_on.setdefault(server.server_id, {})[key] = None
         if wake > core.now:
             core.timers.add(wake, TimerKind.WAITING, None)
         return Sent.WAITS
@@ -229,7 +232,7 @@
         attempt.state.attempts.pop(number, None)
         attempt.server.in_flight -= 1
         if self._parked:
-            self._freed.append((attempt.run.upstream.name, attempt.server))
+            self._freed.append(attempt.server)
         if attempt.alone:
             attempt.server.suspects -= 1
         return attempt
@@ -262,17 +265,22 @@
     def take_ready(self) -> list[tuple[Run, ShardState]]:
         """Take out the waiting shard requests for which a server got free during this step."""
         ready: list[tuple[Run, ShardState]] = []
-        for upstream, server in self._freed:
+        for server in self._freed:
             room = int(server.cap) - server.in_flight
-            for name in server.shards:
-                room -= self._take_waiting(upstream, name, room, ready)
+            # A query keeps the shards of its own map. Looked for under the names of the newest map,
+            # what waits for a shard that was split meanwhile would wait until its deadline.
+            waiting = self._waiting_on.get(server.server_id, {})
+            for key in list(waiting):
+                room -= self._take_waiting(key, room, ready)
+                if key not in self._parked:
+                    del waiting[key]
         self._freed.clear()
         return ready
 
     def _take_waiting(
-        self, upstream: str, shard_name: str, room: int, ready: list[tuple[Run, ShardState]]
+        self, key: tuple[str, str], room: int, ready: list[tuple[Run, ShardState]]
     ) -> int:
-        heap = self._parked.get((upstream, shard_name))
+        heap = self._parked.get(key)
         taken = 0
         while heap and taken < room:
             _, _, run, shard = heapq.heappop(heap)
@@ -281,13 +289,14 @@
                 ready.append((run, shard))
                 taken += 1
         if heap is not None and not heap:
-            del self._parked[upstream, shard_name]
+            del self._parked[key]
         return taken
 
     def take_parked(self) -> list[tuple[Run, ShardState]]:
         """Take out all waiting shard requests, the most urgent first."""
         entries = sorted(entry for heap in self._parked.values() for entry in heap)
         self._parked.clear()
+        self._waiting_on.clear()
         ready = []
         for _, _, run, shard in entries:
             if not run.ended and shard.waiting and not shard.closed:
