--- a/bench/control_cluster.py
+++ b/bench/control_cluster.py
@@ -10,7 +10,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
-from socket import socket
+from socket import SO_REUSEADDR, SOL_SOCKET, socket
 from typing import Any, NamedTuple
 
 import orjson
@@ -27,6 +27,7 @@
 START_TIMEOUT_S = 30
 START_PAUSE_S = 0.02
 """All clients share one loop here; started at once, they would hold each other up."""
+_HELD: list[socket] = []
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -44,15 +45,18 @@
     body: dict[str, Any]
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that the kernel chose, free at this moment."""
+def held_ports(count: int) -> list[int]:
+    """Return ports that the kernel chose, kept from others until this process ends.
+
+    A socket that is bound and does not listen keeps the kernel from giving the port away, and, as
+    both set SO_REUSEADDR, lets a listener bind to it.
+    """
     sockets = [socket() for _ in range(count)]
     for one in sockets:
+        one.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
         one.bind((LOOPBACK, 0))
-    ports = [int(one.getsockname()[1]) for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
+    _HELD.extend(sockets)
+    return [int(one.getsockname()[1]) for one in sockets]
 
 
 class ControlCluster:
@@ -60,7 +64,7 @@
 
     def __init__(self, folder: Path, count: int) -> None:
         self._folder = folder
-        ports = free_ports(2 * count)
+        ports = held_ports(2 * count)
         self.names = [f"control-{number + 1}" for number in range(count)]
         """The hosts' names."""
         self._links = dict(zip(self.names, ports[:count], strict=True))
--- a/features/steps/control_programs_steps.py
+++ b/features/steps/control_programs_steps.py
@@ -8,6 +8,7 @@
 
 from behave import given, then, when
 
+from features.support.held_ports import held_ports
 from features.support.tier import CHANGE_KEY, LOOPBACK, START_TIMEOUT_S, Tier
 
 
@@ -15,6 +16,7 @@
 def step_programs(context, count):
     context.tier = tier = Tier(controls=count, entries=0)
     context.add_cleanup(tier.stop)
+    tier.controls = {name: tuple(held_ports(2)) for name in tier.controls}
     for name in tier.controls:
         tier.start_control(name)
     _leader(tier)
--- a/features/support/control_tier.py
+++ b/features/support/control_tier.py
@@ -25,7 +25,7 @@
 from alderhatch.signal import Signal
 from alderhatch.storage.data_folder import DataFolder
 from alderhatch.storage.files import DiskFiles
-from features.support.tier import free_ports
+from features.support.held_ports import held_ports
 
 LOOPBACK = "127.0.0.1"
 SECRET = b"the secret that these tests share"
@@ -57,7 +57,7 @@
             heartbeat=40.0, election_timeout=300.0, compact_entries=compact_entries
         )
         for name in names:
-            self.ports[name] = free_ports(2)
+            self.ports[name] = held_ports(2)
         self.founders = self.endpoints(names)
 
     def endpoints(self, names):
@@ -69,7 +69,7 @@
 
     async def start_control(self, name):
         if name not in self.ports:
-            self.ports[name] = free_ports(2)
+            self.ports[name] = held_ports(2)
         links, operators = self.ports[name]
         cfg = ControlSettings(
             name=name,
