--- a/features/steps/cli_programs_steps.py
+++ b/features/steps/cli_programs_steps.py
@@ -68,6 +68,19 @@
     _run(context, program, str(path))
 
 
+@when("an entry is started alone with a file of rules of two mistakes")
+def step_bad_rules_file(context):
+    folder = new_folder(context)
+    context.tier = Tier(0, 1)
+    context.add_cleanup(context.tier.stop)
+    context.tier.start()
+    settings = (context.tier.folder / "entry-1.toml").read_text()
+    (folder / "entry.toml").write_text(settings)
+    (folder / "rules.toml").write_text('[[rule]]\nname = "A"\nthen = { coverage = "all" }\n')
+    context.mistakes = ("rules.toml:2: rule 1 (A): name", "rules.toml:3: rule 1 (A): then.coverage")
+    _run(context, "entry", str(folder / "entry.toml"))
+
+
 @then("the program ends with exit code {code:d}")
 def step_program_code(context, code):
     assert context.program.returncode == code, context.program
@@ -98,6 +111,14 @@
     _run(context, "entry", "--check", str(context.tier.folder / f"{name}.toml"))
 
 
+@when("the stand-in upstream is started with a fault script of two mistakes")
+def step_bad_faults(context):
+    path = new_folder(context) / "faults.toml"
+    path.write_text('[[fault]]\nservers = "n"\nafter_ms = -1\n[[fault]]\nstragle_ms = 3\n')
+    context.mistakes = (":3: fault[1].after_ms: ", ":5: fault[2].stragle_ms: unknown key; did you")
+    _run(context, "upstream", "navigator", "--faults", str(path))
+
+
 @when("the stand-in upstream is started with {shards:d} shards of {servers:d} servers")
 def step_upstream(context, shards, servers):
     words = ["spotbook", "--shards", str(shards), "--servers", str(servers)]
