--- a/features/lease.feature
+++ b/features/lease.feature
@@ -45,3 +45,15 @@
     When a new leader takes over at 10000 ms and nobody renews
     Then it waits for the entry at 13299 ms
     And it takes the lease as run out at 13300 ms and not a second time
+
+  Scenario Outline: Entries are hurried at a pace that control can bear
+    # After a power cut hundreds of entries start at once, and each is news to all the others. Told
+    # at once every time, they kept the control hosts too busy to grant a lease to any of them.
+    Then <entries> entries hurried by news make at most <renewals> renewals a second
+
+    Examples:
+      | entries | renewals |
+      | 1       | 20       |
+      | 12      | 240      |
+      | 100     | 500      |
+      | 410     | 500      |
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -11,6 +11,7 @@
 from alderhatch.core.control.lease_messages import Grant, GrantReply
 from alderhatch.core.control.lease_table import LeaseTable
 from alderhatch.core.control.operations import EntryKey
+from alderhatch.core.control.pace import hurry_gap
 from features.support.lease_model import run_events
 
 ME = EntryIdentity("entry-1", "run-1", "waco-hall", "10.0.0.1", 8080)
@@ -119,3 +120,8 @@
     assert context.leases.waiting_for(0, float(now)) == []
     assert context.leases.take_run_out(float(now)) == [context.key]
     assert context.leases.take_run_out(float(now)) == []
+
+
+@then("{entries:d} entries hurried by news make at most {renewals:d} renewals a second")
+def step_pace(context, entries, renewals):
+    assert entries * 1000.0 / hurry_gap(entries) <= renewals
