Tests of processes: each tier has a loopback address of its own

Cause: a port that was looked up on 127.0.0.1 and let go could be taken by another test's connection before the process listened on it.

--- a/features/steps/cli_tier_steps.py
+++ b/features/steps/cli_tier_steps.py
@@ -9,7 +9,7 @@
 from behave import then, when
 
 from features.support.cli_support import call
-from features.support.tier import CHANGE_KEY, LOOPBACK, READ_KEY
+from features.support.tier import CHANGE_KEY, READ_KEY
 
 END_TIMEOUT_S = 30
 BOOK = ("--upstream", "navigator", "--kind", "dispatch", "--output", "json")
@@ -28,7 +28,7 @@
 
 @when('the tier\'s operator books a {thing} with request id "{request_id}" at "{entry}"')
 def step_book(context, thing, request_id, entry):
-    place = f"{LOOPBACK}:{context.tier.entries[entry][0]}"
+    place = f"{context.tier.address}:{context.tier.entries[entry][0]}"
     body = json.dumps({"item": thing})
     _operate(context, "book", body, *BOOK, "--request-id", request_id, entries=place)
     context.bookings = [*getattr(context, "bookings", []), context.cli.stdout]
@@ -84,7 +84,7 @@
     for name in tier.controls:
         tier.start_control(name)
     for _, operators in tier.controls.values():
-        tier.wait_for(f"http://{LOOPBACK}:{operators}/readyz")
+        tier.wait_for(f"http://{tier.address}:{operators}/readyz")
 
 
 @then('the program "{name}" ends by itself with exit code {code:d} and cut off nothing')
@@ -101,7 +101,7 @@
     port = context.tier.entries[gone][0]
     end = time.monotonic() + END_TIMEOUT_S
     while True:
-        url = f"http://{LOOPBACK}:{context.tier.entries[name][0]}/addresses"
+        url = f"http://{context.tier.address}:{context.tier.entries[name][0]}/addresses"
         with urlopen(url, timeout=10) as reply:
             ports = [item["port"] for item in json.loads(reply.read())["addresses"]]
         if port not in ports:
--- a/features/support/tier.py
+++ b/features/support/tier.py
@@ -15,6 +15,8 @@
 from pathlib import Path
 from urllib.request import urlopen
 
+from features.support.tier_processes import own_loopback_address
+
 START_TIMEOUT_S = 60
 STOP_TIMEOUT_S = 20
 LOOPBACK = "127.0.0.1"
@@ -22,11 +24,11 @@
 READ_KEY = "read-key-of-the-tests-0123456789"
 
 
-def free_ports(count):
+def free_ports(count, address=LOOPBACK):
     """Return ports that the kernel chose; control hosts have to know each other's beforehand."""
     sockets = [socket.socket() for _ in range(count)]
     for one in sockets:
-        one.bind((LOOPBACK, 0))
+        one.bind((address, 0))
     ports = [one.getsockname()[1] for one in sockets]
     for one in sockets:
         one.close()
@@ -43,7 +45,10 @@
         self.zones = zones
         self.processes = {}
         self.upstream_servers = []
-        ports = iter(free_ports(2 * (controls + entries)))
+        # On the usual loopback address another test's connection could take a port in the moment
+        # between its choice and the start of the process that is to listen on it.
+        self.address = own_loopback_address()
+        ports = iter(free_ports(2 * (controls + entries), self.address))
         self.controls = {f"control-{n + 1}": (next(ports), next(ports)) for n in range(controls)}
         self.entries = {f"entry-{n + 1}": (next(ports), next(ports)) for n in range(entries)}
         self._private("secret", self.secret)
@@ -59,11 +64,11 @@
 
     @property
     def control_places(self):
-        return ",".join(f"{LOOPBACK}:{operators}" for _, operators in self.controls.values())
+        return ",".join(f"{self.address}:{operators}" for _, operators in self.controls.values())
 
     @property
     def entry_places(self):
-        return ",".join(f"{LOOPBACK}:{callers}" for callers, _ in self.entries.values())
+        return ",".join(f"{self.address}:{callers}" for callers, _ in self.entries.values())
 
     def start(self):
         """Start everything and wait until every entry is ready.
@@ -75,11 +80,11 @@
         for name in self.controls:
             self.start_control(name)
         for _, operators in self.controls.values():
-            self.wait_for(f"http://{LOOPBACK}:{operators}/readyz")
+            self.wait_for(f"http://{self.address}:{operators}/readyz")
         for name in self.entries:
             self.start_entry(name)
         for _, operators in self.entries.values():
-            self.wait_for(f"http://{LOOPBACK}:{operators}/ready")
+            self.wait_for(f"http://{self.address}:{operators}/ready")
 
     def _start_upstream(self):
         words = ["navigator", "--shards", "4", "--median-ms", "1", "--connect-ms", "0"]
@@ -100,11 +105,11 @@
             "lease_ms = 2000",
             "heartbeat_ms = 50",
             "election_timeout_ms = 400",
-            *_endpoint("links", links),
-            *_endpoint("operators", operators),
+            *self._endpoint("links", links),
+            *self._endpoint("operators", operators),
         ]
         for peer, (port, _) in self.controls.items():
-            lines += ["[[peers]]", f'name = "{peer}"', *_endpoint(None, port)]
+            lines += ["[[peers]]", f'name = "{peer}"', *self._endpoint(None, port)]
         self._start_program(name, "control", lines)
 
     def start_entry(self, name):
@@ -116,16 +121,20 @@
             'secret_file = "secret"' if self.controls else 'rules_file = "rules.toml"',
             "address_ttl_ms = 500",
             "drain_ms = 5000",
-            *_endpoint("callers", callers),
-            *_endpoint("operators", operators),
+            *self._endpoint("callers", callers),
+            *self._endpoint("operators", operators),
         ]
         for control, (links, _) in self.controls.items():
-            lines += ["[[controls]]", f'name = "{control}"', *_endpoint(None, links)]
+            lines += ["[[controls]]", f'name = "{control}"', *self._endpoint(None, links)]
         lines += ["[[upstreams]]", 'name = "navigator"', "map_poll_ms = 200"]
         port = self.upstream_servers[0]["port"]
         lines.append(f'seeds = [{{ address = "{LOOPBACK}", port = {port} }}]')
         self._start_program(name, "entry", lines)
 
+    def _endpoint(self, table, port):
+        lines = [f"[{table}]"] if table else []
+        return [*lines, f'address = "{self.address}"', f"port = {port}"]
+
     def _start_program(self, name, program, lines):
         settings = self.folder / f"{name}.toml"
         settings.write_text("\n".join(lines) + "\n")
@@ -161,7 +170,7 @@
     def dump_places(self):
         """Where each process shows its dump."""
         return {
-            name: f"{LOOPBACK}:{operators}"
+            name: f"{self.address}:{operators}"
             for name, (_, operators) in (self.controls | self.entries).items()
         }
 
@@ -189,8 +198,3 @@
         for name in list(self.processes):
             self.end(name, signal.SIGKILL)
         self._folder.cleanup()
-
-
-def _endpoint(table, port):
-    lines = [f"[{table}]"] if table else []
-    return [*lines, f'address = "{LOOPBACK}"', f"port = {port}"]
