A connection that the server closed is free at once; a hurried probe waits for its turn

Cause: after a lost connection the core waits some milliseconds for the probe that tells a crash from a lost connection. The probe could be kept waiting by the 100 ms for which a closed connection still counts, or was left out while the other connection was busy, so that innocent bodies were refused (1 of 3 runs). A connection that the other end closed needs no such time; one that it closes before any use is taken for a failed opening.

--- a/features/entry_connections.feature
+++ b/features/entry_connections.feature
@@ -72,6 +72,8 @@
       | all taken                           | 2     | open take open take           | 2    | not wanted |
       | one broke a moment ago              | 1     | open take break               | 1    | not wanted |
       | one broke a while ago               | 1     | open take break wait          | 0    | wanted     |
+      | the server closed one in use        | 1     | open take lose                | 0    | wanted     |
+      | the server closed a new one at once | 1     | open take refuse              | 0    | not wanted |
       | a spare while one is taken          | 3     | open take open                | 2    | not wanted |
       | an opening under way                | 2     | start                         | 1    | not wanted |
       | no connection could be opened       | 2     | start fail                    | 0    | not wanted |
--- a/features/steps/entry_connections_steps.py
+++ b/features/steps/entry_connections_steps.py
@@ -147,6 +147,8 @@
 
     alive = True
     usable = True
+    used = True
+    closed_by_peer = False
     opened_at = 0.0
     progress_at = 0.0
 
@@ -179,6 +181,11 @@
                 conns.put(taken.pop(), now)
             case "break":
                 conns.drop(taken.pop(), now)
+            case "lose" | "refuse":
+                conn = taken.pop()
+                conn.closed_by_peer = True
+                conn.used = event == "lose"
+                conns.drop(conn, now)
             case "wait":
                 now += 1000
             case "trim":
--- a/src/alderhatch/entry/connection_pool.py
+++ b/src/alderhatch/entry/connection_pool.py
@@ -222,7 +222,6 @@
         if self._servers.get(server.server_id) is not conns:
             conn.close()
             return
-        conns.opened()
         conns.put(conn, self._clock.now())
         self._grow(conns)
 
--- a/src/alderhatch/entry/health_poller.py
+++ b/src/alderhatch/entry/health_poller.py
@@ -52,11 +52,11 @@
         """Probe a server now, if it is one of this upstream's."""
         shard_map = self._current_map()
         if shard_map is not None and server_id in shard_map.by_server_id:
-            self._start(server_id)
+            self._start(server_id, hurried=True)
 
-    def _start(self, server_id: str) -> None:
+    def _start(self, server_id: str, hurried: bool = False) -> None:
         if self._nursery is not None and server_id not in self._probing:
-            self._nursery.start_soon(self._probe, server_id)
+            self._nursery.start_soon(self._probe, server_id, hurried)
 
     async def run(self) -> None:
         """Probe until cancelled."""
@@ -77,22 +77,22 @@
             if not servers:
                 await trio.sleep(self._cfg.health_poll_ms / SECOND)
 
-    async def _probe(self, server_id: str) -> None:
+    async def _probe(self, server_id: str, hurried: bool) -> None:
         self._probing.add(server_id)
         try:
             for _ in range(TRIES):
-                if await self._ask(server_id):
+                if await self._ask(server_id, hurried):
                     return
             self._report(HealthReported(server_id, ServerState.UNREACHABLE, None, None))
         finally:
             self._probing.discard(server_id)
 
-    async def _ask(self, server_id: str) -> bool:
+    async def _ask(self, server_id: str, hurried: bool) -> bool:
         """Ask once; return whether there is nothing more to find out in this round."""
         if self._pool.share_of(server_id) == 0:
             return True
         idle, busy = self._pool.held_to(server_id)
-        if busy and not idle:
+        if busy and not idle and not hurried:
             # Every connection carries a query. Its answer tells more than a probe would, and a
             # probe that waited for it would hold up the next query.
             return True
--- a/src/alderhatch/entry/server_connections.py
+++ b/src/alderhatch/entry/server_connections.py
@@ -80,6 +80,8 @@
 
     def put(self, conn: HttpConnection, now: Millis) -> None:
         """Take a connection that can carry another exchange: for who waits, or for later."""
+        if conn.used:
+            self._backoff = 0.0
         self.busy.discard(conn)
         if len(self.idle) + len(self.busy) + self.opening >= self.share:
             self.drop(conn, now)
@@ -97,7 +99,12 @@
         """Close a connection; its place is free again a little later."""
         self.busy.discard(conn)
         conn.close(fault)
-        self._closed_at.append(now)
+        if not conn.closed_by_peer:
+            self._closed_at.append(now)
+        elif not conn.used:
+            # A server that is full closes each new connection at once. Opened again at once, they
+            # would keep it busy with nothing else.
+            self._back_off(now)
 
     def trim(self, now: Millis) -> None:
         """Close idle connections that are over the share."""
@@ -112,17 +119,16 @@
             return False
         return (bool(self.waiting) or not self.idle) and self.held(now) < self.share
 
-    def opened(self) -> None:
-        """Take note that a connection was opened: the next failure starts from a short wait."""
-        self._backoff = 0.0
-
     def failed(self, error: HttpExchangeError, now: Millis) -> None:
         """Take note that no connection could be opened, and tell everyone who waits."""
-        self._backoff = min(LONGEST_BACKOFF, max(FIRST_BACKOFF, 2 * self._backoff))
-        self._retry_at = now + self._backoff
+        self._back_off(now)
         if not self.busy:
             self._fail_waiting(error)
 
+    def _back_off(self, now: Millis) -> None:
+        self._backoff = min(LONGEST_BACKOFF, max(FIRST_BACKOFF, 2 * self._backoff))
+        self._retry_at = now + self._backoff
+
     def _fail_waiting(self, error: HttpExchangeError) -> None:
         while self.waiting:
             waiter = self.waiting.popleft()
--- a/src/alderhatch/http/client.py
+++ b/src/alderhatch/http/client.py
@@ -76,6 +76,10 @@
         self._closed_for: ExchangeFault | None = None
         self.usable = True
         """False once the connection can't carry another exchange."""
+        self.used = False
+        """Whether an exchange was begun on it."""
+        self.closed_by_peer = False
+        """Whether the other end is known to have closed it."""
         self.opened_at = opened_at
         self.progress_at = opened_at
         """When the present exchange last saw a byte move; its owner sets the start of it."""
@@ -89,7 +93,12 @@
         connection could have carried, and the second would be read as the answer to the next
         request. One look at the socket before each use finds both.
         """
-        return self.usable and not self._stream.socket.is_readable()
+        if not self.usable:
+            return False
+        if not self._stream.socket.is_readable():
+            return True
+        self.closed_by_peer = True
+        return False
 
     async def exchange(
         self,
@@ -121,12 +130,14 @@
             message = "the connection is no longer usable"
             raise HttpExchangeError(message, ExchangeFault.NOT_SENT)
         self.usable = False
+        self.used = True
         data = self._request_bytes(method, target, body, headers)
         try:
             await self._stream.send_all(data)
             reply = await self._read_reply(max_body)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             fault = self._closed_for or ExchangeFault.LOST
+            self.closed_by_peer = self._closed_for is None
             raise HttpExchangeError(f"the connection broke: {exc}", fault) from exc
         except h11.RemoteProtocolError as exc:
             raise HttpExchangeError(f"not a response: {exc}", self._protocol_fault()) from exc
@@ -164,6 +175,7 @@
             if event is h11.NEED_DATA:
                 data = await self._stream.receive_some(READ_BYTES)
                 self.progress_at = trio.current_time() * SECOND
+                self.closed_by_peer = not data
                 self._http.receive_data(data)
             elif isinstance(event, h11.Data):
                 size += len(event.data)
