--- a/src/alderhatch/entry/health_poller.py
+++ b/src/alderhatch/entry/health_poller.py
@@ -60,11 +60,11 @@
             # older than that.
             self._hurried.add(server_id)
             return
-        self._start(server_id, urgent=True)
+        self._start(server_id, hurried=True)
 
-    def _start(self, server_id: str, urgent: bool = False) -> None:
+    def _start(self, server_id: str, hurried: bool = False) -> None:
         if self._nursery is not None and server_id not in self._probing:
-            self._nursery.start_soon(self._probe, server_id, urgent)
+            self._nursery.start_soon(self._probe, server_id, hurried)
 
     async def run(self) -> None:
         """Probe until cancelled."""
@@ -85,25 +85,25 @@
             if not servers:
                 await trio.sleep(self._cfg.health_poll_ms / SECOND)
 
-    async def _probe(self, server_id: str, urgent: bool) -> None:
+    async def _probe(self, server_id: str, hurried: bool) -> None:
         self._probing.add(server_id)
         try:
             for _ in range(TRIES):
-                if await self._ask(server_id, urgent):
+                if await self._ask(server_id, hurried):
                     return
             self._report(HealthReported(server_id, ServerState.UNREACHABLE, None, None))
         finally:
             self._probing.discard(server_id)
             if server_id in self._hurried:
                 self._hurried.discard(server_id)
-                self._start(server_id, urgent=True)
+                self._start(server_id, hurried=True)
 
-    async def _ask(self, server_id: str, urgent: bool) -> bool:
+    async def _ask(self, server_id: str, hurried: bool) -> bool:
         """Ask once; return whether there is nothing more to find out in this round."""
         if self._pool.share_of(server_id) == 0:
             return True
         idle, busy = self._pool.held_to(server_id)
-        if busy and not idle and not urgent:
+        if busy and not idle and not hurried:
             # Every connection carries a query. Its answer tells more than a probe would, and a
             # probe that waited for it would hold up the next query.
             return True
