Dispatcher: one timer for all shard requests that wait for servers which shed

Each waiting shard request set a timer, and each timer looked at all that wait and let them set theirs again: they multiplied with every round. Change: one timer, at the earliest time that a server may be asked again. Conclusion: the shed path could have brought an entry to a stand under overload.

--- a/features/core_replicas.feature
+++ b/features/core_replicas.feature
@@ -115,5 +115,13 @@
     When 1000 queries in the core fail on every attempt
     Then the core has sent at most 1170 shard requests
 
+  Scenario: Many requests that wait for servers which shed are looked at once, not once each
+    # All replicas of a shard shed again and again while sixty queries wait for them. If each waiting
+    # request set a timer and each timer looked at all of them, the timers would multiply with every
+    # round until the entry does nothing else.
+    Given a core over 1 shard with 2 replicas
+    When 60 queries in the core wait while both replicas shed for 20 rounds
+    Then the core never held more than 200 timers
+
   Scenario: Owners of a server are few, near and stable
     Then owners of a server come from its zone first and move little when an entry goes
--- a/features/steps/core_replica_steps.py
+++ b/features/steps/core_replica_steps.py
@@ -316,6 +316,26 @@
     assert len(context.core.sent) <= most, len(context.core.sent)
 
 
+@when("{queries:d} queries in the core wait while both replicas shed for {rounds:d} rounds")
+def step_wait_while_shed(context, queries, rounds):
+    core = context.core
+    core.rules(Serve(hedge=0, retries=10, deadline_ms=5000.0), revision=2)
+    context.most_timers = 0
+    for number in range(queries + rounds):
+        if number < queries:
+            core.arrive()
+        core.advance(25.0)
+        for attempt in list(core.out):
+            if attempt in core.out:
+                core.fail(attempt, AttemptFault.SHED, 40.0 + number % 3)
+        context.most_timers = max(context.most_timers, core.core.dump(core.now)["timers"])
+
+
+@then("the core never held more than {most:d} timers")
+def step_most_timers(context, most):
+    assert context.most_timers <= most, context.most_timers
+
+
 @then("owners of a server come from its zone first and move little when an entry goes")
 def step_owners(context):
     entries = [EntryPlace(f"entry-{index}", ZONES[index % 3]) for index in range(12)]
--- a/src/alderhatch/core/dispatcher.py
+++ b/src/alderhatch/core/dispatcher.py
@@ -45,6 +45,8 @@
         self._hedges_on: dict[str, list[Attempt]] = {}
         self._waiting_on: dict[str, dict[tuple[str, str], None]] = {}
         self._freed: list[ServerView] = []
+        self._wake_at: Millis | None = None
+        """When the timer for waiting shard requests comes up."""
 
     @property
     def parked(self) -> int:
@@ -77,7 +79,10 @@
         heapq.heappush(self._parked.setdefault(key, []), entry)
         for server in shard.plan.replicas:
             self._waiting_on.setdefault(server.server_id, {})[key] = None
-        if wake > core.now:
+        # One timer looks at all that waits. With one for each they would multiply in every round of
+        # refusals, seen as an entry that does nothing but look at its waiting requests.
+        if wake > core.now and (self._wake_at is None or wake < self._wake_at):
+            self._wake_at = wake
             core.timers.add(wake, TimerKind.WAITING, None)
         return Sent.WAITS
 
@@ -297,6 +302,8 @@
         entries = sorted(entry for heap in self._parked.values() for entry in heap)
         self._parked.clear()
         self._waiting_on.clear()
+        if self._wake_at is not None and self._wake_at <= self._state.now:
+            self._wake_at = None
         ready = []
         for _, _, run, shard in entries:
             if not run.ended and shard.waiting and not shard.closed:
