Tests of processes: one address for each tier, and a resend that waits its turn

The control programs listened on the tier's own loopback address while their test asked 127.0.0.1, so 3 scenarios never saw a leader. In the whole-tier feature a dispatch sent again within milliseconds can truly get in_progress, as its outcome is recorded after the first answer; the test took only the final answer for right. Change: the test asks the tier's address; the resend follows the answer's advice (same id again) until it is final, and must then be the same answer, still run once.

--- a/features/steps/control_programs_steps.py
+++ b/features/steps/control_programs_steps.py
@@ -8,15 +8,13 @@
 
 from behave import given, then, when
 
-from features.support.held_ports import held_ports
-from features.support.tier import CHANGE_KEY, LOOPBACK, START_TIMEOUT_S, Tier
+from features.support.tier import CHANGE_KEY, START_TIMEOUT_S, Tier
 
 
 @given("{count:d} running control programs")
 def step_programs(context, count):
     context.tier = tier = Tier(controls=count, entries=0)
     context.add_cleanup(tier.stop)
-    tier.controls = {name: tuple(held_ports(2)) for name in tier.controls}
     for name in tier.controls:
         tier.start_control(name)
     _leader(tier)
@@ -24,7 +22,7 @@
 
 def _call(tier, name, method, path, body=None):
     data = None if body is None else json.dumps(body).encode()
-    url = f"http://{LOOPBACK}:{tier.controls[name][1]}{path}"
+    url = f"http://{tier.address}:{tier.controls[name][1]}{path}"
     headers = {"Authorization": f"Bearer {CHANGE_KEY}"}
     try:
         with urlopen(Request(url, data, headers, method=method), timeout=20) as reply:
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -48,7 +48,8 @@
 
 @when('entry "{entry}" of the tier is sent dispatch "{request_id}" again')
 def step_dispatch_again(context, entry, request_id):
-    context.second = context.tier.run(entry, request_id)
+    step_resend(context, entry, request_id)
+    context.second = context.last
 
 
 @then("both of the tier's answers to the dispatch are the same")
