Rules take values of their own type only, from every side

Cause: the operator API took coverage = "0.9" and idempotent = "no", as only declarations had a second, strict pass. Change: the rule's own types are strict and each field says what it is; the second pass is gone.

--- a/features/rules.feature
+++ b/features/rules.feature
@@ -10,6 +10,9 @@
       | first                                         | second                                                          | position | field            |
       | name="a" then={}                              | name="b" then={coverage=1.5}                                    | 2        | then.coverage    |
       | name="a" then={}                              | name="b" then={coverage=0.5,min_coverage=0.6}                   | 2        | then.min_coverage |
+      | name="a" then={}                              | name="b" then={coverage="0.9"}                                  | 2        | then.coverage    |
+      | name="a" then={}                              | name="b" then={deadline_ms=true}                                | 2        | then.deadline_ms |
+      | name="a" then={}                              | name="b" when={idempotent="no"} then={}                         | 2        | when.idempotent  |
       | name="a" then={hedges=1}                      | name="b" then={}                                                | 1        | then.hedges      |
       | name="a" then={}                              | name="a" then={}                                                | 2        | name             |
       | name="A B" then={}                            | name="b" then={}                                                | 1        | name             |
--- a/src/alderhatch/core/rule.py
+++ b/src/alderhatch/core/rule.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import Annotated, TypeAlias
 
-from pydantic import BeforeValidator, ConfigDict, Field
+from pydantic import BeforeValidator, ConfigDict, Field, Strict
 
 from ..clock import Millis
 from .priority import Priority
@@ -62,12 +62,19 @@
     __pydantic_config__ = _CLOSED
 
     kind: Words = ()
+    """Kinds of request, in the callers' own words."""
     upstream: Words = ()
+    """Names of upstreams."""
     caller: Words = ()
+    """Names of callers."""
     zone: Words = ()
+    """Availability zones of callers."""
     priority: Priorities = ()
-    idempotent: bool | None = None
+    """Classes that the request asks for."""
+    idempotent: Annotated[bool, Strict()] | None = None
+    """Whether the request may be repeated."""
     headers: tuple[HeaderMatch, ...] = ()
+    """Header fields that all have to be there."""
 
     def mismatch(self, request: Request) -> str | None:
         """Return the name of the first condition that does not hold, or None if all do."""
@@ -95,25 +102,26 @@
 
     __pydantic_config__ = _CLOSED
 
-    coverage: Annotated[float, Field(ge=0, le=1)] = 1.0
+    coverage: Annotated[float, Strict(), Field(ge=0, le=1)] = 1.0
     """The fraction of documents that is wanted; once reached, stragglers get ``straggler_ms``."""
-    min_coverage: Annotated[float, Field(ge=0, le=1)] = 0.0
+    min_coverage: Annotated[float, Strict(), Field(ge=0, le=1)] = 0.0
     """An answer that covers less than this is an error to the caller."""
-    deadline_ms: Annotated[Millis, Field(gt=0, le=MAX_DEADLINE)] = 1000.0
+    deadline_ms: Annotated[Millis, Strict(), Field(gt=0, le=MAX_DEADLINE)] = 1000.0
     """The longest time to an answer; a caller may ask for less."""
-    straggler_ms: Annotated[Millis, Field(ge=0, le=MAX_DEADLINE)] = 0.0
+    straggler_ms: Annotated[Millis, Strict(), Field(ge=0, le=MAX_DEADLINE)] = 0.0
     """How long to wait for more once the coverage wanted is reached."""
     priority: Priority | None = None
     """The class the request gets; its own if none is given."""
-    hedge: Annotated[float, Field(ge=0, le=1)] = 0.05
+    hedge: Annotated[float, Strict(), Field(ge=0, le=1)] = 0.05
     """Hedges allowed, as a fraction of the rule's shard requests."""
-    retries: Annotated[int, Field(ge=0, le=10)] = 1
+    retries: Annotated[int, Strict(), Field(ge=0, le=10)] = 1
     """Further tries for each shard after a failure."""
-    max_load_share: Annotated[float, Field(gt=0, le=1)] = 1.0
+    max_load_share: Annotated[float, Strict(), Field(gt=0, le=1)] = 1.0
     """The share of an upstream's slots that requests of this rule may hold at one entry."""
-    caller_rate: Annotated[float, Field(gt=0)] | None = None
+    caller_rate: Annotated[float, Strict(), Field(gt=0)] | None = None
     """Requests a second for each caller at one entry; None is no limit."""
     zone: ZonePreference = ZonePreference.OWN_ZONE
+    """Which replicas come first."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,7 +132,8 @@
 
     refuse: Annotated[str, Field(min_length=1, max_length=200)]
     """The reason that the caller is shown."""
-    retry_after_ms: Annotated[Millis, Field(ge=0)] | None = None
+    retry_after_ms: Annotated[Millis, Strict(), Field(ge=0)] | None = None
+    """When the caller may come back, if ever."""
 
 
 Then: TypeAlias = Serve | Refuse
--- a/src/alderhatch/settings/declaration.py
+++ b/src/alderhatch/settings/declaration.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -20,8 +19,8 @@
 
 _RULE_KEY = "rule"
 _TIER_KEY = "tier"
-_FORMS = ("Serve", "Refuse")
-"""The two forms of ``then``, as pydantic names them in the paths of its errors."""
+_WRONG_TYPE = "input should be a valid"
+"""How pydantic begins to say that a value is of another type."""
 _WRONG_FORM = "Unexpected keyword argument"
 """What pydantic says of a key that a dataclass does not have."""
 
@@ -59,7 +58,6 @@
         rules = parse_rules(file.raw.get(_RULE_KEY, []))
     except RuleFaultsError as exc:
         faults += _located(file, exc.faults)
-    faults = faults or list(_lax_values(file))
     if faults:
         raise SettingsFaultsError(sorted(faults, key=lambda fault: fault.line))
     return Declaration(rules, tier, tuple(_warnings(file, rules)))
@@ -89,30 +87,6 @@
     return located
 
 
-def _lax_values(file: TomlFile) -> Iterator[SettingsFault]:
-    """Yield values that only pass because text was read as a number, or a number as true.
-
-    A coverage of "0.9" or an idempotent of "no" would otherwise be taken for what was meant, by
-    rules that nobody wrote down.
-    """
-    adapter = TypeAdapter(Rule)
-    allowed = Allowed(adapter.json_schema())
-    for index, raw in enumerate(file.raw.get(_RULE_KEY, [])):
-        try:
-            adapter.validate_json(orjson.dumps(raw), strict=True)
-        except ValidationError as exc:
-            other = "Serve" if "refuse" in raw["then"] else "Refuse"
-            for error in exc.errors():
-                # A list of words has been through a validator that takes one word as well, after
-                # which strict rules want a tuple; its words were checked before.
-                if other in error["loc"] or error["type"] == "tuple_type":
-                    continue
-                error["loc"] = tuple(part for part in error["loc"] if part not in _FORMS)
-                fault = explain_error(file, allowed, error, (_RULE_KEY, index))
-                place = dotted(error["loc"])
-                yield fault._replace(key=f"rule {index + 1} ({raw['name']}): {place}")
-
-
 def _path_of(field: str) -> KeyPath:
     if field == "rule":
         return ()
@@ -121,6 +95,8 @@
 
 def _reworded(fault: RuleFault, path: KeyPath, allowed: Allowed) -> tuple[str, str]:
     message = fault.message[:1].lower() + fault.message[1:]
+    if message.startswith(_WRONG_TYPE):
+        message = "is of the wrong type"
     if not path:
         return message, ""
     keys = allowed.keys(path[:-1])
