--- a/features/core_hedging.feature
+++ b/features/core_hedging.feature
@@ -37,3 +37,12 @@
     Given a core that has seen 200 queries over 4 shards of about 5 ms
     When all but one shard of a query with a deadline of 12 ms answer and 11 ms pass
     Then no second copy is out
+
+  Scenario: Control takes the hedges back for the whole tier
+    # The upstreams are short of slots for a night. An operator sets the tier's budget to nothing;
+    # the rules' own budgets may not go over it.
+    Given a core that has seen 200 queries over 4 shards of about 5 ms
+    And control has set the core's budgets to 0 for hedges and 0.1 for retries
+    When 200 queries run there with every answer taking 80 ms
+    Then the core has sent at most 1.06 times the shard requests needed
+    And since then the core's hedges have earned nothing
--- a/features/query.feature
+++ b/features/query.feature
@@ -129,3 +129,20 @@
     # Answers come in any order, twice, not at all, from other versions, and cancelled attempts
     # answer after all.
     Then merge and coverage agree with a naive version for any order, doubling and loss of events
+
+  Scenario: A replica moves to another server without a new snapshot
+    # A host is emptied: its server's shard is copied to another one and the map names that one
+    # instead, at the same version and epoch. An entry that passes over the map goes on asking a
+    # server that is about to leave, and never asks the new one.
+    Given a core query over 4 shards with no retries
+    When the core is given a map of the same snapshot with shard "s1" on server "ix-new" alone
+    And another query arrives at the core after that
+    Then that query asks server "ix-new" for shard "s1"
+
+  Scenario: A map of the same snapshot with other weights is not believed
+    # Two seeds of an upstream disagree about how many documents a shard has. Taken over, the
+    # coverage of answers under way would be counted by two different measures.
+    Given a core query over 4 shards with no retries
+    When the core is given a map of the same snapshot with other weights
+    And another query arrives at the core after that
+    Then that query is planned over the weights that were known
--- a/features/steps/core_hedging_steps.py
+++ b/features/steps/core_hedging_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from alderhatch.core.entry_events import Answered, Claim, ClaimDecided
+from alderhatch.core.entry_events import Answered, BudgetsChanged, Claim, ClaimDecided
 from alderhatch.core.rule import Serve
 from features.support.core_harness import CoreHarness, make_map
 
@@ -138,3 +138,20 @@
         hedge_after(core)
     empty = hedge_after(core)
     assert full < empty, (full, empty)
+
+
+@given("control has set the core's budgets to {hedge:g} for hedges and {retry:g} for retries")
+def step_budgets(context, hedge, retry):
+    context.core.feed(BudgetsChanged(hedge, retry))
+    state = context.core.core._state
+    context.hedges_before = {name: item.spent for name, item in state.hedges.items()}
+    context.tokens_before = {name: item.tokens for name, item in state.hedges.items()}
+
+
+@then("since then the core's hedges have earned nothing")
+def step_nothing_earned(context):
+    for name, budget in context.core.core._state.hedges.items():
+        spent = budget.spent - context.hedges_before[name]
+        assert budget.ratio == 0
+        assert spent <= context.tokens_before[name], (spent, context.tokens_before)
+        assert budget.tokens <= context.tokens_before[name]
--- a/features/steps/query_steps.py
+++ b/features/steps/query_steps.py
@@ -15,7 +15,7 @@
     ShardMapFetched,
 )
 from alderhatch.core.rule import Serve
-from alderhatch.core.shard_map import Snapshot
+from alderhatch.core.shard_map import ShardMap, Snapshot
 from features.support.core_harness import CoreHarness, make_map
 
 
@@ -265,3 +265,37 @@
             assert server["in_flight"] == 0
 
     check()
+
+
+@when('the core is given a map of the same snapshot with shard "{name}" on server "{new}" alone')
+def step_moved_replica(context, name, new):
+    known = make_map()
+    moved = known.servers[0]._replace(server_id=new)
+    shards = tuple(
+        shard._replace(servers=(new,)) if shard.name == name else shard for shard in known.shards
+    )
+    shard_map = ShardMap(known.upstream, known.snapshot, shards, (*known.servers, moved))
+    context.core.feed(ShardMapFetched(shard_map))
+
+
+@when("the core is given a map of the same snapshot with other weights")
+def step_other_weights(context):
+    context.core.feed(ShardMapFetched(make_map(documents=[1, 1, 1, 9999])))
+
+
+@when("another query arrives at the core after that")
+def step_another_query(context):
+    context.sent_before = len(context.core.sent)
+    context.core.arrive()
+
+
+@then('that query asks server "{server_id}" for shard "{name}"')
+def step_asks_new(context, server_id, name):
+    sent = context.core.sent[context.sent_before :]
+    assert [send.server_id for send in sent if send.shard == name] == [server_id], sent
+
+
+@then("that query is planned over the weights that were known")
+def step_known_weights(context):
+    run = context.core.core._state.runs[context.core.next_query]
+    assert run.shard_map == make_map()
--- a/src/alderhatch/core/control/tier_settings.py
+++ b/src/alderhatch/core/control/tier_settings.py
@@ -19,9 +19,9 @@
     __pydantic_config__ = ConfigDict(extra="forbid")
 
     hedge_budget: Annotated[float, Field(ge=0, le=1)] = 0.05
-    """Hedges as a fraction of shard requests."""
+    """Hedges of any rule at most, as a fraction of its shard requests."""
     retry_budget: Annotated[float, Field(ge=0, le=1)] = 0.1
-    """Retries as a fraction of shard requests."""
+    """Retries of each upstream at most, as a fraction of its shard requests."""
     crash_limit: Annotated[int, Field(ge=1, le=10)] = 2
     """Crashes after which a body's fingerprint is quarantined."""
     crash_window_ms: Annotated[Millis, Field(ge=SECOND, le=DAY)] = 10 * MINUTE
--- a/src/alderhatch/core/core_state.py
+++ b/src/alderhatch/core/core_state.py
@@ -36,6 +36,8 @@
         self.revision = 0
         self.runs: dict[int, Run] = {}
         """The requests under way, by their numbers."""
+        self.hedge_share = 1.0
+        """What control allows every rule at most, as a fraction of its shard requests."""
         self.hedges: dict[str, RatioBudget] = {}
         """Hedge budgets by the rule's name."""
         self.shard_requests_sent = 0
@@ -44,14 +46,14 @@
         """Attempts that were cancelled or whose answer was of no use."""
 
     def hedge_budget(self, rule: Rule, serve: Serve) -> RatioBudget:
-        """Return the budget of a rule."""
+        """Return the budget of a rule, which the tier's budget bounds."""
         budget = self.hedges.get(rule.name)
         if budget is None:
             if len(self.hedges) >= MAX_HEDGE_BUDGETS:
                 self.hedges.clear()
-            budget = RatioBudget(serve.hedge, self.policy.hedge_burst, 1.0)
+            budget = RatioBudget(0.0, self.policy.hedge_burst, 1.0)
             self.hedges[rule.name] = budget
-        budget.ratio = serve.hedge
+        budget.ratio = min(serve.hedge, self.hedge_share)
         return budget
 
     def refuse(
--- a/src/alderhatch/core/entry_core.py
+++ b/src/alderhatch/core/entry_core.py
@@ -13,6 +13,7 @@
 from .entry_events import (
     AttemptFailed,
     AttemptFault,
+    BudgetsChanged,
     CallerGone,
     ClaimDecided,
     EntryEffect,
@@ -134,6 +135,9 @@
                 self._resume(self._dispatcher.take_parked())
             case LeaseChanged():
                 self._lease(event)
+            case BudgetsChanged(hedge=hedge, retry=retry):
+                state.hedge_share = hedge
+                state.servers.set_retry_share(retry)
             case StopRequested():
                 self._arrival.stopping = True
         self._resume(self._dispatcher.take_ready())
@@ -204,8 +208,11 @@
         self._resume(self._dispatcher.take_parked())
 
     def _adopt(self, shard_map: ShardMap) -> None:
+        known = self._state.servers.snapshot_of(shard_map.upstream)
         if not self._state.servers.adopt(shard_map, self._state.now):
             return
+        if shard_map.snapshot == known:
+            return
         for run in list(self._state.runs.values()):
             if isinstance(run, QueryRun) and run.upstream.name == shard_map.upstream:
                 self._fan_out.map_changed(run)
--- a/src/alderhatch/core/entry_events.py
+++ b/src/alderhatch/core/entry_events.py
@@ -163,6 +163,16 @@
     """Fingerprints of requests that no upstream may be sent."""
 
 
+@dataclass(frozen=True, slots=True)
+class BudgetsChanged:
+    """The budgets that hold for the whole tier are others."""
+
+    hedge: float
+    """The most hedges that any rule may send, as a fraction of its shard requests."""
+    retry: float
+    """Retries of each upstream, as a fraction of its shard requests."""
+
+
 @dataclass(frozen=True, slots=True)
 class StopRequested:
     """The entry takes no new request from now on; what runs goes on to its end."""
@@ -204,6 +214,7 @@
     | HealthReported
     | ServersLeaving
     | LeaseChanged
+    | BudgetsChanged
     | StopRequested
     | ClaimDecided
     | Woke
--- a/src/alderhatch/core/server_table.py
+++ b/src/alderhatch/core/server_table.py
@@ -11,7 +11,7 @@
 from .policy import Policy
 from .ratio_budget import RatioBudget
 from .server_view import NEVER, ServerView
-from .shard_map import Shard, ShardMap
+from .shard_map import Shard, ShardMap, Snapshot
 
 
 class ShardPlan(NamedTuple):
@@ -30,6 +30,7 @@
         self.queries = LatencyHistogram(policy.first_latency_ms)
         """The times of whole queries from admission to answer."""
         self.retries = RatioBudget(policy.retry_share, policy.retry_burst, policy.retry_burst)
+        """Bounds retries to a fraction of the upstream's shard requests."""
         self.shard_map: ShardMap | None = None
         self.plans: tuple[ShardPlan, ...] = ()
         """The shards of the newest map, in its order."""
@@ -47,8 +48,18 @@
         self._leaving: dict[str, frozenset[str]] = {}
         self._shares: Mapping[str, int] = {}
 
+    def snapshot_of(self, upstream: str) -> Snapshot | None:
+        """Return the newest snapshot of an upstream, or None if no map of it is known."""
+        view = self.upstreams.get(upstream)
+        return None if view is None or view.shard_map is None else view.shard_map.snapshot
+
     def adopt(self, shard_map: ShardMap, now: Millis) -> bool:
-        """Take a shard map; return False if it is not newer than the one that is known."""
+        """Take a shard map; return False if it tells nothing new, or is not to be believed.
+
+        A map of the snapshot that is known may place its shards on other servers, as when a
+        replica is moved to another host. It may not weigh them otherwise: coverage is counted by
+        the weights of the pinned map.
+        """
         view = self.upstreams.get(shard_map.upstream)
         if view is None:
             view = self.upstreams[shard_map.upstream] = UpstreamView(
@@ -57,7 +68,7 @@
         known = view.shard_map
         # Answers about the map can overtake each other. An older one taken back would send new
         # queries to index versions that the servers have dropped.
-        if known is not None and shard_map.snapshot <= known.snapshot:
+        if known is not None and not _replaces(shard_map, known):
             return False
         view.shard_map = shard_map
         self._renew(view, shard_map, now, first=known is None)
@@ -98,6 +109,12 @@
         else:
             server.set_share(server.server.max_connections)
 
+    def set_retry_share(self, share: float) -> None:
+        """Bound the retries of each upstream to this fraction of its shard requests."""
+        self._policy = self._policy._replace(retry_share=share)
+        for view in self.upstreams.values():
+            view.retries.ratio = share
+
     def set_shares(self, shares: Mapping[str, int]) -> None:
         """Take the shares of connections that came with the lease."""
         self._shares = shares
@@ -154,3 +171,13 @@
         server.ejected_until = now + min(span, self._policy.max_eject_ms)
         server.ejections = min(server.ejections + 1, 10)
         view.ejected = ejected | {server.server_id}
+
+
+def _replaces(shard_map: ShardMap, known: ShardMap) -> bool:
+    if shard_map.snapshot != known.snapshot:
+        return shard_map.snapshot > known.snapshot
+    return shard_map != known and _weights(shard_map) == _weights(known)
+
+
+def _weights(shard_map: ShardMap) -> dict[str, int]:
+    return {shard.name: shard.documents for shard in shard_map.shards}
--- a/src/alderhatch/entry/control_link.py
+++ b/src/alderhatch/entry/control_link.py
@@ -11,6 +11,7 @@
 from ..core.control.entry_lease import EntryIdentity
 from ..core.control.operations import ClaimStatus
 from ..core.entry_events import (
+    BudgetsChanged,
     Claim,
     ClaimDecided,
     ClaimRun,
@@ -57,6 +58,7 @@
         self._lease: LeaseChanged | None = None
         self._revision = 0
         self._leaving: frozenset[str] = frozenset()
+        self._budgets: BudgetsChanged | None = None
 
     @property
     def client(self) -> ControlClient:
@@ -96,6 +98,10 @@
         if view.revision > self._revision:
             self._revision = view.revision
             self._entry.feed(RulesChanged(view.revision, view.rules))
+        budgets = BudgetsChanged(view.settings.hedge_budget, view.settings.retry_budget)
+        if view.revision and budgets != self._budgets:
+            self._budgets = budgets
+            self._entry.feed(budgets)
         if self.client.leaving_server_ids != self._leaving:
             self._leaving = self.client.leaving_server_ids
             self._entry.feed(ServersLeaving(CONTROL, self._leaving))
