Cold starts shown over loopback

Cause: slow start was shown in the core only. Change: a scenario in which one server of each shard restarts and takes twenty times as long.

--- a/features/steps/upstream_faults_steps.py
+++ b/features/steps/upstream_faults_steps.py
@@ -212,3 +212,48 @@
     here = world(context)
     entry = here.entries[0]
     here.call(here.until, lambda: entry.core.running == 0 and entry.attempts.running == 0)
+
+
+@when("the first server of each shard of the upstream restarts and is cold for long")
+def step_restart_cold(context):
+    here = world(context)
+    upstream = here.upstream
+    context.cold = [upstream.holders(shard)[0] for shard in upstream.newest.servers]
+    for server in context.cold:
+        server.faults.restart_ms = 50.0
+        server.faults.cold_ms = 600_000.0
+        server.faults.cold_factor = 20.0
+    here.call(_restart, here, context.cold)
+    context.received_before = {s.server_id: s.counts.received for s in upstream.servers}
+
+
+async def _restart(here, servers):
+    boots = {server.server_id: server.boot_id for server in servers}
+    for server in servers:
+        server.crash()
+    views = here.entries[0].core._state.servers.servers
+    await here.until(
+        lambda: all(
+            views[server.server_id].boot_id == server.boot_id != boots[server.server_id]
+            for server in servers
+        )
+    )
+
+
+@when("the entry is asked {count:d} times one after the other")
+def step_asked_in_turn(context, count):
+    here = world(context)
+
+    async def ask():
+        return [await here.query(request_id=f"turn-{number}") for number in range(count)]
+
+    context.entry_replies = here.call(ask)
+
+
+@then("the cold servers of the upstream got less than half as much work as the others")
+def step_cold_spared(context):
+    got = {True: 0, False: 0}
+    for server in world(context).upstream.servers:
+        before = context.received_before[server.server_id]
+        got[server in context.cold] += server.counts.received - before
+    assert 2 * got[True] < got[False], got
--- a/features/upstream_faults.feature
+++ b/features/upstream_faults.feature
@@ -118,3 +118,16 @@
     When a caller of the entry leaves once its query has reached each server of the upstream
     Then soon each server of the upstream saw its request cancelled
     And soon the entry runs no query
+
+  Scenario: Servers come back cold after a restart
+    # The first server of each shard was restarted; its caches are empty and each request takes
+    # twenty times as long for a while. Sent its usual half of the queries, it would set the tail of
+    # every one of them.
+    Given an upstream for the entry of 4 shards with 2 servers each
+    And the entry runs
+    And the entry was asked 20 times
+    And the entry has heard of the health of each server
+    When the first server of each shard of the upstream restarts and is cold for long
+    And the entry is asked 80 times one after the other
+    Then the entry's answers are right and lack nothing
+    And the cold servers of the upstream got less than half as much work as the others
