Core: drop a list that nobody reads; the random source is imported for its type only

Cause: since waiting shard requests are found by server (the mend for repartitions), the names of the shards on each server were worked out at every new map and never read. The core's modules imported Random at run time although the seeded source is handed in. Change: the list and its loop are gone; the import stands under TYPE_CHECKING, as in raft_node.py. No behaviour changes.

--- a/src/alderhatch/core/core_state.py
+++ b/src/alderhatch/core/core_state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from random import Random
+from typing import TYPE_CHECKING
 
 from ..clock import Millis
 from ..errors import ErrorKind, Failure
@@ -16,6 +16,9 @@
 from .server_table import ServerTable
 from .timers import Timers
 
+if TYPE_CHECKING:
+    from random import Random
+
 MAX_HEDGE_BUDGETS = 2000
 
 
--- a/src/alderhatch/core/entry_core.py
+++ b/src/alderhatch/core/entry_core.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from random import Random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from ..clock import Millis
 from .arrival import Arrival
@@ -42,6 +41,9 @@
 from .state_dump import dump_state
 from .timers import TimerKind
 
+if TYPE_CHECKING:
+    from random import Random
+
 DEFAULT_POLICY = Policy()
 
 
--- a/src/alderhatch/core/replica_choice.py
+++ b/src/alderhatch/core/replica_choice.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Container, Sequence
-from random import Random
+from typing import TYPE_CHECKING
 
 from ..clock import Millis
 from .server_view import ServerView
 
+if TYPE_CHECKING:
+    from random import Random
+
 NEAR = 0.02
 """Estimates that differ by less than this ratio are equal; chance decides between them."""
 
--- a/src/alderhatch/core/server_table.py
+++ b/src/alderhatch/core/server_table.py
@@ -90,12 +90,6 @@
         for server_id in earlier.keys() - view.servers.keys():
             del self.servers[server_id]
         view.ejected &= view.servers.keys()
-        held: dict[str, list[str]] = {}
-        for shard in shard_map.shards:
-            for server_id in shard.servers:
-                held.setdefault(server_id, []).append(shard.name)
-        for server_id, known in view.servers.items():
-            known.shards = tuple(held.get(server_id, ()))
         view.plans = tuple(
             ShardPlan(shard, tuple(view.servers[s] for s in shard.servers if s in view.servers))
             for shard in shard_map.shards
--- a/src/alderhatch/core/server_view.py
+++ b/src/alderhatch/core/server_view.py
@@ -40,7 +40,6 @@
         "policy",
         "server",
         "server_id",
-        "shards",
         "share",
         "shed_until",
         "silent_at",
@@ -55,8 +54,6 @@
         self.policy = policy
         self.typical = typical
         """The latencies of all servers of the upstream."""
-        self.shards: tuple[str, ...] = ()
-        """The shards that it holds in the newest map."""
         self.in_flight = 0
         """Attempts of this entry that are out."""
         self.share = server.max_connections
