Tests of processes: one harness instead of two

Cause: tier.py and tier_processes.py both started control hosts and entries as processes, each with its own settings files, ports, waiting and clients, and control_programs_steps.py had a third client. Change: one Tier in tier.py. What the leader answers is asked for again while nobody leads, and compared as strictly as before: rules and revision have to be equal in the first answer that there is.

--- a/features/steps/cli_programs_steps.py
+++ b/features/steps/cli_programs_steps.py
@@ -35,7 +35,7 @@
 @given("a running tier of {controls:d} control hosts and {entries:d} entries")
 def step_tier(context, controls, entries):
     context.tier = Tier(controls, entries)
-    context.add_cleanup(context.tier.stop)
+    context.add_cleanup(context.tier.close)
     context.tier.start()
 
 
@@ -47,13 +47,14 @@
 
 @then('the program "{name}" ends with exit code {code:d} after SIGTERM')
 def step_sigterm(context, name, code):
-    found = context.tier.end(name, signal.SIGTERM)
-    assert found == code, (found, context.tier.log_of(name))
+    program = context.tier.programs[name]
+    found = program.stop()
+    assert found == code, (found, program.log())
 
 
 @then('the log of "{name}" has the events "{events}" as JSON')
 def step_log_events(context, name, events):
-    lines = [json.loads(line) for line in context.tier.log_of(name).splitlines()]
+    lines = [json.loads(line) for line in context.tier.programs[name].log().splitlines()]
     for line in lines:
         assert {"time", "level", "event", "number", "program", "fields"} <= set(line), line
     found = [line["event"] for line in lines]
@@ -72,7 +73,7 @@
 def step_bad_rules_file(context):
     folder = new_folder(context)
     context.tier = Tier(0, 1)
-    context.add_cleanup(context.tier.stop)
+    context.add_cleanup(context.tier.close)
     context.tier.start()
     settings = (context.tier.folder / "entry-1.toml").read_text()
     (folder / "entry.toml").write_text(settings)
--- a/features/steps/cli_tier_steps.py
+++ b/features/steps/cli_tier_steps.py
@@ -2,8 +2,6 @@
 
 import json
 import shlex
-import signal
-import time
 from urllib.request import urlopen
 
 from behave import then, when
@@ -11,9 +9,8 @@
 from alderhatch.cli.request_ids import new_request_id
 from alderhatch.clock import WallClock
 from features.support.cli_support import call
-from features.support.tier import CHANGE_KEY, READ_KEY
+from features.support.tier import CHANGE_KEY, READ_KEY, SECRET, until
 
-END_TIMEOUT_S = 30
 BOOK = ("--upstream", "navigator", "--kind", "dispatch", "--output", "json")
 
 
@@ -42,7 +39,7 @@
 
 @when('the tier\'s operator books a {thing} with request id "{request_id}" at "{entry}"')
 def step_book(context, thing, request_id, entry):
-    place = f"{context.tier.address}:{context.tier.entries[entry][0]}"
+    place = f"{context.tier.address}:{context.tier.entry_ports[entry][0]}"
     body = json.dumps({"item": thing})
     _operate(context, "book", body, *BOOK, "--request-id", request_id, entries=place)
     context.bookings = [*getattr(context, "bookings", []), context.cli.stdout]
@@ -75,8 +72,9 @@
 @then("no secret is in any log, dump or metrics page of the tier")
 def step_no_secret(context):
     tier = context.tier
-    texts = [*context.shown, *(tier.log_of(name) for name in tier.processes)]
-    for secret in (tier.secret, CHANGE_KEY, READ_KEY):
+    texts = [*context.shown, *(program.log() for program in tier.programs.values())]
+    assert all(program.log() for program in tier.programs.values())
+    for secret in (SECRET, CHANGE_KEY, READ_KEY):
         assert not any(secret in text for text in texts)
     assert not any("tray" in text for text in texts), "a request's body is shown"
 
@@ -86,39 +84,28 @@
     _operate(context, "status", "--output", "json")
     views = json.loads(context.cli.stdout)
     leader = next(view["name"] for view in views if view["role"] == "leader")
-    context.tier.end(leader, signal.SIGKILL)
+    context.tier.controls[leader].kill()
 
 
 @when("every control host is killed and started again")
 def step_restart_all(context):
-    tier = context.tier
-    for name in tier.controls:
-        if name in tier.processes:
-            tier.end(name, signal.SIGKILL)
-    for name in tier.controls:
-        tier.start_control(name)
-    for _, operators in tier.controls.values():
-        tier.wait_for(f"http://{tier.address}:{operators}/readyz")
+    for program in context.tier.controls.values():
+        if program.alive:
+            program.kill()
+        program.start()
+    context.tier.leader()
 
 
 @then('the program "{name}" ends by itself with exit code {code:d} and cut off nothing')
 def step_ends(context, name, code):
-    process = context.tier.processes.pop(name)
-    assert process.wait(END_TIMEOUT_S) == code
-    last = json.loads(context.tier.log_of(name).splitlines()[-1])
+    program = context.tier.programs[name]
+    assert program.wait() == code
+    last = json.loads(program.log().splitlines()[-1])
     assert last["event"] == "entry_stopped", last
     assert last["fields"]["cut_off"] == 0, last
 
 
 @then('the entry "{name}" no longer names "{gone}" to callers')
 def step_not_named(context, name, gone):
-    port = context.tier.entries[gone][0]
-    end = time.monotonic() + END_TIMEOUT_S
-    while True:
-        url = f"http://{context.tier.address}:{context.tier.entries[name][0]}/addresses"
-        with urlopen(url, timeout=10) as reply:
-            ports = [item["port"] for item in json.loads(reply.read())["addresses"]]
-        if port not in ports:
-            return
-        assert time.monotonic() < end, ports
-        time.sleep(0.05)
+    port = context.tier.entry_ports[gone][0]
+    until(lambda: port not in context.tier.addresses(name), f"{gone} is out of the addresses")
--- a/features/steps/control_programs_steps.py
+++ b/features/steps/control_programs_steps.py
@@ -1,57 +1,15 @@
 from __future__ import annotations
 
-import json
-import signal
-import time
-from urllib.error import HTTPError
-from urllib.request import Request, urlopen
-
 from behave import given, then, when
 
-from features.support.tier import CHANGE_KEY, START_TIMEOUT_S, Tier
+from features.support.tier import Tier, until
 
 
 @given("{count:d} running control programs")
 def step_programs(context, count):
-    context.tier = tier = Tier(controls=count, entries=0)
-    context.add_cleanup(tier.stop)
-    for name in tier.controls:
-        tier.start_control(name)
-    _leader(tier)
-
-
-def _call(tier, name, method, path, body=None):
-    data = None if body is None else json.dumps(body).encode()
-    url = f"http://{tier.address}:{tier.controls[name][1]}{path}"
-    headers = {"Authorization": f"Bearer {CHANGE_KEY}"}
-    try:
-        with urlopen(Request(url, data, headers, method=method), timeout=20) as reply:
-            return reply.status, json.load(reply)
-    except HTTPError as exc:
-        return exc.code, json.load(exc)
-    except OSError:
-        return 0, {}
-
-
-def _until(condition):
-    end = time.monotonic() + START_TIMEOUT_S
-    while time.monotonic() < end:
-        found = condition()
-        if found:
-            return found
-        time.sleep(0.02)
-    raise AssertionError("not in time")
-
-
-def _leader(tier):
-    def look():
-        for name in tier.controls:
-            status, body = _call(tier, name, "GET", "/v1/status")
-            if status == 200 and body["grants_leases"]:
-                return name
-        return None
-
-    return _until(look)
+    context.tier = Tier(controls=count, entries=0)
+    context.add_cleanup(context.tier.close)
+    context.tier.start()
 
 
 def _change(tier, number):
@@ -59,26 +17,26 @@
     body = {"change_id": f"c-{number}", "expected_revision": number, "rule": rule}
 
     def send():
-        status, answer = _call(tier, _leader(tier), "POST", "/v1/rules", body)
-        assert status in (0, 200, 503, 504), (number, status, answer)
-        return status == 200 and answer
+        reply = tier.operator(tier.leader(), "POST", "/v1/rules", body)
+        assert reply is None or reply.status in (200, 503, 504), (number, reply)
+        return reply is not None and reply.status == 200 and reply.body
 
-    return _until(send)
+    return until(send, f"change {number}")
 
 
 @when("{count:d} changes are sent one after the other and the leader is killed in their midst")
 def step_changes_and_kill(context, count):
     for number in range(count):
         if number == count // 2:
-            context.killed = _leader(context.tier)
-            context.tier.end(context.killed, signal.SIGKILL)
+            context.killed = context.tier.leader()
+            context.tier.controls[context.killed].kill()
         answer = _change(context.tier, number)
         assert answer["revision"] == number + 1, answer
 
 
 @then("the revision is {revision:d} and the history shows each change once")
 def step_history_whole(context, revision):
-    _, body = _call(context.tier, _leader(context.tier), "GET", "/v1/history?limit=200")
+    body = context.tier.ask_leader("/v1/history?limit=200")
     assert body["revision"] == revision
     found = [item["change_id"] for item in reversed(body["changes"])]
     assert found == [f"c-{number}" for number in range(revision)]
@@ -86,65 +44,65 @@
 
 @when("the killed host is started again")
 def step_start_again(context):
-    context.tier.start_control(context.killed)
+    context.tier.controls[context.killed].start()
 
 
 def _shown(tier, name):
-    status, body = _call(tier, name, "GET", "/v1/rules?stale=true")
-    return (body["revision"], body["rules"]) if status == 200 else None
+    reply = tier.operator(name, "GET", "/v1/rules?stale=true")
+    return reply is not None and reply.status == 200 and reply.body
+
+
+def _all_show(tier, rules):
+    for name in tier.controls:
+        until(lambda name=name: _shown(tier, name) == rules, f"{name} shows the rules")
 
 
 @then("it comes to the same rules and revision as the others")
 def step_same_as_others(context):
-    context.rules = _shown(context.tier, _leader(context.tier))
-    assert context.rules is not None
-    _until(lambda: _shown(context.tier, context.killed) == context.rules)
+    context.rules = context.tier.ask_leader("/v1/rules")
+    until(lambda: _shown(context.tier, context.killed) == context.rules, "the same rules")
 
 
 @when("all control programs are killed and started again")
 def step_kill_all(context):
-    for name in context.tier.controls:
-        context.tier.end(name, signal.SIGKILL)
-    for name in context.tier.controls:
-        context.tier.start_control(name)
+    for program in context.tier.controls.values():
+        program.kill()
+    for program in context.tier.controls.values():
+        program.start()
 
 
 @then("the rules and the revision are the same as before")
 def step_rules_again(context):
-    leader = _leader(context.tier)
-    status, body = _call(context.tier, leader, "GET", "/v1/rules")
-    assert status == 200 and (body["revision"], body["rules"]) == context.rules
-    for name in context.tier.controls:
-        _until(lambda name=name: _shown(context.tier, name) == context.rules)
+    assert context.tier.ask_leader("/v1/rules") == context.rules
+    _all_show(context.tier, context.rules)
 
 
 @when("the leading program gets SIGTERM")
 def step_term(context):
-    context.old = _leader(context.tier)
-    context.exit_code = context.tier.end(context.old, signal.SIGTERM)
+    context.old = context.tier.leader()
+    context.exit_code = context.tier.controls[context.old].stop()
 
 
 @then("it ends with exit code 0 after another host was elected on its word")
 def step_handed_over(context):
-    assert context.exit_code == 0, context.tier.log_of(context.old)
-    assert "control_follows" in context.tier.log_of(context.old)
-    assert _leader(context.tier) != context.old
+    log = context.tier.controls[context.old].log()
+    assert context.exit_code == 0, log
+    assert "control_follows" in log
+    assert context.tier.leader() != context.old
 
 
 @when("one of them is started a second time")
 def step_second_process(context):
-    tier = context.tier
-    context.name = next(iter(tier.controls))
-    first = tier.processes.pop(context.name)
-    tier.start_control(context.name)
-    second = tier.processes[context.name]
-    tier.processes[context.name] = first
-    context.exit_code = second.wait(START_TIMEOUT_S)
+    context.name = next(iter(context.tier.controls))
+    context.second = context.tier.controls[context.name].twin()
+    context.add_cleanup(context.second.close)
+    context.second.start()
+    context.exit_code = context.second.wait()
 
 
 @then("the second ends with exit code {code:d} and says that the folder is in use")
 def step_second_ends(context, code):
-    log = context.tier.log_of(context.name)
+    log = context.second.log()
     assert context.exit_code == code, log
     assert "program_cannot_start" in log and "another process uses the folder" in log
     assert "Traceback" not in log
@@ -152,6 +110,9 @@
 
 @then("the first still takes part")
 def step_first_still(context):
-    assert context.tier.processes[context.name].poll() is None
+    assert context.tier.controls[context.name].alive
     _change(context.tier, 0)
-    _until(lambda: (_shown(context.tier, context.name) or (0,))[0] == 1)
+    until(
+        lambda: (_shown(context.tier, context.name) or {}).get("revision") == 1,
+        "the first shows the change",
+    )
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -1,19 +1,16 @@
 from __future__ import annotations
 
 import signal
-import tempfile
 import threading
 
 from behave import given, then, when
 
-from features.support.tier_processes import Tier, until
+from features.support.tier import Tier, until
 
 
 @given("the programs of a tier with {controls:d} control hosts and {entries:d} entries run")
 def step_tier(context, controls, entries):
-    folder = tempfile.TemporaryDirectory()
-    context.add_cleanup(folder.cleanup)
-    context.tier = Tier(folder.name, controls, entries)
+    context.tier = Tier(controls, entries)
     context.add_cleanup(context.tier.close)
     context.rule_count = 0
     context.victim = None
@@ -77,7 +74,7 @@
     among = [name for name in context.tier.controls if name != context.victim]
     for _ in range(count):
         context.rule_count += 1
-        last = context.tier.add_rule(f"rule-{context.rule_count}", among, wait=False)
+        last = context.tier.add_rule(f"rule-{context.rule_count}", among)
     context.revision = last["revision"]
 
 
@@ -115,7 +112,7 @@
 
 @then("the tier's revision is what it was")
 def step_revision(context):
-    assert context.tier.revision(context.tier.leader()) == context.revision
+    assert context.tier.ask_leader("/v1/rules")["revision"] == context.revision
 
 
 @then("each entry of the tier answers a query")
--- a/features/support/tier.py
+++ b/features/support/tier.py
@@ -1,200 +1,377 @@
-"""A small tier of real processes on loopback, started and ended by a test."""
+"""The real programs on loopback: control hosts and entries as processes, and an upstream."""
 
 from __future__ import annotations
 
+import itertools
 import json
 import os
-import secrets
 import shutil
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
+import threading
 import time
+from http.client import HTTPConnection, HTTPException
 from pathlib import Path
-from urllib.request import urlopen
 
-from features.support.tier_processes import own_loopback_address
+import trio
 
-START_TIMEOUT_S = 60
-STOP_TIMEOUT_S = 20
-LOOPBACK = "127.0.0.1"
+from alderhatch.standin.standin_server import ServiceTime, UpstreamShape
+from alderhatch.standin.standin_upstream import StandinUpstream
+
+PATIENCE_S = 60
 CHANGE_KEY = "change-key-of-the-tests-0123456789"
 READ_KEY = "read-key-of-the-tests-0123456789"
+SECRET = "the secret that the processes of the tests share"
+ZONES = ("austin-hall", "waco-hall", "temple-hall")
+_numbers = itertools.count(1)
+
+
+def own_loopback_address():
+    """An address in 127.0.0.0/8 of this test alone: its ports are free for nobody else to take.
+
+    On the usual loopback address another test's connection could take a port in the moment
+    between its choice and the start of the process that is to listen on it.
+    """
+    number = next(_numbers)
+    return f"127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}.{1 + number % 250}"
+
+
+def free_port(address):
+    with socket.socket() as sock:
+        sock.bind((address, 0))
+        return sock.getsockname()[1]
+
+
+def until(check, what):
+    """Wait for an event of the real programs, with patience enough for a busy machine."""
+    end = time.monotonic() + PATIENCE_S
+    while time.monotonic() < end:
+        value = check()
+        if value:
+            return value
+        time.sleep(0.02)
+    raise AssertionError(f"did not come about within {PATIENCE_S} s: {what}")
+
+
+class Reply:
+    def __init__(self, status, body):
+        self.status = status
+        self.body = body
+
+    def __repr__(self):
+        return f"Reply({self.status}, {str(self.body)[:400]})"
+
+
+def http(address, port, method, path, body=None, key=None, timeout=20):
+    """One exchange; None if nothing listens or the connection breaks."""
+    conn = HTTPConnection(address, port, timeout=timeout)
+    headers = {"Authorization": f"Bearer {key}"} if key else {}
+    try:
+        conn.request(method, path, None if body is None else json.dumps(body), headers)
+        answer = conn.getresponse()
+        return Reply(answer.status, json.loads(answer.read() or b"null"))
+    except (OSError, HTTPException, ValueError):
+        return None
+    finally:
+        conn.close()
+
+
+class UpstreamThread:
+    """A stand-in upstream with a loop of its own in a thread of the test."""
+
+    def __init__(self, shards, servers, median_ms):
+        shape = UpstreamShape("navigator", shards, servers, 4, 60, 0.0)
+        self.upstream = StandinUpstream(shape, ZONES, service_time=ServiceTime(median_ms, 0.0, 0.0))
+        self._ready = threading.Event()
+        self._thread = threading.Thread(target=trio.run, args=(self._main,))
+        self._thread.start()
+        self._ready.wait()
+
+    async def _main(self):
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self._token = trio.lowlevel.current_trio_token()
+            await nursery.start(self.upstream.serve)
+            self._ready.set()
+            await trio.sleep_forever()
+
+    @property
+    def seed_port(self):
+        return self.upstream.servers[0].port
+
+    def runs_of(self, request_id):
+        return [item for item in list(self.upstream.runs) if item[0] == request_id]
 
+    def close(self):
+        self._token.run_sync_soon(self._nursery.cancel_scope.cancel)
+        self._thread.join()
 
-def free_ports(count, address=LOOPBACK):
-    """Return ports that the kernel chose; control hosts have to know each other's beforehand."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((address, 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
+
+class Program:
+    """One process of ours, started by the test and ended by its id."""
+
+    def __init__(self, module, settings, log_path):
+        self._command = [sys.executable, "-m", module, str(settings)]
+        self._log_path = log_path
+        self.process = None
+
+    def twin(self):
+        """The same program with the same settings once more, with a log of its own."""
+        module, settings = self._command[2:]
+        return Program(module, settings, self._log_path.with_suffix(".twin.log"))
+
+    def start(self):
+        env = os.environ | {"PYTHONPATH": "src"}
+        with self._log_path.open("ab") as log:
+            self.process = subprocess.Popen(self._command, stdout=log, stderr=log, env=env)
+
+    def send(self, number):
+        os.kill(self.process.pid, number)
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+
+    def wait(self):
+        """Wait for its end; return the exit code."""
+        return self.process.wait(PATIENCE_S)
+
+    def stop(self):
+        """Stop it as an operator's service manager does; return the exit code."""
+        self.send(signal.SIGTERM)
+        return self.wait()
+
+    @property
+    def alive(self):
+        return self.process is not None and self.process.poll() is None
+
+    def log(self):
+        return self._log_path.read_text() if self._log_path.exists() else ""
+
+    def close(self):
+        if self.alive:
+            self.send(signal.SIGCONT)
+            self.kill()
 
 
 class Tier:
-    """Control hosts, entries and one stand-in upstream, each a process of its own."""
+    """Control hosts, entries and one upstream.
+
+    Without control hosts, entries take the rules of the brazos example from a file.
+    """
 
-    def __init__(self, controls=3, entries=2, zones=("austin-hall", "waco-hall", "temple-hall")):
+    def __init__(self, controls, entries, shards=4, servers=2, median_ms=1.0):
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
-        self.secret = secrets.token_hex(16)
-        self.zones = zones
-        self.processes = {}
-        self.upstream_servers = []
-        # On the usual loopback address another test's connection could take a port in the moment
-        # between its choice and the start of the process that is to listen on it.
         self.address = own_loopback_address()
-        ports = iter(free_ports(2 * (controls + entries), self.address))
-        self.controls = {f"control-{n + 1}": (next(ports), next(ports)) for n in range(controls)}
-        self.entries = {f"entry-{n + 1}": (next(ports), next(ports)) for n in range(entries)}
-        self._private("secret", self.secret)
+        self.upstream = UpstreamThread(shards, servers, median_ms)
+        self.control_ports = self._ports("control", controls)
+        self.entry_ports = self._ports("entry", entries)
+        self._changes = itertools.count(1)
+        shutil.copy("examples/brazos/rules.toml", self.folder / "rules.toml")
+        self._private("secret", SECRET)
         self._private("keys", f"anna change {CHANGE_KEY}\nmonitor read {READ_KEY}\n")
         self.change_key = str(self._private("change-key", CHANGE_KEY))
-        self.read_key = str(self._private("read-key", READ_KEY))
+        self.controls = {name: self._control(name) for name in self.control_ports}
+        self.entries = {name: self._entry(name) for name in self.entry_ports}
+
+    def _ports(self, role, count):
+        names = [f"{role}-{number + 1}" for number in range(count)]
+        return {name: (free_port(self.address), free_port(self.address)) for name in names}
 
     def _private(self, name, text):
         path = self.folder / name
-        path.write_text(text)
+        path.write_text(text + "\n")
         path.chmod(0o600)
         return path
 
-    @property
-    def control_places(self):
-        return ",".join(f"{self.address}:{operators}" for _, operators in self.controls.values())
-
-    @property
-    def entry_places(self):
-        return ",".join(f"{self.address}:{callers}" for callers, _ in self.entries.values())
-
-    def start(self):
-        """Start everything and wait until every entry is ready.
-
-        Without control hosts, entries take the rules of the brazos example from a file.
-        """
-        shutil.copy("examples/brazos/rules.toml", self.folder / "rules.toml")
-        self._start_upstream()
-        for name in self.controls:
-            self.start_control(name)
-        for _, operators in self.controls.values():
-            self.wait_for(f"http://{self.address}:{operators}/readyz")
-        for name in self.entries:
-            self.start_entry(name)
-        for _, operators in self.entries.values():
-            self.wait_for(f"http://{self.address}:{operators}/ready")
-
-    def _start_upstream(self):
-        words = ["navigator", "--shards", "4", "--median-ms", "1", "--connect-ms", "0"]
-        for zone in self.zones:
-            words += ["--zone", zone]
-        process = self._spawn("upstream", "upstream", words, stdout=subprocess.PIPE)
-        self.upstream_servers = json.loads(process.stdout.readline())["servers"]
-
-    def start_control(self, name):
-        number = list(self.controls).index(name)
-        links, operators = self.controls[name]
+    def _control(self, name):
+        links, operators = self.control_ports[name]
         lines = [
-            f'name = "{name}"',
-            f'zone = "{self.zones[number % len(self.zones)]}"',
+            *self._head(name, self.control_ports),
             f'data_folder = "{name}-data"',
             'secret_file = "secret"',
             'keys_file = "keys"',
             "lease_ms = 2000",
-            "heartbeat_ms = 50",
-            "election_timeout_ms = 400",
             *self._endpoint("links", links),
             *self._endpoint("operators", operators),
+            *self._named("peers"),
         ]
-        for peer, (port, _) in self.controls.items():
-            lines += ["[[peers]]", f'name = "{peer}"', *self._endpoint(None, port)]
-        self._start_program(name, "control", lines)
+        return self._program("control", name, lines)
 
-    def start_entry(self, name):
-        number = list(self.entries).index(name)
-        callers, operators = self.entries[name]
+    def _entry(self, name):
+        callers, operators = self.entry_ports[name]
         lines = [
-            f'name = "{name}"',
-            f'zone = "{self.zones[number % len(self.zones)]}"',
-            'secret_file = "secret"' if self.controls else 'rules_file = "rules.toml"',
-            "address_ttl_ms = 500",
-            "drain_ms = 5000",
+            *self._head(name, self.entry_ports),
+            'secret_file = "secret"' if self.control_ports else 'rules_file = "rules.toml"',
+            "address_ttl_ms = 300",
+            "drain_ms = 20000",
             *self._endpoint("callers", callers),
             *self._endpoint("operators", operators),
+            *self._named("controls"),
+            "[[upstreams]]",
+            'name = "navigator"',
+            "map_poll_ms = 100",
+            "health_poll_ms = 200",
+            f'seeds = [{{ address = "127.0.0.1", port = {self.upstream.seed_port} }}]',
         ]
-        for control, (links, _) in self.controls.items():
-            lines += ["[[controls]]", f'name = "{control}"', *self._endpoint(None, links)]
-        lines += ["[[upstreams]]", 'name = "navigator"', "map_poll_ms = 200"]
-        port = self.upstream_servers[0]["port"]
-        lines.append(f'seeds = [{{ address = "{LOOPBACK}", port = {port} }}]')
-        self._start_program(name, "entry", lines)
+        return self._program("entry", name, lines)
+
+    def _head(self, name, names):
+        return [f'name = "{name}"', f'zone = "{ZONES[list(names).index(name) % len(ZONES)]}"']
 
     def _endpoint(self, table, port):
         lines = [f"[{table}]"] if table else []
         return [*lines, f'address = "{self.address}"', f"port = {port}"]
 
-    def _start_program(self, name, program, lines):
+    def _named(self, array):
+        """The links of all control hosts, as both programs want them."""
+        lines = []
+        for name, (links, _) in self.control_ports.items():
+            lines += [f"[[{array}]]", f'name = "{name}"', *self._endpoint(None, links)]
+        return lines
+
+    def _program(self, program, name, lines):
         settings = self.folder / f"{name}.toml"
         settings.write_text("\n".join(lines) + "\n")
-        self._spawn(name, program, [str(settings)])
-
-    def _spawn(self, name, program, words, **more):
-        with (self.folder / f"{name}.log").open("a") as log:
-            command = [sys.executable, "-m", f"alderhatch.cli.{program}", *words]
-            env = os.environ | {"PYTHONPATH": "src"}
-            process = subprocess.Popen(command, stderr=log, env=env, text=True, **more)
-        self.processes[name] = process
-        return process
-
-    def wait_for(self, url):
-        """Wait until a URL answers with status 200."""
-        end = time.monotonic() + START_TIMEOUT_S
-        last = None
-        while time.monotonic() < end:
-            try:
-                with urlopen(url, timeout=2) as reply:
-                    return reply.read()
-            except OSError as exc:
-                last = exc
-            self._check_alive()
-            time.sleep(0.05)
-        raise AssertionError(f"{url}: {last}\n{self.logs()}")
-
-    def _check_alive(self):
-        for name, process in self.processes.items():
-            assert process.poll() is None, f"{name} ended with {process.poll()}\n{self.logs()}"
+        return Program(f"alderhatch.cli.{program}", settings, self.folder / f"{name}.log")
+
+    @property
+    def programs(self):
+        return {**self.controls, **self.entries}
+
+    @property
+    def control_places(self):
+        return ",".join(f"{self.address}:{port}" for _, port in self.control_ports.values())
+
+    @property
+    def entry_places(self):
+        return ",".join(f"{self.address}:{port}" for port, _ in self.entry_ports.values())
 
     @property
     def dump_places(self):
         """Where each process shows its dump."""
-        return {
-            name: f"{self.address}:{operators}"
-            for name, (_, operators) in (self.controls | self.entries).items()
-        }
+        ports = self.control_ports | self.entry_ports
+        return {name: f"{self.address}:{operators}" for name, (_, operators) in ports.items()}
+
+    def start(self):
+        """Start everything and wait until there is a leader and every entry is ready."""
+        for program in self.programs.values():
+            program.start()
+        if self.controls:
+            self.leader()
+        for name, (_, operators) in self.entry_ports.items():
+            until(lambda port=operators: self._is_ready(port), f"{name} is ready: {self.logs()}")
 
-    def log_of(self, name):
-        return (self.folder / f"{name}.log").read_text()
+    def _is_ready(self, operators):
+        reply = http(self.address, operators, "GET", "/ready")
+        return reply is not None and reply.status == 200
 
     def logs(self):
-        return "\n".join(f"{name}:\n{self.log_of(name)[-2000:]}" for name in self.processes)
-
-    def end(self, name, number=signal.SIGTERM):
-        """Send one process a signal and wait for its end; return its exit code."""
-        process = self.processes.pop(name)
-        process.send_signal(number)
-        try:
-            return process.wait(STOP_TIMEOUT_S)
-        finally:
-            if process.poll() is None:
-                process.kill()
-                process.wait()
-            if process.stdout is not None:
-                process.stdout.close()
+        return "\n".join(f"{name}:\n{self.programs[name].log()[-2000:]}" for name in self.programs)
 
-    def stop(self):
-        """End all processes that this tier started."""
-        for name in list(self.processes):
-            self.end(name, signal.SIGKILL)
+    def operator(self, name, method, path, body=None):
+        return http(self.address, self.control_ports[name][1], method, path, body, CHANGE_KEY)
+
+    def leader(self, among=None):
+        """The name of the host that says it leads, once one of those asked does."""
+
+        def find():
+            for name in among or self.controls:
+                reply = self.operator(name, "GET", "/v1/status")
+                if reply is not None and reply.status == 200 and reply.body["grants_leases"]:
+                    return name
+            return None
+
+        return until(find, "a leader")
+
+    def ask_leader(self, path):
+        """What the leader answers; another one is asked if it just lost the lead."""
+
+        def ask():
+            reply = self.operator(self.leader(), "GET", path)
+            return reply is not None and reply.status == 200 and reply.body
+
+        return until(ask, f"the leader's answer to {path}")
+
+    def revision(self, name):
+        reply = self.operator(name, "GET", "/v1/rules")
+        return reply.body["revision"] if reply is not None and reply.status == 200 else None
+
+    def rules(self, name):
+        """What this very host has applied, whether it leads or not."""
+        reply = self.operator(name, "GET", "/v1/rules?stale=true")
+        if reply is None or reply.status != 200:
+            return None
+        return reply.body["revision"], [rule["name"] for rule in reply.body["rules"]]
+
+    def add_rule(self, rule_name, among=None):
+        """Add a rule, resending it with its change id until it is answered; return the answer."""
+        change_id = f"change-{next(self._changes)}"
+        rule = {"name": rule_name, "when": {"kind": rule_name}, "then": {"deadline_ms": 5000}}
+        body = None
+
+        def send():
+            nonlocal body
+            for name in among or self.controls:
+                if body is None:
+                    revision = self.revision(name)
+                    if revision is None:
+                        continue
+                    body = {
+                        "change_id": change_id,
+                        "expected_revision": revision,
+                        "rule": rule,
+                        "position": 1,
+                    }
+                reply = self.operator(name, "POST", "/v1/rules", body)
+                if reply is None:
+                    continue
+                assert reply.status in (200, 503, 504), reply
+                if reply.status == 200:
+                    return reply
+            return None
+
+        return until(send, f"rule {rule_name} accepted").body
+
+    def serves(self, name):
+        reply = self.query(name, "ready")
+        return reply is not None and reply.status == 200
+
+    def query(self, entry, kind, **fields):
+        body = {
+            "request_id": f"q-{next(_numbers)}",
+            "caller": "front-desk",
+            "kind": kind,
+            "upstream": "navigator",
+            "query": {"topic": "towels"},
+            **fields,
+        }
+        return http(self.address, self.entry_ports[entry][0], "POST", "/query", body)
+
+    def run(self, entry, request_id, **fields):
+        body = {
+            "request_id": request_id,
+            "caller": "front-desk",
+            "kind": "dispatch",
+            "upstream": "navigator",
+            "key": "room-214",
+            "deadline_ms": 10000,
+            "query": {"topic": "towels"},
+            **fields,
+        }
+        return http(self.address, self.entry_ports[entry][0], "POST", "/run", body)
+
+    def addresses(self, entry):
+        """The ports of the entries that an entry names to callers."""
+        reply = http(self.address, self.entry_ports[entry][0], "GET", "/addresses")
+        return reply and {item["port"] for item in reply.body["addresses"]}
+
+    def close(self):
+        for program in self.programs.values():
+            program.close()
+        self.upstream.close()
         self._folder.cleanup()
