Client: an exchange reads before it asks the parser

Cause: h11 was asked for an event right after the request, when nothing can have come, and the fields of each reply were copied into a list, which goes through them one call each. Only a refusal has a field that anybody reads.

Change: read first; a reply keeps h11's sequence of fields.

--- a/src/alderhatch/http/client.py
+++ b/src/alderhatch/http/client.py
@@ -32,7 +32,7 @@
     """One whole response as a client sees it."""
 
     status: int
-    headers: list[tuple[bytes, bytes]]
+    headers: Sequence[tuple[bytes, bytes]]
     """Header fields with lower-case names."""
     body: bytes
 
@@ -171,13 +171,11 @@
         chunks: list[bytes] = []
         size = 0
         informational = 0
+        await self._receive()
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
-                data = await self._socket.receive()
-                self.progress_at = trio.current_time() * SECOND
-                self.closed_by_peer = not data
-                self._http.receive_data(data)
+                await self._receive()
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > max_body:
@@ -197,7 +195,13 @@
             else:
                 message = "the server closed the connection"
                 raise HttpExchangeError(message, ExchangeFault.LOST)
-        return HttpReply(head.status_code, list(head.headers), b"".join(chunks))
+        return HttpReply(head.status_code, head.headers, b"".join(chunks))
+
+    async def _receive(self) -> None:
+        data = await self._socket.receive()
+        self.progress_at = trio.current_time() * SECOND
+        self.closed_by_peer = not data
+        self._http.receive_data(data)
 
     def _make_usable(self) -> None:
         if self._http.trailing_data[0]:
