Core: an ended query is forgotten at once, not held by its timers

Ruled out: tables that fill up.

Change: a timer names its request by number and finds it among those under way. The scenario fails on the core before: 50 of 50 ended queries were held beside a slow one.

--- a/features/core_any_order.feature
+++ b/features/core_any_order.feature
@@ -9,5 +9,11 @@
     # deadline adds up, and the small host runs out of memory at the busiest hour.
     Then the core holds few timers after 5000 short queries with long deadlines
 
+  Scenario: A query that has ended is forgotten before its deadline
+    # Callers ask for ten minutes and get large answers in milliseconds, while one query is slow. If
+    # something keeps the shards' rows until the deadline, an entry's memory follows its rate of
+    # queries, and seems to grow without an end while that rises.
+    Then the core holds no ended query after 50 short ones beside a slow one
+
   Scenario: The dump is plain data of a bounded size
     Then the core's dump is plain data and stays bounded with 2000 requests under way
--- a/features/steps/core_any_order_steps.py
+++ b/features/steps/core_any_order_steps.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import weakref
+
 import orjson
 from behave import then
 from hypothesis import given as given_any
@@ -132,3 +134,20 @@
         core.now += 1.0
         core.answer_all()
     assert core.core.dump(core.now)["timers"] <= 1001, core.core.dump(core.now)["timers"]
+
+
+@then("the core holds no ended query after 50 short ones beside a slow one")
+def step_no_ended_query(context):
+    core = CoreHarness(make_map(slots=4000), Serve(deadline_ms=600_000.0, hedge=0.0))
+    core.arrive()
+    slow = dict(core.out)
+    core.out.clear()
+    seen = []
+    for _ in range(50):
+        query = core.arrive()
+        seen.append(weakref.ref(core.core._state.runs[query]))
+        core.now += 1.0
+        core.answer_all()
+    assert slow and len(core.finished) == len(seen)
+    held = sum(ref() is not None for ref in seen)
+    assert held == 0, held
--- a/src/alderhatch/core/core_state.py
+++ b/src/alderhatch/core/core_state.py
@@ -33,12 +33,12 @@
         self.now: Millis = 0.0
         self.effects: list[EntryEffect] = []
         self.servers = ServerTable(policy)
-        self.timers = Timers()
         self.crashes = CrashWatch(policy.quarantine_ms)
         self.rules = RuleList()
         self.revision = 0
         self.runs: dict[int, Run] = {}
         """The requests under way, by their numbers."""
+        self.timers = Timers(self.runs)
         self.hedge_share = 1.0
         """What control allows every rule at most, as a fraction of its shard requests."""
         self.hedges: dict[str, RatioBudget] = {}
--- a/src/alderhatch/core/entry_core.py
+++ b/src/alderhatch/core/entry_core.py
@@ -251,7 +251,7 @@
         timers = self._state.timers
         timers.woke()
         while (timer := timers.due(self._state.now)) is not None:
-            run = timer.run
+            run = None if timer.query is None else self._state.runs.get(timer.query)
             if timer.kind is TimerKind.WAITING or run is None:
                 self._resume(self._dispatcher.take_parked())
             elif timer.kind is TimerKind.QUEUE:
--- a/src/alderhatch/core/timers.py
+++ b/src/alderhatch/core/timers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from collections.abc import Mapping
 from enum import IntEnum
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -13,7 +14,7 @@
 
 
 SWEEP_AT = 1000
-"""With this many timers at least, those of ended queries are taken out."""
+"""With this many timers at least, those of ended requests are taken out."""
 
 
 class TimerKind(IntEnum):
@@ -39,13 +40,23 @@
     at: Millis
     number: int
     kind: TimerKind
-    run: Run | None
+    query: int | None
+    """The number of the request that it belongs to; None if it belongs to none."""
 
 
 class Timers:
-    """A heap of timers. A timer whose query has ended is dropped when it comes up."""
+    """A heap of timers. A timer whose request has ended is dropped when it comes up.
 
-    def __init__(self) -> None:
+    Requests end long before their deadlines. So a timer names its request by number: were it to
+    hold it, it would keep the whole answer until the deadline, seen as memory that grows with the
+    rate of queries and with the deadlines that callers ask for.
+
+    Args:
+        runs: The requests under way, by their numbers.
+    """
+
+    def __init__(self, runs: Mapping[int, Run]) -> None:
+        self._runs = runs
         self._heap: list[Timer] = []
         self._number = 0
         self._armed: Millis | None = None
@@ -53,28 +64,32 @@
 
     @property
     def size(self) -> int:
-        """How many timers there are, those of ended queries included."""
+        """How many timers there are, those of ended requests included."""
         return len(self._heap)
 
     def add(self, at: Millis, kind: TimerKind, run: Run | None) -> None:
         """Add a timer."""
         self._number += 1
-        heapq.heappush(self._heap, Timer(at, self._number, kind, run))
+        query = None if run is None else run.query
+        heapq.heappush(self._heap, Timer(at, self._number, kind, query))
         if len(self._heap) > self._sweep_at:
             self._sweep()
 
     def _sweep(self) -> None:
-        # Queries end long before their deadlines. Their timers would hold them, with their answers,
-        # until then, seen as memory that grows with the deadlines that callers ask for.
-        self._heap = [timer for timer in self._heap if timer.run is None or not timer.run.ended]
+        # Left in until they come up, the timers of ended requests would still grow in number with
+        # the deadlines that callers ask for.
+        self._heap = [timer for timer in self._heap if self._holds(timer)]
         heapq.heapify(self._heap)
         self._sweep_at = max(SWEEP_AT, 2 * len(self._heap))
 
+    def _holds(self, timer: Timer) -> bool:
+        return timer.query is None or timer.query in self._runs
+
     def due(self, now: Millis) -> Timer | None:
         """Take out and return the next timer that is due, or return None."""
         while self._heap and self._heap[0].at <= now:
             timer = heapq.heappop(self._heap)
-            if timer.run is None or not timer.run.ended:
+            if self._holds(timer):
                 return timer
         return None
 
@@ -84,7 +99,7 @@
 
     def arm(self) -> Millis | None:
         """Return the time to wake at if it is earlier than the one last returned."""
-        while self._heap and self._heap[0].run is not None and self._heap[0].run.ended:
+        while self._heap and not self._holds(self._heap[0]):
             heapq.heappop(self._heap)
         if not self._heap:
             return None
