Entries learn of control hosts that took another's place

Cause: an entry knew the addresses of its settings alone.

Change: control hosts are part of what entries are told (ControlsPatch, and in the whole view): those that have announced themselves and neither depart nor were replaced. An entry goes round these first, 16 at most, and round those of its settings when none of them gave a lease, so that a wrong list never takes away the way back.

Ruled out: the way of control hosts among themselves and to their leader. They take addresses from the log's membership and the host table; the same scenario restarts all the replaced hosts, and an entry gets its lease through each.

Tests changed: the scenario of a silent connection no longer puts the other addresses into the client by hand, it learns them. The one of an entry that is cut off keeps the entry from what it learns, as its host would reach control through the cut forwarders only.

--- a/features/control_entries.feature
+++ b/features/control_entries.feature
@@ -30,3 +30,29 @@
   Scenario: An entry restarts under its name
     # The old process may still hold connections and claims for the rest of its lease.
     Then a restarted entry gets its lease only once the old process's lease has run out
+
+  Scenario: Every control host is replaced, one after the other
+    # Within a year each disk fails once, and each repair brings a host at a new address. The entry
+    # runs on meanwhile, with settings that name hosts of which none is left. With the last of them
+    # it would lose its lease for good, although all control hosts are well.
+    Then an entry goes on after all the control hosts of its settings were replaced
+
+  Scenario Outline: Which control host an entry tries next
+    # A list that an entry was told can be wrong: what it names may be gone, or cut off. The hosts
+    # of its settings must not be forgotten over it, and must not cost the lease while it is right.
+    Given an entry with the control hosts "<configured>" that was told of "<told>"
+    Then while none of them grants a lease, the next ones tried are "<tried>"
+
+    Examples:
+      | configured | told  | tried                 |
+      | a b c      | -     | a b c a b c           |
+      | a b c      | a b c | a b c a b c           |
+      | a b c      | b c d | b c d a b c d a       |
+      | a b        | d e   | d e a b d e a b       |
+      | a          | d     | d a d a               |
+
+  Scenario: A list of control hosts that is too long
+    # Nothing bounds it but the number of names ever used. Tried one after the other, too many dead
+    # ones would cost the lease.
+    Given an entry with the control hosts "a" that was told of 100 others
+    Then it remembers 16 of them and still tries "a"
--- a/features/steps/control_entries_steps.py
+++ b/features/steps/control_entries_steps.py
@@ -1,9 +1,11 @@
 from __future__ import annotations
 
 import trio
-from behave import then
+from behave import given, then
 
 from alderhatch.clock import SECOND
+from alderhatch.core.control.feed import ControlPlace
+from alderhatch.entry._control_places import ControlPlaces
 from alderhatch.settings.models import NamedEndpoint
 from features.support.control_commands import rule
 from features.support.control_tier import LOOPBACK, Forwarder, control_tier
@@ -30,6 +32,8 @@
         cut = await tier.start_entry("entry-1", controls=controls)
         well = await tier.start_entry("entry-2")
         await cut.wait_ready()
+        # Its host reaches control through the forwarders alone, whatever it is told of.
+        cut._places.learn = lambda told: None
         for forwarder in forwarders:
             # Old connections go silent, and new ones are never answered.
             forwarder.silent = True
@@ -65,8 +69,6 @@
         await tier.nursery.start(forwarder.run)
         controls = [NamedEndpoint(name="silent", address=LOOPBACK, port=forwarder.own_port)]
         client = await tier.start_entry("entry-1", controls=controls)
-        # It had to begin at the host whose connection will go silent.
-        client._controls += tier.endpoints(list(tier.hosts))
         lapses = []
 
         async def watch():
@@ -163,3 +165,67 @@
         assert new.may_serve()
         entries = tier.state(await tier.leader()).hosts.entries
         assert entries["entry-1"].incarnation == "run-2"
+
+
+@then("an entry goes on after all the control hosts of its settings were replaced")
+def step_all_replaced(context):
+    trio.run(_all_replaced)
+
+
+async def _all_replaced():
+    async with control_tier() as tier:
+        configured = list(tier.hosts)
+        client = await tier.start_entry("entry-1", controls=tier.endpoints(configured))
+        for number, name in enumerate(configured):
+            await tier.kill_control(name)
+            await tier.repair(name, f"control-{number + 4}", number)
+        await tier.until(lambda: client.view.revision == len(configured))
+        await tier.until(lambda: client.control_host in tier.hosts and client.may_serve())
+        # The hosts know of each other too: all restart, and each finds the way to the leader.
+        names = list(tier.hosts)
+        assert not set(names) & set(configured)
+        for name in names:
+            await tier.kill_control(name)
+        for name in names:
+            await tier.start_control(name)
+        for number, name in enumerate(names):
+            await tier.start_entry(f"other-{number}", controls=tier.endpoints([name]))
+        await tier.until(lambda: client.control_host in names and client.may_serve())
+
+
+def _places(names):
+    ports = {name: 7000 + number for number, name in enumerate("abcde")}
+    return [
+        NamedEndpoint(name=one, address=LOOPBACK, port=ports[one])
+        for one in names.split()
+        if one in ports
+    ]
+
+
+@given('an entry with the control hosts "{configured}" that was told of "{told}"')
+def step_told(context, configured, told):
+    context.places = ControlPlaces(_places(configured), 0)
+    context.places.learn([ControlPlace(*_plain(one)) for one in _places(told)])
+
+
+def _plain(endpoint):
+    return endpoint.name, endpoint.address, endpoint.port
+
+
+@then('while none of them grants a lease, the next ones tried are "{tried}"')
+def step_tried(context, tried):
+    expected = tried.split()
+    assert [context.places.next().name for _ in expected] == expected
+
+
+@given('an entry with the control hosts "{configured}" that was told of {count:d} others')
+def step_told_many(context, configured, count):
+    context.places = ControlPlaces(_places(configured), 0)
+    others = [ControlPlace(f"other-{number}", LOOPBACK, 8000 + number) for number in range(count)]
+    context.places.learn(others)
+
+
+@then('it remembers {count:d} of them and still tries "{name}"')
+def step_remembers(context, count, name):
+    tried = [context.places.next().name for _ in range(count + 1)]
+    assert len(set(tried)) == count + 1 and tried[-1] == name
--- a/features/steps/control_tier_steps.py
+++ b/features/steps/control_tier_steps.py
@@ -103,16 +103,8 @@
         await tier.change("POST", "/v1/rules", _add("night", 0, "c-1"))
         lost = await tier.follower()
         await tier.kill_control(lost)
-        tier.founders = tier.endpoints(["control-1", "control-2", "control-3"])
-        await tier.start_control("control-4")
-        replacement = {"name": "control-4", "zone": "austin-hall", "address": "127.0.0.1"}
-        replacement["port"] = tier.ports["control-4"][0]
-        body = {"change_id": "c-2", "expected_revision": 1, "replacement": replacement}
-        status, answer = await tier.change("POST", f"/v1/hosts/{lost}/repair", body)
-        assert status == 200, answer
+        await tier.repair(lost, "control-4", 1)
         leader = await tier.leader()
-        log = tier.hosts[leader].server.host.log
-        await tier.until(lambda: set(log.status().voters) == set(tier.hosts))
         status, _ = await tier.change("POST", "/v1/rules", _add("day", 2, "c-3"))
         assert status == 200
         await tier.kill_control(leader)
--- a/features/support/control_tier.py
+++ b/features/support/control_tier.py
@@ -116,6 +116,20 @@
         host.scope.cancel()
         await host.stopped.wait()
 
+    async def repair(self, lost, name, revision):
+        """Put a new control host in the place of one whose disk is gone; return when it votes."""
+        await self.start_control(name)
+        replacement = {"name": name, "zone": "austin-hall", "address": LOOPBACK}
+        replacement["port"] = self.ports[name][0]
+        body = {"change_id": name, "expected_revision": revision, "replacement": replacement}
+        status, answer = await self.change("POST", f"/v1/hosts/{lost}/repair", body)
+        assert status == 200, answer
+        await self.until(lambda: self._all_vote())
+
+    def _all_vote(self):
+        logs = [host.server.host.log for host in self.hosts.values()]
+        return all(set(log.status().voters) == set(self.hosts) for log in logs)
+
     async def leader(self):
         with trio.fail_after(30):
             while True:
--- a/src/alderhatch/core/control/_change_application.py
+++ b/src/alderhatch/core/control/_change_application.py
@@ -24,6 +24,8 @@
 )
 from .crash_table import CrashTable
 from .feed import (
+    ControlPlace,
+    ControlsPatch,
     LeavingPatch,
     LeavingServer,
     Patch,
@@ -33,7 +35,7 @@
     rules_patch,
 )
 from .host_table import HostTable, Quorum
-from .roster import roster_row
+from .roster import control_places, roster_row
 from .rule_book import Author, RuleBook
 from .tier_settings import TierSettings, merge_settings, settings_to_plain
 
@@ -96,7 +98,9 @@
         case LiftQuarantine(fingerprint):
             return _lift(state, fingerprint)
         case _:
-            return _apply_host_action(state.hosts, action, author, quorum)
+            before = control_places(state.hosts)
+            outcome = _apply_host_action(state.hosts, action, author, quorum)
+            return _with_controls(outcome, before, control_places(state.hosts))
 
 
 def _adopt(
@@ -166,3 +170,11 @@
     if host in hosts.entries:
         patches = (RosterPatch([roster_row(hosts, host)], []),)
     return ChangeOutcome(changed, host, summary + (" (forced)" if forced else ""), patches)
+
+
+def _with_controls(
+    outcome: ChangeOutcome, before: list[ControlPlace], after: list[ControlPlace]
+) -> ChangeOutcome:
+    if before == after:
+        return outcome
+    return outcome._replace(patches=(*outcome.patches, ControlsPatch(after)))
--- a/src/alderhatch/core/control/control_state.py
+++ b/src/alderhatch/core/control/control_state.py
@@ -14,7 +14,16 @@
 from .actions import ACTIONS, Action, action_name
 from .change_memory import ChangeMemory
 from .crash_table import CrashTable
-from .feed import UPDATES, Feed, LeavingServer, Patch, QuarantinePatch, RosterPatch, WholeView
+from .feed import (
+    UPDATES,
+    ControlsPatch,
+    Feed,
+    LeavingServer,
+    Patch,
+    QuarantinePatch,
+    RosterPatch,
+    WholeView,
+)
 from .host_table import HostTable, Quorum
 from .operations import (
     BATCHES,
@@ -39,7 +48,7 @@
     RemoveEntries,
     ReportCrash,
 )
-from .roster import roster_row
+from .roster import control_places, roster_row
 from .rule_book import Author, RuleBook
 from .run_ledger import RunLedger
 from .tier_settings import TierSettings, merge_settings, settings_to_plain
@@ -167,6 +176,7 @@
             [roster_row(hosts, name) for name in hosts.entries],
             [quarantine.fingerprint for quarantine in self.crashes.quarantines],
             [LeavingServer(*key) for key in hosts.leaving_servers],
+            control_places(hosts),
         )
 
     def _let_time_pass(self) -> None:
@@ -197,7 +207,7 @@
             case ReportCrash():
                 return self._report_crash(operation)
             case AnnounceControl():
-                return Noted(self.hosts.announce(operation))
+                return self._announce(operation)
             case _:
                 return Noted(isinstance(operation, KeepHouse))
 
@@ -218,6 +228,14 @@
             self.feed.publish(self.revision, [RosterPatch([row], [])])
         return Noted(True)
 
+    def _announce(self, control: AnnounceControl) -> Noted:
+        before = control_places(self.hosts)
+        is_news = self.hosts.announce(control)
+        after = control_places(self.hosts)
+        if after != before:
+            self.feed.publish(self.revision, [ControlsPatch(after)])
+        return Noted(is_news)
+
     def _remove(self, entries: Sequence[EntryKey]) -> Noted:
         removed = [key for key in entries if self.hosts.remove(key, self.now)]
         for key in removed:
--- a/src/alderhatch/core/control/entry_view.py
+++ b/src/alderhatch/core/control/entry_view.py
@@ -10,6 +10,8 @@
 from .feed import (
     PATCHES,
     UPDATES,
+    ControlPlace,
+    ControlsPatch,
     LeavingPatch,
     LeavingServer,
     Patch,
@@ -38,6 +40,8 @@
     """Fingerprints of bodies that are not run."""
     leaving: frozenset[LeavingServer] = frozenset()
     """Servers that get no new work."""
+    controls: tuple[ControlPlace, ...] = ()
+    """The control hosts that take part."""
 
     def advanced(self, data: bytes) -> EntryView:
         """Return the view after one encoded update or whole view.
@@ -80,6 +84,8 @@
             return {"quarantines": view.quarantines.union(added).difference(lifted)}
         case LeavingPatch(added, returned):
             return {"leaving": view.leaving.union(added).difference(returned)}
+        case ControlsPatch(controls):
+            return {"controls": tuple(controls)}
 
 
 def _from_whole(whole: WholeView) -> EntryView:
@@ -91,4 +97,5 @@
         {row.name: row for row in whole.roster},
         frozenset(whole.quarantines),
         frozenset(whole.leaving),
+        tuple(whole.controls),
     )
--- a/src/alderhatch/core/control/feed.py
+++ b/src/alderhatch/core/control/feed.py
@@ -32,6 +32,14 @@
     server: str
 
 
+class ControlPlace(NamedTuple):
+    """Where a control host accepts links."""
+
+    name: str
+    address: str
+    port: int
+
+
 class RulesPatch(NamedTuple):
     """Takes rules out of the list at one place and puts others there."""
 
@@ -67,7 +75,15 @@
     returned: list[LeavingServer]
 
 
-Patch: TypeAlias = RulesPatch | SettingsPatch | RosterPatch | QuarantinePatch | LeavingPatch
+class ControlsPatch(NamedTuple):
+    """The control hosts, whole."""
+
+    controls: list[ControlPlace]
+
+
+Patch: TypeAlias = (
+    RulesPatch | SettingsPatch | RosterPatch | QuarantinePatch | LeavingPatch | ControlsPatch
+)
 
 
 class Update(NamedTuple):
@@ -89,9 +105,12 @@
     roster: list[RosterEntry]
     quarantines: list[str]
     leaving: list[LeavingServer]
+    controls: list[ControlPlace]
 
 
-PATCHES = Codec(RulesPatch, SettingsPatch, RosterPatch, QuarantinePatch, LeavingPatch)
+PATCHES = Codec(
+    RulesPatch, SettingsPatch, RosterPatch, QuarantinePatch, LeavingPatch, ControlsPatch
+)
 """Turns patches into bytes and back."""
 
 UPDATES = Codec(Update, WholeView)
--- a/src/alderhatch/entry/control_client.py
+++ b/src/alderhatch/entry/control_client.py
@@ -13,6 +13,7 @@
 from ..core.control.connection_shares import connections_for
 from ..core.control.entry_lease import EntryIdentity, EntryLease
 from ..core.control.entry_view import EntryView
+from ..core.control.feed import ControlPlace
 from ..core.control.lease_messages import CONTROL_MESSAGES
 from ..core.control.lease_table import SHARE_GRACE
 from ..core.control.operations import (
@@ -33,6 +34,7 @@
 from ..settings.models import NamedEndpoint
 from ..signal import Signal
 from ._control_calls import ControlCalls
+from ._control_places import ControlPlaces
 from ._control_session import ControlSession, Hurry
 from ._owed_operations import OwedOperations
 
@@ -76,12 +78,11 @@
 
         Args:
             me: This process of the entry.
-            controls: Where control hosts accept links.
+            controls: Where control hosts accept links at the start; control tells of others.
             secret: The secret shared by our own processes.
             clock: Steady time; the loop's if none is given.
         """
         self._me = me
-        self._controls = tuple(controls)
         self._secret = secret
         self._clock = clock or LoopClock()
         self._codec = Codec(*CONTROL_MESSAGES)
@@ -91,7 +92,7 @@
         self._hurry = Hurry()
         self._tokens: dict[tuple[str, str], str] = {}
         # Entries begin at different control hosts, so that no host serves all of them.
-        self._turn = sum(me.name.encode()) % max(1, len(self._controls))
+        self._places = ControlPlaces(controls, first=sum(me.name.encode()))
         self._served = False
         self._open_timeout = OPEN_TIMEOUT
         self.changed = Signal()
@@ -268,37 +269,36 @@
         self._owed.add(OPERATIONS.encode(ReleaseClaim(caller, request_id, token)))
 
     async def _use_next(self, over: trio.Event) -> None:
-        endpoint = self._controls[self._turn % len(self._controls)]
-        self._turn += 1
+        self._places.learn(self.view.controls)
+        place = self._places.next()
         why = "closed, silent or without a leader"
         try:
             with trio.CancelScope() as scope:
                 scope.deadline = trio.current_time() + self._open_timeout / SECOND
                 self._open_timeout = min(2 * self._open_timeout, MAX_OPEN_TIMEOUT)
-                await self._use(endpoint, scope, over)
+                await self._use(place, scope, over)
         except LinkClosedError as exc:
             why = str(exc)
         finally:
             over.set()
-        log_event(LogEvent.CONTROL_LINK_LOST, control=endpoint.name, why=why)
+        log_event(LogEvent.CONTROL_LINK_LOST, control=place.name, why=why)
 
-    async def _use(
-        self, endpoint: NamedEndpoint, scope: trio.CancelScope, over: trio.Event
-    ) -> None:
+    async def _use(self, place: ControlPlace, scope: trio.CancelScope, over: trio.Event) -> None:
         peer = Peer(self._me.name, "entry")
         session = ControlSession(
             self._lease, self._calls, self._clock, self._hurry, self.changed.notify
         )
-        async with open_link(
-            endpoint.address, endpoint.port, self._codec, self._secret, peer
-        ) as link:
+        served_until = self.serve_until
+        async with open_link(place.address, place.port, self._codec, self._secret, peer) as link:
             scope.deadline = float("inf")
             self._open_timeout = OPEN_TIMEOUT
-            self.control_host = endpoint.name
+            self.control_host = place.name
             self._link = link
             try:
                 await session.run(link)
             finally:
+                if self.serve_until > served_until:
+                    self._places.gave_lease(place)
                 self.control_host = None
                 self._closed_bytes = self.traffic
                 self._link = None
