Run ledger: a claim that was turned away is never granted later

Cause: an entry asks twice because the first answer is slow, and is told in_progress to the second copy. The holder takes its claim back, then the first copy arrives and is granted to nobody: every resend is told in_progress until that entry restarts.

The schedules: beside the ones that were there, long ones about few requests, after which every claim in progress must have a holder.

--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -5,6 +5,7 @@
     # or late, their answers get lost, entries die and restart, control restarts from a snapshot.
     # A second run would air a commercial twice, or send two robots to one room.
     Then no request runs twice under 400 random schedules
+    And no request runs twice in 300 schedules of resends
 
   Scenario Outline: What a resend is told
     # A caller that has lost the answer sends its booking again, at another entry.
@@ -45,6 +46,20 @@
     Given a booking whose release came before its claim
     Then the late claim is told "withdrawn" and a new one "granted"
 
+  Scenario Outline: A copy of a claim that was turned away is not granted later
+    # An entry asked twice, because the first answer was slow, and got its answer to the second copy:
+    # another sending has the claim. That one is taken back, and then the first copy arrives. Granted
+    # now, it would have no holder, and every resend would be told "in progress" until that entry
+    # restarts.
+    Given a booking that entry A claimed and that <history>
+    When a claim of entry B is turned away, A takes its own back, and a copy of B's claim arrives
+    Then the ledger answers "withdrawn"
+
+    Examples:
+      | history                                 |
+      | still runs                              |
+      | lost its entry, whose lease has run out |
+
   Scenario: A release that arrives after the horizon does not free the id
     # One sending of a booking was released, but its release is stuck on the way; another sending
     # ran. An hour later the record is dropped and the release arrives. Taken as the first word
--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -17,7 +17,7 @@
     RemoveEntries,
 )
 from features.support.control_commands import Applier
-from features.support.ledger_model import run_ledger_events
+from features.support.ledger_model import run_ledger_events, run_resends
 
 KINDS = ["request", "apply", "give-up", "finish", "start", "run-out", "restart", "tick"]
 OFTEN = ["request", "apply", "apply", "apply", "finish"]
@@ -41,6 +41,11 @@
     assert sum(totals) > count // 2, "the schedules run too little to show anything"
 
 
+@then("no request runs twice in {count:d} schedules of resends")
+def step_no_second_run_of_resends(context, count):
+    assert sum(sum(run_resends(seed).runs.values()) for seed in range(count)) > count
+
+
 def _claim(key, token, fingerprint="body", caller="trafikk", request_id="booking-1"):
     return Claim(caller, request_id, fingerprint, *key, token)
 
@@ -140,6 +145,15 @@
     assert context.applier.one(_claim(ENTRY_A, "token-a")).status == "in_progress"
 
 
+@when("a claim of entry B is turned away, A takes its own back, and a copy of B's claim arrives")
+def step_turned_away(context):
+    applier = context.applier
+    _register(applier, ENTRY_B)
+    assert applier.one(_claim(ENTRY_B, "token-b")).status in ("in_progress", "outcome_unknown")
+    assert applier.one(ReleaseClaim("trafikk", "booking-1", "token-a")).applied
+    context.answer = applier.one(_claim(ENTRY_B, "token-b"))
+
+
 @given("a ledger whose records are all in progress and fill it")
 def step_full(context):
     applier = context.applier = Applier(ControlState())
--- a/features/support/ledger_model.py
+++ b/features/support/ledger_model.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from random import Random
 
 from alderhatch.core.control.control_state import ControlState
 from alderhatch.core.control.operations import (
@@ -129,6 +130,18 @@
         state.restore(self.state.snapshot())
         self.applier.state = state
 
+    def calm_down(self):
+        """Deliver all that is on its way; whoever still waits for an answer asks again."""
+        self.pool += [(one.claim, one) for one in self.attempts if one.waiting]
+        while self.pool:
+            self.apply(0, keep=False, lost=False)
+            self.check()
+        holders = {one.token for one in self.attempts if one.waiting or one.running}
+        ledger = self.state.ledger
+        for key in ledger._in_progress:
+            # Without a holder nobody ends it, and the caller is told for good that it runs.
+            assert ledger._records[key].token in holders, key
+
     def check(self):
         assert all(count <= 1 for count in self.runs.values()), self.runs
 
@@ -155,3 +168,28 @@
                 model.applier.now += number * MINUTE
         model.check()
     return model
+
+
+RESENDS = {
+    "request": 8,
+    "apply": 16,
+    "finish": 2,
+    "give-up": 2,
+    "run-out": 2,
+    "start": 1,
+    "restart": 1,
+    "tick": 1,
+}
+"""How often what happens when callers resend a few requests again and again."""
+FEW = 9
+"""Numbers up to this stand for three entries and three request ids."""
+
+
+def run_resends(seed):
+    """A long schedule about few requests, so that every record meets every kind of operation."""
+    random = Random(seed)
+    kinds = random.choices(list(RESENDS), list(RESENDS.values()), k=random.randint(50, 250))
+    events = [(kind, random.randrange(FEW if kind == "request" else 100)) for kind in kinds]
+    model = run_ledger_events(events)
+    model.calm_down()
+    return model
--- a/src/alderhatch/core/control/run_ledger.py
+++ b/src/alderhatch/core/control/run_ledger.py
@@ -50,7 +50,7 @@
     claimed_at: Millis
     outcome: bytes | None = None
     released: tuple[str, ...] = ()
-    """Tokens that were released; a claim of theirs that arrives late is not granted."""
+    """Tokens released or turned away; a claim of theirs that arrives late is not granted."""
 
 
 class LedgerCounts(NamedTuple):
@@ -101,12 +101,16 @@
             case RunState.IN_PROGRESS if record.token == claim.token:
                 return ClaimAnswer(ClaimStatus.GRANTED)
             case RunState.IN_PROGRESS:
+                _turn_away(record, claim.token)
                 return ClaimAnswer(ClaimStatus.IN_PROGRESS)
             case RunState.UNKNOWN if record.token == claim.token:
                 # The entry still asks, so the answer to this very claim was lost and nothing was
                 # sent. Left unknown, the caller would be told that its booking may have run.
                 self._set_in_progress(key, record)
                 return ClaimAnswer(ClaimStatus.GRANTED)
+            case RunState.UNKNOWN:
+                _turn_away(record, claim.token)
+                return ClaimAnswer(ClaimStatus.OUTCOME_UNKNOWN)
             case RunState.DONE if record.outcome is not None:
                 return ClaimAnswer(ClaimStatus.STORED, record.outcome)
             case _:
@@ -256,6 +260,16 @@
             self._forgotten.add(id_digest(*key), now)
 
 
+def _turn_away(record: RunRecord, token: str) -> None:
+    """Note that a sending was told that it may not run.
+
+    A copy of its claim can still be on its way through another control host. Granted after the
+    holder took its own claim back, it would have no holder: every resend would be told that the
+    request runs, until the entry restarts.
+    """
+    record.released = _with_token(record.released, token)
+
+
 def _with_token(released: tuple[str, ...], token: str) -> tuple[str, ...]:
     if token in released:
         return released
