Core: canaries go to the shards expected soonest out of a few drawn by chance

Cause: a query waits for its first canary, and the canaries were drawn by chance alone, busy servers or not.

Change: eight shards are drawn and the two with the least estimate are asked. How many servers a body may take stays as it was: the number of canaries, their patience and what follows a loss are untouched.

--- a/features/core_crash.feature
+++ b/features/core_crash.feature
@@ -49,6 +49,14 @@
     When a harmless query's connection is lost and the server says that it runs on
     Then nothing was reported as a crash
 
+  Scenario: Canaries go to shards whose servers are free
+    # The rest of a query waits for its first canary. When both canaries queue at busy servers the
+    # caller waits for those queues before most shards have even been asked.
+    Given a core with canaries over 8 shards
+    When the servers of all shards but s2 and s5 report queues there
+    And a new body arrives there
+    Then just the shards s2 and s5 of it are out
+
   Scenario: The first answer of a canary lets the rest go
     Given a core with canaries over 16 shards
     When a new body arrives there
--- a/features/steps/core_crash_steps.py
+++ b/features/steps/core_crash_steps.py
@@ -11,6 +11,7 @@
     AttemptFault,
     HealthReported,
     LeaseChanged,
+    LoadReport,
     ProbeServer,
     QueryArrived,
     ReportCrash,
@@ -233,6 +234,15 @@
     context.core = CoreHarness(make_map(shards), Serve(hedge=0), Policy())
 
 
+@when("the servers of all shards but {one} and {other} report queues there")
+def step_queues_but(context, one, other):
+    busy = LoadReport(2, 10)
+    for shard in make_map(8).shards:
+        if shard.name not in (one, other):
+            for server_id in shard.servers:
+                context.core.feed(HealthReported(server_id, ServerState.READY, busy, "b1"))
+
+
 @when("a new body arrives there")
 @when("the same body arrives there again")
 def step_new_body(context):
@@ -245,6 +255,11 @@
     assert len(context.core.out) == count, context.core.out
 
 
+@then("just the shards {one} and {other} of it are out")
+def step_just_shards_out(context, one, other):
+    assert {send.shard for send in context.core.out.values()} == {one, other}, context.core.out
+
+
 @when("one of them answers")
 def step_one_answers(context):
     context.core.answer(next(iter(context.core.out)))
--- a/src/alderhatch/core/dispatcher.py
+++ b/src/alderhatch/core/dispatcher.py
@@ -4,6 +4,7 @@
 
 import heapq
 from enum import Enum
+from math import inf
 
 from ..clock import Millis
 from .attempt import Attempt
@@ -101,6 +102,15 @@
         self._emit(run, shard, server, snapshot, True, False)
         return True
 
+    def expected_time(self, run: Run, shard: ShardState) -> Millis:
+        """Return how long a shard request sent now is likely to take, in milliseconds."""
+        core = self._state
+        server = self._choose(run, shard, NOTHING, False)
+        if server is None:
+            return inf
+        away = not run.any_zone and server.zone != core.zone
+        return server.estimate(core.now) + (core.policy.zone_cost_ms if away else 0.0)
+
     def _choose(
         self, run: Run, shard: ShardState, excluded: set[str] | frozenset[str], alone: bool
     ) -> ServerView | None:
--- a/src/alderhatch/core/fan_out.py
+++ b/src/alderhatch/core/fan_out.py
@@ -59,7 +59,7 @@
         if not run.canary:
             self._send_all(run)
             return
-        for state in core.rng.sample(run.shards, canaries):
+        for state in self._choose_canaries(run, canaries):
             self._send(run, state)
         latencies = run.upstream.latencies
         patience = core.policy.canary_patience * latencies.quantile(0.95)
@@ -67,6 +67,17 @@
             patience = max(patience, GUESS_FACTOR * core.policy.first_latency_ms)
         core.timers.add(core.now + patience, TimerKind.CANARY, run)
 
+    def _choose_canaries(self, run: QueryRun, canaries: int) -> list[ShardState]:
+        # The whole query waits for the first of them. Drawn by chance alone they often queue, seen
+        # as queries that have lost their time before most of their shards were asked. The best of
+        # all shards would be the same ones for every query, and their servers would fill up.
+        core = self._state
+        drawn = min(canaries * core.policy.canary_choices, len(run.shards))
+        states = core.rng.sample(run.shards, drawn)
+        if drawn > canaries:
+            states.sort(key=lambda state: self._dispatcher.expected_time(run, state))
+        return states[:canaries]
+
     def _send_all(self, run: QueryRun) -> None:
         for state in run.shards:
             if not state.closed and not state.attempts and not state.waiting:
--- a/src/alderhatch/core/policy.py
+++ b/src/alderhatch/core/policy.py
@@ -62,6 +62,8 @@
     canary_shards: int = 8
     """Queries over fewer shards send one first: two bodies that share both servers of their first
     shards could not be told apart when one of them crashes both."""
+    canary_choices: int = 4
+    """Each canary is the one expected soonest out of this many shards drawn by chance."""
     canary_patience: float = 1.0
     """The rest is sent after this multiple of the 95 % latency even without an answer."""
     queue_low: float = 0.8
