--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -13,6 +13,7 @@
 from alderhatch.core.control.operations import EntryKey
 from alderhatch.core.control.pace import hurry_gap
 from features.support.lease_model import run_events
+from features.support.lease_weather import run_weather
 
 ME = EntryIdentity("entry-1", "run-1", "waco-hall", "10.0.0.1", 8080)
 FAULTS = ["join", "kill", "tick", "send", "renewal", "reply", "drop", "leader", "alone"]
@@ -54,6 +55,20 @@
     return Grant(sequence, lease, version, share, "")
 
 
+@then("leases keep their promises in {count:d} spells of bad weather")
+def step_lease_weather(context, count):
+    served = 0
+    for seed in range(count):
+        model = run_weather(seed)
+        for entry in model.entries.values():
+            if not entry.lease.is_leaving:
+                assert entry.lease.may_serve(entry.clock(model.now)), (seed, entry.name)
+                assert entry.lease.share, (seed, entry.name)
+                assert entry.lease.view.version == model.state.feed.version, (seed, entry.name)
+                served += 1
+    assert served >= count
+
+
 @given("a lease of 3000 ms whose renewal was sent at {sent:d} ms and answered at {answered:d} ms")
 def step_lease_answered(context, sent, answered):
     context.lease = EntryLease(ME)
@@ -98,6 +113,30 @@
     assert context.lease.view.version == 7
 
 
+@when("news of version 8 are pushed before the answer to a renewal at version 7")
+def step_pushed(context):
+    sequence = context.lease.renewal(1500.0).sequence
+    assert context.lease.take_pushed([UPDATES.encode(Update(7, 8, 0, []))])
+    assert context.lease.serve_until == context.end
+    context.taken = context.lease.take(GrantReply(5, _grant(sequence, 7), []), 1501.0)
+
+
+@then('the lease takes it as "{taken}" and has version {version:d}')
+def step_pushed_taken(context, taken, version):
+    assert (context.taken, context.lease.view.version) == (taken, version)
+    assert context.lease.serve_until > context.end
+
+
+@when("news that do not follow on it are pushed")
+def step_pushed_gap(context):
+    context.is_news = context.lease.take_pushed([UPDATES.encode(Update(10, 11, 0, []))])
+
+
+@then("the lease has version {version:d} and no news")
+def step_no_news(context, version):
+    assert (context.lease.view.version, context.is_news) == (version, False)
+
+
 @given("an entry with a lease of the leader before")
 def step_registered_entry(context):
     context.key = EntryKey("entry-1", "run-1")
