Under overload lower classes wait at the entry, window by shard

Cause: with the urgent classes' own limit, an urgent query's last shard still waited 33 ms in a server's queue; the queue met held 2.8 on average but 16 at the 99th percentile, mostly normal requests. Servers have one queue for all classes. Change: while the gate is pressed, shard requests that are not urgent wait at the entry until their shard's part of the limit has room, with pauses where that is less than one request; queries are admitted up to twice the limit, targets of the queue 0.6 and 1.0 (urgent ones keep 0.8 and 2.0); copies for urgent requests after the 90 % latency. Canaries that are held back hold back the rest of their query.

--- a/features/core_admission.feature
+++ b/features/core_admission.feature
@@ -84,6 +84,26 @@
     Then some of the queries of kind "log" wait at the core
     And an urgent query of kind "conflict-check" is sent at once
 
+  Scenario: Under overload lower classes wait at the entry and urgent requests pass them
+    # Servers have one queue for all. Filled by lookups that the entry had let through, it made every
+    # conflict check wait for some of its shards, and so the whole answer.
+    Given a core with a query under way
+    When answers report 6 waiting requests for some time
+    And 5 queries of kind "log" and then an urgent one arrive there
+    Then at most 1 shard request of kind "log" is out for each shard
+    And every shard request of the urgent one is out
+    When the servers answer all they get at the core for 3000 ms
+    Then every query at the core has its answer
+
+  Scenario: Canaries that are held back under overload hold the rest back as well
+    # The entry holds lower classes back. A body that crashes servers must not get past its canaries
+    # only because they wait longer than canaries usually take.
+    Given a core with canaries and 20 shards
+    When answers report 6 waiting requests for some time
+    And 5 queries of kind "log" and then an urgent one arrive there
+    And the servers answer nothing until one of kind "log" is sent
+    Then of the 5 bodies no more than 2 shard requests each are out or wait for a server
+
   Scenario: The limit follows the queues at the servers
     # Twelve entries share the servers and none sees the others' traffic. Only the servers' reports
     # tell when all together send too much.
--- a/features/steps/core_admission_steps.py
+++ b/features/steps/core_admission_steps.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from collections import Counter
+
 from behave import given, then, when
 
 from alderhatch.core.crash_watch import fingerprint_of
@@ -238,6 +240,75 @@
     assert any(send.request.kind == kind for send in context.core.out.values())
 
 
+@given("a core with canaries and {shards:d} shards")
+def step_canaries(context, shards):
+    context.core = CoreHarness(make_map(shards), Serve(hedge=0), Policy())
+    context.core.arrive()
+
+
+@when('{count:d} queries of kind "{kind}" and then an urgent one arrive there')
+def step_lower_and_urgent(context, count, kind):
+    core = context.core
+    while core.core.running:
+        for attempt in list(core.out):
+            core.answer(attempt, load=LoadReport(2, 6))
+        core.advance(5.0)
+    for _ in range(count):
+        core.arrive(kind=kind)
+    core.arrive(kind="urgent", priority=Priority.URGENT)
+
+
+def out_of(core, kind):
+    return [send for send in core.out.values() if send.request.kind == kind]
+
+
+@then('at most {most:d} shard request of kind "{kind}" is out for each shard')
+def step_held_back(context, most, kind):
+    by_shard = Counter(send.shard for send in out_of(context.core, kind))
+    assert all(count <= most for count in by_shard.values()), by_shard
+    assert context.core.core.dump(context.core.now)["waiting_for_server"] > 0
+
+
+@then("every shard request of the urgent one is out")
+def step_all_urgent_out(context):
+    assert len(out_of(context.core, "urgent")) == 4, out_of(context.core, "urgent")
+
+
+@when("the servers answer all they get at the core for {span:d} ms")
+def step_answer_for(context, span):
+    core = context.core
+    for _ in range(span // 2):
+        core.advance(2.0)
+        core.answer_all()
+
+
+@when('the servers answer nothing until one of kind "{kind}" is sent')
+def step_answer_nothing(context, kind):
+    core = context.core
+    assert not out_of(core, kind), "none was held back"
+    waited = 0
+    while not out_of(core, kind) and waited < 1000:
+        core.advance(1.0)
+        waited += 1
+    assert waited > 20, "they were held back for less than the patience with canaries"
+
+
+@then("every query at the core has its answer")
+def step_all_answered(context):
+    core = context.core
+    assert not core.core.running, core.core.dump(core.now)
+    assert len(core.finished) == core.next_query
+
+
+@then(
+    "of the {count:d} bodies no more than {most:d} shard requests each are out or wait for a server"
+)
+def step_canaries_hold(context, count, most):
+    core = context.core
+    waiting = core.core.dump(core.now)["waiting_for_server"]
+    assert 0 < len(out_of(core, "log")) + waiting <= count * most, waiting
+
+
 def limit_of(core):
     return core.core.dump(core.now)["upstreams"]["ix"]["limit"]
 
--- a/src/alderhatch/core/admission.py
+++ b/src/alderhatch/core/admission.py
@@ -60,7 +60,10 @@
         """A moving mean of waiting requests for each slot at the servers."""
         self.gap: Millis = 0.0
         """A moving mean of the time between admissions while requests wait."""
-        self._latency = 0.0
+        self.latency: Millis = 0.0
+        """A moving mean of the shard requests' latencies."""
+        self.pressed = False
+        """Whether there was overload lately, so that lower classes are held back."""
         self._floor = 0.0
         self._last_admission: Millis = 0.0
         self._moved_at: Millis = 0.0
@@ -75,11 +78,22 @@
         if run.rank == 0:
             if self.open_urgent >= self.urgent_limit:
                 return False
-        elif self.open >= self.limit * self._shares[run.rank]:
+        elif self.open >= self._lower_limit * self._shares[run.rank]:
             return False
         share = run.serve.max_load_share
         return share >= 1.0 or self.open_by_rule.get(run.rule.name, 0) < self.limit * share
 
+    @property
+    def _lower_limit(self) -> float:
+        # The requests that are held back for a server need something to hold back: with none left
+        # a server has gaps, seen as less useful work.
+        return self.limit * self.policy.ahead if self.pressed else self.limit
+
+    @property
+    def window(self) -> float:
+        """How many shard requests of lower classes may be out for each slot, while pressed."""
+        return self.limit / self.slots
+
     def enter(self, run: Run, units: int, now: Millis) -> None:
         """Admit a request with all of its shards."""
         run.gate = self
@@ -143,7 +157,7 @@
         """Take out and return the first waiting request that may start, or return None."""
         if not self.waiting:
             return None
-        if self.waiting[0].rank > 0 and self.open and self.open >= self.limit:
+        if self.waiting[0].rank > 0 and self.open and self.open >= self._lower_limit:
             return None
         for index in range(min(SCAN, len(self.waiting))):
             run: Run = self.waiting[index].run
@@ -154,12 +168,12 @@
 
     def observe(self, latency: Millis, load: LoadReport | None, slots: int, now: Millis) -> None:
         """Count what an answer tells about the servers' queues, and move the limit."""
-        self._latency += 0.05 * (latency - self._latency) if self._latency else latency
-        if not self._floor or self._latency < self._floor:
-            self._floor = self._latency
+        self.latency += 0.05 * (latency - self.latency) if self.latency else latency
+        if not self._floor or self.latency < self._floor:
+            self._floor = self.latency
         else:
             self._floor *= FLOOR_RISE
-        queue = self._latency / self._floor - LATENCY_SLACK
+        queue = self.latency / self._floor - LATENCY_SLACK
         if load is not None:
             queue = max(queue, load.queued / slots)
         self.queue += QUEUE_WEIGHT * (queue - self.queue if queue > 0.0 else -self.queue)
@@ -168,32 +182,36 @@
             self._move()
 
     def _move(self) -> None:
-        if self.queue > self.policy.queue_high:
-            self._shrink()
-        elif self.queue < self.policy.queue_low and self._may_grow:
-            self._grow()
-        self._backlog = bool(self.waiting)
-
-    @property
-    def _may_grow(self) -> bool:
-        # Held at its lowest after an overload until requests wait again, the limit would make each
-        # query wait for the one before it, seen as slow answers long after the overload.
-        return self._backlog or bool(self.waiting) or self.limit < self.slots
-
-    def _shrink(self) -> None:
         policy = self.policy
-        if self.limit > policy.min_limit:
+        backlog = self._backlog or bool(self.waiting)
+        if self.queue > policy.queue_high:
+            self.pressed = True
             self.limit = max(policy.min_limit, self.limit * policy.limit_shrink)
-            return
-        self.urgent_limit = max(policy.min_limit, self.urgent_limit * policy.limit_shrink)
+        elif self.queue < policy.queue_low:
+            # Held at its lowest after an overload until requests wait again, the limit would make
+            # each query wait for the one before it, seen as slow answers long after the overload.
+            if backlog or self.limit < self.slots:
+                self.limit = self._grown(self.limit)
+            # For a moment there is no backlog under overload too. Taken for its end, it would let
+            # through what is held back, seen as urgent queries that take twice their time.
+            if not backlog and self.limit >= self.slots:
+                self.pressed = False
+        self._move_urgent()
+        self._backlog = bool(self.waiting)
 
-    def _grow(self) -> None:
+    def _move_urgent(self) -> None:
         policy = self.policy
-        most = MOST * self.slots
-        if self.urgent_limit < most:
-            self.urgent_limit = min(most, self.urgent_limit * policy.limit_grow + 0.5)
-        else:
-            self.limit = min(most, self.limit * policy.limit_grow + 0.5)
+        if self.queue > policy.urgent_queue_high:
+            if self.limit <= policy.min_limit:
+                shrunk = self.urgent_limit * policy.limit_shrink
+                self.urgent_limit = max(policy.min_urgent_limit, shrunk)
+        elif self.queue < policy.urgent_queue_low:
+            waits = bool(self.waiting) and self.waiting[0].rank == 0
+            if waits or self.urgent_limit < self.slots:
+                self.urgent_limit = self._grown(self.urgent_limit)
+
+    def _grown(self, limit: float) -> float:
+        return min(MOST * self.slots, limit * self.policy.limit_grow + 0.5)
 
 
 class Admission:
--- a/src/alderhatch/core/dispatcher.py
+++ b/src/alderhatch/core/dispatcher.py
@@ -11,6 +11,7 @@
 from .crash_watch import CRASH_LIMIT
 from .entry_events import AttemptFault, CancelAttempt, LoadReport, ProbeServer, SendShard
 from .latency_histogram import LOWEST
+from .pacer import Pacer
 from .query_run import QueryRun
 from .replica_choice import choose_replica
 from .run import Run, ShardState
@@ -45,6 +46,7 @@
         self._hedges_on: dict[str, list[Attempt]] = {}
         self._waiting_on: dict[str, dict[tuple[str, str], None]] = {}
         self._freed: list[ServerView] = []
+        self.pacer = Pacer(state)
         self._wake_at: Millis | None = None
         """When the timer for waiting shard requests comes up."""
 
@@ -65,7 +67,9 @@
         core = self._state
         excluded = NOTHING if again else shard.tried
         alone = core.crashes.losses(run.fingerprint, core.now) > 0
-        server = self._choose(run, shard, excluded, alone)
+        server: ServerView | None = None
+        if self.pacer.has_room(run, shard):
+            server = self._choose(run, shard, excluded, alone)
         if server is not None:
             self._emit(run, shard, server, snapshot, False, alone)
             return Sent.SENT
@@ -79,6 +83,7 @@
         heapq.heappush(self._parked.setdefault(key, []), entry)
         for server in shard.plan.replicas:
             self._waiting_on.setdefault(server.server_id, {})[key] = None
+            self.pacer.wake_for(server)
         # One timer looks at all that waits. With one for each they would multiply in every round of
         # refusals, seen as an entry that does nothing but look at its waiting requests.
         if wake > core.now and (self._wake_at is None or wake < self._wake_at):
@@ -144,6 +149,8 @@
         shard.tried.add(server.server_id)
         self.attempts[number] = attempt
         server.in_flight += 1
+        if run.rank:
+            self.pacer.sent(run, shard, server)
         if alone:
             server.suspects += 1
         core.shard_requests_sent += 1
@@ -236,6 +243,8 @@
             return None
         attempt.state.attempts.pop(number, None)
         attempt.server.in_flight -= 1
+        if attempt.run.rank:
+            attempt.server.low_in_flight -= 1
         if self._parked:
             self._freed.append(attempt.server)
         if attempt.alone:
@@ -272,6 +281,7 @@
         ready: list[tuple[Run, ShardState]] = []
         for server in self._freed:
             room = int(server.cap) - server.in_flight
+            self.pacer.wake_for(server)
             # A query keeps the shards of its own map. Looked for under the names of the newest map,
             # what waits for a shard that was split meanwhile would wait until its deadline.
             waiting = self._waiting_on.get(server.server_id, {})
@@ -282,13 +292,20 @@
         self._freed.clear()
         return ready
 
+    def wake_paced(self) -> None:
+        """Look again at the servers that were held back from lower classes until now."""
+        self._freed += self.pacer.due()
+
     def _take_waiting(
         self, key: tuple[str, str], room: int, ready: list[tuple[Run, ShardState]]
     ) -> int:
         heap = self._parked.get(key)
         taken = 0
         while heap and taken < room:
-            _, _, run, shard = heapq.heappop(heap)
+            _, _, run, shard = heap[0]
+            if not run.ended and not self.pacer.has_room(run, shard, taken):
+                break
+            heapq.heappop(heap)
             if not run.ended and shard.waiting and not shard.closed:
                 shard.waiting = False
                 ready.append((run, shard))
--- a/src/alderhatch/core/entry_core.py
+++ b/src/alderhatch/core/entry_core.py
@@ -252,7 +252,9 @@
         timers.woke()
         while (timer := timers.due(self._state.now)) is not None:
             run = timer.run
-            if timer.kind is TimerKind.WAITING or run is None:
+            if timer.kind is TimerKind.PACED:
+                self._dispatcher.wake_paced()
+            elif timer.kind is TimerKind.WAITING or run is None:
                 self._resume(self._dispatcher.take_parked())
             elif timer.kind is TimerKind.QUEUE:
                 self._arrival.too_late(run)
--- a/src/alderhatch/core/fan_out.py
+++ b/src/alderhatch/core/fan_out.py
@@ -61,11 +61,15 @@
             return
         for state in core.rng.sample(run.shards, canaries):
             self._send(run, state)
+        core.timers.add(core.now + self._canary_patience(run), TimerKind.CANARY, run)
+
+    def _canary_patience(self, run: QueryRun) -> Millis:
+        policy = self._state.policy
         latencies = run.upstream.latencies
-        patience = core.policy.canary_patience * latencies.quantile(0.95)
+        patience = policy.canary_patience * latencies.quantile(0.95)
         if latencies.samples < ENOUGH_SAMPLES:
-            patience = max(patience, GUESS_FACTOR * core.policy.first_latency_ms)
-        core.timers.add(core.now + patience, TimerKind.CANARY, run)
+            patience = max(patience, GUESS_FACTOR * policy.first_latency_ms)
+        return patience
 
     def _send_all(self, run: QueryRun) -> None:
         for state in run.shards:
@@ -257,6 +261,20 @@
         if not run.canary:
             self._hedging.look(run)
 
+    def _held_until(self, run: QueryRun) -> Millis:
+        """Return until when the rest is to wait, though the patience with the canaries is over.
+
+        Under overload canaries may be held back themselves. Let go meanwhile, the rest would run
+        on a server of each shard before the first of them showed that the body crashes servers.
+        """
+        patience = self._canary_patience(run)
+        sent = [a.sent_at for state in run.shards for a in state.attempts.values()]
+        room = self._dispatcher.pacer.has_room
+        if not sent and any(state.waiting and not room(run, state) for state in run.shards):
+            run.canary_held = True
+            return self._state.now + patience
+        return min(sent) + patience if run.canary_held and sent else 0.0
+
     def _any_waiting(self, run: QueryRun) -> bool:
         return any(state.waiting for state in run.shards)
 
@@ -274,6 +292,10 @@
     def _canaries_late(self, run: QueryRun) -> None:
         if not run.canary:
             return
+        again = self._held_until(run)
+        if again > self._state.now:
+            self._state.timers.add(again, TimerKind.CANARY, run)
+            return
         # After one loss the body is a suspect; patience with the other canary has no end then.
         core = self._state
         if run.attempts_out and core.crashes.losses(run.fingerprint, core.now):
--- a/src/alderhatch/core/hedging.py
+++ b/src/alderhatch/core/hedging.py
@@ -42,6 +42,10 @@
     def _delay(self, run: QueryRun) -> Millis:
         core = self._state
         policy = core.policy
+        if run.rank == 0 and run.gate is not None and run.gate.pressed:
+            # What waits in the servers' queues raises the latency of all. By its high quantiles a
+            # copy of an urgent query's straggler would come when the query is late already.
+            return run.upstream.latencies.quantile(policy.hedge_urgent_quantile)
         level = core.hedge_budget(run.rule, run.serve).level
         span = policy.hedge_last_quantile - policy.hedge_first_quantile
         delay = run.upstream.latencies.quantile(policy.hedge_last_quantile - span * level)
--- a/src/alderhatch/core/policy.py
+++ b/src/alderhatch/core/policy.py
@@ -46,6 +46,8 @@
     """The quantile of shard latency after which a hedge is sent while the budget is full."""
     hedge_last_quantile: float = 0.9875
     """The same while the budget is nearly empty."""
+    hedge_urgent_quantile: float = 0.9
+    """The same for urgent requests under overload, whatever the budget."""
     hedge_few_share: float = 0.2
     """Hedges go to queries that wait for no more than this share of their shards, first."""
     hedge_patience: float = 2.0
@@ -64,15 +66,20 @@
     shards could not be told apart when one of them crashes both."""
     canary_patience: float = 1.0
     """The rest is sent after this multiple of the 95 % latency even without an answer."""
-    queue_low: float = 0.8
+    queue_low: float = 0.6
     """Below this many waiting requests for each slot, an upstream's limit may grow."""
-    queue_high: float = 2.0
+    queue_high: float = 1.0
     """Above it the limit shrinks."""
+    urgent_queue_low: float = 0.8
+    """The same for the limit of urgent requests."""
+    urgent_queue_high: float = 2.0
     limit_interval_ms: Millis = 50.0
     """How often the limit is moved at most."""
     limit_shrink: float = 0.9
     limit_grow: float = 1.05
-    min_limit: float = 4.0
+    min_limit: float = 1.0
+    """The least that lower classes may hold; below the slots of a shard they are spaced out."""
+    min_urgent_limit: float = 4.0
     queue: int = 256
     """Requests that wait for admission at one entry."""
     max_wait_share: float = 0.3
@@ -82,6 +89,9 @@
     batch_share: float = 0.7
     """The part of the limit that batch requests may fill; the rest stays free for others."""
     normal_share: float = 0.9
+    ahead: float = 2.0
+    """Under overload, requests of lower classes are admitted up to this multiple of what may be out
+    at the servers."""
     take_back_hedges: bool = False
     """Whether a hedge is cancelled when new work comes to its server."""
     map_wait_ms: Millis = 250.0
--- a/src/alderhatch/core/query_run.py
+++ b/src/alderhatch/core/query_run.py
@@ -38,6 +38,8 @@
         """When a timer will look for shards to hedge."""
         self.canary = False
         """Whether only the first few shards have been asked yet."""
+        self.canary_held = False
+        """Whether those had to wait at the entry under overload."""
         self.verdict_by: Millis = 0.0
         """Until when probes may still show that servers lost under its canaries run on."""
         self.any_failed = False
--- a/src/alderhatch/core/server_view.py
+++ b/src/alderhatch/core/server_view.py
@@ -33,7 +33,9 @@
         "latency",
         "latency_at",
         "leaving",
+        "low_in_flight",
         "misses",
+        "next_low_at",
         "others",
         "others_at",
         "others_mean",
@@ -56,6 +58,10 @@
         """The latencies of all servers of the upstream."""
         self.in_flight = 0
         """Attempts of this entry that are out."""
+        self.low_in_flight = 0
+        """Those of them that are not urgent."""
+        self.next_low_at: Millis = NEVER
+        """When the next one that is not urgent may be sent while the upstream is overloaded."""
         self.share = server.max_connections
         """Connections that this entry may hold."""
         self.adaptive_cap = float(server.max_connections)
--- a/src/alderhatch/core/timers.py
+++ b/src/alderhatch/core/timers.py
@@ -31,6 +31,8 @@
     """A query has waited long enough for a newer shard map."""
     LINGER = 7
     """The outcome of a request that may not be repeated is given up."""
+    PACED = 8
+    """A server may get the next request of a lower class."""
 
 
 class Timer(NamedTuple):
