--- a/bench/policy/core_entry.py
+++ b/bench/policy/core_entry.py
@@ -152,7 +152,9 @@
                 failure = outcome.failure
                 if failure.answer.ran is Ran.NOT_RUN and self.tier.was_accepted(query):
                     self.faults.append(f"query {query}: {failure.kind} says not run, but it ran")
-                self.tier.finished(query, 0.0, failure.kind)
+                # Only what certainly did not run may be sent again without a doubt.
+                again = failure.retry_after_ms if failure.answer.ran is Ran.NOT_RUN else None
+                self.tier.finished(query, 0.0, failure.kind, again)
 
     def _check_answer(self, outcome: Answered) -> None:
         shard_map = self.tier.maps[outcome.snapshot]
--- a/bench/policy/scenarios.py
+++ b/bench/policy/scenarios.py
@@ -47,6 +47,8 @@
 FAULT_AT: Millis = 4 * SECOND
 OVERLOAD_FROM: Millis = 5 * SECOND
 OVERLOAD_UNTIL: Millis = 13 * SECOND
+RETURNS = 8
+"""How often a caller that is refused under overload comes back before it gives up."""
 
 
 class Job(NamedTuple):
@@ -106,13 +108,13 @@
     return collect(tier, name, since)
 
 
-def _overload(entry: Baseline | Policy) -> Result:
+def _overload(entry: Baseline | Policy, returns: int = 0) -> Result:
     phases = (
         Phase(OVERLOAD_FROM, 0.5),
         Phase(OVERLOAD_UNTIL - OVERLOAD_FROM, 1.5),
         Phase(10 * SECOND, 0.5),
     )
-    tier = Tier(Plan(NAVIGATOR, phases, FULL, entry, MIXED))
+    tier = Tier(Plan(NAVIGATOR, phases, FULL, entry, MIXED, returns=returns))
     at_start: list[tuple[int, int]] = []
 
     def count() -> None:
@@ -123,7 +125,13 @@
     tier.loop.at(OVERLOAD_FROM, count)
     tier.loop.at(OVERLOAD_UNTIL, count)
     tier.run()
-    return collect(tier, "overload 1.5", extra=_overload_figures(tier, at_start))
+    figures = _overload_figures(tier, at_start)
+    if not returns:
+        return collect(tier, "overload 1.5", extra=figures)
+    figures["asked per request"] = 1.0 + tier.returned / len(tier.tally.done)
+    for priority in Priority:
+        figures[f"{priority} served in the end"] = 1.0 - _refused(tier, priority, OVERLOAD_FROM)
+    return collect(tier, "overload 1.5, refused come back", extra=figures)
 
 
 def _overload_figures(tier: Tier, counts: list[tuple[int, int]]) -> dict[str, float]:
@@ -252,6 +260,7 @@
             add("slow", _with_fault, NAVIGATOR, load, entry, "slow server", _slow_server, since)
     for entry in (Baseline.ROUND_ROBIN, DEFAULT):
         add("overload", _overload, entry)
+    add("overload", _overload, DEFAULT, RETURNS)
     add("fairness", _fairness, FULL, "flood without limits")
     add("fairness", _fairness, FAIR, "flood with limits")
     add("two faults", _two_faults, "zone lost and version", _zone_and_version, 0.4)
--- a/bench/policy/tier.py
+++ b/bench/policy/tier.py
@@ -53,13 +53,17 @@
     seed: int = 1
     warm_up: Millis = SECOND
     service: ServiceTime = ServiceTime()
+    returns: int = 0
+    """How often a refused caller comes back, each time when it was told to."""
 
 
 class _Open(NamedTuple):
     arrived: Millis
     mix: Mix
     serve: Serve
-    request_id: str
+    request: Request
+    returned: int = 0
+    """How often it has come back so far."""
 
 
 class Tier:
@@ -83,8 +87,11 @@
         self._open: dict[int, _Open] = {}
         self._ids: dict[int, str] = {}
         self._rng = Random(f"{plan.seed}/arrivals")
+        self._returns = Random(f"{plan.seed}/returns")
         self._rules = RuleList(plan.rules)
         self._next = 0
+        self.returned = 0
+        """How often refused callers came back."""
         self.entries: list[CoreEntry | BaselineEntry] = [
             self._make_entry(number, zone, seed) for number, zone in enumerate(self.entry_zones)
         ]
@@ -184,16 +191,37 @@
         )
         then = self._rules.match(request).then
         assert not isinstance(then, Refuse)
-        self._open[query] = _Open(self.loop.now, mix, then, request.request_id)
-        self._ids[query] = request.request_id
-        self.entries[entry].arrive(query, request, then.deadline_ms)
+        self._ask(query, entry, _Open(self.loop.now, mix, then, request))
 
-    def finished(self, query: int, coverage: float, refusal: str) -> None:
-        """Count a request that has its answer."""
+    def _ask(self, query: int, entry: int, asked: _Open) -> None:
+        self._open[query] = asked
+        self._ids[query] = asked.request.request_id
+        self.entries[entry].arrive(query, asked.request, asked.serve.deadline_ms)
+
+    def _come_back(self, known: _Open) -> None:
+        self.returned += 1
+        self._next += 1
+        entry = self._returns.randrange(len(self.entries))
+        self._ask(self._next, entry, known._replace(returned=known.returned + 1))
+
+    def finished(
+        self, query: int, coverage: float, refusal: str, retry_after: Millis | None = None
+    ) -> None:
+        """Count a request that has its answer, or let its caller come back later.
+
+        Args:
+            query: The number of the request.
+            coverage: What the answer covers.
+            refusal: The kind of error; empty if it was answered.
+            retry_after: When a refused caller was told to come back.
+        """
         known = self._open.pop(query, None)
         if known is None:
             self.faults.append(f"query {query} was answered twice")
             return
+        if refusal and retry_after is not None and known.returned < self.plan.returns:
+            self.loop.after(retry_after, self._come_back, known)
+            return
         mix, serve = known.mix, known.serve
         self.tally.add(
             Done(
