Attempts: a task carries out one attempt after the other

Cause: every shard request started a task and ended it: coroutine, task, context and the nursery's accounts for each.

Change: a task whose attempt is over waits for the next one, 1000 tasks at most, and keeps nothing of the last. The core's side is the same: one SendShard, one event of its outcome.

--- a/src/alderhatch/entry/attempt_runner.py
+++ b/src/alderhatch/entry/attempt_runner.py
@@ -1,8 +1,9 @@
-"""Carries out the core's shard requests: one task an attempt, over the warm connections."""
+"""Carries out the core's shard requests: one task for each that is out, over warm connections."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
 import trio
 
@@ -28,9 +29,35 @@
     ExchangeFault.GARBAGE: AttemptFault.GARBAGE,
 }
 UNTRUE = (AttemptFault.GARBAGE, AttemptFault.WRONG_ANSWER)
+MAX_IDLE = 1000
+"""Tasks kept for later attempts."""
 LOG_AGAIN_AFTER: Millis = 1 * SECOND
 
 
+class _Worker:
+    """A task that carries out one attempt after the other; to start one for each costs more."""
+
+    __slots__ = ("_job", "task")
+
+    def __init__(self, send: SendShard, conn: HttpConnection) -> None:
+        self._job: tuple[SendShard, HttpConnection] | None = (send, conn)
+        self.task: trio.lowlevel.Task | None = None
+        """Set once it runs."""
+
+    def give(self, send: SendShard, conn: HttpConnection) -> None:
+        """Wake the task, which must be waiting, with its next attempt."""
+        assert self.task is not None
+        self._job = (send, conn)
+        trio.lowlevel.reschedule(self.task)
+
+    def take(self) -> tuple[SendShard, HttpConnection]:
+        """Return the attempt to carry out, and keep nothing of it."""
+        job = self._job
+        assert job is not None
+        self._job = None
+        return job
+
+
 class AttemptRunner:
     """Runs attempts until they end or are cancelled.
 
@@ -45,6 +72,8 @@
         self._clock = LoopClock()
         self._running: dict[int, HttpConnection | trio.CancelScope] = {}
         """What ends an attempt: the connection that it is on, or its wait for one."""
+        self._idle: list[_Worker] = []
+        """Tasks that wait for an attempt, the last used at the end."""
         self._nursery: trio.Nursery | None = None
         self._log_after: dict[str, Millis] = {}
 
@@ -71,7 +100,10 @@
         conn = self._pool.take_idle(send.server_id)
         if conn is not None:
             self._running[send.attempt] = conn
-            self._nursery.start_soon(self._attempt, send, conn)
+            if self._idle:
+                self._idle.pop().give(send, conn)
+            else:
+                self._nursery.start_soon(self._work, _Worker(send, conn))
             return
         scope = trio.CancelScope()
         self._running[send.attempt] = scope
@@ -87,6 +119,19 @@
         elif running is not None:
             running.cancel()
 
+    async def _work(self, worker: _Worker) -> None:
+        worker.task = trio.lowlevel.current_task()
+        while True:
+            await self._attempt(*worker.take())
+            if len(self._idle) >= MAX_IDLE:
+                return
+            self._idle.append(worker)
+            await trio.lowlevel.wait_task_rescheduled(partial(self._leave, worker))
+
+    def _leave(self, worker: _Worker, _: object) -> trio.lowlevel.Abort:
+        self._idle.remove(worker)
+        return trio.lowlevel.Abort.SUCCEEDED
+
     async def _attempt(self, send: SendShard, conn: HttpConnection) -> None:
         try:
             event = await self._exchange(send, conn)
