Hedging: the open shards of a query are looked through, not all of them

Cause: with each of the last fifth of its answers a query looks when its next hedge is due, through all of its shards. At 590 shards that is a fifth of the core's profile (13 shards looked at for each shard request).

Change: a query keeps its open shards beside the list of all.

Kept for the size that is planned for.

--- a/src/alderhatch/core/fan_out.py
+++ b/src/alderhatch/core/fan_out.py
@@ -230,9 +230,8 @@
     def _close(self, run: QueryRun, state: ShardState) -> None:
         if state.closed:
             return
-        state.closed = True
+        run.close(state)
         state.waiting = False
-        run.open -= 1
         if run.gate is not None:
             run.gate.leave(run, 1)
 
--- a/src/alderhatch/core/hedging.py
+++ b/src/alderhatch/core/hedging.py
@@ -63,8 +63,8 @@
         first, again = self._delays(run)
         most = self._state.policy.hedges_per_shard
         due: Millis | None = None
-        for state in run.shards:
-            if state.closed or not state.attempts or state.hedges >= most:
+        for state in run.open_shards:
+            if not state.attempts or state.hedges >= most:
                 continue
             newest = next(reversed(state.attempts.values()))
             at = newest.sent_at + (again if state.hedges else first)
--- a/src/alderhatch/core/query_run.py
+++ b/src/alderhatch/core/query_run.py
@@ -51,8 +51,10 @@
         self.by_name = {state.plan.shard.name: state for state in self.shards}
         self.few = max(1, int(self.few_share * len(self.shards)))
         """So many open shards at most make it a query that waits for a few only."""
+        self.open_shards = dict.fromkeys(self.shards)
+        """Shards that have neither answered nor been given up, in the map's order."""
         self.open = len(self.shards)
-        """Shards that have neither answered nor been given up."""
+        """How many these are."""
         self.covered_documents = 0
 
     @property
@@ -85,10 +87,15 @@
         state.rows = answer.rows
         self.covered_documents += state.plan.shard.documents
         if not state.closed:
-            state.closed = True
-            self.open -= 1
+            self.close(state)
         return True
 
+    def close(self, state: ShardState) -> None:
+        """Note that an open shard has answered or was given up."""
+        state.closed = True
+        self.open -= 1
+        del self.open_shards[state]
+
     def outcome(self, revision: int) -> Answered:
         """Return the answer with what is there now."""
         rows: list[Any] = []
