Connection shares may go to a server's owners only

Cause: a share is one divisor for all servers; beyond 30 entries it is 0 connections to each.

Change: a share is a divisor and a set of plans of owners, each an upper bound. An entry makes room first and takes a new plan up alone only once every share that may be in use has it too. Entries announce where they take links with their renewals; none takes links yet, so that the setting has no effect until they do.

Tests: the random schedules now change the number of owners as well and count, for eight servers of several limits and zones, what all entries may hold together; shares.feature has schedules that always do. Each of four faults put in on purpose made scenarios of shares.feature fail: growth without room, a new plan taken up without the old one, a grant taken as arrived, and an answer to an older report taken at its word. The check of the final share asks for the plan where there is one.

--- a/features/shares.feature
+++ b/features/shares.feature
@@ -48,3 +48,27 @@
     Given an entry that obeys a third and is cut off
     When the answer to a renewal comes after it gave up its share
     Then it has a lease and no share
+
+  Scenario: Owners change while messages are lost and entries come and go
+    # An owner is lost, or an operator wants another number of owners, and one entry hears of it
+    # before the other. Each goes by its own list of owners, and a server that both lists share out
+    # in full closes connections with requests on them.
+    Then no server has a connection too many under 300 random schedules of owners
+
+  Scenario Outline: What an entry may hold to a server once all go by the same owners
+    Given <entries> entries with links in 2 zones that go by <owners> owners for each server
+    Then a server that takes <limit> connections has <held> of them from <count> entries of its zone
+
+    Examples:
+      | entries | owners | limit | count | held |
+      | 6       | 2      | 30    | 2     | 30   |
+      | 6       | 1      | 30    | 1     | 30   |
+      | 6       | 2      | 1     | 1     | 1    |
+      | 60      | 2      | 30    | 2     | 30   |
+
+  Scenario: An owner is lost, and only its servers change hands
+    # Until the lost owner's connections are certainly closed nobody may take its place, and the
+    # other owners have to keep what they hold, or its servers would be out of reach meanwhile.
+    Given 6 entries with links in 2 zones that go by 2 owners for each server
+    When an owner is lost
+    Then its servers keep their other owner for 5000 ms, and have 2 owners in the end
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -5,6 +5,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from alderhatch.core.control.connection_shares import WHOLE
 from alderhatch.core.control.control_state import ControlState
 from alderhatch.core.control.entry_lease import EntryIdentity, EntryLease
 from alderhatch.core.control.feed import UPDATES, Update
@@ -15,15 +16,17 @@
 from features.support.lease_model import run_events
 
 ME = EntryIdentity("entry-1", "run-1", "waco-hall", "10.0.0.1", 8080)
-FAULTS = ["join", "kill", "tick", "send", "renewal", "reply", "drop", "leader", "alone"]
+FAULTS = ["join", "kill", "tick", "send", "renewal", "reply", "drop", "leader", "alone", "owners"]
 
 
-def _schedules():
+def _schedules(*always):
     """Rounds without faults, mixed with a few kinds of fault: all kinds at once undo each other."""
     faults = st.lists(st.sampled_from(FAULTS), min_size=1, max_size=4, unique=True)
     return faults.flatmap(
         lambda kinds: st.lists(
-            st.tuples(st.sampled_from([*kinds, "round", "round", "change"]), st.integers(0, 99)),
+            st.tuples(
+                st.sampled_from([*kinds, *always, "round", "round", "change"]), st.integers(0, 99)
+            ),
             min_size=20,
             max_size=100,
         )
@@ -32,17 +35,26 @@
 
 @then("leases keep their promises under {count:d} random schedules")
 def step_lease_schedules(context, count):
+    _check_schedules(_schedules(), [], count)
+
+
+@then("no server has a connection too many under {count:d} random schedules of owners")
+def step_owner_schedules(context, count):
+    _check_schedules(_schedules("owners"), [("owners", 1)], count)
+
+
+def _check_schedules(schedules, begin, count):
     served = []
 
     @settings(max_examples=count)
-    @for_all(_schedules())
+    @for_all(schedules)
     def check(schedule):
-        model = run_events([("join", 0), ("join", 1), ("join", 2), *schedule])
+        model = run_events([*begin, ("join", 0), ("join", 1), ("join", 2), *schedule])
         model.calm_down()
         count_now = len(model.entries)
         for entry in model.entries.values():
             assert entry.lease.may_serve(entry.clock(model.now)), entry.name
-            assert entry.lease.share == count_now, (entry.lease.share, count_now)
+            assert _has_its_share(entry.lease, model.plan(), count_now), entry.lease.share
             assert entry.lease.view.version == model.state.feed.version
         served.append(count_now)
 
@@ -50,6 +62,12 @@
     assert len(served) >= count and max(served) >= 4
 
 
+def _has_its_share(lease, plan, entries):
+    if plan is None:
+        return (lease.share, lease.plans) == (entries, ())
+    return (lease.share, lease.plans) == (WHOLE, (plan.digest,))
+
+
 def _grant(sequence, version=0, lease=3000.0, share=1):
     return Grant(sequence, lease, version, share, "")
 
--- a/features/support/lease_model.py
+++ b/features/support/lease_model.py
@@ -1,8 +1,8 @@
 """A leader and entries whose messages are lost, repeated late or overtaken, in virtual time.
 
 Entries' clocks run up to 8 % fast or slow. After every event the promises are checked: no more
-connections than all the shares allow, no entry that serves on an older version than one which the
-leader has called in force, and no version that goes down.
+connections to any server than it allows, no entry that serves on an older version than one which
+the leader has called in force, and no version that goes down.
 """
 
 from __future__ import annotations
@@ -15,19 +15,28 @@
 from alderhatch.core.control.lease_messages import GrantReply
 from alderhatch.core.control.lease_table import LeaseTable
 from alderhatch.core.control.operations import EntryKey, RegisterEntry, RemoveEntries
+from alderhatch.core.control.roster import plan_of_hosts
+from alderhatch.core.shard_map import Server
 
 from .control_commands import Applier, change
 
 LEASE = 3000.0
 RATES = (1.0, 0.92, 1.08)
+LINK_PORT = 7300
+OWNERS = (0, 2, 1, 3)
+SERVERS = tuple(
+    Server(f"srv-{number}", "10.0.1.1", 9000 + number, f"zone-{number % 4}", 4, limit)
+    for number, limit in enumerate((30, 30, 30, 30, 12, 1, 30, 60))
+)
+"""In three zones with entries and one without."""
 
 
 class ModelEntry:
-    def __init__(self, number, incarnation):
+    def __init__(self, number, incarnation, zones=3):
         self.name = f"entry-{number}"
         self.key = EntryKey(self.name, f"run-{incarnation}")
-        zone = f"zone-{number % 3}"
-        identity = EntryIdentity(*self.key, zone, "10.0.0.1", 8080)
+        zone = f"zone-{number % zones}"
+        identity = EntryIdentity(*self.key, zone, "10.0.0.1", 8080, "10.0.0.1", LINK_PORT)
         self.lease = EntryLease(identity)
         self.rate = RATES[number % len(RATES)]
         self.version = 0
@@ -84,7 +93,8 @@
         if grant is None:
             return
         if grant.lease <= 0:
-            self.applier.one(RegisterEntry(*renewal[1:6]))
+            links = (renewal.link_address, renewal.link_port)
+            self.applier.one(RegisterEntry(*renewal[1:6], *links))
             self._sync()
         updates = self.state.updates_since(renewal.version)
         self.replies.append((entry, GrantReply(self.term, grant, updates)))
@@ -125,17 +135,31 @@
         action = ChangeSettings({"hedge_budget": budget + 0.01})
         self.applier.one(change(f"c-{self.applier.index}", self.state.revision, action))
 
+    def change_owners(self, number):
+        action = ChangeSettings({"owners_per_server": OWNERS[number % len(OWNERS)]})
+        self.applier.one(change(f"o-{self.applier.index}", self.state.revision, action))
+        self._sync()
+
     def change_leader(self):
         self.term += 1
         hosts = self.state.hosts
         registered = [EntryKey(one.name, one.incarnation) for one in hosts.entries.values()]
         since = None if hosts.last_removal is None else self.applier.now - hosts.last_removal
         self.table = LeaseTable(LEASE, registered, since, self.now)
+        self._set_plan()
 
     def _sync(self):
         entries = self.state.hosts.entries.values()
         registered = {one.name: EntryKey(one.name, one.incarnation) for one in entries}
         self.table.sync(registered, self.now)
+        self._set_plan()
+
+    def _set_plan(self):
+        plan = self.plan()
+        self.table.set_plan(None if plan is None else plan.digest)
+
+    def plan(self):
+        return plan_of_hosts(self.state.hosts, self.state.settings.owners_per_server)
 
     # What must hold
 
@@ -143,8 +167,13 @@
         version = self.state.feed.version
         if not self.table.waiting_for(version, self.now):
             self.promised = max(self.promised, version)
-        shares = [entry.lease.share for entry in self.entries.values()]
-        assert sum(Fraction(1, share) for share in shares if share) <= 1, shares
+        leases = [entry.lease for entry in self.entries.values()]
+        shares = [(lease.share, lease.plans) for lease in leases]
+        if not any(plans for _, plans in shares):
+            assert sum(Fraction(1, share) for share, _ in shares if share) <= 1, shares
+        for server in SERVERS:
+            held = sum(lease.held_limit(server) for lease in leases)
+            assert held <= server.max_connections, (server, held, shares)
         for entry in self.entries.values():
             held = entry.lease.view.version
             assert held >= entry.version, (entry.name, held, entry.version)
@@ -194,5 +223,7 @@
                 model.change_configuration()
             case "leader":
                 model.change_leader()
+            case "owners":
+                model.change_owners(number)
         model.check()
     return model
--- a/src/alderhatch/control/leadership.py
+++ b/src/alderhatch/control/leadership.py
@@ -19,6 +19,7 @@
     RegisterEntry,
     RemoveEntries,
 )
+from ..core.control.roster import plan_of_hosts
 from ..errors import AlderhatchError, ErrorKind, Failure
 from ..log import log_event
 from ..log_events import LogEvent
@@ -65,6 +66,7 @@
             since_removal = time.now() - hosts.last_removal
         now = self._clock.now()
         self._table = LeaseTable(lease, self._registered().values(), since_removal, now)
+        self._set_plan()
         self._time = time
         self._synced = self._observed.state.feed.version
         self._renewed = Signal()
@@ -110,7 +112,8 @@
         key = EntryKey(renewal.name, renewal.incarnation)
         if key not in self._registering:
             self._registering.add(key)
-            start(RegisterEntry(*renewal[1:6]))
+            links = (renewal.link_address, renewal.link_port)
+            start(RegisterEntry(*renewal[1:6], *links))
         return grant
 
     async def register(self, entry: RegisterEntry) -> None:
@@ -166,6 +169,12 @@
         if version != self._synced:
             self._synced = version
             self._table.sync(self._registered(), self._clock.now())
+            self._set_plan()
+
+    def _set_plan(self) -> None:
+        state = self._observed.state
+        plan = plan_of_hosts(state.hosts, state.settings.owners_per_server)
+        self._table.set_plan(None if plan is None else plan.digest)
 
     async def _operate(self, operation: Operation) -> Noted:
         answers = await self._proposer.submit([OPERATIONS.encode(operation)])
--- a/src/alderhatch/core/control/connection_shares.py
+++ b/src/alderhatch/core/control/connection_shares.py
@@ -1,9 +1,11 @@
 """How the connections that a server allows are divided over the entries.
 
-An entry's share is a divisor: with divisor ``d`` it may hold ``floor(max_connections / d)``
-connections to each server. As long as the sum of ``1 / d`` over all entries is at most 1, no
-server's limit is exceeded, whatever the limit is. So control need not know the servers at all,
-and what the rounding leaves over is the spare for changes.
+A share is a divisor and a set of plans of owners, each of which is an upper bound by itself. With
+divisor ``d`` an entry may hold ``floor(max_connections / d)`` connections to each server; with a
+plan that names ``k`` owners of a server, each of them may hold ``floor(max_connections / k)`` to it
+and nobody else any. No server's limit is exceeded, whatever the limit is, as long as the sum of
+``1 / d`` over all entries is at most 1, or there is one plan that all of them obey. So control need
+not know the servers at all, and what the rounding leaves over is the spare for changes.
 """
 
 from __future__ import annotations
@@ -17,6 +19,10 @@
 
 NO_SHARE = 0
 """The divisor of an entry that may hold no connection."""
+WHOLE = 1
+"""The divisor that bounds nothing: what an entry may hold follows from its plans alone."""
+MAX_PLANS = 8
+"""An entry that would have to obey more plans at once gives up its share instead."""
 
 
 def connections_for(max_connections: int, divisor: int) -> int:
@@ -29,10 +35,45 @@
     return 0 if divisor == NO_SHARE else max_connections // divisor
 
 
+class Share(NamedTuple):
+    """What an entry may hold: no more than the divisor and each of the plans allow."""
+
+    divisor: int
+    plans: tuple[int, ...] = ()
+    """Digests of plans of owners, the oldest first."""
+
+    @property
+    def nothing(self) -> bool:
+        """Whether it allows no connection at all."""
+        return self.divisor == NO_SHARE
+
+    def narrowed(self, other: Share) -> Share:
+        """Return the share that allows what both this and another one allow."""
+        if self.nothing or other.nothing:
+            return Share(NO_SHARE)
+        added = tuple(plan for plan in other.plans if plan not in self.plans)
+        return Share(max(self.divisor, other.divisor), self.plans + added)
+
+    def widened(self, other: Share) -> Share:
+        """Return a share that allows whatever either this or another one allows."""
+        if self.nothing:
+            return other
+        if other.nothing:
+            return self
+        common = tuple(plan for plan in self.plans if plan in other.plans)
+        return Share(min(self.divisor, other.divisor), common)
+
+    def contains(self, other: Share) -> bool:
+        """Return whether each bound of this share is a bound of another one too."""
+        if self.nothing or other.nothing:
+            return other.nothing
+        return self.divisor <= other.divisor and set(self.plans) <= set(other.plans)
+
+
 class _Ghost(NamedTuple):
     """The share of an entry that was taken out but may still hold connections."""
 
-    divisor: int | None
+    share: Share | None
     until: Millis
 
 
@@ -52,55 +93,95 @@
                 leader took out may still hold connections of which this one does not know.
         """
         self._quiet_until = quiet_until
-        self._bounds: dict[str, int | None] = {}
+        self._bounds: dict[str, Share | None] = {}
         self._ghosts: list[_Ghost] = []
+        self.plan: int | None = None
+        """The digest of the plan of owners to come to; None makes every entry an owner."""
 
-    def add(self, name: str, divisor: int | None) -> None:
+    def add(self, name: str, share: Share | None) -> None:
         """Take in an entry.
 
         Args:
             name: The entry's name.
-            divisor: Its bound; None if an earlier leader may have granted it anything.
+            share: Its bound; None if an earlier leader may have granted it anything.
         """
-        self._bounds[name] = divisor
+        self._bounds[name] = share
 
     def remove(self, name: str, held_until: Millis) -> None:
         """Take out an entry whose connections may be open until a point in time."""
         self._ghosts.append(_Ghost(self._bounds.pop(name), held_until))
 
-    def bound(self, name: str) -> int | None:
+    def bound(self, name: str) -> Share | None:
         """Return the largest share that an entry may use now; None if that is not known."""
         return self._bounds[name]
 
-    def grant(self, name: str, obeyed: int, wanted: bool, now: Millis) -> int:
-        """Return the divisor that an entry is to use from now on.
+    def grant(self, name: str, obeyed: Share, wanted: bool, now: Millis) -> Share:
+        """Return the share that an entry is to use from now on.
 
         Args:
             name: The entry's name.
-            obeyed: The divisor that it obeys at the time of its renewal.
+            obeyed: What it obeys at the time of its renewal.
             wanted: Whether it wants a larger share at all.
             now: The leader's time.
         """
         self._bounds[name] = obeyed
-        target = len(self._bounds)
-        if obeyed != NO_SHARE and target >= obeyed:
-            return target
-        if not wanted or not self._has_room(name, target, now):
+        granted = self._next_share(name, obeyed, wanted, now)
+        # The grant may get lost on its way, so that from here on the entry may use either.
+        self._bounds[name] = obeyed.widened(granted)
+        return granted
+
+    def _next_share(self, name: str, obeyed: Share, wanted: bool, now: Millis) -> Share:
+        target = Share(len(self._bounds)) if self.plan is None else Share(WHOLE, (self.plan,))
+        narrowed = obeyed.narrowed(target)
+        if not obeyed.nothing and narrowed != obeyed:
+            # Room first: as long as others go by an older plan or divisor, what this entry holds
+            # has to be within both. Taken up at once, the new one would come on top of what the
+            # old owners still hold, and the server would close what is over its limit.
+            return self._shortened(name, narrowed, target, now)
+        if not wanted or obeyed == target or not self._has_room(name, target, now):
             return obeyed
-        self._bounds[name] = target
         return target
 
-    def _has_room(self, name: str, divisor: int, now: Millis) -> bool:
-        if now < self._quiet_until:
+    def _has_room(self, name: str, target: Share, now: Millis) -> bool:
+        held = self._held_by_others(name, now)
+        if held is None:
             return False
+        if target.plans:
+            return set(target.plans) <= _common_plans(held, set(target.plans))
+        return _sum_of_shares([*(share.divisor for share in held), target.divisor]) <= 1
+
+    def _shortened(self, name: str, share: Share, target: Share, now: Millis) -> Share:
+        """Return a share without the plans that nobody relies on any more."""
+        older = [plan for plan in share.plans if plan not in target.plans]
+        if len(older) <= 1:
+            return share
+        held = self._held_by_others(name, now)
+        common = set() if held is None else _common_plans(held, set(older))
+        for plan in older:
+            if plan in common:
+                return Share(share.divisor, (plan, *target.plans))
+        return Share(NO_SHARE) if len(share.plans) > MAX_PLANS else share
+
+    def _held_by_others(self, name: str, now: Millis) -> list[Share] | None:
+        """Return what may be held besides one entry; None while that is not known."""
+        if now < self._quiet_until:
+            return None
         self._ghosts = [ghost for ghost in self._ghosts if ghost.until > now]
         held = [bound for other, bound in self._bounds.items() if other != name]
-        held += [ghost.divisor for ghost in self._ghosts]
-        if None in held:
-            return False
-        return _sum_of_shares([*held, divisor]) <= 1
+        held += [ghost.share for ghost in self._ghosts]
+        known = [share for share in held if share is not None]
+        if len(known) < len(held):
+            return None
+        return [share for share in known if not share.nothing]
+
+
+def _common_plans(shares: Iterable[Share], plans: set[int]) -> set[int]:
+    """Return those of some plans that all shares obey."""
+    for share in shares:
+        plans = plans.intersection(share.plans)
+    return plans
 
 
-def _sum_of_shares(divisors: Iterable[int | None]) -> Fraction:
-    counts = Counter(divisor for divisor in divisors if divisor)
+def _sum_of_shares(divisors: Iterable[int]) -> Fraction:
+    counts = Counter(divisors)
     return sum((Fraction(count, divisor) for divisor, count in counts.items()), Fraction(0))
--- a/src/alderhatch/core/control/entry_lease.py
+++ b/src/alderhatch/core/control/entry_lease.py
@@ -7,10 +7,13 @@
 
 from ...clock import Millis
 from ...errors import AlderhatchError
-from .connection_shares import NO_SHARE
+from ..owners import OwnerPlan
+from ..shard_map import Server
+from .connection_shares import NO_SHARE, Share, connections_for
 from .entry_view import EntryView
 from .lease_messages import GrantReply, Renewal
 from .lease_table import SHARE_GRACE
+from .roster import plan_of_roster
 
 NO_VERSION = -1
 """Asks for the whole view."""
@@ -25,6 +28,9 @@
     zone: str
     address: str
     port: int
+    link_address: str = ""
+    link_port: int = 0
+    """Where it takes links of other entries; 0 if it takes none."""
 
 
 class Taken(StrEnum):
@@ -52,22 +58,48 @@
         self._me = me
         self._sequence = 0
         self._sent_at: Millis | None = None
-        self._reported_share = NO_SHARE
+        self._reported_share = Share(NO_SHARE)
         self._term = 0
         self._whole_wanted = False
-        self._wanted_share = NO_SHARE
+        self._held = Share(NO_SHARE)
+        self._wanted = Share(NO_SHARE)
+        self._plans: dict[int, OwnerPlan] = {}
         self._leaving = False
         self.view = EntryView()
         """Rules, settings, roster and quarantines in force here."""
-        self.share = NO_SHARE
-        """The divisor that this entry obeys."""
         self.serve_until: Millis = 0.0
         """No new request is taken at or after this time."""
 
     @property
-    def wanted_share(self) -> int:
-        """The divisor to shrink to; connections over it have to be closed."""
-        return self._wanted_share
+    def share(self) -> int:
+        """The divisor that this entry obeys."""
+        return self._held.divisor
+
+    @property
+    def plans(self) -> tuple[int, ...]:
+        """The plans of owners that it obeys along with the divisor."""
+        return self._held.plans
+
+    def connection_limit(self, server: Server) -> int:
+        """Return how many connections to keep to a server.
+
+        While the share shrinks this already is the smaller number; what is over it has to be
+        closed.
+        """
+        return min(self._allowed(self._held, server), self._allowed(self._wanted, server))
+
+    def held_limit(self, server: Server) -> int:
+        """Return how many connections to a server there may be until the share has settled."""
+        return self._allowed(self._held, server)
+
+    def _allowed(self, share: Share, server: Server) -> int:
+        limit = connections_for(server.max_connections, share.divisor)
+        for digest in share.plans:
+            plan = self._plans[digest]
+            owners = plan.owners(server.server_id, server.zone, server.max_connections)
+            each = server.max_connections // len(owners) if self._me.name in owners else 0
+            limit = min(limit, each)
+        return limit
 
     def may_serve(self, now: Millis) -> bool:
         """Return whether the lease is live."""
@@ -78,9 +110,18 @@
         self.drop_share_if_over(now)
         self._sequence += 1
         self._sent_at = now
-        self._reported_share = self.share
+        self._reported_share = self._held
         version = NO_VERSION if self._whole_wanted else self.view.version
-        return Renewal(self._sequence, *self._me, version, self.share, not self._leaving)
+        held = self._held
+        return Renewal(
+            self._sequence,
+            *self._me[:5],
+            version,
+            held.divisor,
+            not self._leaving,
+            held.plans,
+            *self._me[5:],
+        )
 
     def take(self, reply: GrantReply, now: Millis) -> Taken:
         """Take in the answer to a renewal."""
@@ -97,17 +138,16 @@
         if grant.lease <= 0:
             return Taken.PENDING
         self.serve_until = max(self.serve_until, sent_at + grant.lease)
-        if self.share == self._reported_share:
+        if self._held == self._reported_share:
             # A share that was given up between renewal and answer is not part of the leader's
             # sum any more. Taking it up again here could exceed the servers' limits.
-            self._take_share(grant.share)
+            self._take_share(Share(grant.share, grant.plans))
         return Taken.RENEWED
 
     def leave(self) -> None:
         """Give up the share for good; all connections are closed, and the process is to exit."""
         self._leaving = True
-        self.share = NO_SHARE
-        self._wanted_share = NO_SHARE
+        self._give_up_share()
 
     def share_settled(self) -> bool:
         """Note that all connections over the wanted share are closed.
@@ -115,9 +155,9 @@
         Returns:
             Whether the share is smaller now, so that a renewal at once lets others have theirs.
         """
-        if self.share == NO_SHARE or self._wanted_share <= self.share:
+        if self._held.nothing or self._wanted == self._held:
             return False
-        self.share = self._wanted_share
+        self._held = self._wanted
         return True
 
     def drop_share_if_over(self, now: Millis) -> bool:
@@ -126,12 +166,14 @@
         Returns:
             Whether that is news; all connections have to be closed then.
         """
-        if self.share == NO_SHARE or now < self.serve_until + SHARE_GRACE:
+        if self._held.nothing or now < self.serve_until + SHARE_GRACE:
             return False
-        self.share = NO_SHARE
-        self._wanted_share = NO_SHARE
+        self._give_up_share()
         return True
 
+    def _give_up_share(self) -> None:
+        self._held = self._wanted = Share(NO_SHARE)
+
     def _advance(self, reply: GrantReply) -> bool:
         view = self.view
         try:
@@ -144,9 +186,23 @@
         self._whole_wanted = view.version < reply.grant.version
         return not self._whole_wanted
 
-    def _take_share(self, share: int) -> None:
-        if self._leaving:
+    def _take_share(self, granted: Share) -> None:
+        if self._leaving or not self._knows_plans(granted):
             return
-        self._wanted_share = share
-        if self.share == NO_SHARE or share < self.share:
-            self.share = share
+        self._wanted = granted
+        if self._held.nothing or granted.contains(self._held):
+            self._held = granted
+
+    def _knows_plans(self, granted: Share) -> bool:
+        """Take in the present plan; return whether all of a share's plans are known."""
+        if all(digest in self._plans for digest in granted.plans):
+            return True
+        plan = plan_of_roster(self.view.roster.values(), self.view.settings.owners_per_server)
+        kept = {*self._held.plans, *self._wanted.plans, *granted.plans}
+        if plan is not None:
+            self._plans[plan.digest] = plan
+        # A relaying host may be ahead of the leader's grant. Whom the plan names can't be known
+        # here then; the next renewal brings one that fits the view.
+        known = all(digest in self._plans for digest in granted.plans)
+        self._plans = {digest: plan for digest, plan in self._plans.items() if digest in kept}
+        return known
--- a/src/alderhatch/core/control/feed.py
+++ b/src/alderhatch/core/control/feed.py
@@ -23,6 +23,9 @@
     port: int
     leaving: bool
     """True once its stop is planned: callers are no longer sent to it."""
+    link_address: str = ""
+    link_port: int = 0
+    """Where it takes links of other entries; 0 if it takes none."""
 
 
 class LeavingServer(NamedTuple):
--- a/src/alderhatch/core/control/host_table.py
+++ b/src/alderhatch/core/control/host_table.py
@@ -24,6 +24,9 @@
     address: str
     port: int
     registered_at: Millis
+    link_address: str = ""
+    link_port: int = 0
+    """Where it takes links of other entries; 0 if it takes none."""
 
 
 class ControlRecord(NamedTuple):
@@ -79,7 +82,8 @@
         if known is not None and known.incarnation != entry.incarnation:
             return f"another process of {entry.name} still holds a lease"
         if known is None:
-            self.entries[entry.name] = EntryRecord(*entry, now)
+            links = (entry.link_address, entry.link_port)
+            self.entries[entry.name] = EntryRecord(*entry[:5], now, *links)
         return None
 
     def is_registered(self, key: EntryKey) -> bool:
--- a/src/alderhatch/core/control/lease_messages.py
+++ b/src/alderhatch/core/control/lease_messages.py
@@ -23,6 +23,11 @@
     """The divisor of the connection shares that it obeys; 0 is no connection."""
     wants_share: bool
     """False once it is about to exit, so that its share is free as soon as it has gone."""
+    plans: tuple[int, ...] = ()
+    """The digests of the plans of owners that it obeys along with the divisor."""
+    link_address: str = ""
+    link_port: int = 0
+    """Where it takes links of other entries; 0 if it takes none."""
 
 
 class Grant(NamedTuple):
@@ -36,6 +41,8 @@
     share: int
     problem: str
     """Why there is no lease, if that is for good."""
+    plans: tuple[int, ...] = ()
+    """The plans of owners that go with the share."""
 
 
 class GrantReply(NamedTuple):
--- a/src/alderhatch/core/control/lease_table.py
+++ b/src/alderhatch/core/control/lease_table.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from ...clock import MINUTE, SECOND, Millis
-from .connection_shares import NO_SHARE, ConnectionShares
+from .connection_shares import NO_SHARE, ConnectionShares, Share
 from .lease_messages import Grant, Renewal
 from .operations import EntryKey
 
@@ -96,7 +96,11 @@
         for name, key in registered.items():
             if name not in self._holders:
                 self._holders[name] = _Holder(key, now + self._span)
-                self._shares.add(name, NO_SHARE)
+                self._shares.add(name, Share(NO_SHARE))
+
+    def set_plan(self, digest: int | None) -> None:
+        """Go by a plan of owners from now on; None makes every entry an owner."""
+        self._shares.plan = digest
 
     def renew(self, renewal: Renewal, version: int, now: Millis) -> Grant | None:
         """Decide on a renewal.
@@ -121,8 +125,9 @@
         holder.sequence = renewal.sequence
         holder.version = max(renewal.version, holder.version or 0)
         holder.until = now + self._span
-        share = self._shares.grant(renewal.name, renewal.share, renewal.wants_share, now)
-        return Grant(renewal.sequence, self.lease, version, share, "")
+        obeyed = Share(renewal.share, renewal.plans)
+        share = self._shares.grant(renewal.name, obeyed, renewal.wants_share, now)
+        return Grant(renewal.sequence, self.lease, version, share.divisor, "", share.plans)
 
     def take_run_out(self, now: Millis) -> list[EntryKey]:
         """Return the entries whose leases have run out, each once; they get no grant any more."""
@@ -155,7 +160,9 @@
         if holder is None or now >= holder.until:
             return LeaseView(LeaseState.RUN_OUT, 0.0, None, None)
         state = LeaseState.UNKNOWN if holder.version is None else LeaseState.LIVE
-        return LeaseView(state, holder.until - now, holder.version, self._shares.bound(name))
+        bound = self._shares.bound(name)
+        divisor = None if bound is None else bound.divisor
+        return LeaseView(state, holder.until - now, holder.version, divisor)
 
     def live(self, now: Millis) -> int:
         """Return how many entries have renewed with this leader and may serve."""
--- a/src/alderhatch/core/control/operations.py
+++ b/src/alderhatch/core/control/operations.py
@@ -40,6 +40,9 @@
     zone: str
     address: str
     port: int
+    link_address: str = ""
+    link_port: int = 0
+    """Where it takes links of other entries; 0 if it takes none."""
 
 
 class EntryKey(NamedTuple):
--- a/src/alderhatch/core/control/roster.py
+++ b/src/alderhatch/core/control/roster.py
@@ -1,7 +1,10 @@
-"""The entries as they are shown to each other."""
+"""The entries as they are shown to each other, and the plan of owners that follows from it."""
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
+from ..owners import EntryPlace, OwnerPlan
 from .feed import RosterEntry
 from .host_table import HostTable
 
@@ -10,4 +13,35 @@
     """Return how an entry that takes part is shown to the others."""
     record = hosts.entries[name]
     leaving = name in hosts.stopping
-    return RosterEntry(record.name, record.zone, record.address, record.port, leaving)
+    return RosterEntry(
+        record.name,
+        record.zone,
+        record.address,
+        record.port,
+        leaving,
+        record.link_address,
+        record.link_port,
+    )
+
+
+def plan_of_roster(roster: Iterable[RosterEntry], owners_per_server: int) -> OwnerPlan | None:
+    """Return the plan that holds for a roster.
+
+    Args:
+        roster: The entries that take part.
+        owners_per_server: The tier's setting; 0 makes every entry an owner.
+
+    Returns:
+        The plan; None if every entry owns connections to every server. That is also so while no
+        entry that stays takes links: nobody could reach a server through another one.
+    """
+    if not owners_per_server:
+        return None
+    places = [EntryPlace(row.name, row.zone) for row in roster if row.link_port and not row.leaving]
+    return OwnerPlan(places, owners_per_server) if places else None
+
+
+def plan_of_hosts(hosts: HostTable, owners_per_server: int) -> OwnerPlan | None:
+    """Return the plan that holds for the entries that take part."""
+    rows = (roster_row(hosts, name) for name in hosts.entries)
+    return plan_of_roster(rows, owners_per_server)
--- a/src/alderhatch/core/control/tier_settings.py
+++ b/src/alderhatch/core/control/tier_settings.py
@@ -30,6 +30,8 @@
     """How long a quarantine holds."""
     ledger_horizon_ms: Annotated[Millis, Field(ge=MINUTE, le=DAY)] = HOUR
     """How long the outcomes of runs are kept."""
+    owners_per_server: Annotated[int, Field(ge=0, le=100)] = 0
+    """Entries that hold connections to a server; the others reach it through them. 0 is all."""
 
 
 _ADAPTER = TypeAdapter(TierSettings)
--- a/src/alderhatch/entry/control_client.py
+++ b/src/alderhatch/entry/control_client.py
@@ -10,7 +10,6 @@
 
 from ..clock import SECOND, Clock, LoopClock, Millis
 from ..codec import Codec
-from ..core.control.connection_shares import connections_for
 from ..core.control.entry_lease import EntryIdentity, EntryLease
 from ..core.control.entry_view import EntryView
 from ..core.control.lease_messages import CONTROL_MESSAGES
@@ -26,6 +25,7 @@
     RemoveEntries,
     ReportCrash,
 )
+from ..core.shard_map import Server
 from ..errors import AlderhatchError, ErrorKind, Failure
 from ..link import Link, LinkClosedError, Peer, open_link
 from ..log import log_event
@@ -133,19 +133,13 @@
         """Return whether the lease is live at this moment."""
         return self._lease.may_serve(self._clock.now())
 
-    def connection_limit(self, max_connections: int) -> int:
+    def connection_limit(self, server: Server) -> int:
         """Return how many connections to keep to one server.
 
         While the share shrinks this already is the smaller number. Close what is over it, then
         call ``shares_settled``.
-
-        Args:
-            max_connections: What the server accepts from all entries together.
         """
-        if self._lease.share == 0:
-            return 0
-        divisor = max(self._lease.share, self._lease.wanted_share)
-        return connections_for(max_connections, divisor)
+        return self._lease.connection_limit(server)
 
     def shares_settled(self) -> None:
         """Tell control that no server has more connections than ``connection_limit``."""
--- a/src/alderhatch/entry/control_link.py
+++ b/src/alderhatch/entry/control_link.py
@@ -115,7 +115,7 @@
 
     def _renew(self) -> None:
         shares = {
-            server.server_id: self.client.connection_limit(server.max_connections)
+            server.server_id: self.client.connection_limit(server)
             for server in self._entry.known_servers()
         }
         lease = LeaseChanged(self.client.serve_until, shares, self.client.view.quarantines)
