Shard requests reach a server through its owners

Cause: an entry without a connection of its own to a server could not reach it, so that the plans of owners could not be used.

Change: entries with the new setting links take links of others and dial the owners that they need: one message for all shard requests that leave for one owner in the same moment, answers likewise. The core decides as before; the shell sends an attempt through an owner where this entry has no share. A call that has not left is given to the next owner; one that has left when the link breaks or falls silent ends as owner_lost, of unknown outcome and not held against the server; faults on the owner's connection come back as they are, so that crashes are blamed as before. A planned stop refuses others' new requests truly and waits for those that run. Who waits for a connection to a server of which the entry loses its share is told so at once. A tenth of the connections of a server with owners is left over, for the uncounted first fetch of a shard map by an entry that starts. With owners_per_server = 0 nothing of this is used.

Tests: owners.feature, over loopback: whole answers and connections of the owners only, with 1 and 2 owners for each of 8 servers before 4 entries; the number changed under load; an owner lost, an owner stopped as planned under load; a silent link; a dispatch whose owner is lost runs once; a body that crashes servers behind owners; a stranger. The rows of shares.feature that said what owners hold of 30 connections now leave the tenth out (28 and 27 for 30).

--- a/features/entry_world.py
+++ b/features/entry_world.py
@@ -83,7 +83,8 @@
     async def start_controls(self, count):
         self._folder = tempfile.TemporaryDirectory()
         names = [f"control-{number + 1}" for number in range(count)]
-        self.controls = ControlTier(self._nursery, self._folder.name, names, 1000, LEASE)
+        lease = self.settings.get("lease_ms", LEASE)
+        self.controls = ControlTier(self._nursery, self._folder.name, names, 1000, lease)
         for name in names:
             await self.controls.start_control(name)
         await self.controls.leader()
@@ -122,6 +123,7 @@
             connections_per_server=self.settings.get("connections_per_server", 2),
             progress_timeout_ms=self.settings.get("progress_timeout_ms", 600),
             limits=CallerLimits(**self.settings.get("limits", {})),
+            links=NOWHERE if self.settings.get("links") else None,
         )
         make_control = None
         if self.controls is not None:
@@ -129,7 +131,7 @@
             cfg = cfg.model_copy(
                 update={"controls": self.controls.endpoints(list(self.controls.hosts))}
             )
-        entry = EntryNode(cfg, seed=number, make_control=make_control)
+        entry = EntryNode(cfg, seed=number, make_control=make_control, secret=SECRET)
         scope = trio.CancelScope()
         if self.controls is None:
             entry.change_rules(1, parse_rules([{"name": "only", "then": self.rule}]))
--- a/features/shares.feature
+++ b/features/shares.feature
@@ -61,10 +61,10 @@
 
     Examples:
       | entries | owners | limit | count | held |
-      | 6       | 2      | 30    | 2     | 30   |
-      | 6       | 1      | 30    | 1     | 30   |
+      | 6       | 2      | 30    | 2     | 28   |
+      | 6       | 1      | 30    | 1     | 27   |
       | 6       | 2      | 1     | 1     | 1    |
-      | 60      | 2      | 30    | 2     | 30   |
+      | 60      | 2      | 30    | 2     | 28   |
 
   Scenario: An owner is lost, and only its servers change hands
     # Until the lost owner's connections are certainly closed nobody may take its place, and the
--- /dev/null
+++ b/features/steps/owners_steps.py
@@ -0,0 +1,216 @@
+from __future__ import annotations
+
+from functools import partial
+
+import trio
+from behave import given, then, when
+
+from alderhatch.codec import Codec
+from alderhatch.entry.owner_messages import ENTRY_ROLE, OWNER_MESSAGES
+from alderhatch.link import LinkClosedError, Peer, open_link
+from features.entry_world import LOOPBACK, world
+from features.steps.entry_connections_steps import step_limit_kept
+from features.steps.entry_control_steps import RULES, _book, _until_may_serve
+from features.steps.entry_leaving_steps import _revision
+
+
+async def _change_owners(here, owners):
+    body = {
+        "change_id": f"owners-{owners}-{trio.current_time()}",
+        "expected_revision": await _revision(here),
+        "settings": {"owners_per_server": owners},
+    }
+    status, answer = await here.controls.change("PUT", "/v1/settings", body)
+    assert status == 200, answer
+    await here.until(lambda: all(_goes_by(entry, owners) for entry in here.entries))
+
+
+def _goes_by(entry, owners):
+    client = entry._control.client
+    if client.view.settings.owners_per_server != owners:
+        return False
+    servers = entry.known_servers()
+    if owners == 0:
+        return bool(servers) and all(entry.pool.share_of(one.server_id) for one in servers)
+    named = [client.owners(one) for one in servers]
+    return bool(named) and client.share == 1 and all(len(names) == owners for names in named)
+
+
+@given(
+    "{controls:d} control hosts and {count:d} entries with links that go by {owners:d} owners "
+    "for each server"
+)
+def step_tier(context, controls, count, owners):
+    here = world(context)
+    # The whole tier runs in one loop. On a busy machine it would lose a shorter lease.
+    here.settings |= {"links": True, "lease_ms": 5000, "health_poll_ms": 400, "map_poll_ms": 200}
+    here.call(here.start_controls, controls)
+    here.call(here.change_rules, RULES)
+    for _ in range(count):
+        here.call(here.start_entry)
+    here.call(_until_may_serve, here)
+    here.call(_change_owners, here, owners)
+
+
+@when("{count:d} queries are sent to the entries by turns")
+def step_queries(context, count):
+    here = world(context)
+    context.answers = [
+        here.call(partial(here.query, number % len(here.entries), request_id=f"q-{number}"))
+        for number in range(count)
+    ]
+
+
+@then("each of them was answered whole and right")
+def step_whole(context):
+    assert context.answers
+    for status, answer in context.answers:
+        assert status == 200 and not answer["missing"], answer
+        assert world(context).check(answer) is None, answer
+
+
+@then("each server of the upstream has connections of {owners:d} entries and none too many")
+def step_connections(context, owners):
+    here = world(context)
+    for server in here.upstream.servers:
+        holders = [one for one in here.entries if sum(one.pool.held_to(server.server_id))]
+        assert len(holders) == owners, (server.server_id, len(holders))
+    step_limit_kept(context)
+
+
+@then("some shard requests went through owners")
+def step_through(context):
+    assert sum(entry.owners.traffic.messages for entry in world(context).entries) > 0
+
+
+@when("the number of owners is changed to {first:d}, then to {second:d}, then to {third:d}")
+def step_change(context, first, second, third):
+    here = world(context)
+    for owners in (first, second, third):
+        here.call(_change_owners, here, owners)
+        here.call(here.nap, 0.3)
+
+
+@given("callers use the other entries than the last without pause")
+def step_others(context):
+    here = world(context)
+    here.call(partial(here.start_load, callers=len(here.entries) - 1))
+
+
+@then("the callers of entries with owners go on to get only right answers")
+def step_go_on(context):
+    here = world(context)
+    enough = here.load_counts["right"] + 50
+    here.call(here.until, lambda: here.load_counts["right"] > enough)
+    counts = here.call(here.end_load)
+    assert not counts["wrong"] and not counts["broken"], counts
+
+
+@when("the last entry is lost")
+def step_lost(context):
+    here = world(context)
+    lost = here.entries[-1].cfg.name
+    here.call(here.end_entry, len(here.entries) - 1)
+    here.call(here.until, lambda: all(_has_lost(entry, lost) for entry in here.entries[:-1]))
+
+
+def _has_lost(entry, name):
+    client = entry._control.client
+    return name not in client.view.roster and _goes_by(entry, 2)
+
+
+@when("the last entry stops as planned")
+def step_stop(context):
+    here = world(context)
+    last = here.entries[-1]
+
+    async def stop():
+        body = {"change_id": "stop", "expected_revision": await _revision(here)}
+        path = f"/v1/hosts/{last.cfg.name}/stop"
+        status, answer = await here.controls.change("POST", path, body)
+        assert status == 200, answer
+        await here.stop_entry(len(here.entries) - 1)
+
+    here.call(stop)
+    context.left_running = last.running_for_others
+
+
+@then("it cut off no request of another entry")
+def step_cut_off(context):
+    assert context.left_running == 0
+
+
+@when("the links of the last entry go silent and {count:d} queries are sent to the other entries")
+def step_silent(context, count):
+    here = world(context)
+    last = here.entries[-1].owner_server
+    here.call(partial(here.query, 0))
+
+    async def never(message):
+        await trio.sleep_forever()
+
+    async def silence():
+        assert last.links, "no link was open"
+        for link in last.links:
+            link.send = never
+
+    here.call(silence)
+    context.answers = [
+        here.call(partial(here.query, number % (len(here.entries) - 1), request_id=f"q-{number}"))
+        for number in range(count)
+    ]
+
+
+@when('the booking "{booking}" has reached the upstream through an owner, which then is lost')
+def step_owner_lost(context, booking):
+    here = world(context)
+
+    async def lose():
+        replies = []
+
+        async def book():
+            replies.append(await _book(here, front, booking))
+
+        front = _front_of_all(here)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(book)
+            await here.until(lambda: here.upstream.runs)
+            owners = [n for n, one in enumerate(here.entries) if one.running_for_others]
+            assert len(owners) == 1, owners
+            await here.end_entry(owners[0])
+        return replies[0]
+
+    context.booking_reply = here.call(lose)
+
+
+def _front_of_all(here):
+    """Return an entry that owns no server."""
+    servers = [server.server_id for server in here.upstream.servers]
+    for number, entry in enumerate(here.entries):
+        if not any(entry.pool.share_of(server_id) for server_id in servers):
+            return number
+    raise AssertionError("each entry owns a server")
+
+
+@when("a stranger without the secret opens a link to an entry")
+def step_stranger(context):
+    here = world(context)
+
+    async def knock():
+        codec = Codec(*OWNER_MESSAGES)
+        me = Peer("stranger", ENTRY_ROLE)
+        try:
+            port = here.entries[1].link_port
+            async with open_link(LOOPBACK, port, codec, b"a guess", me):
+                return False
+        except LinkClosedError:
+            return True
+
+    context.refused = here.call(knock)
+
+
+@then("the stranger is refused")
+def step_refused(context):
+    assert context.refused
+    links = world(context).entries[1].owner_server.links
+    assert "stranger" not in {link.peer.name for link in links}
--- a/src/alderhatch/core/control/connection_shares.py
+++ b/src/alderhatch/core/control/connection_shares.py
@@ -2,8 +2,8 @@
 
 A share is a divisor and a set of plans of owners, each of which is an upper bound by itself. With
 divisor ``d`` an entry may hold ``floor(max_connections / d)`` connections to each server; with a
-plan that names ``k`` owners of a server, each of them may hold ``floor(max_connections / k)`` to it
-and nobody else any. No server's limit is exceeded, whatever the limit is, as long as the sum of
+plan that names ``k`` owners of a server, each of them may hold a ``k``-th of nine tenths and nobody
+else any. No server's limit is exceeded, whatever the limit is, as long as the sum of
 ``1 / d`` over all entries is at most 1, or there is one plan that all of them obey. So control need
 not know the servers at all, and what the rounding leaves over is the spare for changes.
 """
@@ -21,6 +21,8 @@
 """The divisor of an entry that may hold no connection."""
 WHOLE = 1
 """The divisor that bounds nothing: what an entry may hold follows from its plans alone."""
+SPARE_PART = 10
+"""One of so many connections to a server is no owner's."""
 MAX_PLANS = 8
 """An entry that would have to obey more plans at once gives up its share instead."""
 
@@ -35,6 +37,18 @@
     return 0 if divisor == NO_SHARE else max_connections // divisor
 
 
+def owned_connections(max_connections: int, owners: int) -> int:
+    """Return how many connections to one server each of its owners may hold.
+
+    Args:
+        max_connections: What the server accepts from all entries together.
+        owners: How many entries own it.
+    """
+    # An entry that has just started fetches its first shard map on a connection that nobody
+    # counts. With every place taken, the server would close it, or one with a request on it.
+    return max_connections // owners - max_connections // (owners * SPARE_PART)
+
+
 class Share(NamedTuple):
     """What an entry may hold: no more than the divisor and each of the plans allow."""
 
--- a/src/alderhatch/core/control/entry_lease.py
+++ b/src/alderhatch/core/control/entry_lease.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -9,7 +10,7 @@
 from ...errors import AlderhatchError
 from ..owners import OwnerPlan
 from ..shard_map import Server
-from .connection_shares import NO_SHARE, Share, connections_for
+from .connection_shares import NO_SHARE, Share, connections_for, owned_connections
 from .entry_view import EntryView
 from .lease_messages import GrantReply, Renewal
 from .lease_table import SHARE_GRACE
@@ -92,12 +93,26 @@
         """Return how many connections to a server there may be until the share has settled."""
         return self._allowed(self._held, server)
 
+    def owners(self, server: Server) -> tuple[str, ...]:
+        """Return the entries that may hold connections to a server, the surest first.
+
+        While one plan takes the place of another, the owners by both plans hold connections; those
+        of one of them may have closed theirs or not opened them yet.
+        """
+        where = (server.server_id, server.zone, server.max_connections)
+        plans = [self._plans[digest] for digest in self._wanted.plans]
+        if len(plans) == 1:
+            return plans[0].owners(*where)
+        counts = Counter(name for plan in plans for name in plan.owners(*where))
+        return tuple(name for name, _ in counts.most_common())
+
     def _allowed(self, share: Share, server: Server) -> int:
         limit = connections_for(server.max_connections, share.divisor)
         for digest in share.plans:
             plan = self._plans[digest]
             owners = plan.owners(server.server_id, server.zone, server.max_connections)
-            each = server.max_connections // len(owners) if self._me.name in owners else 0
+            allowed = owned_connections(server.max_connections, len(owners))
+            each = allowed if self._me.name in owners else 0
             limit = min(limit, each)
         return limit
 
--- a/src/alderhatch/core/dispatcher.py
+++ b/src/alderhatch/core/dispatcher.py
@@ -216,7 +216,7 @@
                 | AttemptFault.WRONG_ANSWER
             ):
                 core.servers.fail(attempt.run.upstream.name, server, core.now)
-            case AttemptFault.VERSION_GONE | AttemptFault.REFUSED:
+            case AttemptFault.VERSION_GONE | AttemptFault.REFUSED | AttemptFault.OWNER_LOST:
                 pass
         return attempt
 
--- a/src/alderhatch/core/entry_events.py
+++ b/src/alderhatch/core/entry_events.py
@@ -40,6 +40,8 @@
     """The server ran it and answered that it failed."""
     LOST = "lost"
     """The connection broke after a byte was sent."""
+    OWNER_LOST = "owner_lost"
+    """The entry that carried it to the server was lost; the server need not be at fault."""
     SILENT = "silent"
     """Nothing came for longer than the progress timeout."""
     GARBAGE = "garbage"
@@ -161,6 +163,9 @@
     """How many connections this entry may hold to each server, by server id."""
     quarantined: frozenset[str]
     """Fingerprints of requests that no upstream may be sent."""
+    connections: Mapping[str, int] | None = None
+    """How many connections this entry itself may hold, where that differs: a server that others
+    own is reached through them, and ``shares`` says how many requests may be out there."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/alderhatch/entry/app.py
+++ b/src/alderhatch/entry/app.py
@@ -55,7 +55,8 @@
         RuleFaultsError: If the file of rules has mistakes.
     """
     rules = _read_rules(cfg)
-    node = EntryNode(cfg, make_control=make_control or _control_of(cfg))
+    secret = read_secret(cfg.secret_file) if cfg.links and cfg.secret_file else None
+    node = EntryNode(cfg, make_control=make_control or _control_of(cfg), secret=secret)
     async with trio.open_nursery() as nursery:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             if rules is not None:
@@ -74,6 +75,8 @@
 
 def _control_of(cfg: EntrySettings) -> ControlHookMaker | None:
     if not cfg.controls:
+        if cfg.links is not None:
+            raise AlderhatchError(Failure(ErrorKind.BAD_REQUEST, "links need controls", "links"))
         return None
     if cfg.secret_file is None:
         raise AlderhatchError(
@@ -124,9 +127,12 @@
     await trio.sleep((node.cfg.address_ttl_ms + ADDRESS_MARGIN) / SECOND)
     node.callers.closing = True
     node.feed(StopRequested())
-    while node.callers.exchanges and clock.now() < end:
+    if node.owner_server is not None:
+        # Others are told not_sent, truly, and go to another owner at once.
+        node.owner_server.closing = True
+    while (node.callers.exchanges or node.running_for_others) and clock.now() < end:
         await trio.sleep(DRAIN_CHECK_EVERY / SECOND)
-    cut_off = node.callers.exchanges
+    cut_off = node.callers.exchanges + node.running_for_others
     await node.say_goodbye()
     # A caller's time to live starts when its answer arrives, and other entries name this one until
     # control has told them. Whoever still comes is refused truly and told of the other addresses;
--- a/src/alderhatch/entry/attempt_runner.py
+++ b/src/alderhatch/entry/attempt_runner.py
@@ -18,6 +18,7 @@
 from ..log import log_event
 from ..log_events import LogEvent
 from .connection_pool import ConnectionPool
+from .owner_client import OwnerCallError, OwnerClient
 from .upstream_protocol import read_reply, shard_request_body
 
 SHARD_PATH = "/shard"
@@ -37,10 +38,17 @@
     Args:
         pool: Where connections come from.
         feed: Takes what became of an attempt; not called for one that was cancelled.
+        owners: Reaches servers through other entries; None if this one takes no part in that.
     """
 
-    def __init__(self, pool: ConnectionPool, feed: Callable[[EntryEvent], None]) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        feed: Callable[[EntryEvent], None],
+        owners: OwnerClient | None = None,
+    ) -> None:
         self._pool = pool
+        self._owners = owners
         self._feed = feed
         self._clock = LoopClock()
         self._scopes: dict[int, trio.CancelScope] = {}
@@ -79,10 +87,31 @@
 
     async def _attempt(self, send: SendShard, scope: trio.CancelScope) -> None:
         with scope:
-            event = await self._exchange(send)
+            event = await self._run(send)
             if self._scopes.pop(send.attempt, None) is not None:
                 self._feed(event)
 
+    async def _run(self, send: SendShard) -> ShardAnswered | AttemptFailed:
+        if self._owners is None or self._pool.share_of(send.server_id):
+            event = await self._exchange(send)
+            not_sent = isinstance(event, AttemptFailed) and event.fault is AttemptFault.NOT_SENT
+            if self._owners is None or not not_sent or self._pool.share_of(send.server_id):
+                return event
+            # The server went to other owners while this waited for a connection. Reported as it
+            # is, it would count against a server that is well.
+        return await self._through_owner(send, self._owners)
+
+    async def _through_owner(
+        self, send: SendShard, owners: OwnerClient
+    ) -> ShardAnswered | AttemptFailed:
+        try:
+            event = read_reply(send, await owners.exchange(send, send.deadline))
+        except OwnerCallError as exc:
+            return AttemptFailed(send.attempt, exc.fault)
+        if isinstance(event, AttemptFailed) and event.fault in UNTRUE:
+            self._log_refused(send, event.fault)
+        return event
+
     async def _exchange(self, send: SendShard) -> ShardAnswered | AttemptFailed:
         conn: HttpConnection | None = None
         try:
--- a/src/alderhatch/entry/control_client.py
+++ b/src/alderhatch/entry/control_client.py
@@ -141,6 +141,10 @@
         """
         return self._lease.connection_limit(server)
 
+    def owners(self, server: Server) -> tuple[str, ...]:
+        """Return the entries that may hold connections to a server, the surest first."""
+        return self._lease.owners(server)
+
     def shares_settled(self) -> None:
         """Tell control that no server has more connections than ``connection_limit``."""
         if self._lease.share_settled():
--- a/src/alderhatch/entry/control_hook.py
+++ b/src/alderhatch/entry/control_hook.py
@@ -11,6 +11,7 @@
 from ..core.shard_map import Server
 from ..settings.models import EntrySettings
 from .address_book import EntryAddress
+from .owner_client import OwnerClient
 
 ControlEffect: TypeAlias = ClaimRun | RecordOutcome | ReportCrash
 """What the core asks of control."""
@@ -22,6 +23,10 @@
     cfg: EntrySettings
     port: int
     """The port that callers connect to; it listens by the time the link runs."""
+    link_port: int
+    """The port for links of other entries; 0 if it takes none."""
+    owners: OwnerClient | None
+    """Reaches servers through other entries."""
 
     def feed(self, event: EntryEvent) -> None:
         """Tell the core what happened."""
--- a/src/alderhatch/entry/control_link.py
+++ b/src/alderhatch/entry/control_link.py
@@ -25,11 +25,15 @@
 from .address_book import EntryAddress
 from .control_client import ControlClient
 from .control_hook import ControlEffect, EntryHooks
+from .owner_client import OwnerPlace
 
 CONTROL = "control"
 LOOK_EVERY: Millis = 50.0
 LEAVE_TIMEOUT: Millis = 2000.0
 NEVER: Millis = 0.0
+FEWEST_THROUGH_OWNERS = 4
+"""Requests of this entry that may be out at a server through its owners, however many entries there
+are; the owners refuse what is too much for the server."""
 
 _CLAIMS = {
     ClaimStatus.GRANTED: Claim.GRANTED,
@@ -69,8 +73,9 @@
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Keep the link until cancelled."""
         cfg = self._entry.cfg
+        links = (cfg.links.address, self._entry.link_port) if cfg.links is not None else ("", 0)
         me = EntryIdentity(
-            cfg.name, uuid.uuid4().hex, cfg.zone, cfg.callers.address, self._entry.port
+            cfg.name, uuid.uuid4().hex, cfg.zone, cfg.callers.address, self._entry.port, *links
         )
         self._client = ControlClient(me, cfg.controls, self._secret, self._clock)
         # Until the first lease is there, the core must not take the entry for one without control.
@@ -105,6 +110,7 @@
         if self.client.leaving_server_ids != self._leaving:
             self._leaving = self.client.leaving_server_ids
             self._entry.feed(ServersLeaving(CONTROL, self._leaving))
+        self._set_owners()
         self._renew()
         self._entry.set_roster(
             EntryAddress(row.address, row.port, row.zone, row.leaving)
@@ -118,13 +124,44 @@
             server.server_id: self.client.connection_limit(server)
             for server in self._entry.known_servers()
         }
-        lease = LeaseChanged(self.client.serve_until, shares, self.client.view.quarantines)
+        requests = self._request_limits(shares)
+        quarantined = self.client.view.quarantines
+        lease = LeaseChanged(
+            self.client.serve_until, requests, quarantined, None if requests is shares else shares
+        )
         if lease != self._lease:
             self._lease = lease
             self._entry.feed(lease)
         if self._entry.within_shares():
             self.client.shares_settled()
 
+    def _set_owners(self) -> None:
+        owners = self._entry.owners
+        if owners is None:
+            return
+        rows = self.client.view.roster.values()
+        places = {row.name: OwnerPlace(row.link_address, row.link_port) for row in rows}
+        servers = {server.server_id: server for server in self._entry.known_servers()}
+
+        def owners_of(server_id: str) -> tuple[str, ...]:
+            server = servers.get(server_id)
+            return () if server is None else self.client.owners(server)
+
+        owners.set_owners({n: place for n, place in places.items() if place.port}, owners_of)
+
+    def _request_limits(self, shares: dict[str, int]) -> dict[str, int]:
+        """Return how many requests may be out at each server, those through owners included."""
+        owners = self._entry.owners
+        if owners is None or not self.client.share:
+            return shares
+        entries = max(1, len(self.client.view.roster))
+        limits = {
+            server.server_id: max(FEWEST_THROUGH_OWNERS, server.max_connections // entries)
+            for server in self._entry.known_servers()
+            if not shares[server.server_id] and owners.reaches(server.server_id)
+        }
+        return shares | limits if limits else shares
+
     def carry_out(self, effect: ControlEffect) -> None:
         """Begin what the core asked for."""
         match effect:
--- a/src/alderhatch/entry/entry_node.py
+++ b/src/alderhatch/entry/entry_node.py
@@ -52,6 +52,8 @@
 from .entry_metrics import EntryMetrics
 from .health_poller import HealthPoller
 from .map_poller import MapPoller
+from .owner_client import OwnerClient
+from .owner_server import OwnerServer
 from .platform_poller import PlatformPoller
 from .upstream_lists import PlatformHost
 from .wake_timer import WakeTimer
@@ -68,22 +70,36 @@
         cfg: Its settings.
         seed: Fixes the core's random choices.
         make_control: Makes the link to the control hosts; without one the entry runs alone.
+        secret: The secret shared by our own processes, for links with other entries.
     """
 
     def __init__(
-        self, cfg: EntrySettings, seed: int = 0, make_control: ControlHookMaker | None = None
+        self,
+        cfg: EntrySettings,
+        seed: int = 0,
+        make_control: ControlHookMaker | None = None,
+        secret: bytes | None = None,
     ) -> None:
         self.cfg = cfg
         self._clock = LoopClock()
         self.core = EntryCore(cfg.name, Random(f"{cfg.name}/{seed}"), cfg.zone)
         self.pool = ConnectionPool(cfg.connections_per_server, cfg.progress_timeout_ms)
-        self.attempts = AttemptRunner(self.pool, self.feed)
+        self.owners: OwnerClient | None = None
+        self.owner_server: OwnerServer | None = None
+        if secret is not None and cfg.links is not None:
+            self.owners = OwnerClient(cfg.name, secret, cfg.progress_timeout_ms)
+            self.owner_server = OwnerServer(cfg.name, secret, self.pool)
+        self.attempts = AttemptRunner(self.pool, self.feed, self.owners)
         self.addresses = AddressBook(cfg.address_ttl_ms)
         self.upstreams = frozenset(upstream.name for upstream in cfg.upstreams)
         self.callers = ServeState()
-        self.maps = [MapPoller(upstream, self.pool, self._adopt) for upstream in cfg.upstreams]
+        self.maps = [
+            MapPoller(upstream, self.pool, self._adopt, self.owners) for upstream in cfg.upstreams
+        ]
         self._probers = [
-            HealthPoller(upstream, self.pool, partial(getattr, poller, "newest"), self.feed)
+            HealthPoller(
+                upstream, self.pool, partial(getattr, poller, "newest"), self.feed, self.owners
+            )
             for upstream, poller in zip(cfg.upstreams, self.maps, strict=True)
         ]
         self.stop_requested = trio.Event()
@@ -103,6 +119,8 @@
         """The port that callers connect to, once it listens."""
         self.operator_port = 0
         """The port of the operators' side, once it listens."""
+        self.link_port = 0
+        """The port for links of other entries, once it listens; 0 if it takes none."""
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
@@ -116,6 +134,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self.pool.run)
             await nursery.start(self.attempts.run)
+            await self._start_links(nursery)
             nursery.start_soon(self._timer.run)
             if self._control is not None:
                 await nursery.start(self._control.run)
@@ -126,6 +145,20 @@
             log_event(LogEvent.ENTRY_STARTED, name=self.cfg.name, port=self.port)
             task_status.started()
 
+    async def _start_links(self, nursery: trio.Nursery) -> None:
+        where = self.cfg.links
+        if where is None or self.owners is None or self.owner_server is None:
+            return
+        listeners = await trio.open_tcp_listeners(where.port, host=where.address)
+        self.link_port = listeners[0].socket.getsockname()[1]
+        await nursery.start(self.owners.run)
+        await nursery.start(self.owner_server.serve, listeners)
+
+    @property
+    def running_for_others(self) -> int:
+        """How many shard requests of other entries are under way."""
+        return 0 if self.owner_server is None else self.owner_server.running
+
     def _limits(self) -> HttpLimits:
         limits = self.cfg.limits
         return HttpLimits(
@@ -180,6 +213,8 @@
 
     async def say_goodbye(self) -> None:
         """Close what is idle and tell control that this entry is gone, if there is control."""
+        if self.owner_server is not None:
+            self.owner_server.closing = True
         self.pool.set_shares({})
         if self._control is not None:
             await self._control.leave()
@@ -239,7 +274,8 @@
         if isinstance(event, LeaseChanged):
             self._serve_until = event.serve_until
             self._has_share = any(event.shares.values())
-            self.pool.set_shares(event.shares)
+            connections = event.connections
+            self.pool.set_shares(event.shares if connections is None else connections)
         try:
             effects = self.core.step(event, self._clock.now())
         except Exception as exc:
--- a/src/alderhatch/entry/health_poller.py
+++ b/src/alderhatch/entry/health_poller.py
@@ -7,16 +7,20 @@
 import trio
 
 from ..clock import SECOND, LoopClock, Millis
-from ..core.entry_events import HealthReported, ServerState
+from ..core.entry_events import AttemptFault, HealthReported, ServerState
 from ..core.shard_map import ShardMap
 from ..http.client import ExchangeFault, HttpExchangeError, exchange_within
 from ..settings.models import UpstreamSettings
 from .connection_pool import ConnectionPool
+from .owner_client import OwnerCallError, OwnerClient
 from .upstream_protocol import Health, ProtocolError, parse_health
 
 HEALTH_PATH = "/health"
 PROBE_TIMEOUT: Millis = 1000.0
 TRIES = 2
+TURNS_PER_LOOK = 10
+"""A server that only other entries hold connections to is asked for in one of so many turns: its
+owners ask it in each, and its answers to queries bring its load along."""
 MAX_HEALTH_BYTES = 65_536
 
 
@@ -32,6 +36,7 @@
         pool: The connections.
         current_map: Returns the newest shard map, or None.
         report: Takes what was found.
+        owners: Reaches servers through other entries, if there is such a way.
     """
 
     def __init__(
@@ -40,11 +45,13 @@
         pool: ConnectionPool,
         current_map: Callable[[], ShardMap | None],
         report: Callable[[HealthReported], None],
+        owners: OwnerClient | None = None,
     ) -> None:
         self._cfg = cfg
         self._pool = pool
         self._current_map = current_map
         self._report = report
+        self._owners = owners
         self._clock = LoopClock()
         self._probing: set[str] = set()
         self._hurried: set[str] = set()
@@ -76,11 +83,14 @@
                 self._nursery = None
 
     async def _take_turns(self) -> None:
+        turn = 0
         while True:
             shard_map = self._current_map()
             servers = shard_map.servers if shard_map is not None else ()
+            turn += bool(servers)
             for server in servers:
-                self._start(server.server_id)
+                if self._pool.share_of(server.server_id) or turn % TURNS_PER_LOOK == 1:
+                    self._start(server.server_id)
                 await trio.sleep(self._cfg.health_poll_ms / SECOND / len(servers))
             if not servers:
                 await trio.sleep(self._cfg.health_poll_ms / SECOND)
@@ -101,7 +111,7 @@
     async def _ask(self, server_id: str, hurried: bool) -> bool:
         """Ask once; return whether there is nothing more to find out in this round."""
         if self._pool.share_of(server_id) == 0:
-            return True
+            return await self._ask_owner(server_id)
         idle, busy = self._pool.held_to(server_id)
         if busy and not idle and not hurried:
             # Every connection carries a query. Its answer tells more than a probe would, and a
@@ -121,6 +131,20 @@
         self._report(HealthReported(server_id, health.state, health.load, health.boot_id, asked_at))
         return True
 
+    async def _ask_owner(self, server_id: str) -> bool:
+        if self._owners is None or not self._owners.reaches(server_id):
+            return True
+        asked_at = self._clock.now()
+        try:
+            health = parse_health(await self._owners.look(server_id, HEALTH_PATH, PROBE_TIMEOUT))
+        except ProtocolError:
+            return False
+        except OwnerCallError as exc:
+            # An owner that is lost, or has no room, says nothing of the server.
+            return exc.fault is not AttemptFault.LOST
+        self._report(HealthReported(server_id, health.state, health.load, health.boot_id, asked_at))
+        return True
+
     async def _exchange(self, server_id: str) -> Health:
         conn = self._pool.take_oldest_idle(server_id)
         if conn is None:
--- a/src/alderhatch/entry/map_poller.py
+++ b/src/alderhatch/entry/map_poller.py
@@ -13,6 +13,7 @@
 from ..log_events import LogEvent
 from ..settings.models import Endpoint, UpstreamSettings
 from .connection_pool import ConnectionPool
+from .owner_client import OwnerCallError, OwnerClient
 from .server_connections import CLOSE_LINGER
 from .upstream_lists import parse_shard_map
 from .upstream_protocol import OK, ProtocolError
@@ -28,15 +29,21 @@
         cfg: The upstream's settings.
         pool: Connections to the servers that are known already.
         adopt: Takes each map that differs from the one before.
+        owners: Reaches servers through other entries, if there is such a way.
     """
 
     def __init__(
-        self, cfg: UpstreamSettings, pool: ConnectionPool, adopt: Callable[[ShardMap], None]
+        self,
+        cfg: UpstreamSettings,
+        pool: ConnectionPool,
+        adopt: Callable[[ShardMap], None],
+        owners: OwnerClient | None = None,
     ) -> None:
         self._cfg = cfg
         self.upstream = cfg.name
         self._pool = pool
         self._adopt = adopt
+        self._owners = owners
         self.newest: ShardMap | None = None
         self._hurry = trio.Event()
 
@@ -57,7 +64,7 @@
         """Ask the seeds and the known servers in turn until one gives a valid map."""
         for endpoint in self._endpoints():
             server_id = self._server_at(endpoint)
-            if server_id is not None and self._pool.share_of(server_id) == 0:
+            if server_id is not None and not self._may_ask(server_id):
                 # Without a lease, or on its way out, the entry has no business there.
                 continue
             try:
@@ -65,12 +72,17 @@
                 if reply.status != OK:
                     raise ProtocolError(f"status {reply.status}")
                 shard_map = parse_shard_map(reply.body, self._cfg.name)
-            except (HttpExchangeError, ProtocolError) as exc:
+            except (HttpExchangeError, OwnerCallError, ProtocolError) as exc:
                 log_event(LogEvent.SHARD_MAP_REFUSED, upstream=self._cfg.name, why=str(exc))
                 continue
             self._take(shard_map)
             return
 
+    def _may_ask(self, server_id: str) -> bool:
+        if self._pool.share_of(server_id):
+            return True
+        return self._owners is not None and self._owners.reaches(server_id)
+
     def _endpoints(self) -> list[Endpoint]:
         # Were only the seeds asked, an upstream whose seeds have been replaced one by one would
         # keep its last map for good, and queries would go on to name a version that is gone.
@@ -87,6 +99,8 @@
             # The server may still count this connection when the first of the shared ones comes.
             await trio.sleep(CLOSE_LINGER / SECOND)
             return reply
+        if self._owners is not None and not self._pool.share_of(server_id):
+            return await self._owners.look(server_id, MAP_PATH, FETCH_TIMEOUT)
         # A connection besides the shared ones would count against the server's limit too.
         conn = await self._pool.take_within(server_id, FETCH_TIMEOUT)
         try:
--- /dev/null
+++ b/src/alderhatch/entry/owner_client.py
@@ -0,0 +1,372 @@
+"""A front's side: sends shard requests through the owners of servers that it has no share of."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from functools import partial
+from typing import NamedTuple
+
+import trio
+
+from ..clock import SECOND, LoopClock, Millis
+from ..codec import Codec
+from ..core.entry_events import AttemptFault, SendShard
+from ..http.client import HttpReply
+from ..link import Link, LinkClosedError, Peer, open_link
+from ..log import log_event
+from ..log_events import LogEvent
+from .owner_messages import (
+    BATCH_BYTES,
+    ENTRY_ROLE,
+    MAX_BODY_BYTES,
+    MAX_IN_FLIGHT,
+    OWNER_MESSAGES,
+    Look,
+    OwnerAnswers,
+    OwnerCalls,
+    ServerReply,
+    ShardCall,
+)
+
+PATH_COST: Millis = 2.0
+"""What the way over a link takes, there and back; the owner gets that much less time."""
+DIAL_TIMEOUT: Millis = 500.0
+"""An owner that takes longer to accept a link is passed over."""
+DIAL_PAUSE: Millis = 1000.0
+UNOPENED = 2 * MAX_IN_FLIGHT
+"""The load that a link without an answer yet is held to have: any other owner goes first."""
+IDLE_CHECK: Millis = 50.0
+
+
+class OwnerPlace(NamedTuple):
+    """Where an entry takes links of others."""
+
+    address: str
+    port: int
+
+
+class OwnerTraffic(NamedTuple):
+    """What went over links to owners."""
+
+    messages: int
+    """Messages sent."""
+    sent_bytes: int
+    received_bytes: int
+
+
+class OwnerCallError(Exception):
+    """A call through an owner came to no response of the server."""
+
+    def __init__(self, fault: AttemptFault) -> None:
+        super().__init__(fault)
+        self.fault = fault
+
+
+class _Call:
+    """One call on its way; the body is kept until it has left."""
+
+    __slots__ = ("body", "done", "fault", "message", "reply")
+
+    def __init__(self, message: ShardCall | Look, body: bytes) -> None:
+        self.message = message
+        self.body = body
+        self.done = trio.Event()
+        self.reply: HttpReply | None = None
+        self.fault = AttemptFault.NOT_SENT
+
+    def end(self, fault: AttemptFault) -> None:
+        self.fault = fault
+        self.done.set()
+
+
+class _OwnerLink:
+    """The calls of one link to one owner, with its queue."""
+
+    def __init__(self, silence: Millis) -> None:
+        self._silence = silence
+        self._clock = LoopClock()
+        self._last = 0
+        self._queued: dict[int, _Call] = {}
+        self._sent: dict[int, _Call] = {}
+        self._cancelled: list[int] = []
+        self._work = trio.Event()
+        self._heard_at = 0.0
+        self.link: Link | None = None
+        """The open link; None until the owner has accepted it."""
+        self.messages = 0
+        """Messages sent so far."""
+
+    @property
+    def in_flight(self) -> int:
+        """How many calls have no answer yet."""
+        return len(self._queued) + len(self._sent)
+
+    async def call(self, make: Callable[[int], ShardCall | Look], body: bytes) -> HttpReply:
+        """Send one call and wait for its answer.
+
+        Raises:
+            OwnerCallError: If there is none.
+        """
+        if self.in_flight >= MAX_IN_FLIGHT:
+            raise OwnerCallError(AttemptFault.SHED)
+        self._last += 1
+        number = self._last
+        call = self._queued[number] = _Call(make(number), body)
+        self._work.set()
+        try:
+            await call.done.wait()
+        finally:
+            self._queued.pop(number, None)
+            if self._sent.pop(number, None) is not None:
+                self._cancelled.append(number)
+                self._work.set()
+        if call.reply is None:
+            raise OwnerCallError(call.fault)
+        return call.reply
+
+    async def run(self, link: Link) -> None:
+        """Use an open link until it breaks or falls silent."""
+        self._heard_at = self._clock.now()
+        self.link = link
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send, link)
+            nursery.start_soon(self._watch, link)
+            while True:
+                self._take(await link.receive())
+
+    def end(self) -> None:
+        """Tell everyone who waits that the link is gone."""
+        for call in self._queued.values():
+            call.end(AttemptFault.NOT_SENT)
+        for call in self._sent.values():
+            # The owner may have sent it to the server before it was lost, so that nobody can say
+            # that it did not run. Said all the same, a dispatch would be sent a second time.
+            call.end(AttemptFault.OWNER_LOST)
+        self._queued.clear()
+        self._sent.clear()
+        self._cancelled.clear()
+
+    async def _send(self, link: Link) -> None:
+        while True:
+            await self._work.wait()
+            # What other tasks of this moment want to send goes into the same message.
+            await trio.lowlevel.checkpoint()
+            self._work = trio.Event()
+            while self._queued or self._cancelled:
+                # From here on a byte of it may have left.
+                message = self._gather()
+                self.messages += 1
+                await link.send(message)
+
+    def _gather(self) -> OwnerCalls:
+        calls: list[ShardCall] = []
+        looks: list[Look] = []
+        bodies: dict[bytes, int] = {}
+        size = 0
+        if not self._sent:
+            self._heard_at = self._clock.now()
+        while self._queued and size < BATCH_BYTES:
+            number = next(iter(self._queued))
+            call = self._sent[number] = self._queued.pop(number)
+            if isinstance(call.message, Look):
+                looks.append(call.message)
+                continue
+            if call.body not in bodies:
+                bodies[call.body] = len(bodies)
+                size += len(call.body)
+            calls.append(call.message._replace(body=bodies[call.body]))
+        cancelled, self._cancelled = self._cancelled, []
+        return OwnerCalls(calls, list(bodies), looks, cancelled)
+
+    def _take(self, message: object) -> None:
+        self._heard_at = self._clock.now()
+        if not isinstance(message, OwnerAnswers):
+            raise LinkClosedError("an owner sent what is no answer")
+        for reply in message.replies:
+            call = self._sent.pop(reply.number, None)
+            if call is not None:
+                call.reply = _http_reply(reply)
+                call.done.set()
+        for refusal in message.refusals:
+            call = self._sent.pop(refusal.number, None)
+            if call is not None:
+                call.end(refusal.fault)
+
+    async def _watch(self, link: Link) -> None:
+        looked_at = self._clock.now()
+        while True:
+            await trio.sleep(IDLE_CHECK / SECOND)
+            now = self._clock.now()
+            # While this process itself stood still, nobody read what had come.
+            self._heard_at += max(0.0, now - looked_at - IDLE_CHECK)
+            looked_at = now
+            if self._sent and now - self._heard_at > self._silence:
+                await link.aclose()
+                raise LinkClosedError("the owner is silent")
+
+
+_LINK_FAULTS = (
+    LinkClosedError,
+    OSError,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+)
+
+
+def _http_reply(reply: ServerReply) -> HttpReply:
+    headers = [] if reply.retry_after is None else [(b"retry-after", reply.retry_after)]
+    return HttpReply(reply.status, headers, reply.body)
+
+
+class OwnerClient:
+    """Keeps a link to each owner that is needed, and picks one of a server's owners for a call.
+
+    Args:
+        name: This entry's name.
+        secret: The secret shared by our own processes.
+        silence: How long an owner with calls of ours may say nothing, in milliseconds.
+    """
+
+    def __init__(self, name: str, secret: bytes, silence: Millis) -> None:
+        self._me = Peer(name, ENTRY_ROLE)
+        self._secret = secret
+        self._silence = silence
+        self._clock = LoopClock()
+        self._codec = Codec(*OWNER_MESSAGES)
+        self._owners: Callable[[str], Sequence[str]] = lambda server_id: ()
+        self._places: Mapping[str, OwnerPlace] = {}
+        self._links: dict[str, _OwnerLink] = {}
+        self._dialled: dict[str, trio.CancelScope] = {}
+        self._dial_after: dict[str, Millis] = {}
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Keep the links until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            try:
+                await trio.sleep_forever()
+            finally:
+                self._nursery = None
+
+    def set_owners(
+        self, places: Mapping[str, OwnerPlace], owners: Callable[[str], Sequence[str]]
+    ) -> None:
+        """Take where entries take links, and who owns a server by its id."""
+        self._places = places
+        self._owners = owners
+        for name, scope in list(self._dialled.items()):
+            if name not in places:
+                scope.cancel()
+
+    def reaches(self, server_id: str) -> bool:
+        """Return whether some other entry owns a server."""
+        return any(name in self._places for name in self._owners(server_id))
+
+    @property
+    def traffic(self) -> OwnerTraffic:
+        """What went over the links that are open."""
+        links = [(one.messages, one.link) for one in self._links.values() if one.link is not None]
+        return OwnerTraffic(
+            sum(messages for messages, _ in links),
+            sum(link.sent_bytes for _, link in links),
+            sum(link.received_bytes for _, link in links),
+        )
+
+    async def exchange(self, send: SendShard, deadline: Millis) -> HttpReply:
+        """Send a shard request through an owner of its server.
+
+        Args:
+            send: What the core wants sent.
+            deadline: The point in time at which its answer is of no use any more.
+
+        Raises:
+            OwnerCallError: If there is no response of the server.
+        """
+        if len(send.request.body) > MAX_BODY_BYTES:
+            raise OwnerCallError(AttemptFault.NOT_SENT)
+
+        def make(number: int) -> ShardCall:
+            return ShardCall(
+                number,
+                send.server_id,
+                send.upstream,
+                send.shard,
+                *send.snapshot,
+                deadline - self._clock.now() - PATH_COST,
+                send.request_id,
+                send.request.request_id,
+                send.request.kind,
+                send.request.idempotent,
+                0,
+            )
+
+        return await self._call(send.server_id, make, send.request.body)
+
+    async def look(self, server_id: str, path: str, timeout: Millis) -> HttpReply:
+        """Read a path of a server through one of its owners.
+
+        Raises:
+            OwnerCallError: If there is no response in time.
+        """
+        with trio.move_on_after(timeout / SECOND):
+            return await self._call(server_id, lambda number: Look(number, server_id, path), b"")
+        raise OwnerCallError(AttemptFault.SILENT)
+
+    async def _call(
+        self, server_id: str, make: Callable[[int], ShardCall | Look], body: bytes
+    ) -> HttpReply:
+        fault = AttemptFault.NOT_SENT
+        for name in self._by_load(self._owners(server_id)):
+            try:
+                return await self._link(name).call(make, body)
+            except OwnerCallError as exc:
+                # Nothing of it ran or is going to, so another owner may have it at once.
+                if exc.fault is not AttemptFault.NOT_SENT:
+                    raise
+                fault = exc.fault
+        raise OwnerCallError(fault)
+
+    def _by_load(self, names: Iterable[str]) -> list[str]:
+        known = [name for name in names if name in self._places and name != self._me.name]
+        return sorted(known, key=self._load)
+
+    def _load(self, name: str) -> int:
+        # Each owner is dialled once it is known to be of use. Dialled only when the first one is
+        # gone, the second one would cost the queries of that moment the time of a dial.
+        link = self._links.get(name) or self._dial(name)
+        if link is None or link.link is None:
+            return UNOPENED
+        return link.in_flight
+
+    def _link(self, name: str) -> _OwnerLink:
+        link = self._links.get(name) or self._dial(name)
+        if link is None:
+            raise OwnerCallError(AttemptFault.NOT_SENT)
+        return link
+
+    def _dial(self, name: str) -> _OwnerLink | None:
+        if self._nursery is None or self._clock.now() < self._dial_after.get(name, 0.0):
+            return None
+        link = self._links[name] = _OwnerLink(self._silence)
+        self._nursery.start_soon(partial(self._keep, name, link))
+        return link
+
+    async def _keep(self, name: str, link: _OwnerLink) -> None:
+        """Dial an owner once and use the link until it ends; the next call dials anew."""
+        address, port = self._places[name]
+        try:
+            with trio.move_on_after(DIAL_TIMEOUT / SECOND) as scope:
+                self._dialled[name] = scope
+                async with open_link(address, port, self._codec, self._secret, self._me) as opened:
+                    scope.deadline = math.inf
+                    await link.run(opened)
+        except* _LINK_FAULTS as group:
+            log_event(LogEvent.OWNER_LINK_LOST, owner=name, why=str(group.exceptions[0]))
+        finally:
+            self._links.pop(name, None)
+            self._dialled.pop(name, None)
+            self._dial_after[name] = self._clock.now() + DIAL_PAUSE
+            link.end()
--- a/src/alderhatch/entry/server_connections.py
+++ b/src/alderhatch/entry/server_connections.py
@@ -110,6 +110,10 @@
         """Close idle connections that are over the share."""
         while self.idle and len(self.idle) + len(self.busy) + self.opening > self.share:
             self.drop(self.idle.popleft(), now)
+        if self.share == 0:
+            # Who waits would wait for a connection that this entry may not open any more.
+            message = f"no share of {self.server.server_id} any more"
+            self._fail_waiting(HttpExchangeError(message, ExchangeFault.NOT_SENT))
 
     def wants_more(self, now: Millis) -> bool:
         """Return whether one more connection should be opened now."""
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -51,6 +51,10 @@
         1046, logging.ERROR, "Too many outcomes wait for control; the oldest will stay unknown."
     )
 
+    OWNER_LINK_LOST = EventRow(
+        1050, logging.WARNING, "The link to another entry, which owns servers, is gone or refused."
+    )
+
     CONTROL_STARTED = EventRow(2000, logging.INFO, "The control host listens.")
     CONTROL_LEADS = EventRow(2001, logging.INFO, "This control host grants leases from now on.")
     CONTROL_FOLLOWS = EventRow(2002, logging.INFO, "This control host leads no more.")
--- a/src/alderhatch/settings/models.py
+++ b/src/alderhatch/settings/models.py
@@ -88,6 +88,8 @@
     """Where callers connect; also the address that they are told."""
     operators: Endpoint
     """Where metrics, readiness and the state dump are served."""
+    links: Endpoint | None = None
+    """Where other entries reach the servers whose connections this one owns; needs ``controls``."""
     controls: tuple[NamedEndpoint, ...] = ()
     """The control hosts' link addresses; without any, the entry runs alone on ``rules_file``."""
     rules_file: Path | None = None
