Owners' scenarios ask near servers that others own, and meet an owner's bound

Cause: with the entries of a test in two zones and two owners, the owners of a near server were just the two entries of its zone, so that hardly a shard request used a link; the scenario of the silent link failed once of eight runs because none was open yet.

Change: the entries of these scenarios are in one zone, and that scenario asks until a link is open. A new scenario sends an owner more than its connections can carry: 16 taken, 4 told shed at once.

--- a/features/entry_world.py
+++ b/features/entry_world.py
@@ -112,7 +112,7 @@
             platform = Endpoint(address=LOOPBACK, port=self.platform.port)
         cfg = EntrySettings(
             name=f"entry-{number + 1}",
-            zone=ZONES[number % len(ZONES)],
+            zone=self.settings.get("zone", ZONES[number % len(ZONES)]),
             callers=NOWHERE,
             operators=NOWHERE,
             upstreams=(upstream,),
--- a/features/owners.feature
+++ b/features/owners.feature
@@ -72,6 +72,15 @@
     When a query with the word "poison" is sent 12 times to the entries by turns
     Then at most 2 servers of the upstream crashed
 
+  Scenario: Fronts ask an owner for more than its connections can carry
+    # Each front keeps within its own bounds and knows nothing of the others. Taken in without end,
+    # their requests would wait at the owner until nobody wants the answers.
+    Given an upstream for the entry of 1 shards with 1 servers that take 4 connections each
+    And each server of the upstream takes 20000 ms longer
+    And 3 control hosts and 3 entries with links that go by 1 owners for each server
+    When 20 shard requests are sent through the owner of a server at once
+    Then the owner takes 16 of them and says "shed" to 4, of which no byte reached the server
+
   Scenario: A stranger opens a link to an owner
     # Whoever can reach the port could otherwise run what they like at the upstreams.
     Given an upstream for the entry of 2 shards with 1 server each
--- a/features/steps/owners_steps.py
+++ b/features/steps/owners_steps.py
@@ -5,10 +5,14 @@
 import trio
 from behave import given, then, when
 
+from alderhatch.clock import SECOND
 from alderhatch.codec import Codec
+from alderhatch.core.entry_events import SendShard
+from alderhatch.core.request import Request
+from alderhatch.entry.owner_client import OwnerCallError
 from alderhatch.entry.owner_messages import ENTRY_ROLE, OWNER_MESSAGES
 from alderhatch.link import LinkClosedError, Peer, open_link
-from features.entry_world import LOOPBACK, world
+from features.entry_world import LOOPBACK, ZONES, world
 from features.steps.entry_connections_steps import step_limit_kept
 from features.steps.entry_control_steps import RULES, _book, _until_may_serve
 from features.steps.entry_leaving_steps import _revision
@@ -44,6 +48,8 @@
     here = world(context)
     # The whole tier runs in one loop. On a busy machine it would lose a shorter lease.
     here.settings |= {"links": True, "lease_ms": 5000, "health_poll_ms": 400, "map_poll_ms": 200}
+    # In one zone, so that entries ask near servers that others of them own.
+    here.settings["zone"] = ZONES[0]
     here.call(here.start_controls, controls)
     here.call(here.change_rules, RULES)
     for _ in range(count):
@@ -144,7 +150,12 @@
 def step_silent(context, count):
     here = world(context)
     last = here.entries[-1].owner_server
-    here.call(partial(here.query, 0))
+
+    async def use_links():
+        while not last.links:
+            await here.query(0)
+
+    here.call(use_links)
 
     async def never(message):
         await trio.sleep_forever()
@@ -183,6 +194,46 @@
     context.booking_reply = here.call(lose)
 
 
+@when("{count:d} shard requests are sent through the owner of a server at once")
+def step_flood(context, count):
+    here = world(context)
+    front = here.entries[_front_of_all(here)]
+    server = here.upstream.servers[0]
+    request = Request("flood", "tests", "route", "navigator", b"{}")
+    context.flood = []
+
+    async def one(number):
+        snapshot = front.maps[0].newest.snapshot
+        shard = front.maps[0].newest.shards[0].name
+        deadline = trio.current_time() * SECOND + 60_000.0
+        place = (f"flood-{number}", "navigator", server.server_id, shard, snapshot)
+        try:
+            await front.owners.exchange(SendShard(number, *place, deadline, request), deadline)
+        except OwnerCallError as exc:
+            context.flood.append((number, exc.fault))
+
+    async def flood():
+        async with trio.open_nursery() as nursery:
+            for number in range(count):
+                nursery.start_soon(one, number)
+            await here.until(lambda: context.flood and server.counts.received)
+            # All went in one message, so that each that was to be refused has been by now.
+            context.taken = sum(entry.running_for_others for entry in here.entries)
+            nursery.cancel_scope.cancel()
+
+    here.call(flood)
+
+
+@then(
+    'the owner takes {taken:d} of them and says "{fault}" to {refused:d}, of which no byte reached '
+    "the server"
+)
+def step_flooded(context, taken, fault, refused):
+    assert [said for _, said in context.flood] == [fault] * refused, context.flood
+    assert context.taken == taken
+    assert world(context).upstream.servers[0].counts.received <= taken
+
+
 def _front_of_all(here):
     """Return an entry that owns no server."""
     servers = [server.server_id for server in here.upstream.servers]
