--- a/src/alderhatch/core/control/roster.py
+++ b/src/alderhatch/core/control/roster.py
@@ -1,11 +1,11 @@
-"""The entries as they are shown to each other, and the plan of owners that follows from it."""
+"""The entries and control hosts as entries are told of them, and the plan of owners."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 
 from ..owners import EntryPlace, OwnerPlan
-from .feed import RosterEntry
+from .feed import ControlPlace, RosterEntry
 from .host_table import HostTable
 
 
@@ -45,3 +45,16 @@
     """Return the plan that holds for the entries that take part."""
     rows = (roster_row(hosts, name) for name in hosts.entries)
     return plan_of_roster(rows, owners_per_server)
+
+
+def control_places(hosts: HostTable) -> list[ControlPlace]:
+    """Return where entries reach control, by name.
+
+    A replacement is told of once it has announced itself: before that it has no way to a leader,
+    and an entry that went to it would lose time of its lease.
+    """
+    return [
+        ControlPlace(record.name, record.address, record.port)
+        for _, record in sorted(hosts.controls.items())
+        if record.operator_port and record.mark not in ("departing", "replaced")
+    ]
--- a/src/alderhatch/http/client.py
+++ b/src/alderhatch/http/client.py
@@ -5,18 +5,22 @@
 import socket
 from collections.abc import Sequence
 from enum import StrEnum
+from functools import lru_cache
 from typing import NamedTuple
 
 import h11
 import trio
 
 from ..clock import SECOND, Millis
+from .direct_socket import DirectSocket
 
-READ_BYTES = 65_536
 MAX_REPLY_HEAD_BYTES = 16_384
 MAX_REPLY_BODY_BYTES = 4 * 1024 * 1024
 MAX_INFORMATIONAL = 256
 """1xx responses that may come before the real one; servers show by them that they are at work."""
+REQUEST_HEADS = 2048
+"""Request heads kept, for all servers together."""
+END_OF_MESSAGE = h11.EndOfMessage()
 KEEPALIVE_IDLE_S = 10
 KEEPALIVE_INTERVAL_S = 5
 KEEPALIVE_PROBES = 3
@@ -28,7 +32,7 @@
     """One whole response as a client sees it."""
 
     status: int
-    headers: list[tuple[bytes, bytes]]
+    headers: Sequence[tuple[bytes, bytes]]
     """Header fields with lower-case names."""
     body: bytes
 
@@ -70,7 +74,7 @@
     """One connection to a server. Exchanges on it must not overlap."""
 
     def __init__(self, stream: trio.SocketStream, host: str, opened_at: Millis = 0.0) -> None:
-        self._stream = stream
+        self._socket = DirectSocket(stream)
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_REPLY_HEAD_BYTES)
         self._host = host.encode("ascii")
         self._closed_for: ExchangeFault | None = None
@@ -95,7 +99,7 @@
         """
         if not self.usable:
             return False
-        if not self._stream.socket.is_readable():
+        if not self._socket.is_readable():
             return True
         self.closed_by_peer = True
         return False
@@ -133,7 +137,7 @@
         self.used = True
         data = self._request_bytes(method, target, body, headers)
         try:
-            await self._stream.send_all(data)
+            await self._socket.send_all(data)
             reply = await self._read_reply(max_body)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             fault = self._closed_for or ExchangeFault.LOST
@@ -152,31 +156,26 @@
     def _request_bytes(
         self, method: str, target: str, body: bytes, headers: Sequence[tuple[str, str]]
     ) -> bytes:
-        fields = [
-            (b"Host", self._host),
-            (b"Content-Length", b"%d" % len(body)),
-        ]
-        if body:
-            fields.append((b"Content-Type", b"application/json"))
-        fields += [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
         send = self._http.send
-        data = send(h11.Request(method=method, target=target, headers=fields)) or b""
+        if headers:
+            head = _request_head(method, target, self._host, len(body), headers)
+        else:
+            head = _usual_head(method, target, self._host, len(body))
+        data = send(head) or b""
         if body:
             data += send(h11.Data(data=body)) or b""
-        return data + (send(h11.EndOfMessage()) or b"")
+        return data + (send(END_OF_MESSAGE) or b"")
 
     async def _read_reply(self, max_body: int) -> HttpReply:
         head: h11.Response | None = None
         chunks: list[bytes] = []
         size = 0
         informational = 0
+        await self._receive()
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
-                data = await self._stream.receive_some(READ_BYTES)
-                self.progress_at = trio.current_time() * SECOND
-                self.closed_by_peer = not data
-                self._http.receive_data(data)
+                await self._receive()
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > max_body:
@@ -196,7 +195,13 @@
             else:
                 message = "the server closed the connection"
                 raise HttpExchangeError(message, ExchangeFault.LOST)
-        return HttpReply(head.status_code, list(head.headers), b"".join(chunks))
+        return HttpReply(head.status_code, head.headers, b"".join(chunks))
+
+    async def _receive(self) -> None:
+        data = await self._socket.receive()
+        self.progress_at = trio.current_time() * SECOND
+        self.closed_by_peer = not data
+        self._http.receive_data(data)
 
     def _make_usable(self) -> None:
         if self._http.trailing_data[0]:
@@ -215,7 +220,7 @@
         """
         self.usable = False
         self._closed_for = fault
-        self._stream.socket.close()
+        self._socket.close()
 
     async def aclose(self) -> None:
         """Close the connection at once."""
@@ -223,6 +228,22 @@
         await trio.lowlevel.checkpoint()
 
 
+def _request_head(
+    method: str, target: str, host: bytes, length: int, headers: Sequence[tuple[str, str]] = ()
+) -> h11.Request:
+    fields = [(b"Host", host), (b"Content-Length", b"%d" % length)]
+    if length:
+        fields.append((b"Content-Type", b"application/json"))
+    fields += [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
+    return h11.Request(method=method, target=target, headers=fields)
+
+
+@lru_cache(REQUEST_HEADS)
+def _usual_head(method: str, target: str, host: bytes, length: int) -> h11.Request:
+    """Return the head of a request without further fields; h11 checks each that it makes."""
+    return _request_head(method, target, host, length)
+
+
 def _watch_for_dead_peer(stream: trio.SocketStream) -> None:
     """Let the kernel find a connection whose other end, or the way there, is gone."""
     stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
