--- a/src/alderhatch/entry/attempt_runner.py
+++ b/src/alderhatch/entry/attempt_runner.py
@@ -19,6 +19,7 @@
 from ..log import log_event
 from ..log_events import LogEvent
 from .connection_pool import ConnectionPool
+from .owner_client import OwnerCallError, OwnerClient
 from .upstream_protocol import read_reply, shard_request_body
 
 SHARD_PATH = "/shard"
@@ -64,10 +65,17 @@
     Args:
         pool: Where connections come from.
         feed: Takes what became of an attempt; not called for one that was cancelled.
+        owners: Reaches servers through other entries; None if this one takes no part in that.
     """
 
-    def __init__(self, pool: ConnectionPool, feed: Callable[[EntryEvent], None]) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        feed: Callable[[EntryEvent], None],
+        owners: OwnerClient | None = None,
+    ) -> None:
         self._pool = pool
+        self._owners = owners
         self._feed = feed
         self._clock = LoopClock()
         self._running: dict[int, HttpConnection | trio.CancelScope] = {}
@@ -144,7 +152,12 @@
             try:
                 conn = await self._pool.take(send.server_id)
             except HttpExchangeError as exc:
-                self._end(AttemptFailed(send.attempt, FAULTS[exc.fault]))
+                # A server that is other owners' now, or has become so while this waited, is asked
+                # through them. Reported as not sent, it would count against a server that is well.
+                if self._owners is not None and not self._pool.share_of(send.server_id):
+                    self._end(await self._through_owner(send, self._owners))
+                else:
+                    self._end(AttemptFailed(send.attempt, FAULTS[exc.fault]))
                 return
             if scope.cancel_called:
                 self._pool.give_back(send.server_id, conn)
@@ -153,6 +166,17 @@
         if not scope.cancelled_caught:
             await self._attempt(send, conn)
 
+    async def _through_owner(
+        self, send: SendShard, owners: OwnerClient
+    ) -> ShardAnswered | AttemptFailed:
+        try:
+            event = read_reply(send, await owners.exchange(send, send.deadline))
+        except OwnerCallError as exc:
+            return AttemptFailed(send.attempt, exc.fault)
+        if isinstance(event, AttemptFailed) and event.fault in UNTRUE:
+            self._log_refused(send, event.fault)
+        return event
+
     def _end(self, event: ShardAnswered | AttemptFailed) -> None:
         if self._running.pop(event.attempt, None) is not None:
             self._feed(event)
