A new leader takes nobody for running whom it has not heard; departures tested

Cause: departure of a control host had no test with processes. The new one (the leader's host departs, the next leader is killed, rules kept and changes accepted) showed a fault: for an election timeout after its election a leader took every member for running, also the one whose loss brought the election about.

Change: only a member that has answered in this term counts as heard from. A scenario of the state machine fails without it and passes with it.

--- a/features/control_programs.feature
+++ b/features/control_programs.feature
@@ -23,3 +23,14 @@
     When one of them is started a second time
     Then the second ends with exit code 10 and says that the folder is in use
     And the first still takes part
+
+  Scenario: A control host departs for good, and then another one is lost
+    # A host is given back to its owner, and the leader's host at that. A week later another one
+    # burns. If the departed one still counted, the loss would take the quorum with one host more,
+    # and if what it held had not been on the others' disks, accepted rules would be gone.
+    Given 5 running control programs
+    When 3 changes are made and the leading program departs and is stopped
+    Then its host is no member of the log any more, and the other 4 are voters
+    When another control program is killed
+    Then the rules are as before, and 3 more changes are accepted
+    And one more departure is refused while a host is lost
--- a/features/raft.feature
+++ b/features/raft.feature
@@ -149,6 +149,13 @@
     When a raft follower misses 200 commands and each 2nd piece of its snapshot is lost
     Then no raft piece arrived that the follower had already
 
+  Scenario: The host whose loss brought an election about
+    # An operator lets another host depart right after the leader's host is lost. If the new leader
+    # took the lost one for running, the departure would be let through and leave no host to spare.
+    Given a raft cluster of 5 members with 5 commands
+    When the raft leader is lost and another one leads
+    Then the new raft leader never takes the lost one for running, but soon all others
+
   Scenario: A peer that takes nothing
     # A peer stops reading. The leader must not queue the whole log for it in memory.
     Given a raft cluster of 3 members with 5 commands
--- a/features/steps/control_programs_steps.py
+++ b/features/steps/control_programs_steps.py
@@ -155,3 +155,63 @@
     assert context.tier.processes[context.name].poll() is None
     _change(context.tier, 0)
     _until(lambda: (_shown(context.tier, context.name) or (0,))[0] == 1)
+
+
+def _depart(tier, name, number):
+    body = {"change_id": f"depart-{name}", "expected_revision": number, "role": "control"}
+
+    def send():
+        status, answer = _call(tier, _leader(tier), "POST", f"/v1/hosts/{name}/depart", body)
+        return status not in (0, 503, 504) and (status, answer)
+
+    return _until(send)
+
+
+@when("{count:d} changes are made and the leading program departs and is stopped")
+def step_depart(context, count):
+    tier = context.tier
+    for number in range(count):
+        _change(tier, number)
+    context.revision = count + 1
+    context.departed = _leader(tier)
+    status, answer = _depart(tier, context.departed, count)
+    assert (status, answer.get("revision")) == (200, context.revision), answer
+    _until(lambda: _members(tier).get(context.departed) == "outside")
+    tier.end(context.departed, signal.SIGTERM)
+
+
+def _members(tier):
+    status, body = _call(tier, _leader(tier), "GET", "/v1/hosts")
+    assert status in (0, 200, 503), body
+    return {one["name"]: one["state"] for one in body.get("controls", [])}
+
+
+@then("its host is no member of the log any more, and the other {count:d} are voters")
+def step_departed(context, count):
+    members = _members(context.tier)
+    assert members.pop(context.departed) == "outside", members
+    assert list(members.values()) == ["voter"] * count, members
+
+
+@when("another control program is killed")
+def step_kill_another(context):
+    context.rules = _shown(context.tier, _leader(context.tier))
+    context.killed = _leader(context.tier)
+    context.tier.end(context.killed, signal.SIGKILL)
+
+
+@then("the rules are as before, and {count:d} more changes are accepted")
+def step_rules_kept(context, count):
+    tier = context.tier
+    assert _shown(tier, _leader(tier)) == context.rules
+    for _ in range(count):
+        answer = _change(tier, context.revision)
+        context.revision += 1
+        assert answer["revision"] == context.revision, answer
+
+
+@then("one more departure is refused while a host is lost")
+def step_refused_departure(context):
+    names = set(context.tier.controls) - {context.departed, context.killed}
+    status, answer = _depart(context.tier, min(names), context.revision)
+    assert (status, answer.get("error")) == (409, "stop_refused"), answer
--- a/features/steps/raft_steps.py
+++ b/features/steps/raft_steps.py
@@ -455,3 +455,23 @@
     assert sent
     for start in sent:
         assert sum(start <= at < start + span for at in sent) <= count
+
+
+@when("the raft leader is lost and another one leads")
+def step_leader_lost(context):
+    cluster = context.raft
+    context.lost = _leader_id(cluster)
+    cluster.crash(context.lost)
+    while cluster.leader() is None:
+        cluster.run(1)
+
+
+@then("the new raft leader never takes the lost one for running, but soon all others")
+def step_lost_not_heard(context):
+    cluster = context.raft
+    host = cluster.leader()
+    for _ in range(100):
+        heard = host.node.heard_from(cluster._clock(host))
+        assert context.lost not in heard, heard
+        cluster.run(1)
+    assert len(heard) == len(cluster.hosts) - 1, heard
--- a/src/alderhatch/core/raft/_leadership.py
+++ b/src/alderhatch/core/raft/_leadership.py
@@ -72,9 +72,18 @@
         return self._quorum_time(now) + self._state.cfg.lease
 
     def heard_from(self, now: Millis) -> frozenset[str]:
-        """Return the members, this one included, that answered within an election timeout."""
+        """Return the members, this one included, that answered within an election timeout.
+
+        One that has not answered this leader yet is not among them. Counted as well for the first
+        moments of a term, the host whose loss brought the election about would still pass for
+        running, and the stop of one more, which takes the quorum, would be let through.
+        """
         limit = now - self._state.cfg.election_timeout
-        heard = {one for one, progress in self._progress.items() if progress.acked_at > limit}
+        heard = {
+            one
+            for one, progress in self._progress.items()
+            if progress.acked_round and progress.acked_at > limit
+        }
         return frozenset(heard | {self._state.member_id})
 
     def match_index(self, peer: str) -> int:
