--- a/features/steps/control_programs_steps.py
+++ b/features/steps/control_programs_steps.py
@@ -116,3 +116,65 @@
         lambda: (_shown(context.tier, context.name) or {}).get("revision") == 1,
         "the first shows the change",
     )
+
+
+def _depart(tier, name, number):
+    body = {"change_id": f"depart-{name}", "expected_revision": number, "role": "control"}
+
+    def send():
+        reply = tier.operator(tier.leader(), "POST", f"/v1/hosts/{name}/depart", body)
+        return reply is not None and reply.status not in (503, 504) and reply
+
+    return until(send, f"an answer to the departure of {name}")
+
+
+@when("{count:d} changes are made and the leading program departs and is stopped")
+def step_depart(context, count):
+    tier = context.tier
+    # Hosts announce themselves a moment after they start; before that nobody could name them.
+    everyone = ["voter"] * len(tier.controls)
+    until(lambda: list(_members(tier).values()) == everyone, "all hosts are known")
+    for number in range(count):
+        _change(tier, number)
+    context.revision = count + 1
+    context.departed = tier.leader()
+    reply = _depart(tier, context.departed, count)
+    assert (reply.status, reply.body.get("revision")) == (200, context.revision), reply
+    until(lambda: _members(tier).get(context.departed) == "outside", "it is outside")
+    tier.controls[context.departed].stop()
+
+
+def _members(tier):
+    controls = tier.ask_leader("/v1/hosts")["controls"]
+    return {one["name"]: one["state"] for one in controls}
+
+
+@then("its host is no member of the log any more, and the other {count:d} are voters")
+def step_departed(context, count):
+    members = _members(context.tier)
+    assert members.pop(context.departed) == "outside", members
+    assert list(members.values()) == ["voter"] * count, members
+
+
+@when("another control program is killed")
+def step_kill_another(context):
+    context.rules = context.tier.ask_leader("/v1/rules")
+    context.killed = context.tier.leader()
+    context.tier.controls[context.killed].kill()
+
+
+@then("the rules are as before, and {count:d} more changes are accepted")
+def step_rules_kept(context, count):
+    tier = context.tier
+    assert tier.ask_leader("/v1/rules") == context.rules
+    for _ in range(count):
+        answer = _change(tier, context.revision)
+        context.revision += 1
+        assert answer["revision"] == context.revision, answer
+
+
+@then("one more departure is refused while a host is lost")
+def step_refused_departure(context):
+    names = set(context.tier.controls) - {context.departed, context.killed}
+    reply = _depart(context.tier, min(names), context.revision)
+    assert (reply.status, reply.body.get("error")) == (409, "stop_refused"), reply
