Admission: only reported queues space out lower classes; target 1.2

Cause 1: latency above three times its floor counted as overload, and lower classes were then spaced out down to one shard request at a time. An entry that is short of processor time sees such latencies of idle servers. Change: the spacing begins only when the servers report queues; without, the limit stops at 4 shards as before. Change: queue_high 1.2 instead of 1.0. The new scenario fails on the old code.

--- a/features/core_admission.feature
+++ b/features/core_admission.feature
@@ -95,6 +95,17 @@
     When the servers answer all they get at the core for 3000 ms
     Then every query at the core has its answer
 
+  Scenario: An entry that is short of processor time does not space out lower classes
+    # Something else runs on its host, and each answer takes far longer until it is read. The servers
+    # report that nobody waits. Taken for overload, lookups would go out one by one, with pauses, and
+    # be refused for it, though the servers have room for all of them.
+    Given a core with a query under way
+    When answers report 0 waiting requests for some time
+    And answers take 400 ms longer and report that nobody waits for some time
+    And 5 queries of kind "log" and then an urgent one arrive there
+    Then no shard request at the core waits for a server
+    And the core's limit has risen above 3 shards
+
   Scenario: Canaries that are held back under overload hold the rest back as well
     # The entry holds lower classes back. A body that crashes servers must not get past its canaries
     # only because they wait longer than canaries usually take.
--- a/features/steps/core_admission_steps.py
+++ b/features/steps/core_admission_steps.py
@@ -314,17 +314,28 @@
 
 
 @when("answers report {queued:d} waiting requests for some time")
-def step_report_queue(context, queued):
+def step_report_queue(context, queued, latency=10.0):
     core = context.core
     for _ in range(400):
         for _ in range(8):
             core.arrive()
-        core.now += 10.0
+        core.now += latency
         for attempt in list(core.out):
             core.answer(attempt, load=LoadReport(2, queued))
         core.advance(0.0)
 
 
+@when("answers take {latency:d} ms longer and report that nobody waits for some time")
+def step_slow_answers(context, latency):
+    step_report_queue(context, 0, latency)
+
+
+@then("no shard request at the core waits for a server")
+def step_none_waits_for_server(context):
+    dump = context.core.core.dump(context.core.now)
+    assert dump["waiting_for_server"] == 0, dump["waiting_for_server"]
+
+
 @then("the core's limit has fallen below {limit:d} shards")
 def step_limit_below(context, limit):
     assert limit_of(context.core) < limit, limit_of(context.core)
--- a/src/alderhatch/core/admission.py
+++ b/src/alderhatch/core/admission.py
@@ -58,6 +58,8 @@
         self.waiting: SortedList = SortedList()
         self.queue = 0.0
         """A moving mean of waiting requests for each slot at the servers."""
+        self._reported = 0.0
+        """The same by the servers' reports alone."""
         self.gap: Millis = 0.0
         """A moving mean of the time between admissions while requests wait."""
         self.latency: Millis = 0.0
@@ -175,7 +177,9 @@
             self._floor *= FLOOR_RISE
         queue = self.latency / self._floor - LATENCY_SLACK
         if load is not None:
-            queue = max(queue, load.queued / slots)
+            reported = load.queued / slots
+            self._reported += QUEUE_WEIGHT * (reported - self._reported)
+            queue = max(queue, reported)
         self.queue += QUEUE_WEIGHT * (queue - self.queue if queue > 0.0 else -self.queue)
         if now - self._moved_at >= self.policy.limit_interval_ms:
             self._moved_at = now
@@ -185,8 +189,12 @@
         policy = self.policy
         backlog = self._backlog or bool(self.waiting)
         if self.queue > policy.queue_high:
-            self.pressed = True
-            self.limit = max(policy.min_limit, self.limit * policy.limit_shrink)
+            # A host that is short of processor time sees long latencies of servers that are idle.
+            # Taken for overload, it would hold lower classes back that nothing stands against,
+            # seen as refusals in the quiet hours.
+            self.pressed = self.pressed or self._reported > policy.queue_high
+            lowest = policy.min_limit if self.pressed else policy.min_urgent_limit
+            self.limit = max(lowest, self.limit * policy.limit_shrink)
         elif self.queue < policy.queue_low:
             # Held at its lowest after an overload until requests wait again, the limit would make
             # each query wait for the one before it, seen as slow answers long after the overload.
--- a/src/alderhatch/core/policy.py
+++ b/src/alderhatch/core/policy.py
@@ -70,7 +70,7 @@
     """The rest is sent after this multiple of the 95 % latency even without an answer."""
     queue_low: float = 0.6
     """Below this many waiting requests for each slot, an upstream's limit may grow."""
-    queue_high: float = 1.0
+    queue_high: float = 1.2
     """Above it the limit shrinks."""
     urgent_queue_low: float = 0.8
     """The same for the limit of urgent requests."""
--- a/src/alderhatch/core/state_dump.py
+++ b/src/alderhatch/core/state_dump.py
@@ -71,6 +71,7 @@
         "open_shards": 0 if gate is None else gate.open,
         "waiting": 0 if gate is None else len(gate.waiting),
         "server_queue": 0.0 if gate is None else round(gate.queue, 3),
+        "holds_lower_classes_back": gate is not None and gate.pressed,
         "servers": {server.server_id: _server(server, now) for server in servers},
     }
 
