Control: a number of owners is refused while an entry takes no links

Cause: an entry without `links` owns nothing and reaches no owner; with `owners_per_server` set too early it would have refused every query while the change itself looked fine. Change: the change is refused as invalid_change at settings.owners_per_server, with the entries' names.

--- a/features/control_state.feature
+++ b/features/control_state.feature
@@ -60,6 +60,20 @@
       | lift a quarantine that is not there          | not_found         | fingerprint          |
       | expect a revision that is to come            | revision_conflict | expected_revision    |
 
+  Scenario Outline: Owners are only for a tier whose entries reach each other
+    # An entry whose settings lack its links owns no connection and reaches no owner. An operator who
+    # sets the number of owners too early would see the change accepted, and its callers nothing but
+    # refusals.
+    Given entries of which "<without>" have no links in their settings
+    When the number of owners is set to <owners> there
+    Then that change is "<result>"
+
+    Examples:
+      | without | owners | result                                                       |
+      | nobody  | 2      | accepted                                                     |
+      | a2, b1  | 2      | invalid_change at settings.owners_per_server for a2, b1      |
+      | a2, b1  | 0      | accepted                                                     |
+
   Scenario: A withdrawn rule that is added again keeps its history
     Given the rules "urgent, routine" at revision 1
     When urgent is edited, withdrawn, and added again
--- a/features/steps/control_state_steps.py
+++ b/features/steps/control_state_steps.py
@@ -322,3 +322,30 @@
 @then('body "b2", reported once for s1, is not quarantined')
 def step_innocent(context):
     assert "b2" not in _look(context)
+
+
+@given('entries of which "{without}" have no links in their settings')
+def step_entries_with_links(context, without):
+    context.applier = Applier(ControlState())
+    for number, name in enumerate(("a1", "a2", "b1")):
+        port = 0 if name in without.split(", ") else 7300 + number
+        links = ("10.0.0.1", port) if port else ("", 0)
+        context.applier.one(RegisterEntry(name, "run-1", "ulven", "10.0.0.1", 8080, *links))
+
+
+@when("the number of owners is set to {owners:d} there")
+def step_set_owners(context, owners):
+    action = ChangeSettings({"owners_per_server": owners})
+    context.answer = context.applier.one(change("c-owners", 0, action))
+
+
+@then('that change is "{result}"')
+def step_owners_result(context, result):
+    answer = context.answer
+    if result == "accepted":
+        assert isinstance(answer, ChangeAccepted), answer
+        return
+    kind, field, named = result.replace(" at ", " for ").split(" for ")
+    assert (answer.kind, answer.field) == (kind, field), answer
+    assert answer.message.endswith(": " + named), answer.message
+    assert context.applier.state.settings.owners_per_server == 0
--- a/src/alderhatch/core/control/_change_application.py
+++ b/src/alderhatch/core/control/_change_application.py
@@ -39,6 +39,9 @@
 from .rule_book import Author, RuleBook
 from .tier_settings import TierSettings, merge_settings, settings_to_plain
 
+MAX_NAMED = 5
+"""Entries that a refusal names at most."""
+
 
 class ChangeableState(Protocol):
     """The part of the state that operators change."""
@@ -118,12 +121,26 @@
     settings = merge_settings(state.settings, fields)
     if settings == state.settings:
         return ChangeOutcome(False, target, "changed no setting")
+    if settings.owners_per_server not in (0, state.settings.owners_per_server):
+        _check_links(state.hosts)
     state.settings = settings
     values = ", ".join(f"{name} = {getattr(settings, name)}" for name in sorted(fields))
     patch = SettingsPatch(settings_to_plain(settings))
     return ChangeOutcome(True, target, f"set {values}", (patch,))
 
 
+def _check_links(hosts: HostTable) -> None:
+    # An entry without links owns nothing and reaches no owner. Once others go by owners it would
+    # refuse every query, seen only by its callers, as the change itself went well.
+    without = sorted(name for name, entry in hosts.entries.items() if not entry.link_port)
+    if not without:
+        return
+    named = ", ".join(without[:MAX_NAMED])
+    message = f"{len(without)} entries have no links in their settings: {named}"
+    field = "settings.owners_per_server"
+    raise AlderhatchError(Failure(ErrorKind.INVALID_CHANGE, message, field))
+
+
 def _lift(state: ChangeableState, fingerprint: str) -> ChangeOutcome:
     if not state.crashes.lift(fingerprint):
         failure = Failure(ErrorKind.NOT_FOUND, f"{fingerprint!r} is not quarantined", "fingerprint")
