Admission: lower classes are held back only for urgent requests that come

Change: holding back needs an urgent request within the last second and more than 2.0 reported waiting for each slot to begin; without it the limits and targets are those of before the pacer. Tests: a scenario that fails on the old code.

--- a/features/core_admission.feature
+++ b/features/core_admission.feature
@@ -88,13 +88,22 @@
     # Servers have one queue for all. Filled by lookups that the entry had let through, it made every
     # conflict check wait for some of its shards, and so the whole answer.
     Given a core with a query under way
-    When answers report 6 waiting requests for some time
+    When answers report 12 waiting requests while urgent ones come
     And 5 queries of kind "log" and then an urgent one arrive there
     Then at most 1 shard request of kind "log" is out for each shard
     And every shard request of the urgent one is out
     When the servers answer all they get at the core for 3000 ms
     Then every query at the core has its answer
 
+  Scenario: With nobody urgent about nobody is held back
+    # A zone is lost and the servers left have all the work. They can do it, with queues for a while.
+    # Held back for urgent requests that never come, queries would be refused in plenty.
+    Given a core with a query under way
+    When answers report 6 waiting requests for some time
+    And 5 queries of kind "log" arrive there
+    Then no shard request at the core waits for a server
+    And the core's limit has risen above 3 shards
+
   Scenario: An entry that is short of processor time does not space out lower classes
     # Something else runs on its host, and each answer takes far longer until it is read. The servers
     # report that nobody waits. Taken for overload, lookups would go out one by one, with pauses, and
@@ -110,7 +119,7 @@
     # The entry holds lower classes back. A body that crashes servers must not get past its canaries
     # only because they wait longer than canaries usually take.
     Given a core with canaries and 20 shards
-    When answers report 6 waiting requests for some time
+    When answers report 12 waiting requests while urgent ones come
     And 5 queries of kind "log" and then an urgent one arrive there
     And the servers answer nothing until one of kind "log" is sent
     Then of the 5 bodies no more than 2 shard requests each are out or wait for a server
--- a/src/alderhatch/core/admission.py
+++ b/src/alderhatch/core/admission.py
@@ -21,6 +21,9 @@
 LATENCY_SLACK = 3.0
 """Latency above this multiple of the lowest counts as a queue, whatever the report says."""
 MIN_RETRY_AFTER: Millis = 50.0
+NEVER: Millis = float("-inf")
+URGENT_REMEMBERED: Millis = SECOND
+"""How long after an urgent request lower classes make room for the next one."""
 MOST = 4.0
 """A limit grows to this multiple of the slots at most."""
 
@@ -66,6 +69,8 @@
         """A moving mean of the shard requests' latencies."""
         self.pressed = False
         """Whether there was overload lately, so that lower classes are held back."""
+        self._urgent_at: Millis = NEVER
+        """When an urgent request was last admitted."""
         self._floor = 0.0
         self._last_admission: Millis = 0.0
         self._moved_at: Millis = 0.0
@@ -104,6 +109,7 @@
         self.open += units
         if run.rank == 0:
             self.open_urgent += units
+            self._urgent_at = now
         rule = run.rule.name
         self.open_by_rule[rule] = self.open_by_rule.get(rule, 0) + units
         if self.waiting:
@@ -183,19 +189,30 @@
         self.queue += QUEUE_WEIGHT * (queue - self.queue if queue > 0.0 else -self.queue)
         if now - self._moved_at >= self.policy.limit_interval_ms:
             self._moved_at = now
-            self._move()
+            self._move(now)
+
+    def _move(self, now: Millis) -> None:
+        # With nobody urgent about, whoever is held back is held back for nobody, seen as queries
+        # refused after the loss of a zone though the servers left could have run them.
+        urgent = now - self._urgent_at < URGENT_REMEMBERED
+        self.pressed = urgent and (self.pressed or self._reported > self.policy.overload_queue)
+        self._move_lower()
+        self._move_urgent()
+        self._backlog = bool(self.waiting)
 
-    def _move(self) -> None:
+    def _move_lower(self) -> None:
         policy = self.policy
         backlog = self._backlog or bool(self.waiting)
-        if self.queue > policy.queue_high:
+        low, high = policy.queue_low, policy.queue_high
+        if self.pressed:
+            low, high = policy.lower_queue_low, policy.lower_queue_high
+        if self.queue > high:
             # A host that is short of processor time sees long latencies of servers that are idle.
             # Taken for overload, it would hold lower classes back that nothing stands against,
             # seen as refusals in the quiet hours.
-            self.pressed = self.pressed or self._reported > policy.queue_high
-            lowest = policy.min_limit if self.pressed else policy.min_urgent_limit
+            lowest = policy.min_lower_limit if self.pressed else policy.min_limit
             self.limit = max(lowest, self.limit * policy.limit_shrink)
-        elif self.queue < policy.queue_low:
+        elif self.queue < low:
             # Held at its lowest after an overload until requests wait again, the limit would make
             # each query wait for the one before it, seen as slow answers long after the overload.
             if backlog or self.limit < self.slots:
@@ -204,16 +221,14 @@
             # through what is held back, seen as urgent queries that take twice their time.
             if not backlog and self.limit >= self.slots:
                 self.pressed = False
-        self._move_urgent()
-        self._backlog = bool(self.waiting)
 
     def _move_urgent(self) -> None:
         policy = self.policy
-        if self.queue > policy.urgent_queue_high:
-            if self.limit <= policy.min_limit:
+        if self.queue > policy.queue_high:
+            if self.limit <= policy.min_lower_limit:
                 shrunk = self.urgent_limit * policy.limit_shrink
-                self.urgent_limit = max(policy.min_urgent_limit, shrunk)
-        elif self.queue < policy.urgent_queue_low:
+                self.urgent_limit = max(policy.min_limit, shrunk)
+        elif self.queue < policy.queue_low:
             waits = bool(self.waiting) and self.waiting[0].rank == 0
             if waits or self.urgent_limit < self.slots:
                 self.urgent_limit = self._grown(self.urgent_limit)
--- a/src/alderhatch/core/policy.py
+++ b/src/alderhatch/core/policy.py
@@ -68,20 +68,24 @@
     """Each canary is the one expected soonest out of this many shards drawn by chance."""
     canary_patience: float = 1.0
     """The rest is sent after this multiple of the 95 % latency even without an answer."""
-    queue_low: float = 0.6
-    """Below this many waiting requests for each slot, an upstream's limit may grow."""
-    queue_high: float = 1.2
-    """Above it the limit shrinks."""
-    urgent_queue_low: float = 0.8
-    """The same for the limit of urgent requests."""
-    urgent_queue_high: float = 2.0
+    queue_low: float = 0.8
+    """Below this many waiting requests for each slot, an upstream's limits may grow."""
+    queue_high: float = 2.0
+    """Above it the limits shrink."""
+    overload_queue: float = 2.0
+    """Above this many reported by the servers, lower classes are held back for urgent requests."""
+    lower_queue_low: float = 0.6
+    """The same as the first for the limit of lower classes while they are held back."""
+    lower_queue_high: float = 1.2
     limit_interval_ms: Millis = 50.0
     """How often the limit is moved at most."""
     limit_shrink: float = 0.9
     limit_grow: float = 1.05
-    min_limit: float = 1.0
-    """The least that lower classes may hold; below the slots of a shard they are spaced out."""
-    min_urgent_limit: float = 4.0
+    min_limit: float = 4.0
+    """The least that a limit falls to."""
+    min_lower_limit: float = 1.0
+    """The same for lower classes that are held back for urgent requests; below the slots of a shard
+    they are spaced out."""
     queue: int = 256
     """Requests that wait for admission at one entry."""
     max_wait_share: float = 0.3
