--- a/features/owners.feature
+++ b/features/owners.feature
@@ -9,6 +9,7 @@
     Then each of them was answered whole and right
     And each server of the upstream has connections of <owners> entries and none too many
     And some shard requests went through owners
+    And the entries' dumps show the links that were used
 
     Examples:
       | owners |
--- a/features/steps/owners_steps.py
+++ b/features/steps/owners_steps.py
@@ -2,6 +2,7 @@
 
 from functools import partial
 
+import orjson
 import trio
 from behave import given, then, when
 
@@ -9,8 +10,10 @@
 from alderhatch.codec import Codec
 from alderhatch.core.entry_events import SendShard
 from alderhatch.core.request import Request
-from alderhatch.entry.owner_client import OwnerCallError
+from alderhatch.entry.operator_side import OperatorSide
+from alderhatch.entry.owner_link import OwnerCallError
 from alderhatch.entry.owner_messages import ENTRY_ROLE, OWNER_MESSAGES
+from alderhatch.http.messages import HttpRequest
 from alderhatch.link import LinkClosedError, Peer, open_link
 from features.entry_world import LOOPBACK, ZONES, world
 from features.steps.entry_connections_steps import step_limit_kept
@@ -89,6 +92,29 @@
     assert sum(entry.owners.traffic.messages for entry in world(context).entries) > 0
 
 
+@then("the entries' dumps show the links that were used")
+def step_dumps(context):
+    here = world(context)
+    get = HttpRequest("GET", "/dump", {}, {}, b"")
+
+    async def links_shown():
+        answers = [await OperatorSide(entry).handle(get) for entry in here.entries]
+        links = [orjson.loads(answer.body)["links"] for answer in answers]
+        return dict(zip((entry.cfg.name for entry in here.entries), links, strict=True))
+
+    async def both_ends_shown():
+        # A link is open at the end that dialled it a moment before the other one knows.
+        while True:
+            shown = await links_shown()
+            dialled = {(name, to) for name, links in shown.items() for to in links["to_owners"]}
+            taken = {(who, name) for name, links in shown.items() for who in links["from_entries"]}
+            if dialled and dialled <= taken:
+                return
+            await trio.sleep(0.02)
+
+    here.call(both_ends_shown)
+
+
 @when("the number of owners is changed to {first:d}, then to {second:d}, then to {third:d}")
 def step_change(context, first, second, third):
     here = world(context)
--- a/src/alderhatch/entry/operator_side.py
+++ b/src/alderhatch/entry/operator_side.py
@@ -77,10 +77,22 @@
             "counts": self._counts(),
             "maps": [self._map_line(poller.upstream) for poller in node.maps],
             "servers": self._server_lines(),
+            "links": self._links(),
             "core": node.core.dump(trio.current_time() * SECOND),
             "roster": [item._asdict() for item in node.addresses.roster[:MAX_SHOWN]],
         }
 
+    def _links(self) -> dict[str, object] | None:
+        """Return the links with other entries, or None if this one takes none."""
+        owners, server = self._node.owners, self._node.owner_server
+        if owners is None or server is None:
+            return None
+        return {
+            "to_owners": dict(sorted(owners.open_links.items())[:MAX_SHOWN]),
+            "from_entries": sorted(link.peer.name for link in server.links)[:MAX_SHOWN],
+            "shard_requests_of_others": server.running,
+        }
+
     def _map_line(self, upstream: str) -> dict[str, object]:
         shard_map = next(item.newest for item in self._node.maps if item.upstream == upstream)
         if shard_map is None:
--- a/src/alderhatch/entry/owner_client.py
+++ b/src/alderhatch/entry/owner_client.py
@@ -115,6 +115,11 @@
             sum(link.received_bytes for _, link in links),
         )
 
+    @property
+    def open_links(self) -> dict[str, int]:
+        """The owners that links are open to, with the calls that have no answer yet."""
+        return {name: one.in_flight for name, one in self._links.items() if one.link is not None}
+
     async def exchange(self, send: SendShard, deadline: Millis) -> HttpReply:
         """Send a shard request through an owner of its server.
 
