Bench: the real entry over loopback against a naive fan-out, with faults at the servers

Cause: the policy was measured on the virtual clock only; whether the sockets, the pool and the one loop give it back was not shown. Change: make bench-policy-loopback, bounded in queries and time, on ports chosen by the kernel.

--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 
 # Benchmarks; each closes with its goals.
 
-.PHONY: bench-capacity bench-control bench-control-log bench-entry bench-owners bench-policy
+.PHONY: bench-capacity bench-control bench-control-log bench-entry bench-owners bench-policy bench-policy-loopback
 .PHONY: policy-plots
 
 bench-capacity: $(DEV_OK)
@@ -70,6 +70,10 @@
 bench-policy: $(DEV_OK)
 	PYTHONPATH=src:. $(PY) -m bench.policy
 
+# The real entry over loopback against a naive fan-out, with faults at the servers; some minutes.
+bench-policy-loopback: $(RUNTIME_OK)
+	PYTHONPATH=src:. $(PY) -m bench.policy_loopback
+
 # The plots of docs/MEASUREMENTS.md, from a run of the bench.
 policy-plots: $(DEV_OK)
 	mkdir -p build
