Tests of processes: ports of one tier are all different; a missing leader shows the logs

Ports were chosen and let go one by one, and the kernel may give one of them twice; two hosts on one port never become a tier. Change: all ports of a tier are chosen at once; a missing leader is shown with every program's log.

--- a/features/support/tier.py
+++ b/features/support/tier.py
@@ -39,10 +39,15 @@
     return f"127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}.{1 + number % 250}"
 
 
-def free_port(address):
-    with socket.socket() as sock:
+def free_ports(address, count):
+    """Different ports that the kernel chose; let go one by one, it could give one of them twice."""
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
         sock.bind((address, 0))
-        return sock.getsockname()[1]
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
 
 
 def until(check, what):
@@ -168,8 +173,9 @@
         self.folder = Path(self._folder.name)
         self.address = own_loopback_address()
         self.upstream = UpstreamThread(shards, servers, median_ms)
-        self.control_ports = self._ports("control", controls)
-        self.entry_ports = self._ports("entry", entries)
+        ports = iter(free_ports(self.address, 2 * (controls + entries)))
+        self.control_ports = self._pairs("control", controls, ports)
+        self.entry_ports = self._pairs("entry", entries, ports)
         self._changes = itertools.count(1)
         shutil.copy("examples/brazos/rules.toml", self.folder / "rules.toml")
         self._private("secret", SECRET)
@@ -178,9 +184,9 @@
         self.controls = {name: self._control(name) for name in self.control_ports}
         self.entries = {name: self._entry(name) for name in self.entry_ports}
 
-    def _ports(self, role, count):
+    def _pairs(self, role, count, ports):
         names = [f"{role}-{number + 1}" for number in range(count)]
-        return {name: (free_port(self.address), free_port(self.address)) for name in names}
+        return {name: (next(ports), next(ports)) for name in names}
 
     def _private(self, name, text):
         path = self.folder / name
@@ -286,7 +292,10 @@
                     return name
             return None
 
-        return until(find, "a leader")
+        try:
+            return until(find, "a leader")
+        except AssertionError as exc:
+            raise AssertionError(f"{exc}\n{self.logs()}") from exc
 
     def ask_leader(self, path):
         """What the leader answers; another one is asked if it just lost the lead."""
