One piece of code where two stood: registrations, the programs' start, the tests' loop; dead methods go

Cause: the whole change was read once more for logic that stands twice. A renewal was turned into its registration in three places by slices of its fields, the entry's renewal by two more; the two long-running programs repeated their options and the check of settings; two test worlds each started a trio loop in a thread. control_joined and leader_lease_until had no caller. Change: Renewal.registration(), fields by name; run_by_settings with the options in cli/program.py; LoopThread in features/support. No behaviour, bound or assertion changes.

--- a/features/entry_world.py
+++ b/features/entry_world.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import tempfile
-import threading
 from functools import partial
 
 import orjson
@@ -21,6 +20,7 @@
 from alderhatch.standin.standin_server import ServiceTime, UpstreamShape
 from alderhatch.standin.standin_upstream import StandinUpstream
 from features.support.control_tier import LEASE, SECRET, ControlTier
+from features.support.loop_thread import LoopThread
 
 LOOPBACK = "127.0.0.1"
 NOWHERE = Endpoint(address=LOOPBACK, port=0)
@@ -42,28 +42,18 @@
         self.rule = {"deadline_ms": 3000, "retries": 2}
         self.settings = {}
         self.replies = []
-        self._ready = threading.Event()
-        self._thread = threading.Thread(target=trio.run, args=(self._main,))
-        self._thread.start()
-        self._ready.wait()
-
-    async def _main(self):
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            self._token = trio.lowlevel.current_trio_token()
-            self._ready.set()
-            await trio.sleep_forever()
+        self._loop = LoopThread()
+        self._nursery = self._loop.nursery
 
     def call(self, function, *args):
         async def patiently():
             with trio.fail_after(PATIENCE_S):
                 return await function(*args)
 
-        return trio.from_thread.run(patiently, trio_token=self._token)
+        return self._loop.call(patiently)
 
     def close(self):
-        trio.from_thread.run_sync(self._nursery.cancel_scope.cancel, trio_token=self._token)
-        self._thread.join()
+        self._loop.close()
         if self._folder is not None:
             self._folder.cleanup()
 
--- a/features/support/lease_model.py
+++ b/features/support/lease_model.py
@@ -14,7 +14,7 @@
 from alderhatch.core.control.entry_lease import EntryIdentity, EntryLease
 from alderhatch.core.control.lease_messages import GrantReply
 from alderhatch.core.control.lease_table import LeaseTable
-from alderhatch.core.control.operations import EntryKey, RegisterEntry, RemoveEntries
+from alderhatch.core.control.operations import EntryKey, RemoveEntries
 from alderhatch.core.control.roster import plan_of_hosts
 from alderhatch.core.shard_map import Server
 
@@ -96,8 +96,7 @@
         if grant is None:
             return
         if grant.lease <= 0:
-            links = (renewal.link_address, renewal.link_port)
-            self.applier.one(RegisterEntry(*renewal[1:6], *links))
+            self.applier.one(renewal.registration())
             self._sync()
         updates = self.state.updates_since(renewal.version)
         self.replies.append((entry, GrantReply(self.term, grant, updates)))
--- a/features/support/lease_weather.py
+++ b/features/support/lease_weather.py
@@ -12,7 +12,7 @@
 from random import Random
 
 from alderhatch.core.control.lease_messages import GrantReply
-from alderhatch.core.control.operations import RegisterEntry, RemoveEntries
+from alderhatch.core.control.operations import RemoveEntries
 
 from .lease_model import LEASE, SERVERS, LeaseModel, ModelEntry
 
@@ -98,8 +98,7 @@
         if grant is None:
             return
         if grant.lease <= 0 and self.entries.get(number) is entry:
-            links = (renewal.link_address, renewal.link_port)
-            self.applier.one(RegisterEntry(*renewal[1:6], *links))
+            self.applier.one(renewal.registration())
             self._sync()
         updates = self.state.updates_since(renewal.version)
         if self.random.random() < CUT_SHORT:
--- a/features/support/tier.py
+++ b/features/support/tier.py
@@ -11,15 +11,13 @@
 import subprocess
 import sys
 import tempfile
-import threading
 import time
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 
-import trio
-
 from alderhatch.standin.standin_server import ServiceTime, UpstreamShape
 from alderhatch.standin.standin_upstream import StandinUpstream
+from features.support.loop_thread import LoopThread
 
 PATIENCE_S = 60
 CHANGE_KEY = "change-key-of-the-tests-0123456789"
@@ -90,18 +88,8 @@
     def __init__(self, shards, servers, median_ms):
         shape = UpstreamShape("navigator", shards, servers, 4, 60, 0.0)
         self.upstream = StandinUpstream(shape, ZONES, service_time=ServiceTime(median_ms, 0.0, 0.0))
-        self._ready = threading.Event()
-        self._thread = threading.Thread(target=trio.run, args=(self._main,))
-        self._thread.start()
-        self._ready.wait()
-
-    async def _main(self):
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            self._token = trio.lowlevel.current_trio_token()
-            await nursery.start(self.upstream.serve)
-            self._ready.set()
-            await trio.sleep_forever()
+        self._loop = LoopThread()
+        self._loop.call(self._loop.nursery.start, self.upstream.serve)
 
     @property
     def seed_port(self):
@@ -111,8 +99,7 @@
         return [item for item in list(self.upstream.runs) if item[0] == request_id]
 
     def close(self):
-        self._token.run_sync_soon(self._nursery.cancel_scope.cancel)
-        self._thread.join()
+        self._loop.close()
 
 
 class Program:
--- a/src/alderhatch/cli/control.py
+++ b/src/alderhatch/cli/control.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
-from typing import Annotated
-
 import typer
 
 from ..control.app import run_control
 from ..settings.loader import load_control
-from .exit_codes import ExitCode
-from .program import LogLevel, SettingsArgument, exit_code_help, load_or_exit, run_program
+from .program import (
+    CheckOption,
+    LogLevel,
+    LogLevelOption,
+    SettingsArgument,
+    exit_code_help,
+    run_by_settings,
+)
 
 PROGRAM = "alderhatch-control"
 
@@ -26,17 +30,13 @@
     """)
 def control(
     settings: SettingsArgument,
-    check: Annotated[
-        bool, typer.Option("--check", help="Check the settings and their files, and exit.")
-    ] = False,
-    log_level: Annotated[LogLevel, typer.Option(help="The lowest level logged.")] = LogLevel.INFO,
+    check: CheckOption = False,
+    log_level: LogLevelOption = LogLevel.INFO,
 ) -> None:
     """Run one control host."""
-    cfg = load_or_exit(load_control, settings)
-    if check:
-        typer.echo(f"{settings}: no mistakes")
-        raise typer.Exit(ExitCode.OK)
-    raise typer.Exit(run_program(PROGRAM, log_level, lambda: run_control(cfg)))
+    raise typer.Exit(
+        run_by_settings(PROGRAM, load_control, settings, check, log_level, run_control)
+    )
 
 
 def main() -> None:
--- a/src/alderhatch/cli/entry.py
+++ b/src/alderhatch/cli/entry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Annotated
 
 import typer
 
@@ -11,8 +10,14 @@
 from ..settings.declaration import load_declaration
 from ..settings.loader import load_entry
 from ..settings.models import EntrySettings
-from .exit_codes import ExitCode
-from .program import LogLevel, SettingsArgument, exit_code_help, load_or_exit, run_program
+from .program import (
+    CheckOption,
+    LogLevel,
+    LogLevelOption,
+    SettingsArgument,
+    exit_code_help,
+    run_by_settings,
+)
 
 PROGRAM = "alderhatch-entry"
 
@@ -31,17 +36,12 @@
     """)
 def entry(
     settings: SettingsArgument,
-    check: Annotated[
-        bool, typer.Option("--check", help="Check the settings and their files, and exit.")
-    ] = False,
-    log_level: Annotated[LogLevel, typer.Option(help="The lowest level logged.")] = LogLevel.INFO,
+    check: CheckOption = False,
+    log_level: LogLevelOption = LogLevel.INFO,
 ) -> None:
     """Run one entry."""
-    cfg = load_or_exit(_load, settings)
-    if check:
-        typer.echo(f"{settings}: no mistakes")
-        raise typer.Exit(ExitCode.OK)
-    raise typer.Exit(run_program(PROGRAM, log_level, lambda: run_entry(cfg)))
+    code = run_by_settings(PROGRAM, _load, settings, check, log_level, run_entry)
+    raise typer.Exit(code)
 
 
 def _load(path: Path) -> EntrySettings:
--- a/src/alderhatch/cli/program.py
+++ b/src/alderhatch/cli/program.py
@@ -27,6 +27,11 @@
 ]
 
 
+CheckOption = Annotated[
+    bool, typer.Option("--check", help="Check the settings and their files, and exit.")
+]
+
+
 class LogLevel(StrEnum):
     """The lowest level of events that is logged."""
 
@@ -36,6 +41,9 @@
     ERROR = "error"
 
 
+LogLevelOption = Annotated[LogLevel, typer.Option(help="The lowest level logged.")]
+
+
 def exit_code_help() -> str:
     """Return the table of exit codes for a help text."""
     lines = [f"  {code.value:2}  {code.meaning}" for code in ExitCode]
@@ -56,6 +64,37 @@
         raise typer.Exit(ExitCode.INVALID) from exc
 
 
+def run_by_settings(
+    program: str,
+    load: Callable[[Path], _Settings],
+    path: Path,
+    check: bool,
+    level: LogLevel,
+    run: Callable[[_Settings], Awaitable[None]],
+) -> ExitCode:
+    """Load a program's settings, and run it by them unless they are only to be checked.
+
+    Args:
+        program: The program's name, for its log lines.
+        load: Reads and checks the settings.
+        path: Their file.
+        check: Whether to end once they were checked.
+        level: The lowest level that is logged.
+        run: The main task.
+
+    Returns:
+        The program's exit code.
+
+    Raises:
+        typer.Exit: If the file has mistakes.
+    """
+    cfg = load_or_exit(load, path)
+    if check:
+        typer.echo(f"{path}: no mistakes")
+        return ExitCode.OK
+    return run_program(program, level, lambda: run(cfg))
+
+
 def run_program(
     program: str,
     level: LogLevel,
--- a/src/alderhatch/control/leadership.py
+++ b/src/alderhatch/control/leadership.py
@@ -112,8 +112,7 @@
         key = EntryKey(renewal.name, renewal.incarnation)
         if key not in self._registering:
             self._registering.add(key)
-            links = (renewal.link_address, renewal.link_port)
-            start(RegisterEntry(*renewal[1:6], *links))
+            start(renewal.registration())
         return grant
 
     async def register(self, entry: RegisterEntry) -> None:
--- a/src/alderhatch/control/log_node.py
+++ b/src/alderhatch/control/log_node.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from ..clock import SECOND, LoopClock, Millis
+from ..clock import SECOND, LoopClock
 from ..core.raft.effects import Role
 from ..core.raft.events import (
     Proposal,
@@ -197,17 +197,6 @@
         """The newest term that this host has seen."""
         return self._driver.node.term
 
-    def leader_lease_until(self, now: Millis) -> Millis:
-        """Return until when no other host can have become leader.
-
-        Args:
-            now: The loop's time.
-
-        Returns:
-            A point in time; this host has no lease if it is not after ``now``.
-        """
-        return self._driver.node.lease_until(now)
-
     def holds_lease(self) -> bool:
         """Return whether this host certainly is the only leader at this moment."""
         now = self._clock.now()
--- a/src/alderhatch/core/control/entry_lease.py
+++ b/src/alderhatch/core/control/entry_lease.py
@@ -135,15 +135,13 @@
         self._reported_share = self._held
         self._reported_version = self.view.version
         version = NO_VERSION if self._whole_wanted else self.view.version
-        held = self._held
         return Renewal(
-            self._sequence,
-            *self._me[:5],
-            version,
-            held.divisor,
-            not self._leaving,
-            held.plans,
-            *self._me[5:],
+            sequence=self._sequence,
+            version=version,
+            share=self._held.divisor,
+            wants_share=not self._leaving,
+            plans=self._held.plans,
+            **self._me._asdict(),
         )
 
     def take(self, reply: GrantReply, now: Millis) -> Taken:
--- a/src/alderhatch/core/control/host_table.py
+++ b/src/alderhatch/core/control/host_table.py
@@ -117,11 +117,6 @@
         self.controls[control.name] = record
         return record != known
 
-    def control_joined(self, name: str) -> None:
-        """Note that a replacement votes now."""
-        record = self.controls[name]
-        self.controls[name] = record._replace(joins_for="")
-
     def plan_stop(self, action: PlanStop, quorum: Quorum) -> bool:
         """Plan a stop; return whether that changes anything.
 
--- a/src/alderhatch/core/control/lease_messages.py
+++ b/src/alderhatch/core/control/lease_messages.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from ...clock import Millis
+from .operations import RegisterEntry
 
 
 class Renewal(NamedTuple):
@@ -29,6 +30,18 @@
     link_port: int = 0
     """Where it takes links of other entries; 0 if it takes none."""
 
+    def registration(self) -> RegisterEntry:
+        """Return what puts the process that asks on the log."""
+        return RegisterEntry(
+            self.name,
+            self.incarnation,
+            self.zone,
+            self.address,
+            self.port,
+            self.link_address,
+            self.link_port,
+        )
+
 
 class Grant(NamedTuple):
     """The leader's answer to one renewal, without the state that goes with it."""
