--- a/src/alderhatch/control/log_node.py
+++ b/src/alderhatch/control/log_node.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 from random import Random
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -14,9 +15,9 @@
     Propose,
     ReadBarrier,
 )
+from ..core.raft.membership import Membership
 from ..errors import AlderhatchError, ErrorKind, Failure
 from ..link import Link, Peer
-from ..settings.models import NamedEndpoint
 from ..storage.data_folder import DataFolder
 from ._log_driver import LogDriver, RoleCallback
 from ._log_founding import LogFounding
@@ -27,6 +28,9 @@
 from .log_node_config import LogNodeConfig
 from .replicated_log import LogStatus, StateMachine
 
+if TYPE_CHECKING:
+    from ..settings.models import NamedEndpoint
+
 
 class LogNode:
     """The replicated log as one control host takes part in it."""
@@ -215,6 +219,11 @@
         """Return what this host knows of the log now."""
         return self._driver.status()
 
+    @property
+    def membership(self) -> Membership:
+        """The newest membership in this host's log."""
+        return self._driver.node.membership
+
     # Membership
 
     def caught_up(self, name: str) -> bool:
--- a/src/alderhatch/core/dispatcher.py
+++ b/src/alderhatch/core/dispatcher.py
@@ -219,7 +219,7 @@
                 server.saw_shed(retry_after, core.now)
                 span = server.shed_until - core.now
                 attempt.run.retry_after = max(attempt.run.retry_after or 0.0, span)
-            case AttemptFault.DRAINING:
+            case AttemptFault.DRAINING | AttemptFault.MOVED:
                 server.saw_draining(core.now)
             case AttemptFault.SILENT:
                 self._silent(attempt)
--- a/src/alderhatch/core/entry_events.py
+++ b/src/alderhatch/core/entry_events.py
@@ -32,6 +32,8 @@
     """The server refused it and says that it did not run."""
     DRAINING = "draining"
     """The server is leaving and refused it; it did not run."""
+    MOVED = "moved"
+    """Another server has taken the address and refused it; it did not run."""
     VERSION_GONE = "version_gone"
     """The server no longer holds the pinned snapshot; it did not run."""
     REFUSED = "refused"
--- /dev/null
+++ b/src/alderhatch/core/forwarding/forward_run.py
@@ -0,0 +1,346 @@
+"""One forwarded request from its arrival to its outcome, as a state machine without I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from itertools import count
+from typing import NamedTuple, TypeAlias
+
+from ...clock import Millis
+from ..entry_events import AttemptFault
+from ..run import NOT_RUN_FAULTS
+from .route import AllShards, Route
+from .shard_state import Sent, ShardState
+from .target_table import Target, TargetTable
+
+FOREVER: Millis = float("inf")
+SCATTER_HEDGE_QUANTILE = 0.9
+"""A part that is later than this share of the upstream's answers is asked for again elsewhere."""
+SINGLE_HEDGE_QUANTILE = 0.95
+"""The same for requests to one server, whose work differs more from one to the next."""
+MIN_HEDGE_DELAY: Millis = 8.0
+MAX_SENDS = 4
+"""Requests for one shard, refused ones included; more would only add to an overload."""
+LOOK_AGAIN: Millis = 25.0
+"""How soon a shard without a usable server is looked at again."""
+REFUSED_PAUSE: Millis = 30.0
+"""How long a server that refused this request is left alone by it."""
+DEFAULT_RETRY_AFTER: Millis = 250.0
+
+
+class RunTimes(NamedTuple):
+    """The points in time that a request is bound by."""
+
+    arrived: Millis
+    answer_by: Millis
+    """When an answer has to leave to have its full value."""
+    deadline: Millis
+    """When the caller has to have its final answer."""
+
+
+class Send(NamedTuple):
+    """Send the request to a server."""
+
+    attempt: int
+    target: Target
+    upstream: str
+
+
+class Cancel(NamedTuple):
+    """Nothing of this attempt is wanted any more."""
+
+    attempt: int
+
+
+class FailureReason(StrEnum):
+    """Why a request came to no answer."""
+
+    NO_SERVER = "no_server"
+    """No server of the upstream, or of too many shards, could be asked."""
+    REFUSED = "refused"
+    """Every server that was asked refused it."""
+    FAILED = "failed"
+    """Servers failed, or connections broke."""
+    TIMEOUT = "timeout"
+    """No answer came in time."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """There is an answer for the caller."""
+
+    parts: dict[str, object]
+    """The shards' answers by their upstreams."""
+    missing: int
+    """How many shards are left out."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """No server began to work on the request, and none will."""
+
+    reason: FailureReason
+    retry_after: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """The request may have run, and there is no answer that counts."""
+
+    reason: FailureReason
+    answer: object = None
+    """A server's own word that it failed, if it gave one."""
+
+
+Outcome: TypeAlias = Answered | NotRun | Failed
+
+
+class Finish(NamedTuple):
+    """The request is over."""
+
+    outcome: Outcome
+
+
+Effect: TypeAlias = Send | Cancel | Finish
+
+_attempts = count(1)
+
+
+class ForwardRun:
+    """Decides which servers are asked, when again, and when the answer is good enough.
+
+    A request to one server is a request with a single shard. What is sent beyond the first request
+    for a shard is taken out of the upstream's budget, except after a request that never left.
+
+    Args:
+        route: How the operator wants it treated.
+        upstreams: The shards, or the one upstream chosen for it.
+        times: What it is bound by.
+        table: The servers.
+    """
+
+    def __init__(
+        self, route: Route, upstreams: tuple[str, ...], times: RunTimes, table: TargetTable
+    ) -> None:
+        self.route = route
+        self.times = times
+        self.shards = {name: ShardState(name) for name in upstreams}
+        self.finished = False
+        self.hedges = 0
+        """Requests sent beside one that is still out."""
+        self.retries = 0
+        """Requests sent after one that came to nothing."""
+        self._table = table
+        self._shard_of: dict[int, ShardState] = {}
+        self._effects: list[Effect] = []
+        self._is_scatter = isinstance(route.destination, AllShards)
+        destination = route.destination
+        coverage = destination.min_coverage if isinstance(destination, AllShards) else 1.0
+        self._least = least_parts(len(upstreams), coverage)
+
+    # Events
+
+    def start(self, now: Millis) -> list[Effect]:
+        """Send the first requests, or refuse what can't be served at all."""
+        servable = sum(1 for name in self.shards if self._table.usable(name, now))
+        if servable < self._least:
+            self._finish(NotRun(FailureReason.NO_SERVER, DEFAULT_RETRY_AFTER))
+            return self._flush()
+        for shard in self.shards.values():
+            self._table.count_first(shard.upstream, now)
+            self._send(shard, now, extra=False)
+        self._settle(now)
+        return self._flush()
+
+    def on_answer(self, attempt: int, answer: object, now: Millis) -> list[Effect]:
+        """Take a server's answer that counts."""
+        shard = self._take(attempt)
+        if shard is not None and shard.open:
+            shard.part = answer
+            for other in shard.out:
+                self._effects.append(Cancel(other))
+        self._settle(now)
+        return self._flush()
+
+    def on_fault(
+        self, attempt: int, fault: AttemptFault, answer: object, now: Millis
+    ) -> list[Effect]:
+        """Take an attempt that came to nothing.
+
+        Args:
+            attempt: Its number.
+            fault: How it failed.
+            answer: The server's own word that it failed, or None.
+            now: The time.
+        """
+        sent = self._peek(attempt)
+        shard = self._take(attempt)
+        if shard is None or sent is None:
+            return self._flush()
+        if answer is not None:
+            shard.failure = answer
+        if fault in NOT_RUN_FAULTS:
+            shard.refused_by[sent.target.server_id] = now
+            shard.may_have_run.discard(sent.target.server_id)
+        if shard.open and not shard.out:
+            self._try_again(shard, fault, now)
+        self._settle(now)
+        return self._flush()
+
+    def on_time(self, now: Millis) -> list[Effect]:
+        """Do what is due by now."""
+        if now >= self.times.deadline:
+            self._finish(self._outcome_without_answer(FailureReason.TIMEOUT))
+            return self._flush()
+        for shard in self.shards.values():
+            if not shard.open:
+                continue
+            if shard.waits_until is not None and now >= shard.waits_until:
+                shard.waits_until = None
+                self._send(shard, now, extra=shard.sends > 0)
+            elif self._hedge_due(shard) <= now:
+                self._hedge(shard, now)
+        self._settle(now)
+        return self._flush()
+
+    @property
+    def next_wake(self) -> Millis:
+        """When ``on_time`` is to be called next."""
+        due = self.times.deadline
+        if self._parts_in >= self._least:
+            due = min(due, self.times.answer_by)
+        for shard in self.shards.values():
+            if shard.open:
+                due = min(due, self._hedge_due(shard), shard.waits_until or FOREVER)
+        return due
+
+    # Sending
+
+    def _send(self, shard: ShardState, now: Millis, extra: bool) -> bool:
+        target = self._table.choose(shard.upstream, self._excluded(shard, now), now)
+        if target is None and shard.may_have_run and not shard.out:
+            # Nobody else can be asked. A server that has failed it once may do better now.
+            recent = {name for name, at in shard.refused_by.items() if now - at < REFUSED_PAUSE}
+            target = self._table.choose(shard.upstream, recent, now)
+        if target is None:
+            if not shard.out:
+                shard.waits_until = now + LOOK_AGAIN
+            return False
+        if extra and not self._table.spend(shard.upstream, now):
+            if not shard.out:
+                shard.waits_until = now + LOOK_AGAIN
+            return False
+        attempt = next(_attempts)
+        shard.out[attempt] = Sent(target, now)
+        shard.sends += 1
+        shard.may_have_run.add(target.server_id)
+        self._shard_of[attempt] = shard
+        self._table.sent(target, attempt, now)
+        self._effects.append(Send(attempt, target, shard.upstream))
+        return True
+
+    def _excluded(self, shard: ShardState, now: Millis) -> set[str]:
+        excluded = set(shard.may_have_run)
+        excluded.update(name for name, at in shard.refused_by.items() if now - at < REFUSED_PAUSE)
+        return excluded
+
+    def _try_again(self, shard: ShardState, fault: AttemptFault, now: Millis) -> None:
+        not_run = fault in NOT_RUN_FAULTS
+        if not not_run and not self.route.idempotent:
+            shard.given_up = True
+            return
+        if shard.sends >= MAX_SENDS:
+            shard.given_up = True
+            return
+        self.retries += 1
+        # A request that never left cost the servers nothing; every other one did arrive.
+        self._send(shard, now, extra=fault is not AttemptFault.NOT_SENT)
+
+    # Hedges
+
+    def _hedge_due(self, shard: ShardState) -> Millis:
+        if not self.route.idempotent or len(shard.out) != 1:
+            return FOREVER
+        if len(shard.may_have_run) >= self.route.max_servers or shard.sends >= MAX_SENDS:
+            return FOREVER
+        (sent,) = shard.out.values()
+        return sent.at + self.hedge_delay(shard.upstream)
+
+    def hedge_delay(self, upstream: str) -> Millis:
+        """Return how long an answer is awaited before another server is asked as well."""
+        latencies = self._table.upstream(upstream).latencies
+        quantile = SCATTER_HEDGE_QUANTILE if self._is_scatter else SINGLE_HEDGE_QUANTILE
+        return max(MIN_HEDGE_DELAY, latencies.quantile(quantile))
+
+    def _hedge(self, shard: ShardState, now: Millis) -> None:
+        if self._send(shard, now, extra=True):
+            self.hedges += 1
+            return
+        # No other server, or no budget: the next look is a little later, not at once.
+        attempt, sent = next(iter(shard.out.items()))
+        shard.out[attempt] = Sent(sent.target, now + LOOK_AGAIN - self.hedge_delay(shard.upstream))
+
+    # The end
+
+    def _peek(self, attempt: int) -> Sent | None:
+        shard = self._shard_of.get(attempt)
+        return shard.out.get(attempt) if shard is not None else None
+
+    def _take(self, attempt: int) -> ShardState | None:
+        shard = self._shard_of.pop(attempt, None)
+        if shard is not None:
+            shard.out.pop(attempt, None)
+        return shard
+
+    @property
+    def _parts_in(self) -> int:
+        return sum(1 for shard in self.shards.values() if shard.part is not None)
+
+    def _settle(self, now: Millis) -> None:
+        if self.finished:
+            return
+        parts = self._parts_in
+        waiting = sum(1 for shard in self.shards.values() if shard.open)
+        late = now >= self.times.answer_by
+        if parts >= self._least and (not waiting or late):
+            self._finish(self._answer())
+        elif parts + waiting < self._least:
+            self._finish(self._outcome_without_answer(FailureReason.FAILED))
+
+    def _answer(self) -> Answered:
+        parts = {name: shard.part for name, shard in self.shards.items() if shard.part is not None}
+        return Answered(parts, len(self.shards) - len(parts))
+
+    def _outcome_without_answer(self, reason: FailureReason) -> Outcome:
+        if self._parts_in >= self._least:
+            return self._answer()
+        ran = any(shard.may_have_run or shard.part is not None for shard in self.shards.values())
+        if not ran:
+            refused = any(shard.refused_by for shard in self.shards.values())
+            why = FailureReason.REFUSED if refused else FailureReason.NO_SERVER
+            return NotRun(why, DEFAULT_RETRY_AFTER)
+        failure = next((one.failure for one in self.shards.values() if one.failure), None)
+        return Failed(reason, failure)
+
+    def _finish(self, outcome: Outcome) -> None:
+        if self.finished:
+            return
+        self.finished = True
+        for shard in self.shards.values():
+            for attempt in shard.out:
+                self._effects.append(Cancel(attempt))
+        self._effects.append(Finish(outcome))
+
+    def _flush(self) -> list[Effect]:
+        effects = self._effects
+        self._effects = []
+        return effects
+
+
+def least_parts(shards: int, min_coverage: float) -> int:
+    """Return the fewest shards whose share of all is no less than the coverage; at least one."""
+    least = int(min_coverage * shards)
+    while least < shards and least / shards < min_coverage:
+        least += 1
+    return max(1, least)
--- /dev/null
+++ b/src/alderhatch/core/forwarding/route_table.py
@@ -0,0 +1,42 @@
+"""Finds the route of a request."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from .route import Route
+
+
+class RouteTable:
+    """The routes as an ordered list of conditions, of which the first that holds decides.
+
+    Routes of one host are ordered by the length of their prefix, longest first, so the first match
+    is the most specific one. Each route is found by its whole prefix in a table: a list of several
+    hundred routes would otherwise be searched for every request.
+
+    Args:
+        routes: The routes; no two of them have the same host and prefix.
+    """
+
+    def __init__(self, routes: Iterable[Route]) -> None:
+        self._by_place = {(route.host, route.path_prefix): route for route in routes}
+
+    def ordered(self) -> list[Route]:
+        """Return the routes in the order in which they are tried."""
+        return sorted(
+            self._by_place.values(), key=lambda route: (route.host, -len(route.path_prefix))
+        )
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the first route that matches, or None.
+
+        Args:
+            host: The host that the caller named, without a port.
+            path: The path without the query string.
+        """
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = self._by_place.get((host, path[: end + 1]))
+            if route is not None:
+                return route
+        return None
--- /dev/null
+++ b/src/alderhatch/core/forwarding/server_record.py
@@ -0,0 +1,25 @@
+"""What the list of servers says of one server."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ...clock import Millis
+
+
+class ServerRecord(NamedTuple):
+    """One running server of an upstream."""
+
+    server_id: str
+    """Names this start of the server; a later start at the same address has another one."""
+    upstream: str
+    address: str
+    """An IP address."""
+    port: int
+    zone: str
+    slots: int
+    """How many requests it runs at the same time."""
+    draining: bool
+    """Whether it is about to leave and takes no new work."""
+    warm_up: Millis = 0.0
+    """How much longer it is slow after its start."""
--- /dev/null
+++ b/src/alderhatch/core/forwarding/shard_state.py
@@ -0,0 +1,43 @@
+"""What a forwarded request knows of one shard."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from ...clock import Millis
+from .target_table import Target
+
+
+class Sent(NamedTuple):
+    """One attempt that is out."""
+
+    target: Target
+    at: Millis
+
+
+@dataclass(slots=True)
+class ShardState:
+    """One shard of a request, or its only upstream if it goes to a single server."""
+
+    upstream: str
+    out: dict[int, Sent] = field(default_factory=dict)
+    """Attempts whose outcome is not known."""
+    sends: int = 0
+    """Requests that left this host for it."""
+    may_have_run: set[str] = field(default_factory=set)
+    """The servers that may have begun to work on it."""
+    refused_by: dict[str, Millis] = field(default_factory=dict)
+    """When servers refused it without running it."""
+    part: object = None
+    """The answer that counts."""
+    failure: object = None
+    """The newest answer with which a server said that it failed."""
+    given_up: bool = False
+    waits_until: Millis | None = None
+    """When to look for a server again, if none could be asked."""
+
+    @property
+    def open(self) -> bool:
+        """Whether an answer may still come."""
+        return self.part is None and not self.given_up
--- /dev/null
+++ b/src/alderhatch/core/forwarding/target_table.py
@@ -0,0 +1,270 @@
+"""The servers that requests are forwarded to, as one host sees them."""
+
+from __future__ import annotations
+
+from collections.abc import Container, Iterable, Mapping
+from random import Random
+from typing import NamedTuple
+
+from ...clock import Millis
+from ..entry_events import AttemptFault, LoadReport
+from ..latency_histogram import LatencyHistogram
+from ..policy import Policy
+from ..replica_choice import choose_replica
+from ..server_view import ServerView
+from ..shard_map import Server
+from .extra_budget import BudgetShare, BudgetTerms, ExtraBudget
+from .server_record import ServerRecord
+
+LISTED = "list"
+"""The source of the word that a server leaves: it is draining there, or gone."""
+DEFAULT_MAX_CONNECTIONS = 16
+"""For an upstream whose settings have not come yet."""
+RESERVED_SHARE = 0.1
+"""The part of a server's connections that no host counts on, for those that are being closed."""
+STALL_FACTOR = 4.0
+"""A server whose oldest request takes longer than this multiple of the median stands still."""
+MIN_STALL: Millis = 60.0
+"""Well over a usual answer, well under the pauses of 120 to 150 ms that servers take."""
+
+
+class Target(ServerView):
+    """One server with the requests of this host that are out there."""
+
+    __slots__ = ("outstanding", "upstream")
+
+    def __init__(
+        self, upstream: str, server: Server, typical: LatencyHistogram, policy: Policy
+    ) -> None:
+        super().__init__(server, typical, policy)
+        self.upstream = upstream
+        self.outstanding: dict[int, Millis] = {}
+        """When each request that is out there was sent, oldest first."""
+
+    def stands_still(self, now: Millis) -> bool:
+        """Return whether its oldest request is out for so long that it probably pauses.
+
+        Servers stop for a moment now and then. What is sent meanwhile waits for the end of the
+        pause, seen as an answer that is late by as much; the other replica answers at once.
+        """
+        if not self.outstanding:
+            return False
+        oldest = next(iter(self.outstanding.values()))
+        return now - oldest > max(MIN_STALL, STALL_FACTOR * self.typical.median)
+
+
+class UpstreamTargets:
+    """The servers of one upstream and its budget for extra requests."""
+
+    def __init__(self, name: str, terms: BudgetTerms, first_latency: Millis) -> None:
+        self.name = name
+        self.max_connections = DEFAULT_MAX_CONNECTIONS
+        self.targets: dict[str, Target] = {}
+        self.latencies = LatencyHistogram(first_latency)
+        self.budget = ExtraBudget(terms.window)
+
+
+class ListChange(NamedTuple):
+    """What a newer list changes for the connections."""
+
+    upstream: str
+    servers: tuple[Server, ...]
+    gone: tuple[str, ...]
+
+
+class TargetTable:
+    """All upstreams' servers: who is there, how well they do, and which one is asked.
+
+    Args:
+        zone: This host's availability zone.
+        terms: The budget for extra requests of each upstream.
+        policy: The numbers that the choice is tuned by.
+        rng: Decides between servers that are equally good.
+    """
+
+    def __init__(self, zone: str, terms: BudgetTerms, policy: Policy, rng: Random) -> None:
+        self._zone = zone
+        self._terms = terms
+        self._policy = policy
+        self._rng = rng
+        self._hosts = 1
+        self._upstreams: dict[str, UpstreamTargets] = {}
+
+    # Who is there
+
+    def upstream(self, name: str) -> UpstreamTargets:
+        """Return an upstream; one that was never heard of has no servers."""
+        known = self._upstreams.get(name)
+        if known is None:
+            known = UpstreamTargets(name, self._terms, self._policy.first_latency_ms)
+            self._upstreams[name] = known
+        return known
+
+    def set_hosts(self, count: int) -> None:
+        """Divide budgets and connections by the number of hosts that are alive."""
+        self._hosts = max(1, count)
+        for upstream in self._upstreams.values():
+            self._share_out(upstream)
+
+    def set_max_connections(self, limits: Mapping[str, int]) -> None:
+        """Take the connection limits of upstreams from the configuration."""
+        for name, limit in limits.items():
+            upstream = self.upstream(name)
+            upstream.max_connections = limit
+            self._share_out(upstream)
+
+    def connection_share(self, upstream: UpstreamTargets) -> int:
+        """Return how many connections to each of its servers this host may hold."""
+        usable = int(upstream.max_connections * (1.0 - RESERVED_SHARE))
+        return max(1, usable // self._hosts)
+
+    def shares(self) -> dict[str, int]:
+        """Return the connections that this host may hold, by server id."""
+        return {
+            server_id: self.connection_share(upstream)
+            for upstream in self._upstreams.values()
+            for server_id in upstream.targets
+        }
+
+    def _share_out(self, upstream: UpstreamTargets) -> None:
+        share = self.connection_share(upstream)
+        for target in upstream.targets.values():
+            target.set_share(share)
+
+    def update(self, records: Iterable[ServerRecord], now: Millis) -> list[ListChange]:
+        """Take a newer list of all servers.
+
+        Args:
+            records: Every server that is listed.
+            now: The time.
+
+        Returns:
+            What changed, by upstream.
+        """
+        listed: dict[str, list[ServerRecord]] = {}
+        for record in records:
+            listed.setdefault(record.upstream, []).append(record)
+        changes = []
+        for name in {*listed, *self._upstreams}:
+            change = self._update_upstream(self.upstream(name), listed.get(name, []), now)
+            if change is not None:
+                changes.append(change)
+        return changes
+
+    def _update_upstream(
+        self, upstream: UpstreamTargets, records: list[ServerRecord], now: Millis
+    ) -> ListChange | None:
+        known = upstream.targets
+        added = []
+        for record in records:
+            target = known.get(record.server_id)
+            if target is None:
+                target = self._add(upstream, record, now)
+                added.append(record.server_id)
+            if record.draining:
+                target.leaving.add(LISTED)
+            else:
+                target.leaving.discard(LISTED)
+        listed = {record.server_id for record in records}
+        gone = tuple(server_id for server_id in known if server_id not in listed)
+        for server_id in gone:
+            known.pop(server_id).leaving.add(LISTED)
+        if not added and not gone:
+            return None
+        return ListChange(upstream.name, tuple(one.server for one in known.values()), gone)
+
+    def _add(self, upstream: UpstreamTargets, record: ServerRecord, now: Millis) -> Target:
+        server = Server(
+            record.server_id,
+            record.address,
+            record.port,
+            record.zone,
+            record.slots,
+            upstream.max_connections,
+        )
+        target = Target(upstream.name, server, upstream.latencies, self._policy)
+        if record.warm_up > 0:
+            target.saw_start(now - max(0.0, self._policy.slow_start_ms - record.warm_up))
+        target.set_share(self.connection_share(upstream))
+        upstream.targets[record.server_id] = target
+        return target
+
+    # Which one is asked
+
+    def usable(self, name: str, now: Millis) -> int:
+        """Return how many servers of an upstream could be asked now."""
+        return sum(1 for one in self.upstream(name).targets.values() if not one.barred(now))
+
+    def choose(self, name: str, excluded: Container[str], now: Millis) -> Target | None:
+        """Return the server of an upstream that is likely to answer first, or None.
+
+        Servers that seem to stand still are asked only if there is no other.
+        """
+        targets = list(self.upstream(name).targets.values())
+        moving = [one for one in targets if not one.stands_still(now)]
+        cost = self._policy.zone_cost_ms
+        for among in (moving, targets):
+            found = choose_replica(among, excluded, self._zone, cost, now, self._rng)
+            if isinstance(found, Target):
+                return found
+        return None
+
+    # Budgets
+
+    @property
+    def budget_share(self) -> BudgetShare:
+        """What this host may use of each upstream's budget."""
+        return BudgetShare(self._terms.ratio, self._terms.constant / self._hosts)
+
+    def count_first(self, name: str, now: Millis) -> None:
+        """Count a request that goes to an upstream."""
+        self.upstream(name).budget.count_first(now)
+
+    def spend(self, name: str, now: Millis) -> bool:
+        """Take one extra request to an upstream out of the budget; False if there is none."""
+        return self.upstream(name).budget.spend(self.budget_share, now)
+
+    # What was seen
+
+    def sent(self, target: Target, attempt: int, now: Millis) -> None:
+        """Count a request as out at a server."""
+        target.in_flight += 1
+        target.outstanding[attempt] = now
+
+    def ended(self, target: Target, attempt: int) -> Millis | None:
+        """Count a request as no longer out; return when it was sent, None if it was not out."""
+        sent_at = target.outstanding.pop(attempt, None)
+        if sent_at is not None:
+            target.in_flight -= 1
+        return sent_at
+
+    def answered(self, target: Target, span: Millis, load: LoadReport | None, now: Millis) -> None:
+        """Take note of an answer and how long it took."""
+        target.saw_answer(span, load, now)
+        target.typical.record(span)
+
+    def failed(
+        self, target: Target, fault: AttemptFault, retry_after: Millis | None, now: Millis
+    ) -> None:
+        """Take note of a request that came to nothing."""
+        match fault:
+            case AttemptFault.SHED:
+                target.saw_shed(retry_after, now)
+            case AttemptFault.DRAINING | AttemptFault.MOVED:
+                target.saw_draining(now)
+            case _:
+                self._eject_after_failures(target, now)
+
+    def _eject_after_failures(self, target: Target, now: Millis) -> None:
+        target.failures += 1
+        if target.failures < self._policy.eject_failures:
+            return
+        others = self.upstream(target.upstream).targets.values()
+        ejected = sum(1 for one in others if one is not target and now < one.ejected_until)
+        # Faults of the network look like faults of every server at once. Without this bound they
+        # would empty an upstream that is well, seen as refusals with all its servers idle.
+        if ejected + 1 > self._policy.max_ejected_share * len(others):
+            return
+        target.ejections += 1
+        span = self._policy.eject_ms * 2.0 ** (target.ejections - 1)
+        target.ejected_until = now + min(span, self._policy.max_eject_ms)
--- a/src/alderhatch/core/run.py
+++ b/src/alderhatch/core/run.py
@@ -21,6 +21,7 @@
         AttemptFault.NOT_SENT,
         AttemptFault.SHED,
         AttemptFault.DRAINING,
+        AttemptFault.MOVED,
         AttemptFault.VERSION_GONE,
     )
 )
--- a/src/alderhatch/entry/connection_pool.py
+++ b/src/alderhatch/entry/connection_pool.py
@@ -103,6 +103,10 @@
             if upstream is None or conns.upstream == upstream
         ]
 
+    def upstreams(self) -> set[str]:
+        """Return the names of the upstreams to whose servers there are connections."""
+        return {conns.upstream for conns in self._servers.values() if conns.retired_at is None}
+
     def adopt(self, upstream: str, servers: Iterable[Server], gone: Iterable[str]) -> None:
         """Prepare connections to servers of a new map.
 
--- a/src/alderhatch/errors.py
+++ b/src/alderhatch/errors.py
@@ -48,6 +48,7 @@
     REFUSED_BY_RULE = "refused_by_rule"
     UNKNOWN_UPSTREAM = "unknown_upstream"
     NO_SNAPSHOT = "no_snapshot"
+    NO_CONFIGURATION = "no_configuration"
     CALLER_LIMIT = "caller_limit"
     OVERLOADED = "overloaded"
     DEADLINE_TOO_SHORT = "deadline_too_short"
@@ -110,6 +111,9 @@
     ErrorKind.NO_SNAPSHOT: ErrorAnswer(
         503, Ran.NOT_RUN, Resend.OTHER_ENTRY, "This entry has no shard map of the upstream yet."
     ),
+    ErrorKind.NO_CONFIGURATION: ErrorAnswer(
+        503, Ran.NOT_RUN, Resend.OTHER_ENTRY, "This node has not learnt its configuration yet."
+    ),
     ErrorKind.CALLER_LIMIT: ErrorAnswer(
         429, Ran.NOT_RUN, Resend.SAME_ENTRY, "The caller, or its rule, is over its rate."
     ),
--- a/src/alderhatch/http/client.py
+++ b/src/alderhatch/http/client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from enum import StrEnum
 from functools import lru_cache
 from typing import NamedTuple
@@ -13,9 +13,14 @@
 
 from ..clock import SECOND, Millis
 from .direct_socket import DirectSocket
+from .messages import HeaderFields
 
 MAX_REPLY_HEAD_BYTES = 16_384
 MAX_REPLY_BODY_BYTES = 4 * 1024 * 1024
+MAX_WHOLE_SEND = 16_384
+"""Longer bodies are sent while the answer is awaited; the windows of a link hold about as much."""
+BODY_METHODS = ("POST", "PUT", "PATCH")
+"""Methods whose requests state their length also when it is 0."""
 MAX_INFORMATIONAL = 256
 """1xx responses that may come before the real one; servers show by them that they are at work."""
 REQUEST_HEADS = 2048
@@ -28,6 +33,13 @@
 """How long sent bytes may stay unacknowledged before the kernel gives the connection up."""
 
 
+class _Sending:
+    """Whether the whole of a long request has been sent."""
+
+    def __init__(self) -> None:
+        self.done = False
+
+
 class HttpReply(NamedTuple):
     """One whole response as a client sees it."""
 
@@ -130,12 +142,65 @@
         Raises:
             HttpExchangeError: If the connection broke, or the server sent no valid response.
         """
+        data = self._begin(lambda: self._request_bytes(method, target, body, headers))
+        return await self._transfer(data, max_body)
+
+    async def forward(
+        self, method: str, target: str, fields: HeaderFields, body: bytes = b""
+    ) -> HttpReply:
+        """Send a request with exactly these header fields and wait for its whole response.
+
+        A server may answer a long request before it has read all of it. The answer is taken at
+        once, and the connection is then of no further use: what the server reads next on it would
+        be the rest of the old body or the head of a new request, depending on the server.
+
+        Args:
+            method: The HTTP method.
+            target: Path and query string.
+            fields: All header fields but the body's length.
+            body: The whole body.
+
+        Returns:
+            The response.
+
+        Raises:
+            HttpExchangeError: If the connection broke, or the server sent no valid response.
+        """
+        data = self._begin(lambda: self._forward_bytes(method, target, fields, body))
+        if len(body) <= MAX_WHOLE_SEND:
+            return await self._transfer(data, MAX_REPLY_BODY_BYTES)
+        sending = _Sending()
+        result: HttpReply | HttpExchangeError
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send_long, data, sending)
+            try:
+                result = await self._transfer(b"", MAX_REPLY_BODY_BYTES)
+            except HttpExchangeError as exc:
+                result = exc
+            nursery.cancel_scope.cancel()
+        if not sending.done:
+            self.usable = False
+        if isinstance(result, HttpExchangeError):
+            raise result
+        return result
+
+    async def _send_long(self, data: bytes, sending: _Sending) -> None:
+        try:
+            await self._socket.send_all(data)
+            sending.done = True
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The reader of the same connection sees the same fault, and reports it.
+            return
+
+    def _begin(self, make: Callable[[], bytes]) -> bytes:
         if not self.usable:
             message = "the connection is no longer usable"
             raise HttpExchangeError(message, ExchangeFault.NOT_SENT)
         self.usable = False
         self.used = True
-        data = self._request_bytes(method, target, body, headers)
+        return make()
+
+    async def _transfer(self, data: bytes, max_body: int) -> HttpReply:
         try:
             await self._socket.send_all(data)
             reply = await self._read_reply(max_body)
@@ -166,6 +231,16 @@
             data += send(h11.Data(data=body)) or b""
         return data + (send(END_OF_MESSAGE) or b"")
 
+    def _forward_bytes(self, method: str, target: str, fields: HeaderFields, body: bytes) -> bytes:
+        send = self._http.send
+        headers = list(fields)
+        if body or method in BODY_METHODS:
+            headers.append((b"content-length", b"%d" % len(body)))
+        data = send(h11.Request(method=method, target=target, headers=headers)) or b""
+        if body:
+            data += send(h11.Data(data=body)) or b""
+        return data + (send(END_OF_MESSAGE) or b"")
+
     async def _read_reply(self, max_body: int) -> HttpReply:
         head: h11.Response | None = None
         chunks: list[bytes] = []
--- a/src/alderhatch/http/messages.py
+++ b/src/alderhatch/http/messages.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from typing import NamedTuple
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple, TypeAlias
 
 import orjson
 
@@ -12,6 +12,9 @@
 
 JSON = "application/json"
 
+HeaderFields: TypeAlias = Sequence[tuple[bytes, bytes]]
+"""Header fields in their order; names are in lower case."""
+
 
 class HttpRequest(NamedTuple):
     """One whole request."""
@@ -24,6 +27,12 @@
     headers: Mapping[str, str]
     """Header fields with lower-case names."""
     body: bytes
+    target: str = ""
+    """Path and query string as the client sent them."""
+    fields: HeaderFields = ()
+    """All header fields, also those that came more than once."""
+    on_used_connection: bool = False
+    """Whether the connection has carried an earlier request."""
 
 
 class HttpResponse(NamedTuple):
@@ -31,8 +40,11 @@
 
     status: int
     body: bytes
-    content_type: str = JSON
+    content_type: str | None = JSON
+    """None if ``fields`` says what the body is."""
     headers: tuple[tuple[str, str], ...] = ()
+    fields: HeaderFields = ()
+    """Further header fields, passed on as they are."""
 
 
 class HttpLimits(NamedTuple):
--- a/src/alderhatch/http/server.py
+++ b/src/alderhatch/http/server.py
@@ -37,7 +37,7 @@
 async def serve_http(
     listeners: list[trio.SocketListener],
     handler: Handler,
-    limits: HttpLimits = HttpLimits(),
+    limits: HttpLimits | Callable[[], HttpLimits] = HttpLimits(),
     state: ServeState | None = None,
     task_status: trio.TaskStatus[list[trio.SocketListener]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -51,18 +51,20 @@
         listeners: Open listening sockets.
         handler: Called once for each whole request.
         limits: What is taken from one client; more connections than the limit are closed at once.
+            A function is asked before each request, for limits that change while the server runs.
         state: Shows what is under way, and takes the word that the server is about to end.
         task_status: Told when requests are taken.
     """
     known = state or ServeState()
+    current = limits if callable(limits) else lambda: limits
 
     async def on_connection(stream: trio.SocketStream) -> None:
-        if known.connections >= limits.connections:
+        if known.connections >= current().connections:
             await trio.aclose_forcefully(stream)
             return
         known.connections += 1
         try:
-            await _ServerConnection(stream, handler, limits, known).run()
+            await _ServerConnection(stream, handler, current, known).run()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
         finally:
@@ -76,14 +78,20 @@
     """One client's connection, which carries requests one after the other."""
 
     def __init__(
-        self, stream: trio.SocketStream, handler: Handler, limits: HttpLimits, state: ServeState
+        self,
+        stream: trio.SocketStream,
+        handler: Handler,
+        current_limits: Callable[[], HttpLimits],
+        state: ServeState,
     ) -> None:
         self._stream = stream
         self._state = state
         self._handler = handler
-        self._limits = limits
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
+        self._current_limits = current_limits
+        self._limits = current_limits()
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.head_bytes)
         self._early = b""
+        self._answered = 0
 
     async def run(self) -> None:
         while True:
@@ -104,6 +112,7 @@
                 await self._send(response, close=self._state.closing)
             finally:
                 self._state.exchanges -= 1
+            self._answered += 1
             if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
                 return
             self._http.start_next_cycle()
@@ -121,6 +130,7 @@
                 left -= len(data)
 
     async def _read_request(self) -> HttpRequest | None:
+        self._limits = self._current_limits()
         with trio.move_on_after(self._limits.idle_timeout / SECOND):
             if not await self._first_bytes():
                 return None
@@ -179,7 +189,7 @@
                 message = f"the body is larger than {self._limits.body_bytes} bytes"
                 raise _refused(ErrorKind.TOO_LARGE, message)
             chunks.append(bytes(event.data))
-        return _to_request(head, b"".join(chunks))
+        return _to_request(head, b"".join(chunks), self._answered > 0)
 
     async def _handle(self, req: HttpRequest) -> HttpResponse | None:
         """Run the handler; return None if the client went away meanwhile."""
@@ -213,11 +223,14 @@
             self._early += bytes(data)
 
     async def _send(self, response: HttpResponse, close: bool = False) -> None:
-        headers = [("Content-Type", response.content_type)]
-        headers.append(("Content-Length", str(len(response.body))))
-        headers += response.headers
+        headers = [(b"Content-Length", b"%d" % len(response.body)), *response.fields]
+        if response.content_type is not None:
+            headers.append((b"Content-Type", response.content_type.encode("ascii")))
+        headers += [
+            (name.encode("ascii"), value.encode("ascii")) for name, value in response.headers
+        ]
         if close:
-            headers.append(("Connection", "close"))
+            headers.append((b"Connection", b"close"))
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         head = h11.Response(status_code=response.status, headers=headers)
@@ -230,14 +243,17 @@
         raise trio.BrokenResourceError("the client does not read its answer")
 
 
-def _to_request(head: h11.Request, body: bytes) -> HttpRequest:
+def _to_request(head: h11.Request, body: bytes, on_used_connection: bool) -> HttpRequest:
     try:
-        parts = urlsplit(head.target.decode("ascii"))
+        target = head.target.decode("ascii")
+        parts = urlsplit(target)
         query = dict(parse_qsl(parts.query, keep_blank_values=True))
     except ValueError as exc:
         raise _refused(ErrorKind.BAD_REQUEST, f"the target is no path: {exc}") from exc
     headers = {name.decode("ascii"): value.decode("latin-1") for name, value in head.headers}
-    return HttpRequest(head.method.decode("ascii"), parts.path, query, headers, body)
+    method = head.method.decode("ascii")
+    fields = list(head.headers)
+    return HttpRequest(method, parts.path, query, headers, body, target, fields, on_used_connection)
 
 
 def _refused(kind: ErrorKind, message: str) -> AlderhatchError:
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -99,6 +99,25 @@
         3031, logging.WARNING, "A link to a control host gave no answer and is dialled anew."
     )
 
+    CONFIGURATION_ACCEPTED = EventRow(
+        2070, logging.INFO, "An operator's numbered configuration is on enough disks."
+    )
+    CONFIGURATION_ADOPTED = EventRow(
+        1060, logging.INFO, "The node serves by a newer numbered configuration."
+    )
+    HOST_JOINED = EventRow(2071, logging.INFO, "A host follows this leader.")
+    HOST_LOST = EventRow(2072, logging.WARNING, "A host that followed this leader is gone.")
+    LEADER_FOUND = EventRow(1061, logging.INFO, "The node follows a leader.")
+    LEADER_LOST = EventRow(
+        1062, logging.WARNING, "The node has no leader; it serves on by what it last knew."
+    )
+    SERVER_LIST_LOST = EventRow(
+        1063, logging.WARNING, "The list of servers could not be read; the last one stays in use."
+    )
+    SERVER_LIST_BACK = EventRow(1064, logging.INFO, "The list of servers can be read again.")
+    NODE_STARTED = EventRow(1065, logging.INFO, "The node listens.")
+    NODE_STOPPED = EventRow(1066, logging.INFO, "The node has ended what it ran.")
+
     LINK_REFUSED = EventRow(4000, logging.WARNING, "A peer failed the authentication of a link.")
     LINK_MESSAGE_REFUSED = EventRow(4001, logging.WARNING, "A peer sent no valid message.")
 
--- /dev/null
+++ b/src/alderhatch/node/caller_side.py
@@ -0,0 +1,89 @@
+"""Answers callers: finds the route, runs the request, and says which addresses to use."""
+
+from __future__ import annotations
+
+from ..clock import LoopClock, Millis
+from ..core.forwarding.forward_run import ForwardRun, RunTimes
+from ..core.forwarding.route import AllShards, OneUpstream, Route, SplitUpstreams
+from ..core.forwarding.split import SplitCounter
+from ..errors import AlderhatchError, ErrorKind, Failure
+from ..http.messages import HttpRequest, HttpResponse
+from .dialect import CallerRequest, Dialect
+from .forward_runner import ForwardRunner
+from .node_state import NodeState
+
+WAY_BACK: Millis = 12.0
+"""What an answer takes from its merge to its caller, and the request took before it was read: the
+way of 1 to 3 ms three times, and some milliseconds of processor time at both ends."""
+NO_CONFIGURATION_RETRY: Millis = 300.0
+MIN_ZONE_HOSTS = 2
+"""With fewer serving hosts in a caller's zone the hosts of all zones are named, so that the loss of
+one leaves the caller another."""
+MAX_ADDRESSES = 64
+
+
+class CallerSide:
+    """Serves callers by what the node believes.
+
+    Args:
+        state: The node's beliefs.
+        runner: Carries requests out.
+        dialect: Reads and writes the protocol.
+    """
+
+    def __init__(self, state: NodeState, runner: ForwardRunner, dialect: Dialect) -> None:
+        self._state = state
+        self._runner = runner
+        self._dialect = dialect
+        self._clock = LoopClock()
+        self._splits: dict[str, SplitCounter] = {}
+        self._longest: dict[str, Millis] = {}
+
+    async def handle(self, http: HttpRequest) -> HttpResponse:
+        """Answer one request.
+
+        Raises:
+            AlderhatchError: If it is not even begun.
+        """
+        now = self._clock.now()
+        req = self._dialect.read_request(http)
+        if self._state.stored.version == 0:
+            message = "this host has no configuration yet"
+            raise AlderhatchError(
+                Failure(ErrorKind.NO_CONFIGURATION, message, None, NO_CONFIGURATION_RETRY)
+            )
+        route = self._state.routes.find(req.host, http.path)
+        if route is None:
+            message = f"no route for host {req.host!r} and path {http.path!r}"
+            raise AlderhatchError(Failure(ErrorKind.NOT_FOUND, message))
+        run = ForwardRun(
+            route, self._upstreams(route), self._times(route, req, now), self._state.table
+        )
+        outcome = await self._runner.forward(req, run)
+        return self._dialect.response(route, outcome)
+
+    def _upstreams(self, route: Route) -> tuple[str, ...]:
+        match route.destination:
+            case OneUpstream(upstream):
+                return (upstream,)
+            case SplitUpstreams():
+                counter = self._splits.setdefault(route.name, SplitCounter())
+                return (counter.pick(route.destination),)
+            case AllShards(shards):
+                return shards
+
+    def _times(self, route: Route, req: CallerRequest, now: Millis) -> RunTimes:
+        left = route.timeout if req.time_left is None else req.time_left
+        # A caller's second try has less time left than its first one had. What is missing of the
+        # most that any caller of this route had lately has been used up before this try.
+        longest = max(left, self._longest.get(route.name, 0.0))
+        self._longest[route.name] = longest
+        target = route.target_latency - (longest - left) - WAY_BACK
+        return RunTimes(now, now + target, now + min(left, route.timeout))
+
+    def addresses(self, zone: str) -> list[str]:
+        """Return the addresses that a caller of a zone should use, as address and port."""
+        serving = [one for one in self._state.hosts if one.serving]
+        near = [one for one in serving if one.zone == zone]
+        chosen = near if len(near) >= MIN_ZONE_HOSTS else serving
+        return [one.caller_address for one in chosen[:MAX_ADDRESSES]]
--- /dev/null
+++ b/src/alderhatch/node/forward_runner.py
@@ -0,0 +1,174 @@
+"""Carries out the decisions of ``ForwardRun``: connections, exchanges and timers."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+
+import trio
+
+from ..clock import SECOND, LoopClock, Millis
+from ..core.entry_events import AttemptFault
+from ..core.forwarding.forward_run import (
+    Cancel,
+    Effect,
+    Finish,
+    ForwardRun,
+    Outcome,
+    Send,
+)
+from ..core.forwarding.target_table import TargetTable
+from ..entry.attempt_runner import FAULTS
+from ..entry.connection_pool import ConnectionPool
+from ..http.client import ExchangeFault, HttpConnection, HttpExchangeError, HttpReply
+from .dialect import CallerRequest, Dialect, Reading
+
+LOSER_GRACE: Millis = 250.0
+"""How long an attempt that lost may still take before its connection is closed.
+
+A server that only paused ends its answer within this time and the connection can be used again; a
+new one costs the server some milliseconds of a slot.
+"""
+MIN_TIME_LEFT: Millis = 2.0
+"""With less time left nothing is sent; the server would stop before its answer is out."""
+
+
+class ForwardRunner:
+    """Runs forwarded requests over warm connections.
+
+    Args:
+        pool: Where connections come from.
+        table: The servers, told what was seen of them.
+        dialect: Writes requests and reads answers.
+    """
+
+    def __init__(self, pool: ConnectionPool, table: TargetTable, dialect: Dialect) -> None:
+        self._pool = pool
+        self._table = table
+        self._dialect = dialect
+        self._clock = LoopClock()
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Keep the attempts' tasks until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            try:
+                await trio.sleep_forever()
+            finally:
+                self._nursery = None
+
+    async def forward(self, req: CallerRequest, run: ForwardRun) -> Outcome:
+        """Run one request to its outcome; if cancelled, its work at servers is cancelled too."""
+        flight = _Flight(self, req, run)
+        try:
+            return await flight.fly()
+        except trio.Cancelled:
+            flight.abandon()
+            raise
+
+    def begin(self, flight: _Flight, send: Send) -> trio.CancelScope:
+        """Start one attempt in a task of its own."""
+        scope = trio.CancelScope()
+        if self._nursery is not None:
+            self._nursery.start_soon(self._attempt, flight, send, scope)
+        return scope
+
+    async def _attempt(self, flight: _Flight, send: Send, scope: trio.CancelScope) -> None:
+        reply: HttpReply | None = None
+        reading = Reading(AttemptFault.SILENT)
+        with scope:
+            try:
+                reply, reading = await self._exchange(flight, send)
+            except HttpExchangeError as exc:
+                reading = Reading(FAULTS[exc.fault])
+        now = self._clock.now()
+        sent_at = self._table.ended(send.target, send.attempt)
+        if scope.cancelled_caught:
+            if sent_at is not None:
+                send.target.saw_latency(now - sent_at, now)
+            return
+        if reading.fault is not None:
+            self._table.failed(send.target, reading.fault, reading.retry_after, now)
+        elif sent_at is not None:
+            self._table.answered(send.target, now - sent_at, reading.load, now)
+        flight.ended(send.attempt, reading, reply, now)
+
+    async def _exchange(self, flight: _Flight, send: Send) -> tuple[HttpReply, Reading]:
+        server_id = send.target.server_id
+        conn = self._pool.take_idle(server_id)
+        if conn is None:
+            conn = await self._pool.take(server_id)
+        try:
+            return await self._exchange_on(conn, flight, server_id)
+        finally:
+            self._pool.give_back(server_id, conn)
+
+    async def _exchange_on(
+        self, conn: HttpConnection, flight: _Flight, server_id: str
+    ) -> tuple[HttpReply, Reading]:
+        left = flight.run.times.deadline - self._clock.now()
+        if left < MIN_TIME_LEFT:
+            raise HttpExchangeError("no time is left", ExchangeFault.NOT_SENT)
+        req = flight.req
+        fields = self._dialect.server_fields(req, server_id, left)
+        reply = await conn.forward(req.http.method, req.http.target, fields, req.http.body)
+        reading = self._dialect.read_answer(req, reply)
+        if reading.fault is AttemptFault.WRONG_ANSWER:
+            # Whatever crossed the answers may do so again: the next answer on this connection may
+            # be the one that this request waited for.
+            conn.usable = False
+        return reply, reading
+
+
+class _Flight:
+    """One request under way: its run, its attempts and whoever waits for the outcome."""
+
+    def __init__(self, runner: ForwardRunner, req: CallerRequest, run: ForwardRun) -> None:
+        self.req = req
+        self.run = run
+        self._runner = runner
+        self._clock = LoopClock()
+        self._scopes: dict[int, trio.CancelScope] = {}
+        self._outcome: Outcome | None = None
+        self._changed = trio.Event()
+
+    async def fly(self) -> Outcome:
+        """Run until there is an outcome."""
+        self._carry_out(self.run.start(self._clock.now()))
+        while self._outcome is None:
+            self._changed = trio.Event()
+            with trio.move_on_at(self.run.next_wake / SECOND):
+                await self._changed.wait()
+            if self._outcome is None and self._clock.now() >= self.run.next_wake:
+                self._carry_out(self.run.on_time(self._clock.now()))
+        return self._outcome
+
+    def abandon(self) -> None:
+        """Cancel all attempts at once: nobody waits for the answer any more."""
+        self.run.finished = True
+        for scope in self._scopes.values():
+            scope.cancel()
+
+    def ended(self, attempt: int, reading: Reading, reply: HttpReply | None, now: Millis) -> None:
+        """Take what became of an attempt."""
+        self._scopes.pop(attempt, None)
+        if self.run.finished:
+            return
+        if reading.fault is None:
+            self._carry_out(self.run.on_answer(attempt, reply, now))
+        else:
+            failure = reply if reading.ran else None
+            self._carry_out(self.run.on_fault(attempt, reading.fault, failure, now))
+        self._changed.set()
+
+    def _carry_out(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Send(attempt):
+                    self._scopes[attempt] = self._runner.begin(self, effect)
+                case Cancel(attempt):
+                    with suppress(KeyError):
+                        self._scopes[attempt].deadline = trio.current_time() + LOSER_GRACE / SECOND
+                case Finish(outcome):
+                    self._outcome = outcome
--- /dev/null
+++ b/src/alderhatch/node/node.py
@@ -0,0 +1,261 @@
+"""The node's parts put together."""
+
+from __future__ import annotations
+
+import gc
+import signal
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import NamedTuple
+
+import trio
+
+from ..clock import SECOND, LoopClock, Millis
+from ..codec import Codec
+from ..control.log_messages import PEER_MESSAGE_TYPES
+from ..core.control.configuration_register import ConfigurationRegister, StoredConfiguration
+from ..entry.connection_pool import ConnectionPool
+from ..errors import AlderhatchError
+from ..http.messages import HttpLimits, HttpRequest, HttpResponse
+from ..http.server import ServeState, serve_http
+from ..link import Link, Peer, serve_links
+from ..log import log_event
+from ..log_events import LogEvent
+from .caller_side import CallerSide
+from .configuration_desk import ConfigurationDesk
+from .control_member import ControlMember
+from .dialect import Dialect
+from .forward_runner import ForwardRunner
+from .founding import FOUNDING_ROLE, FoundingJudge, bid_for_founding
+from .node_settings import NodeSettings
+from .node_state import Decoder, NodeState
+from .server_list import ServerListReader, ServerListSource
+from .tier_client import TierClient
+from .tier_messages import TIER_MESSAGE_TYPES, DiskRecord, Join, Place, Redirect, Report
+from .tier_server import HOST_ROLE, TierServer
+from .voter_keeper import VoterKeeper
+
+CONTROL_ROLE = "control"
+PROGRESS_TIMEOUT: Millis = 60 * SECOND
+"""Servers may work for long without a byte; the deadline of each request ends its wait."""
+STOP_SERVING_BEFORE: Millis = 2000.0
+"""How long before its time to stop is over a stopping node ends as soon as it is idle."""
+STOP_MARGIN: Millis = 250.0
+"""How long before that it ends whatever is still under way."""
+LIST_FRESH: Millis = 2500.0
+BACKLOG = 512
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+
+class EdgeHandlers(NamedTuple):
+    """What answers on the node's HTTP ports."""
+
+    callers: Handler
+    addresses: Handler
+    readiness: Handler
+    operators: Handler
+
+
+class Node:
+    """One host of the tier.
+
+    Args:
+        cfg: Its settings.
+        dialect: The protocol that callers and servers speak.
+        decode: Reads an operator's configuration.
+        source: Where the list of servers comes from.
+    """
+
+    def __init__(
+        self,
+        cfg: NodeSettings,
+        dialect: Dialect,
+        decode: Decoder,
+        source: ServerListSource,
+    ) -> None:
+        self.cfg = cfg
+        self._clock = LoopClock()
+        self._codec = Codec(*PEER_MESSAGE_TYPES, *TIER_MESSAGE_TYPES)
+        self._rng = Random()
+        self._pool = ConnectionPool(default_share=0, progress_timeout=PROGRESS_TIMEOUT)
+        self.state = NodeState(
+            cfg.zone, decode, self._pool, cfg.budget, cfg.policy, self._clock, self._rng
+        )
+        self.seeds = cfg.seeds
+        """Where to look for the tier; the settings may name others later."""
+        self._leaving = False
+        self._serving = ServeState()
+        self._register = ConfigurationRegister(self._stored)
+        self._member = self._make_member()
+        self._server = TierServer(
+            self._member, lambda: self._register.stored, self._list_is_fresh, self._redirect
+        )
+        self._reader = ServerListReader(source, self.state, self._server, self._rng)
+        self._client = TierClient(
+            self._join, self._report, lambda: self.seeds, self.state, self._codec, cfg.secret
+        )
+        self._runner = ForwardRunner(self._pool, self.state.table, dialect)
+        self._judge = FoundingJudge()
+        self.callers = CallerSide(self.state, self._runner, dialect)
+        self.desk = ConfigurationDesk(self._member, self._register, cfg.tolerated_hosts + 1)
+
+    def _make_member(self) -> ControlMember | None:
+        cfg = self.cfg
+        if cfg.data_folder is None:
+            return None
+        return ControlMember(
+            cfg.place, cfg.data_folder, cfg.secret, self._register, self._role_changed
+        )
+
+    # Beliefs
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        has_servers = self.state.listed_at is not None
+        return self.state.stored.version > 0 and has_servers and not self._leaving
+
+    @property
+    def leader(self) -> Place | None:
+        """The leader of the replicated log, if this host knows it."""
+        own = self._member.leader() if self._member is not None else None
+        return own or self._client.leader
+
+    def _list_is_fresh(self) -> bool:
+        return self.state.list_age() < LIST_FRESH
+
+    def _stored(self, stored: StoredConfiguration) -> None:
+        self._server.news.notify()
+
+    def _role_changed(self) -> None:
+        self._server.news.notify()
+
+    def _disk(self) -> DiskRecord | None:
+        return self._member.disk if self._member is not None else None
+
+    def _join(self) -> Join:
+        cfg = self.cfg
+        caller_address = f"{cfg.address}:{cfg.ports.callers}"
+        return Join(cfg.place, cfg.zone, caller_address, self._disk())
+
+    def _report(self) -> Report:
+        return Report(self.ready, self.state.stored.version, self._disk())
+
+    def _redirect(self) -> Redirect:
+        controls = self._member.controls() if self._member is not None else self.state.controls
+        return Redirect(self.leader, controls)
+
+    # Life
+
+    async def run(self, handlers: EdgeHandlers) -> None:
+        """Serve until told to stop by a signal."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._pool.run)
+            await nursery.start(self._runner.run)
+            await self._open_ports(nursery, handlers)
+            if self._member is not None:
+                nursery.start_soon(self._member.run)
+                nursery.start_soon(
+                    VoterKeeper(self._member, self._server, self.cfg.tolerated_hosts).run
+                )
+                if self.cfg.first_start:
+                    nursery.start_soon(self._bid)
+            nursery.start_soon(self._reader.run)
+            nursery.start_soon(self._client.run)
+            log_event(LogEvent.NODE_STARTED, node=self.cfg.name, zone=self.cfg.zone)
+            gc.collect()
+            gc.freeze()
+            await self._wait_for_stop()
+            nursery.cancel_scope.cancel()
+        log_event(LogEvent.NODE_STOPPED, node=self.cfg.name)
+
+    async def _bid(self) -> None:
+        assert self._member is not None
+        cfg = self.cfg
+        await bid_for_founding(
+            self._member, cfg.place, self._judge_place, self._judge, self._codec, cfg.secret
+        )
+
+    def _judge_place(self) -> Place:
+        return min(self.seeds, key=lambda place: (place.address, place.port))
+
+    async def _open_ports(self, nursery: trio.Nursery, handlers: EdgeHandlers) -> None:
+        ports = self.cfg.ports
+        links = await self._listen(ports.links)
+        me = Peer(self.cfg.name, CONTROL_ROLE)
+        await nursery.start(
+            lambda task_status: serve_links(
+                links, self._codec, self.cfg.secret, me, self._on_link, task_status=task_status
+            )
+        )
+        for port, handler in (
+            (ports.addresses, handlers.addresses),
+            (ports.readiness, handlers.readiness),
+            (ports.operators, handlers.operators),
+        ):
+            listeners = await self._listen(port)
+            nursery.start_soon(serve_http, listeners, handler, OPERATOR_LIMITS)
+        listeners = await self._listen(ports.callers)
+        nursery.start_soon(
+            serve_http, listeners, handlers.callers, self._caller_limits, self._serving
+        )
+
+    async def _listen(self, port: int) -> list[trio.SocketListener]:
+        return await trio.open_tcp_listeners(port, host=self.cfg.address, backlog=BACKLOG)
+
+    def _caller_limits(self) -> HttpLimits:
+        limits = self.state.limits
+        return HttpLimits(
+            MAX_CALLER_CONNECTIONS,
+            limits.head_bytes,
+            limits.body_bytes,
+            limits.head_timeout,
+            limits.idle_timeout,
+        )
+
+    async def _on_link(self, link: Link) -> None:
+        match link.peer.role:
+            case "control" if self._member is not None:
+                await self._member.serve_peer(link)
+            case role if role == HOST_ROLE:
+                await self._server.serve(link)
+            case role if role == FOUNDING_ROLE and self.cfg.first_start:
+                await self._judge.serve(link)
+            case role:
+                log_event(LogEvent.LINK_ROLE_REFUSED, peer=link.peer.name, role=role)
+
+    async def _wait_for_stop(self) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+            async for number in received:
+                log_event(LogEvent.PROGRAM_STOPPED_BY_SIGNAL, signal=signal.Signals(number).name)
+                break
+        await self._drain()
+
+    async def _drain(self) -> None:
+        """Leave the address answers, serve on while callers hold old ones, then end."""
+        began = self._clock.now()
+        self._leaving = True
+        self._serving.closing = True
+        self._client.changed.notify()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._hand_over)
+            await trio.sleep(max(0.0, self.cfg.stop_span - STOP_SERVING_BEFORE) / SECOND)
+            end = began + self.cfg.stop_span - STOP_MARGIN
+            while self._serving.exchanges and self._clock.now() < end:
+                await trio.sleep(0.02)
+            nursery.cancel_scope.cancel()
+
+    async def _hand_over(self) -> None:
+        member = self._member
+        if member is None or member.log is None or not member.log.is_leader:
+            return
+        try:
+            await member.log.transfer_leadership()
+        except AlderhatchError as exc:
+            log_event(LogEvent.MEMBER_CHANGE_FAILED, step="hand over", why=str(exc))
+
+
+MAX_CALLER_CONNECTIONS = 1500
+"""Under half of the descriptors of a small host; the rest is for servers and links."""
+OPERATOR_LIMITS = HttpLimits(connections=200, body_bytes=4 * 1024 * 1024, idle_timeout=30_000.0)
--- /dev/null
+++ b/src/alderhatch/node/node_settings.py
@@ -0,0 +1,51 @@
+"""What a node has to be told at its start."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import NamedTuple
+
+from ..core.forwarding.extra_budget import BudgetTerms
+from ..core.policy import Policy
+from .tier_messages import Place
+
+
+class NodePorts(NamedTuple):
+    """Where the node listens, on its own address."""
+
+    callers: int
+    addresses: int
+    """Where callers ask which addresses to use."""
+    readiness: int
+    operators: int
+    links: int
+    """Where other hosts of the tier connect."""
+    metrics: int
+
+
+class NodeSettings(NamedTuple):
+    """The settings of one node."""
+
+    name: str
+    address: str
+    """This host's IP address."""
+    zone: str
+    ports: NodePorts
+    seeds: tuple[Place, ...]
+    """Hosts of the tier to begin with; they need not be members of the replicated log."""
+    data_folder: Path | None
+    """None on a host without a disk, which takes no part in the replicated log."""
+    first_start: bool
+    """Whether the whole tier starts for the first time."""
+    tolerated_hosts: int
+    """How many hosts with a disk may be lost at once."""
+    budget: BudgetTerms
+    stop_span: float
+    """How long the node may take to stop, in milliseconds."""
+    secret: bytes
+    policy: Policy = Policy()
+
+    @property
+    def place(self) -> Place:
+        """Where other hosts of the tier reach this one."""
+        return Place(self.name, self.address, self.ports.links)
--- /dev/null
+++ b/src/alderhatch/node/node_state.py
@@ -0,0 +1,132 @@
+"""What a node believes: its configuration, the servers, and the other hosts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from random import Random
+
+from ..clock import SECOND, Clock, Millis
+from ..core.control.configuration_register import NO_CONFIGURATION, StoredConfiguration
+from ..core.forwarding.extra_budget import BudgetTerms
+from ..core.forwarding.route import CallerLimits, TierConfiguration
+from ..core.forwarding.route_table import RouteTable
+from ..core.forwarding.server_record import ServerRecord
+from ..core.forwarding.target_table import TargetTable
+from ..core.policy import Policy
+from ..entry.connection_pool import ConnectionPool
+from ..log import log_event
+from ..log_events import LogEvent
+from .tier_messages import HostRecord, Place, TierView
+
+HOSTS_MEMORY: Millis = 30 * SECOND
+"""Budgets are divided by the most hosts seen within this time. A host that is cut off from the
+leader goes on sending its share, and those that are left must not use it as well."""
+
+Decoder = Callable[[bytes], TierConfiguration]
+"""Reads an operator's document; raises ``AlderhatchError`` if it is not valid."""
+
+
+class NodeState:
+    """The one place where a node's beliefs change.
+
+    Args:
+        zone: This host's availability zone.
+        decode: Reads configurations.
+        pool: Told which servers there are.
+        terms: The budget for extra requests.
+        policy: The numbers that the choice of servers is tuned by.
+        clock: The time.
+        rng: Decides between servers that are equally good.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        decode: Decoder,
+        pool: ConnectionPool,
+        terms: BudgetTerms,
+        policy: Policy,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        self.zone = zone
+        self._decode = decode
+        self._pool = pool
+        self._clock = clock
+        self.table = TargetTable(zone, terms, policy, rng)
+        self.routes = RouteTable(())
+        self.limits = CallerLimits()
+        self.stored: StoredConfiguration = NO_CONFIGURATION
+        self.records: dict[str, ServerRecord] = {}
+        """All listed servers by their ids."""
+        self.listed_at: Millis | None = None
+        """When the list was last known to be fresh."""
+        self.hosts: list[HostRecord] = []
+        """The live hosts by the leader's last word."""
+        self.controls: list[Place] = []
+        """Hosts of the replicated log by the leader's last word."""
+        self._wanted: frozenset[str] = frozenset()
+        self._host_counts: list[tuple[Millis, int]] = []
+
+    # The configuration
+
+    def take_configuration(self, stored: StoredConfiguration) -> None:
+        """Serve by a configuration if it is newer than the present one."""
+        if stored.version <= self.stored.version:
+            return
+        cfg = self._decode(stored.document)
+        self.stored = stored
+        self.routes = RouteTable(cfg.routes)
+        self.limits = cfg.limits
+        self.table.set_max_connections({one.name: one.max_connections for one in cfg.upstreams})
+        self._wanted = frozenset(name for route in cfg.routes for name in route.upstreams)
+        self._connect()
+        log_event(LogEvent.CONFIGURATION_ADOPTED, version=stored.version, routes=len(cfg.routes))
+
+    # The servers
+
+    def take_servers(self, changed: Iterable[ServerRecord], gone: Iterable[str]) -> None:
+        """Take what changed in the list of servers."""
+        for server_id in gone:
+            self.records.pop(server_id, None)
+        for record in changed:
+            self.records[record.server_id] = record
+        self._connect()
+
+    def list_is_fresh(self) -> None:
+        """Note that the list of servers is as new as can be."""
+        self.listed_at = self._clock.now()
+
+    def list_age(self) -> Millis:
+        """Return how long ago the list was known to be fresh."""
+        return self._clock.now() - self.listed_at if self.listed_at is not None else float("inf")
+
+    def _connect(self) -> None:
+        now = self._clock.now()
+        self.table.update(self.records.values(), now)
+        # Connections are kept only to upstreams that a route names: an index that is being built
+        # has as many servers as the one in use, and each connection costs its server a moment.
+        for name in self._wanted:
+            upstream = self.table.upstream(name)
+            held = set(self._pool.server_ids(name))
+            gone = held - upstream.targets.keys()
+            self._pool.adopt(name, [one.server for one in upstream.targets.values()], gone)
+        for name in self._pool.upstreams() - self._wanted:
+            self._pool.adopt(name, (), self._pool.server_ids(name))
+        self._share()
+
+    # The hosts
+
+    def take_view(self, view: TierView) -> None:
+        """Take the leader's word of who is there."""
+        self.hosts = view.hosts
+        self.controls = view.controls
+        now = self._clock.now()
+        counts = [(at, count) for at, count in self._host_counts if now - at < HOSTS_MEMORY]
+        self._host_counts = [*counts, (now, len(view.hosts))]
+        self._share()
+
+    def _share(self) -> None:
+        most = max((count for _, count in self._host_counts), default=1)
+        self.table.set_hosts(most)
+        self._pool.set_shares(self.table.shares())
--- /dev/null
+++ b/src/alderhatch/node/server_list.py
@@ -0,0 +1,94 @@
+"""Who reads the list of servers, and how often."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Protocol
+
+import trio
+
+from ..clock import SECOND, Millis
+from ..core.forwarding.server_record import ServerRecord
+from ..log import log_event
+from ..log_events import LogEvent
+from .node_state import NodeState
+from .tier_server import TierServer
+
+READ_EVERY: Millis = 900.0
+"""How often the leader reads it. With the list's own lag, the way to the hosts and one failed read
+it stays well under the time within which a leaving server must get nothing more."""
+FRESH_FOR: Millis = 2500.0
+"""A host whose list is older reads it for itself."""
+OWN_READ_EVERY: Millis = 2000.0
+"""How often a host does so, spread by half as much again: all may do it at once, and the calls of
+all are limited together."""
+
+
+class ListUnavailableError(Exception):
+    """The list could not be read now."""
+
+
+class ServerListSource(Protocol):
+    """Where the list comes from."""
+
+    async def read(self) -> list[ServerRecord]:
+        """Return all servers that are listed.
+
+        Raises:
+            ListUnavailableError: If it can't be read in time.
+        """
+
+
+class ServerListReader:
+    """Reads the list at the leader for everybody, and elsewhere only when no news comes.
+
+    Args:
+        source: Where the list comes from.
+        state: This host's beliefs.
+        server: Tells the other hosts while this one leads.
+        rng: Spreads the reads of hosts that are cut off.
+    """
+
+    def __init__(
+        self, source: ServerListSource, state: NodeState, server: TierServer, rng: Random
+    ) -> None:
+        self._source = source
+        self._state = state
+        self._server = server
+        self._rng = rng
+        self._works = True
+
+    async def run(self) -> None:
+        """Read whenever it is due, until cancelled."""
+        while True:
+            if self._server.leads:
+                await self._read()
+                await trio.sleep(READ_EVERY / SECOND)
+                continue
+            # Not at once after a start: the leader's news usually come within this time.
+            await trio.sleep((1.0 + self._rng.random() / 2) * OWN_READ_EVERY / SECOND)
+            if not self._server.leads and self._state.list_age() > FRESH_FOR:
+                await self._read()
+
+    async def _read(self) -> None:
+        try:
+            listed = await self._source.read()
+        except ListUnavailableError as exc:
+            if self._works:
+                log_event(LogEvent.SERVER_LIST_LOST, why=str(exc))
+            self._works = False
+            return
+        if not self._works:
+            log_event(LogEvent.SERVER_LIST_BACK, servers=len(listed))
+        self._works = True
+        records = {record.server_id: self._steady(record) for record in listed}
+        if self._server.leads:
+            self._server.take_list(records)
+        self._state.take_servers(records.values(), list(self._state.records))
+        self._state.list_is_fresh()
+
+    def _steady(self, record: ServerRecord) -> ServerRecord:
+        # The time left of a warm-up differs in each read. Passed on each time, it would make every
+        # server news for every host; it is told once, and hosts count it down by themselves.
+        known = self._state.records.get(record.server_id)
+        return record if known is None else record._replace(warm_up=known.warm_up)
--- /dev/null
+++ b/src/alderhatch/node/tier_client.py
@@ -0,0 +1,160 @@
+"""A host's side of the link to the leader: what is in force, the servers, and who is there."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import trio
+
+from ..clock import SECOND, LoopClock, Millis
+from ..codec import Codec
+from ..core.control.configuration_register import StoredConfiguration
+from ..link import Link, LinkClosedError, Peer, open_link
+from ..log import log_event
+from ..log_events import LogEvent
+from ..signal import Signal
+from .node_state import NodeState
+from .tier_messages import (
+    ConfigurationNews,
+    Join,
+    Place,
+    Pulse,
+    Redirect,
+    Report,
+    ServerNews,
+    TierView,
+)
+from .tier_server import HOST_ROLE
+
+REPORT_EVERY: Millis = 500.0
+LEADER_SILENT: Millis = 1600.0
+"""A leader that says nothing for three pulses is gone, or the way to it is."""
+DIAL_TIMEOUT: Millis = 800.0
+REDIAL: Millis = 120.0
+MAX_REMEMBERED = 32
+"""Places of hosts met before that are tried when neither seeds nor the log's hosts answer."""
+
+
+class TierClient:
+    """Finds the leader and follows it for as long as it leads.
+
+    Args:
+        join: Makes this host's first message.
+        report: Makes what this host says of itself.
+        seeds: Returns where to begin to look.
+        state: Takes what the leader says.
+        codec: The tier's messages.
+        secret: The secret that the hosts share.
+    """
+
+    def __init__(
+        self,
+        join: Callable[[], Join],
+        report: Callable[[], Report],
+        seeds: Callable[[], Iterable[Place]],
+        state: NodeState,
+        codec: Codec,
+        secret: bytes,
+    ) -> None:
+        self._join = join
+        self._report = report
+        self._seeds = seeds
+        self._state = state
+        self._codec = codec
+        self._secret = secret
+        self._clock = LoopClock()
+        self._hint: Place | None = None
+        self._met: list[Place] = []
+        self.leader: Place | None = None
+        """The leader that this host follows now."""
+        self.heard_at: Millis = 0.0
+        """When the leader was last heard."""
+        self.changed = Signal()
+        """To be notified when the report has changed and should go out at once."""
+
+    async def run(self) -> None:
+        """Follow whoever leads until cancelled."""
+        while True:
+            for place in self._places():
+                if await self._try(place):
+                    break
+            await trio.sleep(REDIAL / SECOND)
+
+    def _places(self) -> list[Place]:
+        hint = [self._hint] if self._hint is not None else []
+        self._hint = None
+        places = [*hint, *self._state.controls, *self._seeds(), *self._met]
+        return list({(one.address, one.port): one for one in places}.values())
+
+    async def _try(self, place: Place) -> bool:
+        """Follow a host if it leads; return whether there is a new hint to go by."""
+        peer = Peer(self._join().place.name, HOST_ROLE)
+        was_followed = False
+        try:
+            with trio.CancelScope() as dialling:
+                dialling.deadline = trio.current_time() + DIAL_TIMEOUT / SECOND
+                async with open_link(
+                    place.address, place.port, self._codec, self._secret, peer
+                ) as link:
+                    await link.send(self._join())
+                    first = await link.receive()
+                    if isinstance(first, Redirect):
+                        return self._redirected(first)
+                    dialling.deadline = float("inf")
+                    was_followed = True
+                    await self._follow(place, link, first)
+        except LinkClosedError:
+            pass
+        finally:
+            if was_followed:
+                log_event(LogEvent.LEADER_LOST, leader=place.name, address=place.address)
+                self.leader = None
+        return was_followed
+
+    def _redirected(self, redirect: Redirect) -> bool:
+        known = {(one.address, one.port) for one in self._met}
+        fresh = [one for one in redirect.others if (one.address, one.port) not in known]
+        self._met = [*fresh, *self._met][:MAX_REMEMBERED]
+        self._hint = redirect.leader
+        return redirect.leader is not None
+
+    async def _follow(self, place: Place, link: Link, first: object) -> None:
+        self.leader = place
+        log_event(LogEvent.LEADER_FOUND, leader=place.name, address=place.address)
+        self._take(first)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._keep_reporting, link, nursery.cancel_scope)
+            while True:
+                message: object = None
+                with trio.move_on_after(LEADER_SILENT / SECOND):
+                    try:
+                        message = await link.receive()
+                    except LinkClosedError:
+                        break
+                if message is None:
+                    break
+                self._take(message)
+            nursery.cancel_scope.cancel()
+
+    async def _keep_reporting(self, link: Link, scope: trio.CancelScope) -> None:
+        try:
+            while True:
+                await link.send(self._report())
+                await self.changed.wait_for(REPORT_EVERY)
+        except LinkClosedError:
+            scope.cancel()
+
+    def _take(self, message: object) -> None:
+        self.heard_at = self._clock.now()
+        match message:
+            case ConfigurationNews(version, packed):
+                self._state.take_configuration(StoredConfiguration(version, packed))
+                self.changed.notify()
+            case ServerNews(complete, changed, gone):
+                self._state.take_servers(changed, list(self._state.records) if complete else gone)
+                self._state.list_is_fresh()
+            case TierView():
+                self._state.take_view(message)
+            case Pulse(list_is_fresh):
+                if list_is_fresh:
+                    self._state.list_is_fresh()
--- /dev/null
+++ b/src/alderhatch/node/tier_messages.py
@@ -0,0 +1,122 @@
+"""What the hosts of one tier say to each other beside the replicated log's messages."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+from ..core.forwarding.server_record import ServerRecord
+
+
+class Place(NamedTuple):
+    """Where a host accepts links."""
+
+    name: str
+    address: str
+    """An IP address."""
+    port: int
+
+
+class DiskRecord(NamedTuple):
+    """The data folder of a host that has one."""
+
+    member_id: str
+    """The identity of the folder; another one after its disk was lost."""
+    cluster_id: str
+    """The cluster that it belongs to; empty if none yet."""
+
+
+class Join(NamedTuple):
+    """A host's first message to whom it takes for the leader."""
+
+    place: Place
+    zone: str
+    caller_address: str
+    """Address and port that callers connect to."""
+    disk: DiskRecord | None
+
+
+class Report(NamedTuple):
+    """What a host says of itself, again and again."""
+
+    serving: bool
+    """Whether callers may be sent to it."""
+    configuration: int
+    """The number of the configuration that it serves by."""
+    disk: DiskRecord | None
+
+
+class Redirect(NamedTuple):
+    """The answer of a host that does not lead."""
+
+    leader: Place | None
+    """The leader, if one is known."""
+    others: list[Place]
+    """Hosts of the replicated log, any of which may know more."""
+
+
+class HostRecord(NamedTuple):
+    """One live host as callers need to know it."""
+
+    name: str
+    zone: str
+    caller_address: str
+    serving: bool
+
+
+class TierView(NamedTuple):
+    """Who is there."""
+
+    hosts: list[HostRecord]
+    controls: list[Place]
+    """The hosts of the replicated log."""
+
+
+class ConfigurationNews(NamedTuple):
+    """A configuration that is in force."""
+
+    version: int
+    packed: bytes
+    """The operator's document, compressed."""
+
+
+class ServerNews(NamedTuple):
+    """What changed in the list of servers since the last such message over this link."""
+
+    complete: bool
+    """Whether this is the whole list, as it is in the first such message."""
+    changed: list[ServerRecord]
+    """Servers that are new or different."""
+    gone: list[str]
+    """The ids of servers that are listed no more."""
+
+
+class Pulse(NamedTuple):
+    """The leader is alive and its list of servers is fresh enough."""
+
+    list_is_fresh: bool
+
+
+class FoundingBid(NamedTuple):
+    """A host with an empty disk is ready for the founding of the replicated log."""
+
+    name: str
+    cluster_id: str
+
+
+class FoundingVerdict(NamedTuple):
+    """Which host founds it; empty if it exists already."""
+
+    founder: str
+
+
+TIER_MESSAGE_TYPES: tuple[type[Any], ...] = (
+    Join,
+    Report,
+    Redirect,
+    TierView,
+    ConfigurationNews,
+    ServerNews,
+    Pulse,
+    FoundingBid,
+    FoundingVerdict,
+)
--- /dev/null
+++ b/src/alderhatch/node/tier_server.py
@@ -0,0 +1,211 @@
+"""The leader's side of the links over which the hosts of a tier learn what is in force."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import trio
+
+from ..clock import SECOND, LoopClock, Millis
+from ..core.control.configuration_register import StoredConfiguration
+from ..core.forwarding.server_record import ServerRecord
+from ..link import Link, LinkClosedError
+from ..log import log_event
+from ..log_events import LogEvent
+from ..signal import Signal
+from .control_member import ControlMember
+from .tier_messages import (
+    ConfigurationNews,
+    HostRecord,
+    Join,
+    Pulse,
+    Redirect,
+    Report,
+    ServerNews,
+    TierView,
+)
+from .voter_plan import DiskHost
+
+HOST_ROLE = "host"
+PULSE_EVERY: Millis = 500.0
+"""How often a host hears that its leader is there when there is no other news."""
+SILENT_AFTER: Millis = 1600.0
+"""A host that has not reported for so long is dead; three reports fit in."""
+CONFIGURATION_GAP: Millis = 150.0
+"""Between two configurations over one link. Of several that follow each other closely only the
+newest is sent: a burst of large ones would fill the links between zones."""
+
+
+class ServerList(NamedTuple):
+    """The list of servers as the leader last read it."""
+
+    number: int
+    """Goes up with each change."""
+    records: dict[str, ServerRecord]
+    """By server id; never changed in place."""
+
+
+class _Session:
+    """One host that follows this leader."""
+
+    def __init__(self, join: Join, link: Link, now: Millis) -> None:
+        self.join = join
+        self.link = link
+        self.heard_at = now
+        self.serving = False
+        self.disk = join.disk
+        self.told_version = 0
+        self.told_list = ServerList(0, {})
+        self.told_view: TierView | None = None
+
+    def record(self) -> HostRecord:
+        """Return the host as callers need to know it."""
+        join = self.join
+        return HostRecord(join.place.name, join.zone, join.caller_address, self.serving)
+
+
+class TierServer:
+    """Keeps a session with each host while this host leads.
+
+    Args:
+        member: This host's part in the replicated log.
+        stored: Returns the newest configuration of the log's state.
+        list_is_fresh: Returns whether the list of servers was read lately.
+        redirect: Returns what a host is told while this one does not lead.
+    """
+
+    def __init__(
+        self,
+        member: ControlMember | None,
+        stored: Callable[[], StoredConfiguration],
+        list_is_fresh: Callable[[], bool],
+        redirect: Callable[[], Redirect],
+    ) -> None:
+        self._member = member
+        self._stored = stored
+        self._list_is_fresh = list_is_fresh
+        self._redirect = redirect
+        self._clock = LoopClock()
+        self._sessions: dict[str, _Session] = {}
+        self._list = ServerList(0, {})
+        self.news = Signal()
+        """Notified when there is something to tell the hosts."""
+
+    @property
+    def leads(self) -> bool:
+        """Whether this host leads."""
+        return self._member is not None and self._member.leads
+
+    def take_list(self, records: dict[str, ServerRecord]) -> None:
+        """Take a newer list of servers and tell all hosts what changed."""
+        if records != self._list.records:
+            self._list = ServerList(self._list.number + 1, records)
+            self.news.notify()
+
+    def disk_hosts(self) -> dict[str, DiskHost]:
+        """Return the live hosts that have a data folder, by name."""
+        return {
+            name: DiskHost(session.join.place, session.disk)
+            for name, session in self._sessions.items()
+            if session.disk is not None
+        }
+
+    def host_count(self) -> int:
+        """Return how many hosts follow this one."""
+        return len(self._sessions)
+
+    # Links
+
+    async def serve(self, link: Link) -> None:
+        """Follow one host's link until it closes or this host leads no more."""
+        join: object = None
+        with trio.move_on_after(SILENT_AFTER / SECOND):
+            join = await link.receive()
+        if not isinstance(join, Join):
+            return
+        if not self.leads:
+            await link.send(self._redirect())
+            return
+        await self._follow(join, link)
+
+    async def _follow(self, join: Join, link: Link) -> None:
+        session = _Session(join, link, self._clock.now())
+        name = join.place.name
+        self._sessions[name] = session
+        log_event(LogEvent.HOST_JOINED, host=name, zone=join.zone)
+        self.news.notify()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._tell, session, nursery.cancel_scope)
+                nursery.start_soon(self._watch, session, nursery.cancel_scope)
+                await self._listen(session)
+                nursery.cancel_scope.cancel()
+        finally:
+            if self._sessions.get(name) is session:
+                del self._sessions[name]
+                log_event(LogEvent.HOST_LOST, host=name, silent_ms=self._silence(session))
+                self.news.notify()
+
+    def _silence(self, session: _Session) -> int:
+        return int(self._clock.now() - session.heard_at)
+
+    async def _listen(self, session: _Session) -> None:
+        while True:
+            try:
+                message = await session.link.receive()
+            except LinkClosedError:
+                return
+            if not isinstance(message, Report):
+                return
+            session.heard_at = self._clock.now()
+            session.disk = message.disk
+            if message.serving != session.serving:
+                session.serving = message.serving
+                self.news.notify()
+
+    async def _watch(self, session: _Session, scope: trio.CancelScope) -> None:
+        while self.leads and self._clock.now() - session.heard_at < SILENT_AFTER:
+            await trio.sleep(SILENT_AFTER / 8 / SECOND)
+        scope.cancel()
+
+    async def _tell(self, session: _Session, scope: trio.CancelScope) -> None:
+        try:
+            while True:
+                sent = self._news_for(session)
+                for message in sent:
+                    await session.link.send(message)
+                if not sent:
+                    if not await self.news.wait_for(PULSE_EVERY):
+                        await session.link.send(Pulse(self._list_is_fresh()))
+                elif any(isinstance(one, ConfigurationNews) for one in sent):
+                    await trio.sleep(CONFIGURATION_GAP / SECOND)
+        except LinkClosedError:
+            scope.cancel()
+
+    def _news_for(self, session: _Session) -> list[tuple[Any, ...]]:
+        news: list[tuple[Any, ...]] = []
+        stored = self._stored()
+        if stored.version > session.told_version:
+            session.told_version = stored.version
+            news.append(ConfigurationNews(*stored))
+        if self._list.number != session.told_list.number:
+            news.append(_difference(session.told_list, self._list))
+            session.told_list = self._list
+        view = self.view()
+        if view != session.told_view:
+            session.told_view = view
+            news.append(view)
+        return news
+
+    def view(self) -> TierView:
+        """Return who is there now."""
+        hosts = [self._sessions[name].record() for name in sorted(self._sessions)]
+        return TierView(hosts, self._member.controls() if self._member is not None else [])
+
+
+def _difference(old: ServerList, new: ServerList) -> ServerNews:
+    before = old.records
+    changed = [record for name, record in new.records.items() if before.get(name) != record]
+    gone = [name for name in before if name not in new.records]
+    return ServerNews(old.number == 0, changed, gone)
--- /dev/null
+++ b/src/alderhatch/node/voter_keeper.py
@@ -0,0 +1,74 @@
+"""Keeps the members of the replicated log as ``voter_plan`` wants them while this host leads."""
+
+from __future__ import annotations
+
+import trio
+
+from ..clock import SECOND, LoopClock, Millis
+from ..control._member_plan import AddMember, PromoteMember, RemoveMember, Step
+from ..control.log_node import LogNode
+from ..errors import AlderhatchError
+from ..log import log_event
+from ..log_events import LogEvent
+from .control_member import ControlMember
+from .tier_server import TierServer
+from .voter_plan import next_step, wanted_voters
+
+STEP_INTERVAL: Millis = 200.0
+RETRY_INTERVAL: Millis = 1 * SECOND
+
+
+class VoterKeeper:
+    """Takes one step at a time.
+
+    Args:
+        member: This host's part in the log.
+        server: Knows the live hosts and their disks.
+        tolerated: How many hosts with a disk may be lost at once.
+    """
+
+    def __init__(self, member: ControlMember, server: TierServer, tolerated: int) -> None:
+        self._member = member
+        self._server = server
+        self._wanted = wanted_voters(tolerated)
+        self._clock = LoopClock()
+        self._heard_at: dict[str, Millis] = {}
+
+    async def run(self) -> None:
+        """Take steps until cancelled."""
+        while True:
+            log = self._member.log
+            if log is None or not log.is_leader:
+                self._heard_at.clear()
+                await trio.sleep(STEP_INTERVAL / SECOND)
+                continue
+            step = self._next(log)
+            failed = step is not None and not await self._take(log, step)
+            await trio.sleep((RETRY_INTERVAL if failed else STEP_INTERVAL) / SECOND)
+
+    def _next(self, log: LogNode) -> Step | None:
+        now = self._clock.now()
+        membership = log.membership
+        heard = log.heard_from()
+        for member in membership.members:
+            if member.name in heard or member.name not in self._heard_at:
+                self._heard_at[member.name] = now
+        unheard = {name: now - at for name, at in self._heard_at.items()}
+        caught_up = frozenset(one.name for one in membership.learners if log.caught_up(one.name))
+        hosts = self._server.disk_hosts()
+        return next_step(membership, hosts, caught_up, unheard, self._wanted)
+
+    async def _take(self, log: LogNode, step: Step) -> bool:
+        try:
+            match step:
+                case AddMember(name, address, port):
+                    await log.add_learner(name, address, port)
+                case PromoteMember(name):
+                    await log.promote(name)
+                case RemoveMember(name):
+                    await log.remove_member(name)
+        except AlderhatchError as exc:
+            log_event(LogEvent.MEMBER_CHANGE_FAILED, step=repr(step), why=str(exc))
+            return False
+        log_event(LogEvent.MEMBER_CHANGED, step=repr(step))
+        return True
--- /dev/null
+++ b/src/alderhatch/platform/__init__.py
@@ -0,0 +1,4 @@
+"""The users' platform: its settings, its protocol and its list of servers, translated.
+
+Nothing outside this package knows a name of the platform; nothing inside it decides anything.
+"""
--- /dev/null
+++ b/src/alderhatch/platform/__main__.py
@@ -0,0 +1,42 @@
+"""The program that the platform starts on each of its machines."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+import trio
+
+from ..errors import AlderhatchError
+from ..log import log_event, set_up_logs
+from ..log_events import LogEvent
+from ..node.boot_clock import BootClock
+from ..node.node import Node
+from .configuration import decode_configuration
+from .dialect import PlatformDialect
+from .edge import PlatformEdge
+from .server_list import PlatformServerList
+from .settings import read_settings
+
+SETTINGS_VARIABLE = "ALDERHATCH_SETTINGS"
+SETTINGS_PATH = "/etc/alderhatch/settings.conf"
+CANNOT_START = 2
+
+
+def main() -> int:
+    """Run the node until it is stopped; return the exit code."""
+    set_up_logs("alderhatch-node", stream=sys.stdout)
+    try:
+        cfg = read_settings(Path(os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH)))
+    except (AlderhatchError, OSError) as exc:
+        log_event(LogEvent.PROGRAM_CANNOT_START, why=str(exc))
+        return CANNOT_START
+    source = PlatformServerList(cfg.list_address, cfg.list_port)
+    node = Node(cfg.node, PlatformDialect(), decode_configuration, source)
+    trio.run(node.run, PlatformEdge(node).handlers(), clock=BootClock())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
