Founding: bidders are told where the founder is, which need not be a seed

Cause: on the Trafikkforbund's site four hosts have a disk and three are seeds; the fourth founded the log and nobody could find it. Change: the verdict names the founder's place and every bidder passes it on.

--- a/src/alderhatch/node/founding.py
+++ b/src/alderhatch/node/founding.py
@@ -28,21 +28,22 @@
     """
 
     def __init__(self) -> None:
-        self._bids: dict[str, str] = {}
+        self._bids: dict[Place, str] = {}
         self._decided = trio.Event()
-        self._founder = ""
+        self.founder: Place | None = None
+        """The host that founds the log, once it is decided."""
 
     async def judge(self, bid: FoundingBid) -> FoundingVerdict:
         """Take a bid and wait for the verdict."""
         is_first = not self._bids
-        self._bids[bid.name] = bid.cluster_id
+        self._bids[bid.place] = bid.cluster_id
         if is_first:
             await trio.sleep(GATHER_TIME / SECOND)
             if not any(self._bids.values()):
-                self._founder = min(self._bids)
+                self.founder = min(self._bids)
             self._decided.set()
         await self._decided.wait()
-        return FoundingVerdict(self._founder)
+        return FoundingVerdict(self.founder)
 
     async def serve(self, link: Link) -> None:
         """Answer one bidder."""
@@ -58,7 +59,7 @@
     judge: FoundingJudge,
     codec: Codec,
     secret: bytes,
-) -> None:
+) -> Place | None:
     """Take part in the founding until this host belongs to a cluster.
 
     Args:
@@ -68,12 +69,16 @@
         judge: Used if that is this host itself.
         codec: The tier's messages.
         secret: The secret that the hosts share.
+
+    Returns:
+        The host that founds the log, if this one was told. It need not be among the seeds, and
+        until it has members nobody else can say where it is.
     """
     while member.disk is None or not member.disk.cluster_id:
         await trio.sleep(BID_PAUSE / SECOND)
         if member.disk is None or member.disk.cluster_id:
             continue
-        bid = FoundingBid(me.name, member.disk.cluster_id)
+        bid = FoundingBid(me, member.disk.cluster_id)
         where = judge_at()
         try:
             if (where.address, where.port) == (me.address, me.port):
@@ -82,10 +87,11 @@
                 verdict = await _ask(where, bid, me, codec, secret)
         except LinkClosedError:
             continue
-        if verdict.founder == me.name:
+        if verdict.founder == me:
             member.found()
         # Asked again, a judge that has restarted meanwhile could name another founder.
-        return
+        return verdict.founder
+    return None
 
 
 async def _ask(
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -84,6 +84,7 @@
         )
         self.seeds = cfg.seeds
         """Where to look for the tier; the settings may name others later."""
+        self._founder: Place | None = None
         self._leaving = False
         self._serving = ServeState()
         self._register = ConfigurationRegister(self._stored)
@@ -118,9 +119,9 @@
 
     @property
     def leader(self) -> Place | None:
-        """The leader of the replicated log, if this host knows it."""
+        """The leader of the replicated log, or who may know it, if this host knows any."""
         own = self._member.leader() if self._member is not None else None
-        return own or self._client.leader
+        return own or self._client.leader or self._judge.founder or self._founder
 
     def _list_is_fresh(self) -> bool:
         return self.state.list_age() < LIST_FRESH
@@ -173,7 +174,7 @@
     async def _bid(self) -> None:
         assert self._member is not None
         cfg = self.cfg
-        await bid_for_founding(
+        self._founder = await bid_for_founding(
             self._member, cfg.place, self._judge_place, self._judge, self._codec, cfg.secret
         )
 
--- a/src/alderhatch/node/tier_messages.py
+++ b/src/alderhatch/node/tier_messages.py
@@ -99,14 +99,14 @@
 class FoundingBid(NamedTuple):
     """A host with an empty disk is ready for the founding of the replicated log."""
 
-    name: str
+    place: Place
     cluster_id: str
 
 
 class FoundingVerdict(NamedTuple):
-    """Which host founds it; empty if it exists already."""
+    """Which host founds it; none if it exists already."""
 
-    founder: str
+    founder: Place | None
 
 
 TIER_MESSAGE_TYPES: tuple[type[Any], ...] = (
