Answers to earlier requests are read over; SIGHUP rereads the settings

Cause: a server repeated the answer to an earlier request where the next one was due; it was found out by its echoed id, and then passed on as the server's own failure. A SIGHUP ended the process. Change: the client reads on behind such an answer to the own one, only a server's word that it failed is passed on, and the settings file is read again at SIGHUP and every 2 s.

--- a/src/alderhatch/http/client.py
+++ b/src/alderhatch/http/client.py
@@ -21,6 +21,8 @@
 """Longer bodies are sent while the answer is awaited; the windows of a link hold about as much."""
 BODY_METHODS = ("POST", "PUT", "PATCH")
 """Methods whose requests state their length also when it is 0."""
+MAX_FOREIGN_REPLIES = 2
+"""Responses to earlier requests that are read over before the own one."""
 MAX_INFORMATIONAL = 256
 """1xx responses that may come before the real one; servers show by them that they are at work."""
 REQUEST_HEADS = 2048
@@ -146,7 +148,12 @@
         return await self._transfer(data, max_body)
 
     async def forward(
-        self, method: str, target: str, fields: HeaderFields, body: bytes = b""
+        self,
+        method: str,
+        target: str,
+        fields: HeaderFields,
+        body: bytes = b"",
+        is_own: Callable[[HttpReply], bool] = lambda _: True,
     ) -> HttpReply:
         """Send a request with exactly these header fields and wait for its whole response.
 
@@ -159,16 +166,39 @@
             target: Path and query string.
             fields: All header fields but the body's length.
             body: The whole body.
+            is_own: Returns whether a response belongs to this request. A server may repeat the
+                answer to an earlier request where this one's is expected; the own one comes behind
+                it, and a request that must not run twice could not be sent again to get it.
 
         Returns:
-            The response.
+            The response; one that is not the own one if no other came.
 
         Raises:
             HttpExchangeError: If the connection broke, or the server sent no valid response.
         """
-        data = self._begin(lambda: self._forward_bytes(method, target, fields, body))
+        head = self._forward_head(method, target, fields, body)
+        data = self._begin(lambda: self._forward_bytes(head, body))
         if len(body) <= MAX_WHOLE_SEND:
-            return await self._transfer(data, MAX_REPLY_BODY_BYTES)
+            reply = await self._transfer(data, MAX_REPLY_BODY_BYTES)
+        else:
+            reply = await self._transfer_long(data)
+        for _ in range(MAX_FOREIGN_REPLIES):
+            if is_own(reply):
+                break
+            self._expect_another(head, body)
+            reply = await self._transfer(b"", MAX_REPLY_BODY_BYTES)
+        return reply
+
+    def _expect_another(self, head: h11.Request, body: bytes) -> None:
+        """Read on behind a response as if the request had just been sent."""
+        rest, _ = self._http.trailing_data
+        self.usable = False
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_REPLY_HEAD_BYTES)
+        self._forward_bytes(head, body)
+        if rest:
+            self._http.receive_data(rest)
+
+    async def _transfer_long(self, data: bytes) -> HttpReply:
         sending = _Sending()
         result: HttpReply | HttpExchangeError
         async with trio.open_nursery() as nursery:
@@ -231,12 +261,16 @@
             data += send(h11.Data(data=body)) or b""
         return data + (send(END_OF_MESSAGE) or b"")
 
-    def _forward_bytes(self, method: str, target: str, fields: HeaderFields, body: bytes) -> bytes:
-        send = self._http.send
+    @staticmethod
+    def _forward_head(method: str, target: str, fields: HeaderFields, body: bytes) -> h11.Request:
         headers = list(fields)
         if body or method in BODY_METHODS:
             headers.append((b"content-length", b"%d" % len(body)))
-        data = send(h11.Request(method=method, target=target, headers=headers)) or b""
+        return h11.Request(method=method, target=target, headers=headers)
+
+    def _forward_bytes(self, head: h11.Request, body: bytes) -> bytes:
+        send = self._http.send
+        data = send(head) or b""
         if body:
             data += send(h11.Data(data=body)) or b""
         return data + (send(END_OF_MESSAGE) or b"")
@@ -246,7 +280,8 @@
         chunks: list[bytes] = []
         size = 0
         informational = 0
-        await self._receive()
+        if not self._http.trailing_data[0]:
+            await self._receive()
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -125,6 +125,10 @@
     PROGRAM_CANNOT_START = EventRow(
         5001, logging.ERROR, "An address could not be opened or the data folder not used."
     )
+    SETTINGS_ADOPTED = EventRow(5010, logging.INFO, "Changed settings are in use.")
+    SETTINGS_REFUSED = EventRow(
+        5011, logging.WARNING, "Changed settings can't be read; those in use stay."
+    )
     PROGRAM_FAULT = EventRow(5090, logging.ERROR, "A fault of alderhatch; see the traceback.")
 
     @property
--- a/src/alderhatch/node/dialect.py
+++ b/src/alderhatch/node/dialect.py
@@ -20,8 +20,6 @@
     load: LoadReport | None = None
     """What the server says of its load, if it does."""
     retry_after: Millis | None = None
-    ran: bool = True
-    """Whether a server that failed it has begun to work on it."""
 
 
 class CallerRequest(NamedTuple):
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -112,8 +112,15 @@
             raise HttpExchangeError("no time is left", ExchangeFault.NOT_SENT)
         req = flight.req
         fields = self._dialect.server_fields(req, server_id, left)
-        reply = await conn.forward(req.http.method, req.http.target, fields, req.http.body)
-        reading = self._dialect.read_answer(req, reply)
+        read = self._dialect.read_answer
+        reply = await conn.forward(
+            req.http.method,
+            req.http.target,
+            fields,
+            req.http.body,
+            lambda one: read(req, one).fault is not AttemptFault.WRONG_ANSWER,
+        )
+        reading = read(req, reply)
         if reading.fault is AttemptFault.WRONG_ANSWER:
             # Whatever crossed the answers may do so again: the next answer on this connection may
             # be the one that this request waited for.
@@ -158,7 +165,9 @@
         if reading.fault is None:
             self._carry_out(self.run.on_answer(attempt, reply, now))
         else:
-            failure = reply if reading.ran else None
+            # Only a server's own word that it failed is worth passing on; whatever else came is
+            # no answer to this request.
+            failure = reply if reading.fault is AttemptFault.FAILED else None
             self._carry_out(self.run.on_fault(attempt, reading.fault, failure, now))
         self._changed.set()
 
--- a/src/alderhatch/platform/__main__.py
+++ b/src/alderhatch/platform/__main__.py
@@ -18,6 +18,7 @@
 from .edge import PlatformEdge
 from .server_list import PlatformServerList
 from .settings import read_settings
+from .settings_watch import watch_settings
 
 SETTINGS_VARIABLE = "ALDERHATCH_SETTINGS"
 SETTINGS_PATH = "/etc/alderhatch/settings.conf"
@@ -27,16 +28,24 @@
 def main() -> int:
     """Run the node until it is stopped; return the exit code."""
     set_up_logs("alderhatch-node", stream=sys.stdout)
+    path = Path(os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH))
     try:
-        cfg = read_settings(Path(os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH)))
+        cfg = read_settings(path)
     except (AlderhatchError, OSError) as exc:
         log_event(LogEvent.PROGRAM_CANNOT_START, why=str(exc))
         return CANNOT_START
     source = PlatformServerList(cfg.list_address, cfg.list_port)
     node = Node(cfg.node, PlatformDialect(), decode_configuration, source)
-    trio.run(node.run, PlatformEdge(node).handlers(), clock=BootClock())
+    trio.run(_run, node, path, clock=BootClock())
     return 0
 
 
+async def _run(node: Node, path: Path) -> None:
+    async with trio.open_nursery() as nursery:
+        await nursery.start(watch_settings, node, path)
+        await node.run(PlatformEdge(node).handlers())
+        nursery.cancel_scope.cancel()
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/src/alderhatch/platform/dialect.py
+++ b/src/alderhatch/platform/dialect.py
@@ -50,17 +50,23 @@
     def read_answer(self, req: CallerRequest, reply: HttpReply) -> Reading:
         """Return what a server's answer means."""
         echo = reply.header(wire.REQUEST_ID)
-        if echo is not None and echo.decode("latin-1") != req.request_id:
+        # An extra answer to an earlier request may come where this one's is expected. Whoever took
+        # it would hand a caller somebody else's data; only the echoed id tells them apart.
+        # Refusals come without it.
+        is_foreign = (
+            reply.status < 300 if echo is None else echo.decode("latin-1") != req.request_id
+        )
+        if is_foreign:
             return Reading(AttemptFault.WRONG_ANSWER)
         load = _load(reply)
         if reply.status == 421:
-            return Reading(AttemptFault.MOVED, load, None, False)
+            return Reading(AttemptFault.MOVED, load)
         if reply.header(wire.NOT_RUN) is not None:
-            return Reading(AttemptFault.SHED, load, _retry_after(reply), False)
+            return Reading(AttemptFault.SHED, load, _retry_after(reply))
         if reply.status >= 500:
             return Reading(AttemptFault.FAILED, load)
         if reply.header(wire.SEAL) is None or reply.header(wire.ENCODING) is not None:
-            return Reading(AttemptFault.GARBAGE, load, None, False)
+            return Reading(AttemptFault.GARBAGE, load)
         return Reading(None, load)
 
     def response(self, route: Route, outcome: Outcome) -> HttpResponse:
