Hedge delay by the route's own latencies and the budget left; the answer's moment by the caller's round trip

Cause: light requests were hedged by the latencies of heavy ones, and answers left 12 ms before the target whatever the caller's distance: half of copy-status waited for it and missed. Change: a histogram a route, the quantile follows the budget from 0.75 to 0.97, and the kernel's round trip tells the way.

--- a/src/alderhatch/core/forwarding/extra_budget.py
+++ b/src/alderhatch/core/forwarding/extra_budget.py
@@ -59,15 +59,25 @@
         """Count a request that goes to this upstream."""
         self._slot(now).first += 1
 
+    def level(self, share: BudgetShare, now: Millis) -> float:
+        """Return which part of what the window allows is left, between 0 and 1."""
+        first, extra = self._counts(now)
+        allowed = share.ratio * first + share.constant
+        return max(0.0, 1.0 - extra / allowed) if allowed > 0 else 0.0
+
     def left(self, share: BudgetShare, now: Millis) -> float:
         """Return how many extra requests may be sent now; below 1 is none."""
+        first, extra = self._counts(now)
+        return share.ratio * first + share.constant - extra
+
+    def _counts(self, now: Millis) -> tuple[int, int]:
         # A step that has only just left the window at its beginning may still be in the window
         # that the servers' side counts, so extra requests are held for one more step.
         extra = sum(
             slot.extra for slot in self._slots if slot.begins_at > now - self._window - SLOT
         )
         first = sum(slot.first for slot in self._slots if slot.begins_at > now - self._window)
-        return share.ratio * first + share.constant - extra
+        return first, extra
 
     def spend(self, share: BudgetShare, now: Millis) -> bool:
         """Count one extra request; return False, and count none, if the budget is used up."""
--- a/src/alderhatch/core/forwarding/forward_run.py
+++ b/src/alderhatch/core/forwarding/forward_run.py
@@ -15,10 +15,15 @@
 from .target_table import Target, TargetTable
 
 FOREVER: Millis = float("inf")
-SCATTER_HEDGE_QUANTILE = 0.9
-"""A part that is later than this share of the upstream's answers is asked for again elsewhere."""
-SINGLE_HEDGE_QUANTILE = 0.95
-"""The same for requests to one server, whose work differs more from one to the next."""
+EARLIEST_HEDGE_QUANTILE = 0.75
+"""With the whole budget left, a part that is later than this share of the route's answers is asked
+for again elsewhere."""
+LATEST_HEDGE_QUANTILE = 0.97
+"""The same with the budget nearly used up. In between the delay follows the budget, so that it
+lasts: the rarer the hedges, the more surely each of them meets a server that stands still."""
+ENOUGH_SAMPLES = 40
+GUESS_FACTOR = 2.0
+"""Before there are enough samples, a part is late after this multiple of the usual latency."""
 MIN_HEDGE_DELAY: Millis = 8.0
 MAX_SENDS = 4
 """Requests for one shard, refused ones included; more would only add to an overload."""
@@ -134,7 +139,6 @@
         self._table = table
         self._shard_of: dict[int, ShardState] = {}
         self._effects: list[Effect] = []
-        self._is_scatter = isinstance(route.destination, AllShards)
         destination = route.destination
         coverage = destination.min_coverage if isinstance(destination, AllShards) else 1.0
         self._least = least_parts(len(upstreams), coverage)
@@ -155,11 +159,16 @@
 
     def on_answer(self, attempt: int, answer: object, now: Millis) -> list[Effect]:
         """Take a server's answer that counts."""
+        sent = self._peek(attempt)
         shard = self._take(attempt)
+        if sent is not None:
+            self._table.route_latencies(self.route.name).record(now - sent.at)
         if shard is not None and shard.open:
             shard.part = answer
             for other in shard.out:
                 self._effects.append(Cancel(other))
+        if self.finished:
+            return []
         self._settle(now)
         return self._flush()
 
@@ -232,6 +241,7 @@
                 shard.waits_until = now + LOOK_AGAIN
             return False
         attempt = next(_attempts)
+        shard.hedge_at = None
         shard.out[attempt] = Sent(target, now)
         shard.sends += 1
         shard.may_have_run.add(target.server_id)
@@ -264,22 +274,26 @@
             return FOREVER
         if len(shard.may_have_run) >= self.route.max_servers or shard.sends >= MAX_SENDS:
             return FOREVER
-        (sent,) = shard.out.values()
-        return sent.at + self.hedge_delay(shard.upstream)
+        if shard.hedge_at is None:
+            (sent,) = shard.out.values()
+            shard.hedge_at = sent.at + self.hedge_delay(shard.upstream, sent.at)
+        return shard.hedge_at
 
-    def hedge_delay(self, upstream: str) -> Millis:
+    def hedge_delay(self, upstream: str, now: Millis) -> Millis:
         """Return how long an answer is awaited before another server is asked as well."""
-        latencies = self._table.upstream(upstream).latencies
-        quantile = SCATTER_HEDGE_QUANTILE if self._is_scatter else SINGLE_HEDGE_QUANTILE
-        return max(MIN_HEDGE_DELAY, latencies.quantile(quantile))
+        latencies = self._table.route_latencies(self.route.name)
+        if latencies.samples < ENOUGH_SAMPLES:
+            return GUESS_FACTOR * self._table.upstream(upstream).latencies.median
+        span = LATEST_HEDGE_QUANTILE - EARLIEST_HEDGE_QUANTILE
+        level = self._table.budget_level(upstream, now)
+        return max(MIN_HEDGE_DELAY, latencies.quantile(LATEST_HEDGE_QUANTILE - span * level))
 
     def _hedge(self, shard: ShardState, now: Millis) -> None:
         if self._send(shard, now, extra=True):
             self.hedges += 1
             return
         # No other server, or no budget: the next look is a little later, not at once.
-        attempt, sent = next(iter(shard.out.items()))
-        shard.out[attempt] = Sent(sent.target, now + LOOK_AGAIN - self.hedge_delay(shard.upstream))
+        shard.hedge_at = now + LOOK_AGAIN
 
     # The end
 
@@ -291,6 +305,7 @@
         shard = self._shard_of.pop(attempt, None)
         if shard is not None:
             shard.out.pop(attempt, None)
+            shard.hedge_at = None
         return shard
 
     @property
--- a/src/alderhatch/core/forwarding/shard_state.py
+++ b/src/alderhatch/core/forwarding/shard_state.py
@@ -23,6 +23,8 @@
     upstream: str
     out: dict[int, Sent] = field(default_factory=dict)
     """Attempts whose outcome is not known."""
+    hedge_at: Millis | None = None
+    """When another server is asked as well; None until it is worked out."""
     sends: int = 0
     """Requests that left this host for it."""
     may_have_run: set[str] = field(default_factory=set)
--- a/src/alderhatch/core/forwarding/target_table.py
+++ b/src/alderhatch/core/forwarding/target_table.py
@@ -89,6 +89,7 @@
         self._rng = rng
         self._hosts = 1
         self._upstreams: dict[str, UpstreamTargets] = {}
+        self._route_latencies: dict[str, LatencyHistogram] = {}
 
     # Who is there
 
@@ -224,8 +225,29 @@
         """Take one extra request to an upstream out of the budget; False if there is none."""
         return self.upstream(name).budget.spend(self.budget_share, now)
 
+    def budget_level(self, name: str, now: Millis) -> float:
+        """Return how much of an upstream's budget is left, between 0 and 1."""
+        return self.upstream(name).budget.level(self.budget_share, now)
+
     # What was seen
 
+    def route_latencies(self, route: str) -> LatencyHistogram:
+        """Return how long the servers take for the requests of a route, for each shard alone.
+
+        Requests of different routes go to the same servers and differ in their work; by the
+        latencies of all of them, a light request's late shard would be noticed too late.
+        """
+        known = self._route_latencies.get(route)
+        if known is None:
+            known = LatencyHistogram(self._policy.first_latency_ms)
+            self._route_latencies[route] = known
+        return known
+
+    def keep_routes(self, names: Container[str]) -> None:
+        """Forget what was seen of routes that are no more."""
+        for name in [name for name in self._route_latencies if name not in names]:
+            del self._route_latencies[name]
+
     def sent(self, target: Target, attempt: int, now: Millis) -> None:
         """Count a request as out at a server."""
         target.in_flight += 1
--- a/src/alderhatch/http/messages.py
+++ b/src/alderhatch/http/messages.py
@@ -33,6 +33,8 @@
     """All header fields, also those that came more than once."""
     on_used_connection: bool = False
     """Whether the connection has carried an earlier request."""
+    round_trip: Millis = 0.0
+    """How long the way to the client and back takes, as the kernel measured it; 0 if unknown."""
 
 
 class HttpResponse(NamedTuple):
--- a/src/alderhatch/http/server.py
+++ b/src/alderhatch/http/server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from typing import TypeAlias
 from urllib.parse import parse_qsl, urlsplit
@@ -19,6 +21,9 @@
 READ_BYTES = 65_536
 MAX_EARLY_BYTES = 65_536
 """What a client may send ahead while its request is being answered."""
+TCP_INFO_BYTES = 104
+RTT_OFFSET = 68
+"""Where ``struct tcp_info`` of the kernel has its smoothed round trip, in microseconds."""
 LINGER: Millis = 1000.0
 MAX_LINGER_BYTES = 4 * 1024 * 1024
 
@@ -92,6 +97,7 @@
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.head_bytes)
         self._early = b""
         self._answered = 0
+        self._round_trip = round_trip_of(stream)
 
     async def run(self) -> None:
         while True:
@@ -189,7 +195,7 @@
                 message = f"the body is larger than {self._limits.body_bytes} bytes"
                 raise _refused(ErrorKind.TOO_LARGE, message)
             chunks.append(bytes(event.data))
-        return _to_request(head, b"".join(chunks), self._answered > 0)
+        return _to_request(head, b"".join(chunks), self._answered > 0, self._round_trip)
 
     async def _handle(self, req: HttpRequest) -> HttpResponse | None:
         """Run the handler; return None if the client went away meanwhile."""
@@ -243,7 +249,22 @@
         raise trio.BrokenResourceError("the client does not read its answer")
 
 
-def _to_request(head: h11.Request, body: bytes, on_used_connection: bool) -> HttpRequest:
+def round_trip_of(stream: trio.SocketStream) -> Millis:
+    """Return the round trip of a connection in milliseconds; 0 if the kernel does not tell."""
+    try:
+        info = stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    except (OSError, AttributeError):
+        # Not a TCP socket, as in tests; the figure only moves the moment of an answer a little.
+        return 0.0
+    if len(info) < RTT_OFFSET + 4:
+        return 0.0
+    (micros,) = struct.unpack_from("=I", info, RTT_OFFSET)
+    return float(micros) / 1000.0
+
+
+def _to_request(
+    head: h11.Request, body: bytes, on_used_connection: bool, round_trip: Millis
+) -> HttpRequest:
     try:
         target = head.target.decode("ascii")
         parts = urlsplit(target)
@@ -253,7 +274,9 @@
     headers = {name.decode("ascii"): value.decode("latin-1") for name, value in head.headers}
     method = head.method.decode("ascii")
     fields = list(head.headers)
-    return HttpRequest(method, parts.path, query, headers, body, target, fields, on_used_connection)
+    return HttpRequest(
+        method, parts.path, query, headers, body, target, fields, on_used_connection, round_trip
+    )
 
 
 def _refused(kind: ErrorKind, message: str) -> AlderhatchError:
--- a/src/alderhatch/node/caller_side.py
+++ b/src/alderhatch/node/caller_side.py
@@ -12,9 +12,12 @@
 from .forward_runner import ForwardRunner
 from .node_state import NodeState
 
-WAY_BACK: Millis = 12.0
-"""What an answer takes from its merge to its caller, and the request took before it was read: the
-way of 1 to 3 ms three times, and some milliseconds of processor time at both ends."""
+OWN_TIME: Millis = 4.0
+"""From the moment at which an answer is due to its last byte on the wire: up to 2 ms for the timer
+and a busy loop, 1 ms for the merge of 20 shards, 1 ms for the response."""
+FIRST_ROUND_TRIPS = 2.0
+"""A caller's new connection takes a round trip, its request and its answer another."""
+LATER_ROUND_TRIPS = 1.0
 NO_CONFIGURATION_RETRY: Millis = 300.0
 MIN_ZONE_HOSTS = 2
 """With fewer serving hosts in a caller's zone the hosts of all zones are named, so that the loss of
@@ -78,7 +81,9 @@
         # most that any caller of this route had lately has been used up before this try.
         longest = max(left, self._longest.get(route.name, 0.0))
         self._longest[route.name] = longest
-        target = route.target_latency - (longest - left) - WAY_BACK
+        trips = LATER_ROUND_TRIPS if req.http.on_used_connection else FIRST_ROUND_TRIPS
+        away = trips * req.http.round_trip + OWN_TIME
+        target = route.target_latency - (longest - left) - away
         return RunTimes(now, now + target, now + min(left, route.timeout))
 
     def addresses(self, zone: str) -> list[str]:
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -161,6 +161,9 @@
         """Take what became of an attempt."""
         self._scopes.pop(attempt, None)
         if self.run.finished:
+            if reading.fault is None:
+                # A server that was late is counted too, or the latencies would look too short.
+                self.run.on_answer(attempt, reply, now)
             return
         if reading.fault is None:
             self._carry_out(self.run.on_answer(attempt, reply, now))
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -80,6 +80,7 @@
         self.limits = cfg.limits
         self.table.set_max_connections({one.name: one.max_connections for one in cfg.upstreams})
         self._wanted = frozenset(name for route in cfg.routes for name in route.upstreams)
+        self.table.keep_routes({route.name for route in cfg.routes})
         self._connect()
         log_event(LogEvent.CONFIGURATION_ADOPTED, version=stored.version, routes=len(cfg.routes))
 
