The node's imports: own checks of messages, smaller modules

Cause: half of the node's memory was libraries that it does not need: pydantic for the checks of messages, and whole modules imported for one constant. Change: message_check holds the checks of NamedTuple messages; faults of attempts and steps of membership have modules of their own.

--- a/features/steps/core_once_steps.py
+++ b/features/steps/core_once_steps.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from alderhatch.core.entry_events import (
+    NOT_RUN_FAULTS,
     Answered,
     AttemptFault,
     CallerGone,
@@ -16,7 +17,6 @@
 )
 from alderhatch.core.policy import Policy
 from alderhatch.core.rule import Serve
-from alderhatch.core.run import NOT_RUN_FAULTS
 from alderhatch.errors import Ran
 from features.support.core_harness import CoreHarness, make_map, make_request
 
--- a/features/support/core_harness.py
+++ b/features/support/core_harness.py
@@ -6,6 +6,7 @@
 
 from alderhatch.core.entry_core import EntryCore
 from alderhatch.core.entry_events import (
+    NOT_RUN_FAULTS,
     Answered,
     AttemptFailed,
     AttemptFault,
@@ -27,7 +28,6 @@
 from alderhatch.core.request import Request
 from alderhatch.core.rule import Rule, Serve
 from alderhatch.core.rule_list import RuleList
-from alderhatch.core.run import NOT_RUN_FAULTS
 from alderhatch.core.shard_map import Server, Shard, ShardMap, Snapshot
 from alderhatch.errors import Ran
 
--- a/src/alderhatch/codec.py
+++ b/src/alderhatch/codec.py
@@ -6,32 +6,22 @@
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple, cast
+from typing import Any
 
 import cbor2
-from pydantic import TypeAdapter, ValidationError
 
 from .errors import AlderhatchError, ErrorKind, Failure
+from .message_check import MessageError, check_of
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 """Nothing larger is sent or accepted; larger things go in chunks."""
 
 
-class _Known(NamedTuple):
-    """A message type with its checker."""
-
-    adapter: TypeAdapter[Any]
-    message_type: type[Any]
-
-
 class Codec:
     """Turns the messages of one protocol into bytes and back."""
 
     def __init__(self, *message_types: type[Any]) -> None:
-        self._known = {
-            message_type.__name__: _Known(TypeAdapter(message_type), message_type)
-            for message_type in message_types
-        }
+        self._checks = {one.__name__: check_of(one) for one in message_types}
 
     def encode(self, message: tuple[Any, ...]) -> bytes:
         """Return the bytes of one message.
@@ -40,7 +30,7 @@
             TypeError: If the message's type is not one of this codec's.
         """
         name = type(message).__name__
-        if name not in self._known:
+        if name not in self._checks:
             raise TypeError(f"not a message of this protocol: {name}")
         return cbor2.dumps([name, message])
 
@@ -56,15 +46,13 @@
             raise _refused(f"not CBOR: {exc}") from exc
         if not (isinstance(raw, list) and len(raw) == 2 and isinstance(raw[0], str)):
             raise _refused("a message is an array of its name and its fields")
-        known = self._known.get(raw[0])
-        if known is None:
+        check = self._checks.get(raw[0])
+        if check is None:
             raise _refused(f"unknown message {raw[0][:40]!r}")
         try:
-            return cast(Any, known.adapter.validate_python(raw[1]))
-        except ValidationError as exc:
-            first = exc.errors()[0]
-            place = ".".join(str(part) for part in first["loc"])
-            raise _refused(f"{raw[0]}: {first['msg']}", f"{raw[0]}.{place}") from exc
+            return check(raw[1])
+        except MessageError as exc:
+            raise _refused(f"{raw[0]}: {exc.message}", f"{raw[0]}.{exc.place}") from exc
 
 
 def _refused(message: str, field: str | None = None) -> AlderhatchError:
--- a/src/alderhatch/control/_member_plan.py
+++ b/src/alderhatch/control/_member_plan.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple, TypeAlias
-
 import trio
 
 from ..clock import SECOND, Millis
@@ -12,6 +10,7 @@
 from ..log import log_event
 from ..log_events import LogEvent
 from .control_log import ControlLog
+from .member_steps import AddMember, HandOver, PromoteMember, RemoveMember, Step
 from .observed_state import ObservedState
 from .replicated_log import LogStatus
 
@@ -19,33 +18,6 @@
 RETRY_INTERVAL: Millis = 1 * SECOND
 
 
-class AddMember(NamedTuple):
-    """Let a replacement receive the log."""
-
-    name: str
-    address: str
-    port: int
-
-
-class PromoteMember(NamedTuple):
-    """Give a replacement its vote."""
-
-    name: str
-
-
-class RemoveMember(NamedTuple):
-    """Take out a host that departs or was replaced."""
-
-    name: str
-
-
-class HandOver(NamedTuple):
-    """Let another host lead, because this one is to stop."""
-
-
-Step: TypeAlias = AddMember | PromoteMember | RemoveMember | HandOver
-
-
 def next_step(
     controls: dict[str, ControlRecord], status: LogStatus, caught_up: frozenset[str]
 ) -> Step | None:
--- a/src/alderhatch/core/at_most_once.py
+++ b/src/alderhatch/core/at_most_once.py
@@ -11,6 +11,7 @@
 from .core_state import CoreState
 from .dispatcher import Dispatcher, Sent
 from .entry_events import (
+    NOT_RUN_FAULTS,
     Answered,
     AttemptFault,
     Claim,
@@ -26,7 +27,7 @@
 )
 from .outcome_codec import decode_outcome, encode_outcome
 from .owners import rendezvous
-from .run import NOT_RUN_FAULTS, ShardState
+from .run import ShardState
 from .single_run import SingleRun, Stage
 from .timers import TimerKind
 
--- a/src/alderhatch/core/entry_events.py
+++ b/src/alderhatch/core/entry_events.py
@@ -5,14 +5,16 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import Any, NamedTuple, TypeAlias
+from typing import TYPE_CHECKING, Any, NamedTuple, TypeAlias
 
 from ..clock import Millis
 from ..errors import Failure, Ran
-from .request import Request
-from .rule_list import RuleList
 from .shard_map import ShardMap, Snapshot
 
+if TYPE_CHECKING:
+    from .request import Request
+    from .rule_list import RuleList
+
 
 class LoadReport(NamedTuple):
     """What a server says of its own load; it can lag or mislead."""
@@ -52,6 +54,18 @@
     """An answer to another request, of another shard or of another snapshot."""
 
 
+NOT_RUN_FAULTS = frozenset(
+    (
+        AttemptFault.NOT_SENT,
+        AttemptFault.SHED,
+        AttemptFault.DRAINING,
+        AttemptFault.MOVED,
+        AttemptFault.VERSION_GONE,
+    )
+)
+"""Faults after which it is certain that the attempt did not run."""
+
+
 class ShardAnswer(NamedTuple):
     """A server's answer to one shard request, checked for its form."""
 
--- a/src/alderhatch/core/fan_out.py
+++ b/src/alderhatch/core/fan_out.py
@@ -7,10 +7,10 @@
 from .core_state import CoreState
 from .crash_watch import CRASH_LIMIT
 from .dispatcher import Dispatcher, Sent
-from .entry_events import AttemptFault, FetchShardMap, Finish, ShardAnswer
+from .entry_events import NOT_RUN_FAULTS, AttemptFault, FetchShardMap, Finish, ShardAnswer
 from .hedging import ENOUGH_SAMPLES, GUESS_FACTOR, Hedging
 from .query_run import QueryRun
-from .run import NOT_RUN_FAULTS, ShardState
+from .run import ShardState
 from .timers import TimerKind
 
 FINAL_FAULTS = frozenset((AttemptFault.DRAINING, AttemptFault.VERSION_GONE, AttemptFault.REFUSED))
--- a/src/alderhatch/core/forwarding/forward_run.py
+++ b/src/alderhatch/core/forwarding/forward_run.py
@@ -8,8 +8,7 @@
 from typing import NamedTuple, TypeAlias
 
 from ...clock import Millis
-from ..entry_events import AttemptFault
-from ..run import NOT_RUN_FAULTS
+from ..entry_events import NOT_RUN_FAULTS, AttemptFault
 from .route import AllShards, Route
 from .shard_state import Sent, ShardState
 from .target_table import Target, TargetTable
--- a/src/alderhatch/core/run.py
+++ b/src/alderhatch/core/run.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from ..clock import Millis
-from .entry_events import AttemptFault
 from .priority import Priority
 from .request import Request
 from .rule import Rule, Serve, ZonePreference
@@ -16,17 +15,6 @@
     from .admission import UpstreamGate
     from .attempt import Attempt
 
-NOT_RUN_FAULTS = frozenset(
-    (
-        AttemptFault.NOT_SENT,
-        AttemptFault.SHED,
-        AttemptFault.DRAINING,
-        AttemptFault.MOVED,
-        AttemptFault.VERSION_GONE,
-    )
-)
-"""Faults after which it is certain that the attempt did not run."""
-
 
 class Run:
     """One request that has found its rule."""
--- a/src/alderhatch/entry/attempt_runner.py
+++ b/src/alderhatch/entry/attempt_runner.py
@@ -18,18 +18,13 @@
 from ..http.client import ExchangeFault, HttpConnection, HttpExchangeError
 from ..log import log_event
 from ..log_events import LogEvent
+from .attempt_faults import FAULTS
 from .connection_pool import ConnectionPool
 from .owner_client import OwnerClient
 from .owner_link import OwnerCallError
 from .upstream_protocol import read_reply, shard_request_body
 
 SHARD_PATH = "/shard"
-FAULTS = {
-    ExchangeFault.NOT_SENT: AttemptFault.NOT_SENT,
-    ExchangeFault.LOST: AttemptFault.LOST,
-    ExchangeFault.SILENT: AttemptFault.SILENT,
-    ExchangeFault.GARBAGE: AttemptFault.GARBAGE,
-}
 UNTRUE = (AttemptFault.GARBAGE, AttemptFault.WRONG_ANSWER)
 MAX_IDLE = 1000
 """Tasks kept for later attempts."""
--- a/src/alderhatch/entry/owner_server.py
+++ b/src/alderhatch/entry/owner_server.py
@@ -15,7 +15,8 @@
 from ..link import Link, LinkClosedError, Peer, serve_links
 from ..log import log_event
 from ..log_events import LogEvent
-from .attempt_runner import FAULTS, SHARD_PATH, UNTRUE
+from .attempt_faults import FAULTS
+from .attempt_runner import SHARD_PATH, UNTRUE
 from .connection_pool import ConnectionPool
 from .health_poller import HEALTH_PATH
 from .map_poller import MAP_PATH
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -17,7 +17,7 @@
     Send,
 )
 from ..core.forwarding.target_table import TargetTable
-from ..entry.attempt_runner import FAULTS
+from ..entry.attempt_faults import FAULTS
 from ..entry.connection_pool import ConnectionPool
 from ..http.client import ExchangeFault, HttpConnection, HttpExchangeError, HttpReply
 from .dialect import CallerRequest, Dialect, Reading
--- a/src/alderhatch/node/voter_keeper.py
+++ b/src/alderhatch/node/voter_keeper.py
@@ -5,8 +5,8 @@
 import trio
 
 from ..clock import SECOND, LoopClock, Millis
-from ..control._member_plan import AddMember, PromoteMember, RemoveMember, Step
 from ..control.log_node import LogNode
+from ..control.member_steps import AddMember, PromoteMember, RemoveMember, Step
 from ..errors import AlderhatchError
 from ..log import log_event
 from ..log_events import LogEvent
--- a/src/alderhatch/node/voter_plan.py
+++ b/src/alderhatch/node/voter_plan.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from ..clock import SECOND, Millis
-from ..control._member_plan import AddMember, PromoteMember, RemoveMember, Step
+from ..control.member_steps import AddMember, PromoteMember, RemoveMember, Step
 from ..core.raft.membership import MAX_VOTERS, Membership
 from .tier_messages import DiskRecord, Place
 
--- a/src/alderhatch/storage/_records.py
+++ b/src/alderhatch/storage/_records.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple, TypeAlias, cast
+from typing import Any, NamedTuple, TypeAlias
 
 import cbor2
-from pydantic import TypeAdapter, ValidationError
 
 from ..core.raft.log_entry import EntryKind, HardState, LogEntry
 from ..core.raft.membership import Membership
+from ..message_check import Check, MessageError, check_of
 
 FORMAT = 1
 """The version of everything in the folder; another one is refused."""
@@ -59,7 +59,7 @@
 _ENTRY = 2
 _RESET = 3
 
-_MEMBERSHIP: TypeAdapter[Membership] = TypeAdapter(Membership)
+_check_membership: Check = check_of(Membership)
 
 
 def encode_records(records: list[Record]) -> bytes:
@@ -85,7 +85,7 @@
     """
     try:
         return [_decode(raw) for raw in cbor2.loads(payload)]
-    except (cbor2.CBORError, TypeError, ValidationError) as exc:
+    except (cbor2.CBORError, TypeError, MessageError) as exc:
         raise ValueError(f"no records: {exc}") from exc
 
 
@@ -94,7 +94,7 @@
         case [1, int(term), str(vote)]:
             return HardState(term, vote)
         case [2, int(index), int(term), int(kind), bytes(command), membership]:
-            known = None if membership is None else _MEMBERSHIP.validate_python(membership)
+            known = None if membership is None else _check_membership(membership)
             return LogEntry(index, term, EntryKind(kind), command, known)
         case [3, int(index), int(term)]:
             return LogReset(index, term)
@@ -121,6 +121,6 @@
     if not (isinstance(raw[1], list) and raw[1] and raw[1][0] == FORMAT):
         raise ValueError(f"format {raw[1][:1]}, this program knows format {FORMAT}")
     try:
-        return cast(Any, TypeAdapter(head_type).validate_python(raw[1]))
-    except ValidationError as exc:
-        raise ValueError(f"no {head_type.__name__}: {exc.errors()[0]['msg']}") from exc
+        return check_of(head_type)(raw[1])
+    except MessageError as exc:
+        raise ValueError(f"no {head_type.__name__}: {exc.place}: {exc.message}") from exc
