Answers weigh more, and silent servers are noticed

Cause: a host asks each server twice a second; with a weight of 0.05 an answer, a slow server was noticed after 10 s, and one gone dark never, as requests to it were only given up. Change: weight 0.25, two failures eject, an unanswered request of 200 ms counts as one.

--- a/src/alderhatch/core/forwarding/target_table.py
+++ b/src/alderhatch/core/forwarding/target_table.py
@@ -11,7 +11,7 @@
 from ..latency_histogram import LatencyHistogram
 from ..policy import Policy
 from ..replica_choice import choose_replica
-from ..server_view import ServerView
+from ..server_view import NEVER, ServerView
 from ..shard_map import Server
 from .extra_budget import BudgetShare, BudgetTerms, ExtraBudget
 from .server_record import ServerRecord
@@ -24,6 +24,8 @@
 """The part of a server's connections that no host counts on, for those that are being closed."""
 STALL_FACTOR = 4.0
 """A server whose oldest request takes longer than this multiple of the median stands still."""
+SILENT_AFTER: Millis = 200.0
+"""A server that has answered nothing for so long is out of order, as the pauses are shorter."""
 MIN_STALL: Millis = 60.0
 """Well over a usual answer, well under the pauses of 120 to 150 ms that servers take."""
 
@@ -31,13 +33,15 @@
 class Target(ServerView):
     """One server with the requests of this host that are out there."""
 
-    __slots__ = ("outstanding", "upstream")
+    __slots__ = ("answered_at", "outstanding", "upstream")
 
     def __init__(
         self, upstream: str, server: Server, typical: LatencyHistogram, policy: Policy
     ) -> None:
         super().__init__(server, typical, policy)
         self.upstream = upstream
+        self.answered_at: Millis = NEVER
+        """When it last answered anything."""
         self.outstanding: dict[int, Millis] = {}
         """When each request that is out there was sent, oldest first."""
 
@@ -262,9 +266,21 @@
 
     def answered(self, target: Target, span: Millis, load: LoadReport | None, now: Millis) -> None:
         """Take note of an answer and how long it took."""
+        target.answered_at = now
         target.saw_answer(span, load, now)
         target.typical.record(span)
 
+    def abandoned(self, target: Target, sent_at: Millis, now: Millis) -> None:
+        """Take note of a request that was given up before its answer came.
+
+        A server that has gone dark resets nothing: each request to it just waits, a second one is
+        sent elsewhere, and the first is given up. Without this it would look idle, and be asked
+        again and again, until the platform's list drops it some seconds later.
+        """
+        target.saw_latency(now - sent_at, now)
+        if now - sent_at >= SILENT_AFTER and target.answered_at < sent_at:
+            self._eject_after_failures(target, now)
+
     def failed(
         self, target: Target, fault: AttemptFault, retry_after: Millis | None, now: Millis
     ) -> None:
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -86,7 +86,7 @@
         sent_at = self._table.ended(send.target, send.attempt)
         if scope.cancelled_caught:
             if sent_at is not None:
-                send.target.saw_latency(now - sent_at, now)
+                self._table.abandoned(send.target, sent_at, now)
             return
         if reading.fault is not None:
             self._table.failed(send.target, reading.fault, reading.retry_after, now)
--- a/src/alderhatch/platform/settings.py
+++ b/src/alderhatch/platform/settings.py
@@ -16,8 +16,17 @@
 """The platform hands out no secret; its network lets only its own machines in."""
 METRICS_OFFSET = 1
 """The metrics are on the second internal port; the links between hosts are on the first."""
-POLICY = Policy(first_latency_ms=20.0, report_age_ms=100.0, zone_cost_ms=4.0)
-"""A server of another zone is asked if it is likely to answer 4 ms earlier: its bytes cost more."""
+POLICY = Policy(
+    first_latency_ms=20.0,
+    report_age_ms=100.0,
+    zone_cost_ms=4.0,
+    latency_weight=0.25,
+    eject_failures=2,
+)
+"""A host asks each server only some two times a second. So an answer weighs more than where servers
+are asked all the time, and two failures in a row are enough: with the usual 0.05 and 3 a server
+that turned slow or silent would be noticed after some 10 s. A server of another zone is asked if it
+is likely to answer 4 ms earlier, as its bytes cost more."""
 
 
 class PlatformSettings(NamedTuple):
