Requests are kept while a node starts; elections after 0.4 s of silence

Cause: after a restart of all hosts a caller's only retry met a node without a configuration and was refused. Change: such requests wait up to 0.4 of their time, within 2.5 s of the start; elections after 0.4 to 0.8 s.

--- a/src/alderhatch/node/caller_side.py
+++ b/src/alderhatch/node/caller_side.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from ..clock import LoopClock, Millis
+import trio
+
+from ..clock import SECOND, LoopClock, Millis
 from ..core.forwarding.forward_run import ForwardRun, RunTimes
 from ..core.forwarding.route import AllShards, OneUpstream, Route, SplitUpstreams
 from ..core.forwarding.split import SplitCounter
@@ -19,6 +21,12 @@
 """A caller's new connection takes a round trip, its request and its answer another."""
 LATER_ROUND_TRIPS = 1.0
 NO_CONFIGURATION_RETRY: Millis = 300.0
+START_SPAN: Millis = 2500.0
+"""How long after its start a node may still be expected to become ready: an election, the leader's
+introduction and the first news take some 1.5 s when all hosts start at once."""
+START_SHARE = 0.4
+"""The part of its time that a request is kept for that; the rest is for the request itself."""
+MAX_WAITING = 200
 MIN_ZONE_HOSTS = 2
 """With fewer serving hosts in a caller's zone the hosts of all zones are named, so that the loss of
 one leaves the caller another."""
@@ -41,6 +49,13 @@
         self._clock = LoopClock()
         self._splits: dict[str, SplitCounter] = {}
         self._longest: dict[str, Millis] = {}
+        self._waiting = 0
+        self._began = 0.0
+        """When the node began to take requests."""
+
+    def begin(self) -> None:
+        """Note that the node takes requests from now on."""
+        self._began = self._clock.now()
 
     async def handle(self, http: HttpRequest) -> HttpResponse:
         """Answer one request.
@@ -48,8 +63,9 @@
         Raises:
             AlderhatchError: If it is not even begun.
         """
-        now = self._clock.now()
+        arrived = self._clock.now()
         req = self._dialect.read_request(http)
+        await self._wait_for_start(req, arrived)
         if self._state.stored.version == 0:
             message = "this host has no configuration yet"
             raise AlderhatchError(
@@ -60,11 +76,30 @@
             message = f"no route for host {req.host!r} and path {http.path!r}"
             raise AlderhatchError(Failure(ErrorKind.NOT_FOUND, message))
         run = ForwardRun(
-            route, self._upstreams(route), self._times(route, req, now), self._state.table
+            route, self._upstreams(route), self._times(route, req, arrived), self._state.table
         )
         outcome = await self._runner.forward(req, run)
         return self._dialect.response(route, outcome)
 
+    async def _wait_for_start(self, req: CallerRequest, arrived: Millis) -> None:
+        """Keep a request that comes while the node learns its configuration and the servers.
+
+        After a restart of all hosts that takes a second, and a caller that is refused meanwhile has
+        no further try left when the node is ready. Later than that nothing is known of when the
+        node will be ready, and the caller does better at another host.
+        """
+        if self._state.is_started or arrived - self._began > START_SPAN:
+            return
+        if self._waiting >= MAX_WAITING:
+            return
+        left = START_SPAN if req.time_left is None else req.time_left
+        self._waiting += 1
+        try:
+            with trio.move_on_after(min(START_SPAN, left * START_SHARE) / SECOND):
+                await self._state.started.wait()
+        finally:
+            self._waiting -= 1
+
     def _upstreams(self, route: Route) -> tuple[str, ...]:
         match route.destination:
             case OneUpstream(upstream):
--- a/src/alderhatch/node/control_member.py
+++ b/src/alderhatch/node/control_member.py
@@ -28,14 +28,14 @@
 """How long after a failure of the disk it is tried again."""
 CHECK_DISK: Millis = 200.0
 RAFT = RaftConfig(
-    heartbeat=100.0,
-    election_timeout=600.0,
+    heartbeat=80.0,
+    election_timeout=400.0,
     compact_entries=200,
     compact_bytes=2 * 1024 * 1024,
     keep_entries=20,
 )
 """Hosts are small and share their processor with the traffic: heartbeats are rare enough to cost
-little between zones, and six of them fit into an election timeout. Few entries are kept, since each
+little between zones, and five of them fit into an election timeout. Few entries are kept, since each
 is a whole configuration."""
 LOG_CONFIG = LogNodeConfig(raft=RAFT, request_timeout=3500.0, sync_in_thread=True)
 
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -176,6 +176,7 @@
                     nursery.start_soon(self._bid)
             nursery.start_soon(self._reader.run)
             nursery.start_soon(self._client.run)
+            self.callers.begin()
             log_event(LogEvent.NODE_STARTED, node=self.cfg.name, zone=self.cfg.zone)
             gc.collect()
             gc.freeze()
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Iterable
 from random import Random
 
+import trio
+
 from ..clock import SECOND, Clock, Millis
 from ..core.control.configuration_register import NO_CONFIGURATION, StoredConfiguration
 from ..core.forwarding.extra_budget import BudgetTerms
@@ -65,6 +67,8 @@
         """The live hosts by the leader's last word."""
         self.controls: list[Place] = []
         """Hosts of the replicated log by the leader's last word."""
+        self.started = trio.Event()
+        """Set once the node knows its configuration and the servers."""
         self._wanted: frozenset[str] = frozenset()
         self._host_counts: list[tuple[Millis, int]] = []
 
@@ -102,7 +106,14 @@
         """Return how long ago the list was known to be fresh."""
         return self._clock.now() - self.listed_at if self.listed_at is not None else float("inf")
 
+    @property
+    def is_started(self) -> bool:
+        """Whether the node knows its configuration and the servers."""
+        return self.started.is_set()
+
     def _connect(self) -> None:
+        if self.stored.version > 0 and self.records:
+            self.started.set()
         now = self._clock.now()
         self.table.update(self.records.values(), now)
         # Connections are kept only to upstreams that a route names: an index that is being built
--- a/src/alderhatch/platform/edge.py
+++ b/src/alderhatch/platform/edge.py
@@ -8,7 +8,7 @@
 from .configuration import decode_configuration
 from .dialect import refusal
 
-ADDRESSES_LAST_S = 1
+ADDRESSES_LAST_S = 1.3
 """How long callers may keep an answer; some keep it three times as long, which is still shorter
 than a stopping node serves on."""
 RETRY_AFTER_MS = 250.0
