The share of requests that come to nothing counts in the choice of a server

Cause: servers that refused 60 % of their requests while their health and load looked good were asked as often as the others; the second requests used up the budget, and requests failed (a third of the seconds of such trouble). Change: a fading share of faults a server, at 60 ms a fault, in its estimate.

--- a/src/alderhatch/core/forwarding/target_table.py
+++ b/src/alderhatch/core/forwarding/target_table.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import NamedTuple
 
-from ...clock import Millis
+from ...clock import SECOND, Millis
 from ..entry_events import AttemptFault, LoadReport
 from ..latency_histogram import LatencyHistogram
 from ..policy import Policy
@@ -24,6 +24,10 @@
 """The part of a server's connections that no host counts on, for those that are being closed."""
 STALL_FACTOR = 4.0
 """A server whose oldest request takes longer than this multiple of the median stands still."""
+TROUBLE_COST: Millis = 60.0
+"""What a request that comes to nothing costs: the time until it is sent again, and the budget."""
+TROUBLE_HALF_LIFE: Millis = 3 * SECOND
+"""A server that was avoided for its faults is tried again after some such spans."""
 SILENT_AFTER: Millis = 200.0
 """A server that has answered nothing for so long is out of order, as the pauses are shorter."""
 MIN_STALL: Millis = 60.0
@@ -33,18 +37,39 @@
 class Target(ServerView):
     """One server with the requests of this host that are out there."""
 
-    __slots__ = ("answered_at", "outstanding", "upstream")
+    __slots__ = ("_trouble", "_trouble_at", "answered_at", "outstanding", "upstream")
 
     def __init__(
         self, upstream: str, server: Server, typical: LatencyHistogram, policy: Policy
     ) -> None:
         super().__init__(server, typical, policy)
         self.upstream = upstream
+        self._trouble = 0.0
+        self._trouble_at: Millis = NEVER
         self.answered_at: Millis = NEVER
         """When it last answered anything."""
         self.outstanding: dict[int, Millis] = {}
         """When each request that is out there was sent, oldest first."""
 
+    def estimate(self, now: Millis) -> Millis:
+        """Return how long a request sent now is likely to take, with what a fault of it costs."""
+        return super().estimate(now) + TROUBLE_COST * self.trouble(now)
+
+    def trouble(self, now: Millis) -> float:
+        """Return which share of the requests lately came to nothing; it fades with time.
+
+        A server that is well by its health and load may still refuse or fail a good part of its
+        requests. Each of those takes a second request out of the budget; with every other server
+        of an upstream like that, the budget is used up and the requests fail that need it.
+        """
+        return float(self._trouble * 0.5 ** ((now - self._trouble_at) / TROUBLE_HALF_LIFE))
+
+    def count_outcome(self, is_fault: bool, now: Millis) -> None:
+        """Take an answer or a fault into the share of those that came to nothing."""
+        known = self.trouble(now)
+        self._trouble = known + self.policy.latency_weight * (float(is_fault) - known)
+        self._trouble_at = now
+
     def stands_still(self, now: Millis) -> bool:
         """Return whether its oldest request is out for so long that it probably pauses.
 
@@ -267,6 +292,7 @@
     def answered(self, target: Target, span: Millis, load: LoadReport | None, now: Millis) -> None:
         """Take note of an answer and how long it took."""
         target.answered_at = now
+        target.count_outcome(False, now)
         target.saw_answer(span, load, now)
         target.typical.record(span)
 
@@ -285,6 +311,7 @@
         self, target: Target, fault: AttemptFault, retry_after: Millis | None, now: Millis
     ) -> None:
         """Take note of a request that came to nothing."""
+        target.count_outcome(True, now)
         match fault:
             case AttemptFault.SHED:
                 target.saw_shed(retry_after, now)
