Logs that never block, a line a request that went wrong, the node's metrics, explain-request

Cause: nothing told why a request failed, and a log that nobody read would have stopped the loop. Change: a bounded non-blocking log output, one line with every decision for requests that went wrong (30 a second at most, the rest counted), changes of belief of servers, metrics by aioprometheus that are loaded with the first page, and alderhatchctl explain-request.

--- a/src/alderhatch/cli/ctl.py
+++ b/src/alderhatch/cli/ctl.py
@@ -8,7 +8,7 @@
 import typer
 
 from .. import __version__
-from . import ctl_caller, ctl_check, ctl_hosts, ctl_look, ctl_rules
+from . import ctl_caller, ctl_check, ctl_hosts, ctl_logs, ctl_look, ctl_rules
 from .ctl_context import CtlContext, parse_places, seconds
 from .exit_codes import ExitCode
 from .program import exit_code_help
@@ -46,6 +46,7 @@
 app.add_typer(ctl_hosts.stop_app, name="stop")
 app.add_typer(ctl_look.quarantine_app, name="quarantine")
 app.add_typer(ctl_caller.app)
+app.add_typer(ctl_logs.app)
 
 
 def _show_version(wanted: bool) -> None:
--- a/src/alderhatch/core/forwarding/forward_run.py
+++ b/src/alderhatch/core/forwarding/forward_run.py
@@ -9,6 +9,8 @@
 
 from ...clock import Millis
 from ..entry_events import NOT_RUN_FAULTS, AttemptFault
+from ..server_view import NEVER
+from .decision import Decision, DecisionKind
 from .route import AllShards, Route
 from .shard_state import Sent, ShardState
 from .target_table import Target, TargetTable
@@ -30,6 +32,8 @@
 """How soon a shard without a usable server is looked at again."""
 REFUSED_PAUSE: Millis = 30.0
 """How long a server that refused this request is left alone by it."""
+MAX_TRACE = 400
+"""Decisions kept of one request: three for each of 100 shards, and some."""
 DEFAULT_RETRY_AFTER: Millis = 250.0
 
 
@@ -135,6 +139,8 @@
         """Requests sent beside one that is still out."""
         self.retries = 0
         """Requests sent after one that came to nothing."""
+        self.trace: list[Decision] = []
+        """What was decided so far, oldest first."""
         self._table = table
         self._shard_of: dict[int, ShardState] = {}
         self._effects: list[Effect] = []
@@ -152,7 +158,7 @@
             return self._flush()
         for shard in self.shards.values():
             self._table.count_first(shard.upstream, now)
-            self._send(shard, now, extra=False)
+            self._send(shard, now, DecisionKind.SEND)
         self._settle(now)
         return self._flush()
 
@@ -188,6 +194,7 @@
             return self._flush()
         if answer is not None:
             shard.failure = answer
+        self._note(now, DecisionKind.FAULT, shard, sent.target, fault)
         if fault in NOT_RUN_FAULTS:
             shard.refused_by[sent.target.server_id] = now
             shard.may_have_run.discard(sent.target.server_id)
@@ -206,7 +213,8 @@
                 continue
             if shard.waits_until is not None and now >= shard.waits_until:
                 shard.waits_until = None
-                self._send(shard, now, extra=shard.sends > 0)
+                again = DecisionKind.RETRY if shard.sends else DecisionKind.SEND
+                self._send(shard, now, again)
             elif self._hedge_due(shard) <= now:
                 self._hedge(shard, now)
         self._settle(now)
@@ -225,21 +233,20 @@
 
     # Sending
 
-    def _send(self, shard: ShardState, now: Millis, extra: bool) -> bool:
-        target = self._table.choose(shard.upstream, self._excluded(shard, now), now)
-        if target is None and shard.may_have_run and not shard.out:
-            # Nobody else can be asked. A server that has failed it once may do better now.
-            recent = {name for name, at in shard.refused_by.items() if now - at < REFUSED_PAUSE}
-            target = self._table.choose(shard.upstream, recent, now)
+    def _send(self, shard: ShardState, now: Millis, kind: DecisionKind, free: bool = False) -> bool:
+        """Ask a server; what is neither the first request nor free is taken out of the budget."""
+        target = self._choose(shard, now)
         if target is None:
-            if not shard.out:
-                shard.waits_until = now + LOOK_AGAIN
+            self._note(now, DecisionKind.NO_SERVER, shard)
+            self._look_again(shard, now)
             return False
-        if extra and not self._table.spend(shard.upstream, now):
-            if not shard.out:
-                shard.waits_until = now + LOOK_AGAIN
+        is_extra = kind is not DecisionKind.SEND and not free
+        if is_extra and not self._table.spend(shard.upstream, now):
+            self._note(now, DecisionKind.NO_BUDGET, shard, target)
+            self._look_again(shard, now)
             return False
         attempt = next(_attempts)
+        self._note(now, kind, shard, target)
         shard.hedge_at = None
         shard.out[attempt] = Sent(target, now)
         shard.sends += 1
@@ -249,6 +256,50 @@
         self._effects.append(Send(attempt, target, shard.upstream))
         return True
 
+    def _choose(self, shard: ShardState, now: Millis) -> Target | None:
+        target = self._table.choose(shard.upstream, self._excluded(shard, now), now)
+        if target is None and shard.may_have_run and not shard.out:
+            # Nobody else can be asked. A server that has failed it once may do better now.
+            recent = {name for name, at in shard.refused_by.items() if now - at < REFUSED_PAUSE}
+            target = self._table.choose(shard.upstream, recent, now)
+        return target
+
+    def _look_again(self, shard: ShardState, now: Millis) -> None:
+        if not shard.out:
+            shard.waits_until = now + LOOK_AGAIN
+
+    def _note(
+        self,
+        now: Millis,
+        kind: DecisionKind,
+        shard: ShardState,
+        target: Target | None = None,
+        why: str = "",
+    ) -> None:
+        if len(self.trace) >= MAX_TRACE:
+            return
+        at = now - self.times.arrived
+        if target is None or kind is DecisionKind.FAULT:
+            server_id = target.server_id if target is not None else ""
+            self.trace.append(Decision(at, kind, shard.upstream, server_id, why))
+            return
+        budget = -1.0
+        if kind is not DecisionKind.SEND:
+            budget = self._table.budget_level(shard.upstream, now)
+        self.trace.append(
+            Decision(
+                at,
+                kind,
+                shard.upstream,
+                target.server_id,
+                why,
+                target.load(now),
+                max(-1.0, now - target.others_at) if target.others_at > NEVER else -1.0,
+                self._table.usable(shard.upstream, now),
+                budget,
+            )
+        )
+
     def _excluded(self, shard: ShardState, now: Millis) -> set[str]:
         excluded = set(shard.may_have_run)
         excluded.update(name for name, at in shard.refused_by.items() if now - at < REFUSED_PAUSE)
@@ -257,14 +308,18 @@
     def _try_again(self, shard: ShardState, fault: AttemptFault, now: Millis) -> None:
         not_run = fault in NOT_RUN_FAULTS
         if not not_run and not self.route.idempotent:
-            shard.given_up = True
+            self._give_up(shard, now, "it may have run, and must not run twice")
             return
         if shard.sends >= MAX_SENDS:
-            shard.given_up = True
+            self._give_up(shard, now, "it was sent often enough")
             return
         self.retries += 1
         # A request that never left cost the servers nothing; every other one did arrive.
-        self._send(shard, now, extra=fault is not AttemptFault.NOT_SENT)
+        self._send(shard, now, DecisionKind.RETRY, free=fault is AttemptFault.NOT_SENT)
+
+    def _give_up(self, shard: ShardState, now: Millis, why: str) -> None:
+        shard.given_up = True
+        self._note(now, DecisionKind.GIVEN_UP, shard, None, why)
 
     # Hedges
 
@@ -288,7 +343,7 @@
         return max(MIN_HEDGE_DELAY, latencies.quantile(LATEST_HEDGE_QUANTILE - span * level))
 
     def _hedge(self, shard: ShardState, now: Millis) -> None:
-        if self._send(shard, now, extra=True):
+        if self._send(shard, now, DecisionKind.HEDGE):
             self.hedges += 1
             return
         # No other server, or no budget: the next look is a little later, not at once.
--- a/src/alderhatch/core/forwarding/target_table.py
+++ b/src/alderhatch/core/forwarding/target_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Container, Iterable, Mapping
 from random import Random
 from typing import NamedTuple
@@ -20,6 +21,8 @@
 """The source of the word that a server leaves: it is draining there, or gone."""
 DEFAULT_MAX_CONNECTIONS = 16
 """For an upstream whose settings have not come yet."""
+MAX_CHANGES = 300
+"""Changes of belief kept until somebody asks for them; the oldest are dropped."""
 RESERVED_SHARE = 0.1
 """The part of a server's connections that no host counts on, for those that are being closed."""
 STALL_FACTOR = 4.0
@@ -93,6 +96,17 @@
         self.budget = ExtraBudget(terms.window)
 
 
+class BeliefChange(NamedTuple):
+    """What this host believes of a server is no longer what it was."""
+
+    server_id: str
+    upstream: str
+    belief: str
+    """``listed``, ``leaving``, ``staying``, ``gone`` or ``ejected``."""
+    why: str
+    """The source, or the fault that decided it."""
+
+
 class ListChange(NamedTuple):
     """What a newer list changes for the connections."""
 
@@ -119,6 +133,7 @@
         self._hosts = 1
         self._upstreams: dict[str, UpstreamTargets] = {}
         self._route_latencies: dict[str, LatencyHistogram] = {}
+        self._changes: deque[BeliefChange] = deque(maxlen=MAX_CHANGES)
 
     # Who is there
 
@@ -191,18 +206,32 @@
             if target is None:
                 target = self._add(upstream, record, now)
                 added.append(record.server_id)
-            if record.draining:
-                target.leaving.add(LISTED)
-            else:
-                target.leaving.discard(LISTED)
+            self._take_draining(target, record.draining)
         listed = {record.server_id for record in records}
         gone = tuple(server_id for server_id in known if server_id not in listed)
         for server_id in gone:
             known.pop(server_id).leaving.add(LISTED)
+            self._changes.append(BeliefChange(server_id, upstream.name, "gone", LISTED))
         if not added and not gone:
             return None
         return ListChange(upstream.name, tuple(one.server for one in known.values()), gone)
 
+    def _take_draining(self, target: Target, draining: bool) -> None:
+        if draining == (LISTED in target.leaving):
+            return
+        if draining:
+            target.leaving.add(LISTED)
+        else:
+            target.leaving.discard(LISTED)
+        belief = "leaving" if draining else "staying"
+        self._changes.append(BeliefChange(target.server_id, target.upstream, belief, LISTED))
+
+    def take_changes(self) -> list[BeliefChange]:
+        """Return what changed since this was last asked."""
+        changes = list(self._changes)
+        self._changes.clear()
+        return changes
+
     def _add(self, upstream: UpstreamTargets, record: ServerRecord, now: Millis) -> Target:
         server = Server(
             record.server_id,
@@ -217,8 +246,20 @@
             target.saw_start(now - max(0.0, self._policy.slow_start_ms - record.warm_up))
         target.set_share(self.connection_share(upstream))
         upstream.targets[record.server_id] = target
+        self._changes.append(BeliefChange(record.server_id, upstream.name, "listed", LISTED))
         return target
 
+    def states(self, now: Millis) -> dict[str, int]:
+        """Return how many listed servers are usable, doubtful and barred."""
+        counts = {"usable": 0, "doubtful": 0, "barred": 0}
+        for upstream in self._upstreams.values():
+            for target in upstream.targets.values():
+                if target.barred(now):
+                    counts["barred"] += 1
+                else:
+                    counts["doubtful" if target.doubtful(now) else "usable"] += 1
+        return counts
+
     # Which one is asked
 
     def usable(self, name: str, now: Millis) -> int:
@@ -305,7 +346,7 @@
         """
         target.saw_latency(now - sent_at, now)
         if now - sent_at >= SILENT_AFTER and target.answered_at < sent_at:
-            self._eject_after_failures(target, now)
+            self._eject_after_failures(target, AttemptFault.SILENT, now)
 
     def failed(
         self, target: Target, fault: AttemptFault, retry_after: Millis | None, now: Millis
@@ -318,9 +359,9 @@
             case AttemptFault.DRAINING | AttemptFault.MOVED:
                 target.saw_draining(now)
             case _:
-                self._eject_after_failures(target, now)
+                self._eject_after_failures(target, fault, now)
 
-    def _eject_after_failures(self, target: Target, now: Millis) -> None:
+    def _eject_after_failures(self, target: Target, fault: AttemptFault, now: Millis) -> None:
         target.failures += 1
         if target.failures < self._policy.eject_failures:
             return
@@ -333,3 +374,5 @@
         target.ejections += 1
         span = self._policy.eject_ms * 2.0 ** (target.ejections - 1)
         target.ejected_until = now + min(span, self._policy.max_eject_ms)
+        why = f"{fault}, {target.failures} in a row"
+        self._changes.append(BeliefChange(target.server_id, target.upstream, "ejected", why))
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -107,6 +107,22 @@
     )
     HOST_JOINED = EventRow(2071, logging.INFO, "A host follows this leader.")
     HOST_LOST = EventRow(2072, logging.WARNING, "A host that followed this leader is gone.")
+    REQUEST_ENDED = EventRow(
+        1070,
+        logging.INFO,
+        "A request was answered or refused; with every decision if it was not answered in full.",
+    )
+    REQUEST_LINES_FOLDED = EventRow(
+        1071, logging.INFO, "Requests whose own lines were left out since the last such line."
+    )
+    LOG_LINES_DROPPED = EventRow(
+        1072, logging.WARNING, "Log lines were lost because nobody read them in time."
+    )
+    SERVER_BELIEF = EventRow(
+        1073,
+        logging.INFO,
+        "What the node believes of a server changed: listed, leaving or ejected.",
+    )
     LEADER_FOUND = EventRow(1061, logging.INFO, "The node follows a leader.")
     LEADER_LOST = EventRow(
         1062, logging.WARNING, "The node has no leader; it serves on by what it last knew."
--- a/src/alderhatch/metric_catalogue.py
+++ b/src/alderhatch/metric_catalogue.py
@@ -59,6 +59,114 @@
         Unit.SECONDS,
         "Time since the process started.",
     )
+    NODE_REQUESTS = MetricRow(
+        "alderhatch_node_requests_total",
+        MetricKind.COUNTER,
+        Unit.ONE,
+        "Requests of callers; outcome is complete, partial, or the reason of a refusal or failure.",
+        ("route", "outcome"),
+    )
+    NODE_DURATION = MetricRow(
+        "alderhatch_node_request_duration_seconds",
+        MetricKind.HISTOGRAM,
+        Unit.SECONDS,
+        "From a request's last byte until its answer is ready, for requests that were answered.",
+        ("route",),
+    )
+    NODE_COVERAGE = MetricRow(
+        "alderhatch_node_coverage",
+        MetricKind.HISTOGRAM,
+        Unit.FRACTION,
+        "The share of the shards in the answers of routes that go to all shards.",
+        ("route",),
+    )
+    NODE_SENDS = MetricRow(
+        "alderhatch_node_sends_total",
+        MetricKind.COUNTER,
+        Unit.ONE,
+        "Requests sent to servers; reason is send, hedge or retry.",
+        ("reason",),
+    )
+    NODE_FAULTS = MetricRow(
+        "alderhatch_node_faults_total",
+        MetricKind.COUNTER,
+        Unit.ONE,
+        "Requests to servers that came to nothing, by the kind of fault.",
+        ("fault",),
+    )
+    NODE_BUDGET_REFUSED = MetricRow(
+        "alderhatch_node_budget_refused_total",
+        MetricKind.COUNTER,
+        Unit.ONE,
+        "Hedges and retries that were not sent because the budget was used up.",
+    )
+    NODE_SERVERS = MetricRow(
+        "alderhatch_node_servers",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "Listed servers; state is usable, doubtful or barred.",
+        ("state",),
+    )
+    NODE_RUNNING = MetricRow(
+        "alderhatch_node_requests_running",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "Requests that are being answered.",
+    )
+    NODE_HOSTS = MetricRow(
+        "alderhatch_node_hosts",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "Live hosts of the tier by the leader's last word.",
+    )
+    NODE_CONFIGURATION = MetricRow(
+        "alderhatch_node_configuration",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "The number of the configuration that the node serves by.",
+    )
+    NODE_LIST_AGE = MetricRow(
+        "alderhatch_node_list_age_seconds",
+        MetricKind.GAUGE,
+        Unit.SECONDS,
+        "How long ago the list of servers was known to be fresh.",
+    )
+    NODE_LEADER_SILENCE = MetricRow(
+        "alderhatch_node_leader_silence_seconds",
+        MetricKind.GAUGE,
+        Unit.SECONDS,
+        "How long ago the node heard from the leader.",
+    )
+    NODE_LOG_INDEX = MetricRow(
+        "alderhatch_node_log_commit_index",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "The last entry of the replicated log that is committed, on hosts with a disk.",
+    )
+    NODE_LOG_TERM = MetricRow(
+        "alderhatch_node_log_term",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "The term of the replicated log, on hosts with a disk.",
+    )
+    NODE_CHANGE_DURATION = MetricRow(
+        "alderhatch_node_change_duration_seconds",
+        MetricKind.HISTOGRAM,
+        Unit.SECONDS,
+        "From an operator's change until enough disks hold it, at the leader.",
+    )
+    NODE_LOG_LINES_DROPPED = MetricRow(
+        "alderhatch_node_log_lines_dropped_total",
+        MetricKind.COUNTER,
+        Unit.ONE,
+        "Log lines that nobody read in time.",
+    )
+    NODE_LOG_BYTES = MetricRow(
+        "alderhatch_node_log_bytes_total",
+        MetricKind.COUNTER,
+        Unit.BYTES,
+        "Bytes of log lines written.",
+    )
     ENTRY_REQUESTS = MetricRow(
         "alderhatch_entry_requests_total",
         MetricKind.COUNTER,
--- a/src/alderhatch/metrics.py
+++ b/src/alderhatch/metrics.py
@@ -10,14 +10,14 @@
 import time
 from bisect import bisect_left
 from collections.abc import Callable
-from typing import NamedTuple
-
-from aioprometheus.collectors import Collector, Counter, Gauge, Histogram, Registry
-from aioprometheus.renderer import render
+from typing import TYPE_CHECKING, NamedTuple
 
 from .clock import SECOND
 from .metric_catalogue import Metric, MetricKind, Unit
 
+if TYPE_CHECKING:
+    from aioprometheus.collectors import Collector, Registry
+
 MAX_SERIES = 2000
 """Label combinations kept for one metric; further ones are counted together as ``other``."""
 OTHER = "other"
@@ -118,6 +118,10 @@
 
     def render(self) -> MetricsPage:
         """Return the page in Prometheus' text format."""
+        # Loaded with the first page: 2 MB that a process whose metrics nobody reads does not need.
+        from aioprometheus.collectors import Registry
+        from aioprometheus.renderer import render
+
         self._copy_process()
         for source in self._sources:
             source()
@@ -151,6 +155,8 @@
         self.set(Metric.PROCESS_UPTIME, time.monotonic() - self._started)
 
     def _collector(self, metric: Metric, registry: Registry) -> Collector:
+        from aioprometheus.collectors import Counter, Gauge
+
         row = metric.value
         made = Counter if row.kind is MetricKind.COUNTER else Gauge
         return made(row.name, row.meaning, {"process": self._process}, registry)
@@ -158,6 +164,8 @@
     def _fill_histogram(
         self, metric: Metric, observed: dict[tuple[str, ...], _Observed], registry: Registry
     ) -> None:
+        from aioprometheus.collectors import Histogram
+
         row = metric.value
         buckets = _buckets(metric)
         labels = {"process": self._process}
--- a/src/alderhatch/node/caller_side.py
+++ b/src/alderhatch/node/caller_side.py
@@ -12,7 +12,9 @@
 from ..http.messages import HttpRequest, HttpResponse
 from .dialect import CallerRequest, Dialect
 from .forward_runner import ForwardRunner
+from .node_metrics import NodeMetrics
 from .node_state import NodeState
+from .request_log import RequestLog, end_of
 
 OWN_TIME: Millis = 4.0
 """From the moment at which an answer is due to its last byte on the wire: up to 2 ms for the timer
@@ -40,10 +42,21 @@
         state: The node's beliefs.
         runner: Carries requests out.
         dialect: Reads and writes the protocol.
+        metrics: Counts requests.
+        log: Writes a line about those that have one.
     """
 
-    def __init__(self, state: NodeState, runner: ForwardRunner, dialect: Dialect) -> None:
+    def __init__(
+        self,
+        state: NodeState,
+        runner: ForwardRunner,
+        dialect: Dialect,
+        metrics: NodeMetrics,
+        log: RequestLog,
+    ) -> None:
         self._state = state
+        self._metrics = metrics
+        self._log = log
         self._runner = runner
         self._dialect = dialect
         self._clock = LoopClock()
@@ -65,21 +78,37 @@
         """
         arrived = self._clock.now()
         req = self._dialect.read_request(http)
-        await self._wait_for_start(req, arrived)
+        try:
+            await self._wait_for_start(req, arrived)
+            route = self._route_of(req)
+        except AlderhatchError as exc:
+            self._metrics.count_refused(exc.failure.kind)
+            self._log.refused(req, exc.failure.kind, exc.failure.message)
+            raise
+        run = ForwardRun(
+            route, self._upstreams(route), self._times(route, req, arrived), self._state.table
+        )
+        try:
+            outcome = await self._runner.forward(req, run)
+        except trio.Cancelled:
+            self._log.cancelled(req, run, self._clock.now() - arrived)
+            raise
+        end = end_of(run, outcome, self._clock.now() - arrived)
+        self._metrics.count(run, end)
+        self._log.ended(req, run, end)
+        return self._dialect.response(route, outcome)
+
+    def _route_of(self, req: CallerRequest) -> Route:
         if self._state.stored.version == 0:
             message = "this host has no configuration yet"
             raise AlderhatchError(
                 Failure(ErrorKind.NO_CONFIGURATION, message, None, NO_CONFIGURATION_RETRY)
             )
-        route = self._state.routes.find(req.host, http.path)
+        route = self._state.routes.find(req.host, req.http.path)
         if route is None:
-            message = f"no route for host {req.host!r} and path {http.path!r}"
+            message = f"no route for host {req.host!r} and path {req.http.path!r}"
             raise AlderhatchError(Failure(ErrorKind.NOT_FOUND, message))
-        run = ForwardRun(
-            route, self._upstreams(route), self._times(route, req, arrived), self._state.table
-        )
-        outcome = await self._runner.forward(req, run)
-        return self._dialect.response(route, outcome)
+        return route
 
     async def _wait_for_start(self, req: CallerRequest, arrived: Millis) -> None:
         """Keep a request that comes while the node learns its configuration and the servers.
--- a/src/alderhatch/node/configuration_desk.py
+++ b/src/alderhatch/node/configuration_desk.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
+from ..clock import LoopClock, Millis
 from ..core.control.configuration_register import (
     ConfigurationRegister,
     StoredConfiguration,
@@ -21,14 +24,21 @@
         member: This host's part in the replicated log; None without a disk.
         register: The state that the log drives.
         copies: On how many disks a change has to be before it is acknowledged.
+        on_accepted: Told how long an accepted change took, in milliseconds.
     """
 
     def __init__(
-        self, member: ControlMember | None, register: ConfigurationRegister, copies: int
+        self,
+        member: ControlMember | None,
+        register: ConfigurationRegister,
+        copies: int,
+        on_accepted: Callable[[Millis], None],
     ) -> None:
         self._member = member
         self._register = register
         self._copies = copies
+        self._on_accepted = on_accepted
+        self._clock = LoopClock()
 
     def _leading(self) -> ControlMember:
         if self._member is None:
@@ -57,9 +67,18 @@
             # is on fewer disks than may be lost at once.
             message = f"fewer than {self._copies} disks would hold the change"
             raise AlderhatchError(Failure(ErrorKind.NO_LEADER, message, None, 300))
+        began = self._clock.now()
         result = await log.propose(encode_command(pack(version, document)))
         in_force = result if isinstance(result, int) else self._register.stored.version
-        log_event(LogEvent.CONFIGURATION_ACCEPTED, version=version, in_force=in_force)
+        span = self._clock.now() - began
+        self._on_accepted(span)
+        log_event(
+            LogEvent.CONFIGURATION_ACCEPTED,
+            version=version,
+            in_force=in_force,
+            took_ms=round(span),
+            voters=len(log.membership.voters),
+        )
         return in_force
 
     async def read(self) -> StoredConfiguration:
--- a/src/alderhatch/node/control_member.py
+++ b/src/alderhatch/node/control_member.py
@@ -35,7 +35,7 @@
     keep_entries=20,
 )
 """Hosts are small and share their processor with the traffic: heartbeats are rare enough to cost
-little between zones, and five of them fit into an election timeout. Few entries are kept, since each
+little between zones, and five of them fit into an election timeout. Few entries are kept, as each
 is a whole configuration."""
 LOG_CONFIG = LogNodeConfig(raft=RAFT, request_timeout=3500.0, sync_in_thread=True)
 
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -13,6 +13,7 @@
 from ..clock import SECOND, LoopClock, Millis
 from ..codec import Codec
 from ..control.log_messages import PEER_MESSAGE_TYPES
+from ..control.replicated_log import LogStatus
 from ..core.control.configuration_register import ConfigurationRegister, StoredConfiguration
 from ..entry.connection_pool import ConnectionPool
 from ..errors import AlderhatchError
@@ -21,6 +22,7 @@
 from ..link import Link, Peer, serve_links
 from ..log import log_event
 from ..log_events import LogEvent
+from ..log_output import BoundedLogHandler
 from .caller_side import CallerSide
 from .configuration_desk import ConfigurationDesk
 from .control_member import ControlMember
@@ -28,8 +30,10 @@
 from .forward_runner import ForwardRunner
 from .founding import FOUNDING_ROLE, FoundingJudge, bid_for_founding
 from .introductions import introduce_leader
+from .node_metrics import NodeMetrics
 from .node_settings import NodeSettings
 from .node_state import Decoder, NodeState
+from .request_log import RequestLog
 from .server_list import ServerListReader, ServerListSource
 from .tier_client import TierClient
 from .tier_messages import TIER_MESSAGE_TYPES, DiskRecord, Join, Place, Redirect, Report
@@ -44,6 +48,7 @@
 STOP_MARGIN: Millis = 250.0
 """How long before that it ends whatever is still under way."""
 LIST_FRESH: Millis = 2500.0
+TEND_LOG_EVERY: Millis = 1 * SECOND
 BACKLOG = 512
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -66,6 +71,7 @@
         dialect: The protocol that callers and servers speak.
         decode: Reads an operator's configuration.
         source: Where the list of servers comes from.
+        log_output: Where log lines go, if they are bounded; told when to try again.
     """
 
     def __init__(
@@ -74,6 +80,7 @@
         dialect: Dialect,
         decode: Decoder,
         source: ServerListSource,
+        log_output: BoundedLogHandler | None = None,
     ) -> None:
         self.cfg = cfg
         self._clock = LoopClock()
@@ -103,8 +110,16 @@
         )
         self._runner = ForwardRunner(self._pool, self.state.table, dialect)
         self._judge = FoundingJudge()
-        self.callers = CallerSide(self.state, self._runner, dialect)
-        self.desk = ConfigurationDesk(self._member, self._register, cfg.tolerated_hosts + 1)
+        self.log_output = log_output
+        """Where log lines go, if they are bounded."""
+        self.metrics = NodeMetrics(self)
+        self._request_log = RequestLog(self.state)
+        self.callers = CallerSide(
+            self.state, self._runner, dialect, self.metrics, self._request_log
+        )
+        self.desk = ConfigurationDesk(
+            self._member, self._register, cfg.tolerated_hosts + 1, self.metrics.count_change
+        )
 
     def _make_member(self) -> ControlMember | None:
         cfg = self.cfg
@@ -128,6 +143,20 @@
         own = self._member.leader() if self._member is not None else None
         return own or self._client.leader or self._judge.founder or self._founder
 
+    @property
+    def running(self) -> int:
+        """How many requests are being answered."""
+        return self._serving.exchanges
+
+    @property
+    def leader_heard_at(self) -> Millis:
+        """When the leader was last heard; 0 if never."""
+        return self._client.heard_at
+
+    def log_status(self) -> LogStatus | None:
+        """Return what this host knows of the replicated log, if it takes part."""
+        return self._member.status() if self._member is not None else None
+
     def _list_is_fresh(self) -> bool:
         return self.state.list_age() < LIST_FRESH
 
@@ -174,6 +203,7 @@
                 )
                 if self.cfg.first_start:
                     nursery.start_soon(self._bid)
+            nursery.start_soon(self._tend_log)
             nursery.start_soon(self._reader.run)
             nursery.start_soon(self._client.run)
             self.callers.begin()
@@ -214,11 +244,28 @@
         ):
             listeners = await self._listen(port)
             nursery.start_soon(serve_http, listeners, handler, OPERATOR_LIMITS)
+        listeners = await self._listen(ports.metrics)
+        nursery.start_soon(serve_http, listeners, self._metrics_page, METRICS_LIMITS)
         listeners = await self._listen(ports.callers)
         nursery.start_soon(
             serve_http, listeners, handlers.callers, self._caller_limits, self._serving
         )
 
+    async def _metrics_page(self, req: HttpRequest) -> HttpResponse:
+        page = self.metrics.page()
+        return HttpResponse(200, page.body, page.content_type)
+
+    async def _tend_log(self) -> None:
+        while True:
+            await trio.sleep(TEND_LOG_EVERY / SECOND)
+            self._request_log.flush()
+            if self.log_output is None:
+                continue
+            dropped = self.log_output.newly_dropped()
+            if dropped:
+                log_event(LogEvent.LOG_LINES_DROPPED, lines=dropped)
+            self.log_output.write_waiting()
+
     async def _listen(self, port: int) -> list[trio.SocketListener]:
         return await trio.open_tcp_listeners(port, host=self.cfg.address, backlog=BACKLOG)
 
@@ -276,4 +323,5 @@
 
 MAX_CALLER_CONNECTIONS = 1500
 """Under half of the descriptors of a small host; the rest is for servers and links."""
+METRICS_LIMITS = HttpLimits(connections=20, body_bytes=0, idle_timeout=30_000.0)
 OPERATOR_LIMITS = HttpLimits(connections=200, body_bytes=4 * 1024 * 1024, idle_timeout=30_000.0)
--- a/src/alderhatch/platform/__main__.py
+++ b/src/alderhatch/platform/__main__.py
@@ -9,7 +9,7 @@
 import trio
 
 from ..errors import AlderhatchError
-from ..log import log_event, set_up_logs
+from ..log import log_event, set_up_bounded_logs
 from ..log_events import LogEvent
 from ..node.boot_clock import BootClock
 from ..node.node import Node
@@ -22,20 +22,22 @@
 
 SETTINGS_VARIABLE = "ALDERHATCH_SETTINGS"
 SETTINGS_PATH = "/etc/alderhatch/settings.conf"
+PROGRAM = "alderhatch-node"
 CANNOT_START = 2
 
 
 def main() -> int:
     """Run the node until it is stopped; return the exit code."""
-    set_up_logs("alderhatch-node", stream=sys.stdout)
+    set_up_bounded_logs(PROGRAM, sys.stdout.fileno())
     path = Path(os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH))
     try:
         cfg = read_settings(path)
     except (AlderhatchError, OSError) as exc:
         log_event(LogEvent.PROGRAM_CANNOT_START, why=str(exc))
         return CANNOT_START
+    log_output = set_up_bounded_logs(PROGRAM, sys.stdout.fileno(), host=cfg.node.name)
     source = PlatformServerList(cfg.list_address, cfg.list_port)
-    node = Node(cfg.node, PlatformDialect(), decode_configuration, source)
+    node = Node(cfg.node, PlatformDialect(), decode_configuration, source, log_output)
     trio.run(_run, node, path, clock=BootClock())
     return 0
 
