--- /dev/null
+++ b/features/platform_node.feature
@@ -0,0 +1,81 @@
+Feature: The node program on the users' platform
+
+  Scenario: A tier starts, takes a configuration and serves
+    # Four hosts start at once, three of them with an empty disk. Nobody tells them who the others
+    # are but for three seeds.
+    Given a platform tier of 3 hosts with a disk and 1 without, with servers of 3 shards
+    When an operator sends a configuration
+    Then every host of the platform tier becomes ready
+    And each host names all 4 hosts to callers, and to those of a zone with two hosts only these
+    And a query at each host gets the 4 greatest records of 3 shards with their seals
+    And an order at each host gets one server's own bytes, and ran once
+    And each host reads the configuration back as it was sent
+    And a request for a path without a route gets 404
+
+  Scenario: Changes are ordered by the operator's number alone
+    # An acknowledgement is lost and the change comes again, an older one comes late, and another one
+    # under the same number.
+    Given a platform tier that serves
+    Then the same configuration again, an older one, and another one of the same number are taken
+    And each host reads the configuration back as it was sent
+    And an invalid configuration of a higher number is refused with 400 and changes nothing
+
+  Scenario: The leader is lost
+    # The host that takes the changes is killed. Callers go on at the others, and so do operators.
+    Given a platform tier that serves
+    When the leading host of the platform tier is killed
+    Then a query at each host that is left is answered at once
+    And the operator's next configuration is accepted and served everywhere
+    And no host that is left names the one that is gone
+
+  Scenario: A disk is lost, and then another host
+    # A host comes back at its old address with an empty disk. It must not vote as who it was; as a
+    # new member it gets the log again, and then another host may be lost.
+    Given a platform tier that serves
+    When a host that does not lead loses its disk and starts again
+    Then it becomes a voter of the log again
+    When the leading host of the platform tier is killed
+    Then the operator's next configuration is accepted and served everywhere
+
+  Scenario: All hosts are killed while the seeds are hosts without a disk
+    # The settings name other seeds by now, which know nobody after a restart.
+    Given a platform tier that serves
+    When the seeds become the host without a disk, and all hosts are killed and start again
+    Then every host of the platform tier becomes ready
+    And each host reads the configuration back as it was sent
+
+  Scenario: A planned stop cuts nothing off
+    Given a platform tier that serves
+    When a host is told to stop while an order runs on it
+    Then the order is answered in full, and the connection is closed with it
+    And the host is not ready any more and is not named to callers
+    And it ends by itself with code 0 within its time
+
+  Scenario: Settings change while the host runs
+    # A SIGHUP would end a program that does not expect it.
+    Given a platform tier that serves
+    When the settings of a host are changed to nonsense and it gets SIGHUP
+    Then it serves on and says that it refused the settings
+
+  Scenario: A caller leaves
+    # Its order takes long, and it closes the connection. Nobody needs the answer any more.
+    Given a platform tier that serves
+    When a caller leaves 0.3 s after it has asked for an order that takes 5 s
+    Then the server's work on it is cancelled within 0.5 s
+
+  Scenario Outline: Bytes that are no request end no process
+    Given a platform tier that serves
+    When <bytes> are sent to the callers' port of a host
+    Then it answers with <status> and serves on
+
+    Examples:
+      | bytes                   | status |
+      | a line of nonsense      | 400    |
+      | two different lengths   | 400    |
+      | a head of 40 KiB        | 413    |
+      | a time left of "soon"   | 400    |
+
+  Scenario: The metrics of a host tell what it did
+    Given a platform tier that serves
+    When a query and an order were answered by a host
+    Then its metrics page counts them by route, with its servers, hosts and configuration
--- /dev/null
+++ b/features/steps/log_output_steps.py
@@ -0,0 +1,273 @@
+from __future__ import annotations
+
+import json
+import logging
+import os
+from types import SimpleNamespace
+
+import trio
+import trio.testing
+from behave import given, then, when
+
+from alderhatch.core.forwarding.forward_run import Answered
+from alderhatch.log import log_event, set_up_bounded_logs
+from alderhatch.log_events import LogEvent
+from alderhatch.node.request_log import RequestLog, end_of
+from alderhatch.request_history import describe, history_of, parse_line
+from features.support.forward_model import ForwardModel, scatter_route, single_route
+
+logger = logging.getLogger("alderhatch")
+
+
+def on_pipe(context):
+    handlers, level = list(logger.handlers), logger.level
+    context.read_fd, write_fd = os.pipe()
+    context.output = set_up_bounded_logs("test", write_fd, host="h1")
+
+    def restore():
+        logger.handlers[:] = handlers
+        logger.setLevel(level)
+        os.close(write_fd)
+
+    context.add_cleanup(restore)
+
+
+@given("a bounded log on a pipe that nobody reads")
+def step_pipe(context):
+    on_pipe(context)
+
+
+@given("a bounded log on a pipe whose reader is gone")
+def step_broken_pipe(context):
+    on_pipe(context)
+    os.close(context.read_fd)
+
+
+@when("{count:d} events of 200 bytes are logged")
+def step_log(context, count):
+    for number in range(count):
+        log_event(LogEvent.NODE_STARTED, node=f"{number:08}", filler="x" * 100)
+
+
+@then("logging them took no wait, and at most {most:d} bytes wait in memory")
+def step_no_wait(context, most):
+    # A handler that waited would not have come back at all.
+    assert context.output.waiting_bytes <= most
+
+
+@then("the number of dropped lines is known")
+def step_dropped(context):
+    assert context.output.dropped > 0
+    assert context.output.newly_dropped() == context.output.dropped
+    assert context.output.newly_dropped() == 0
+
+
+def drain(context):
+    os.set_blocking(context.read_fd, False)
+    data = b""
+    while True:
+        context.output.write_waiting()
+        try:
+            new = os.read(context.read_fd, 1 << 20)
+        except BlockingIOError:
+            return data
+        data += new
+
+
+@when("the pipe is read again")
+def step_read(context):
+    data = drain(context)
+    log_event(LogEvent.NODE_STOPPED, node="last")
+    context.lines = (data + drain(context)).decode().splitlines()
+
+
+@then("whole lines come, oldest first, and new events come too")
+def step_lines(context):
+    rows = [json.loads(line) for line in context.lines]
+    names = [row["fields"]["node"] for row in rows]
+    assert names[-1] == "last"
+    assert names[:-1] == sorted(names[:-1]) and names[0] == "00000000"
+    assert all(row["host"] == "h1" for row in rows)
+
+
+@then("the process goes on")
+def step_goes_on(context):
+    assert context.output.waiting_bytes == 0
+
+
+def row(time, host, event, **fields):
+    known = LogEvent[event.upper()]
+    return json.dumps(
+        {
+            "time": f"2026-01-01 00:00:{time:06.3f}".replace(".", ","),
+            "host": host,
+            "number": known.number,
+            "event": event,
+            "fields": fields,
+        }
+    )
+
+
+@given('logs of two hosts in which request "r1" failed after a server had been ejected')
+def step_logs(context):
+    steps = [
+        {"at": 0.0, "step": "send", "shard": "u", "server": "i-1"},
+        {"at": 20.0, "step": "fault", "shard": "u", "server": "i-1", "why": "lost"},
+    ]
+    context.texts = [
+        row(9.0, "h1", "server_belief", server_id="i-1", belief="ejected"),
+        row(9.1, "h1", "server_belief", server_id="i-9", belief="ejected"),
+        row(10.0, "h1", "request_ended", request="r1", outcome="failed", steps=steps),
+        row(10.0, "h2", "request_ended", request="r2", outcome="failed"),
+        row(8.0, "h1", "leader_lost", leader="h2"),
+        row(1.0, "h1", "leader_lost", leader="h3"),
+        row(9.5, "h2", "leader_lost", leader="h3"),
+        "a line of another program",
+    ]
+
+
+@when('the history of request "{request_id}" is asked for')
+def step_history(context, request_id):
+    context.history = history_of(request_id, context.texts)
+
+
+@then("it shows these lines in this order")
+def step_history_lines(context):
+    found = [(line.host, line.event) for line in context.history]
+    assert found == [(one["host"], one["event"]) for one in context.table], found
+
+
+@then("its last line tells of each decision with its time")
+def step_history_steps(context):
+    shown = describe(context.history[-1])
+    assert len(shown) == 3 and "20.0 ms" in shown[2] and "why=lost" in shown[2], shown
+
+
+@then("it shows no line")
+def step_no_history(context):
+    assert context.history == []
+
+
+@then('the log line "{text}" is {read}')
+def step_line(context, text, read):
+    assert (parse_line(text) is not None) == (read == "an event")
+
+
+def request_of(number):
+    return SimpleNamespace(request_id=f"r{number}")
+
+
+@given("a request log")
+def step_request_log(context):
+    on_pipe(context)
+    context.model = ForwardModel()
+    for number in range(20):
+        context.model.add_upstream(f"shard{number:02}", 20.0)
+    context.model.add_upstream("kitchen", 50.0)
+    context.state = SimpleNamespace(
+        list_age=lambda: 300.0,
+        stored=SimpleNamespace(version=7),
+        hosts=[],
+        table=context.model.tables[0],
+    )
+
+
+def in_log(context, action):
+    async def main():
+        log = RequestLog(context.state)
+        action(log)
+        log.flush()
+
+    context.state.table.take_changes()
+    trio.run(main, clock=trio.testing.MockClock())
+    rows = [json.loads(line) for line in drain(context).decode().splitlines()]
+    context.rows = [one for one in rows if one["event"] == "request_ended"]
+    context.folded = [one for one in rows if one["event"] == "request_lines_folded"]
+
+
+def ended_run(context, route):
+    number = context.model.request(route)
+    context.model.run_until(context.model.now + 20_000.0)
+    outcome, at = context.model.results[number]
+    run = context.model.runs[number]
+    return run, end_of(run, outcome, min(at - run.times.arrived, 100.0))
+
+
+@when("{count:d} requests go well in it")
+def step_well(context, count):
+    run, end = ended_run(context, single_route("kitchen"))
+
+    def write(log):
+        for number in range(count):
+            log.ended(request_of(number), run, end)
+
+    in_log(context, write)
+
+
+@when("{count:d} requests fail in it at once")
+def step_fail(context, count):
+    for index in range(2):
+        context.model.servers[f"kitchen-{index}"].mode = "lost"
+    run, end = ended_run(context, single_route("kitchen"))
+    assert not isinstance(context.model.results, Answered)
+
+    def write(log):
+        for number in range(count):
+            log.ended(request_of(number), run, end)
+
+    in_log(context, write)
+
+
+@then("it has written {count:d} lines")
+def step_written(context, count):
+    assert len(context.rows) == count, len(context.rows)
+
+
+@then(
+    "it has written {count:d} lines more, each with the decisions and the ages of what they rest on"
+)
+def step_written_steps(context, count):
+    assert len(context.rows) == count, len(context.rows)
+    for one in context.rows:
+        fields = one["fields"]
+        assert fields["list_age_ms"] == 300 and fields["configuration"] == 7
+        sends = [step for step in fields["steps"] if step["step"] == "send"]
+        assert sends and all("load_age_ms" in step for step in sends), fields
+
+
+@then("it says that {count:d} lines were left out")
+def step_folded(context, count):
+    assert [one["fields"]["count"] for one in context.folded] == [count], context.folded
+
+
+@when("a request fails in it because {cause}")
+def step_fails_because(context, cause):
+    model = context.model
+    route = single_route("kitchen", idempotent=False)
+    match cause:
+        case "every server refuses it":
+            for index in range(2):
+                model.servers[f"kitchen-{index}"].shed_share = 1.0
+        case "the connection breaks on its way":
+            for index in range(2):
+                model.servers[f"kitchen-{index}"].mode = "lost"
+        case "shards never answer":
+            for number in range(4):
+                for index in range(2):
+                    model.servers[f"shard{number:02}-{index}"].mode = "dark"
+            route = scatter_route([f"shard{number:02}" for number in range(20)])
+        case _:
+            raise AssertionError(cause)
+    run, end = ended_run(context, route)
+    in_log(context, lambda log: log.ended(request_of(1), run, end))
+
+
+@then('its line has the outcome "{outcome}" and a step "{step}" with why "{why}"')
+@then('its line has the outcome "{outcome}" and a step "{step}" with why ""')
+def step_line_of(context, outcome, step, why=""):
+    (line,) = context.rows
+    fields = line["fields"]
+    assert fields["outcome"] == outcome, fields
+    assert any(
+        one["step"] == step and one.get("why", "") == why for one in fields["steps"]
+    ), fields["steps"]
--- a/src/alderhatch/log_output.py
+++ b/src/alderhatch/log_output.py
@@ -46,6 +46,11 @@
             self._bytes += len(line)
         self.write_waiting()
 
+    @property
+    def waiting_bytes(self) -> int:
+        """How many bytes wait to be written."""
+        return self._bytes
+
     def newly_dropped(self) -> int:
         """Return how many lines were dropped since this was last asked."""
         new = self.dropped - self._told_dropped
