A new leader reads the list as soon as it holds the lease; ready means servers are known

Cause: the new leader was told of its role before it held the lease, looked, and looked again up to 3 s later; meanwhile hosts without servers called themselves ready (found by the test with the real program, 1 in 5 starts). Change: the lease itself is watched, readiness needs servers, and the leader vouches only for a list that it has sent.

--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -48,6 +48,7 @@
 STOP_MARGIN: Millis = 250.0
 """How long before that it ends whatever is still under way."""
 LIST_FRESH: Millis = 2500.0
+WATCH_LEAD_EVERY: Millis = 40.0
 TEND_LOG_EVERY: Millis = 1 * SECOND
 BACKLOG = 512
 
@@ -134,8 +135,7 @@
     @property
     def ready(self) -> bool:
         """Whether callers may be sent here."""
-        has_servers = self.state.listed_at is not None
-        return self.state.stored.version > 0 and has_servers and not self._leaving
+        return self.state.is_started and not self._leaving
 
     @property
     def leader(self) -> Place | None:
@@ -197,6 +197,7 @@
             await self._open_ports(nursery, handlers)
             if self._member is not None:
                 nursery.start_soon(self._member.run)
+                nursery.start_soon(self._watch_lead)
                 nursery.start_soon(self._introduce)
                 nursery.start_soon(
                     VoterKeeper(self._member, self._server, self.cfg.tolerated_hosts).run
@@ -214,6 +215,20 @@
             nursery.cancel_scope.cancel()
         log_event(LogEvent.NODE_STOPPED, node=self.cfg.name)
 
+    async def _watch_lead(self) -> None:
+        """Tell those who wait for it that this host has begun or ceased to lead.
+
+        A new leader is told of its role before it holds the lease. Whoever looked only then would
+        find that it doesn't lead yet, and look again seconds later: until then no host would get
+        the list of servers.
+        """
+        led = False
+        while True:
+            if self._server.leads != led:
+                led = not led
+                self._role_changed()
+            await trio.sleep(WATCH_LEAD_EVERY / SECOND)
+
     async def _introduce(self) -> None:
         cfg = self.cfg
         await introduce_leader(self._server, cfg.place, lambda: self.seeds, self._codec, cfg.secret)
--- a/src/alderhatch/node/tier_server.py
+++ b/src/alderhatch/node/tier_server.py
@@ -185,7 +185,8 @@
                     await session.link.send(message)
                 if not sent:
                     if not await self.news.wait_for(PULSE_EVERY):
-                        await session.link.send(Pulse(self._list_is_fresh()))
+                        is_told = session.told_list.number > 0
+                        await session.link.send(Pulse(is_told and self._list_is_fresh()))
                 elif any(isinstance(one, ConfigurationNews) for one in sent):
                     await trio.sleep(CONFIGURATION_GAP / SECOND)
         except LinkClosedError:
