One connection to a server unless more are needed at once

Cause: an incident's record showed 1,678 connections reset by servers over their limit, most of them after all hosts had lost power: servers still count the old connections, and with spares the tier holds four fifths of what they accept. Change: the node's pool opens no spares and drops a second connection after 3 s.

--- a/src/alderhatch/entry/connection_pool.py
+++ b/src/alderhatch/entry/connection_pool.py
@@ -15,6 +15,8 @@
 OPENINGS_AT_ONCE = 16
 CONNECT_TIMEOUT: Millis = 2000.0
 SWEEP_EVERY: Millis = 100.0
+SURPLUS_AFTER: Millis = 3 * SECOND
+"""Without spares, how long a second connection to a server is kept when it is not needed."""
 MAX_AGE: Millis = 10 * MINUTE
 RETIRE_AFTER: Millis = 60 * SECOND
 """How long a server that left the map is kept for queries that still pin the old one."""
@@ -29,14 +31,19 @@
     Args:
         default_share: Connections to each server as long as no lease gives shares.
         progress_timeout: How long an exchange may stand still, in milliseconds.
+        spares: Whether spares are opened ahead and kept.
     """
 
     def __init__(
-        self, default_share: int = DEFAULT_SHARE, progress_timeout: Millis = 1000.0
+        self,
+        default_share: int = DEFAULT_SHARE,
+        progress_timeout: Millis = 1000.0,
+        spares: bool = True,
     ) -> None:
         self._clock = LoopClock()
         self._default_share = default_share
         self._progress_timeout = progress_timeout
+        self._spares = spares
         self._shares: Mapping[str, int] | None = None
         self._servers: dict[str, ServerConnections] = {}
         self._openings = trio.CapacityLimiter(OPENINGS_AT_ONCE)
@@ -123,7 +130,9 @@
                 continue
             if known is not None:
                 known.retire(now)
-            conns = ServerConnections(upstream, server, self.share_of(server.server_id))
+            conns = ServerConnections(
+                upstream, server, self.share_of(server.server_id), self._spares
+            )
             self._servers[server.server_id] = conns
             self._grow(conns)
         for server_id in gone:
@@ -249,6 +258,8 @@
         for server_id, conns in list(self._servers.items()):
             conns.drop_silent(now - self._progress_timeout - stall, now)
             conns.drop_old(now - MAX_AGE, now)
+            if not self._spares:
+                conns.drop_surplus(now - SURPLUS_AFTER, now)
             self._grow(conns)
             if conns.retired_at is not None and conns.retired_at + RETIRE_AFTER <= now:
                 conns.close_all(now)
--- a/src/alderhatch/entry/server_connections.py
+++ b/src/alderhatch/entry/server_connections.py
@@ -34,12 +34,14 @@
         upstream: The name of the upstream that the server belongs to.
         server: The server.
         share: How many connections this entry may hold to it.
+        spare: Whether a connection is opened ahead while all others are busy.
     """
 
-    def __init__(self, upstream: str, server: Server, share: int) -> None:
+    def __init__(self, upstream: str, server: Server, share: int, spare: bool = True) -> None:
         self.upstream = upstream
         self.server = server
         self.share = share
+        self.spare = spare
         self.idle: deque[HttpConnection] = deque()
         """Idle connections, the last used at the right."""
         self.busy: set[HttpConnection] = set()
@@ -121,7 +123,8 @@
         # them at a server that has just come back would make it late for everyone.
         if self.opening or self.retired_at is not None or now < self._retry_at:
             return False
-        return (bool(self.waiting) or not self.idle) and self.held(now) < self.share
+        wanted = bool(self.waiting) or (not self.idle and (self.spare or not self.busy))
+        return wanted and self.held(now) < self.share
 
     def failed(self, error: HttpExchangeError, now: Millis) -> None:
         """Take note that no connection could be opened, and tell everyone who waits."""
@@ -159,6 +162,11 @@
             self.silent += 1
             self.drop(conn, now, ExchangeFault.SILENT)
 
+    def drop_surplus(self, before: Millis, now: Millis) -> None:
+        """Close idle connections but the last used one that were not used since a point in time."""
+        while len(self.idle) > 1 and self.idle[0].progress_at < before:
+            self.drop(self.idle.popleft(), now)
+
     def drop_old(self, before: Millis, now: Millis) -> None:
         """Close at most one idle connection that was opened before a point in time."""
         for conn in self.idle:
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -87,7 +87,10 @@
         self._clock = LoopClock()
         self._codec = Codec(*PEER_MESSAGE_TYPES, *TIER_MESSAGE_TYPES)
         self._rng = Random()
-        self._pool = ConnectionPool(default_share=0, progress_timeout=PROGRESS_TIMEOUT)
+        # Servers count the connections of a host that lost power until they time out. With spares
+        # the tier would hold four fifths of what a server accepts, and when all hosts have come
+        # back the new connections would be reset: most queries failed for some 5 s.
+        self._pool = ConnectionPool(0, PROGRESS_TIMEOUT, spares=False)
         self.state = NodeState(
             cfg.zone, decode, self._pool, cfg.budget, cfg.policy, self._clock, self._rng
         )
