The first change waits until the log has all members; the time a process takes to start counts for elections

Cause: a test with the real program killed the leader 0.3 s after the start, when the log had two of three members: no change was accepted any more. Change: the first configuration is acknowledged only with all members wanted (after 4 s with fewer, where there are fewer disks).

--- a/src/alderhatch/control/_log_driver.py
+++ b/src/alderhatch/control/_log_driver.py
@@ -59,6 +59,7 @@
         waiters: Waiters,
         random: Random,
         on_role: RoleCallback | None,
+        silent_since: float | None = None,
     ) -> None:
         self._name = name
         self._storage = storage
@@ -68,6 +69,7 @@
         self._waiters = waiters
         self._random = random
         self._on_role = on_role
+        self._silent_since = silent_since
         self._clock = LoopClock()
         self._writer = LogWriter(storage, cfg.sync_in_thread, self.step)
         self._woken = trio.Event()
@@ -77,7 +79,9 @@
 
     def _new_node(self, hard_state: HardState, log: RaftLog, now: float) -> RaftNode:
         member_id = self._storage.member_id
-        return RaftNode(member_id, self._cfg.raft, self._random, hard_state, log, now)
+        return RaftNode(
+            member_id, self._cfg.raft, self._random, hard_state, log, now, self._silent_since
+        )
 
     # Life
 
--- a/src/alderhatch/control/log_node.py
+++ b/src/alderhatch/control/log_node.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from ..clock import SECOND, LoopClock
+from ..clock import SECOND, LoopClock, Millis
 from ..core.raft.effects import Role
 from ..core.raft.events import (
     Proposal,
@@ -45,6 +45,7 @@
         cfg: LogNodeConfig | None = None,
         on_role: RoleCallback | None = None,
         random: Random | None = None,
+        silent_since: Millis | None = None,
     ) -> None:
         """Prepare to take part; nothing happens before ``run``.
 
@@ -58,6 +59,8 @@
             on_role: Called when the role, the term or the known leader changes, with the role,
                 the term and the leader's host name. It must not block.
             random: Spreads the elections; a fresh one if none is given.
+            silent_since: When this process began. It has answered no leader before, so the time
+                that it took to start counts for the wait before it may vote.
         """
         self.name = name
         self._cfg = cfg or LogNodeConfig()
@@ -79,6 +82,7 @@
             self._waiters,
             random or Random(),
             on_role,
+            silent_since,
         )
         self._members = LogMembers(
             name, storage, self._cfg, self._links, self._driver, self._waiters
--- a/src/alderhatch/core/raft/raft_node.py
+++ b/src/alderhatch/core/raft/raft_node.py
@@ -67,6 +67,7 @@
         hard_state: HardState,
         log: RaftLog,
         now: Millis,
+        silent_since: Millis | None = None,
     ) -> None:
         """Go on from what is on disk.
 
@@ -77,6 +78,8 @@
             hard_state: Term and vote from the disk.
             log: Snapshot and entries from the disk.
             now: The time.
+            silent_since: Since when this member has certainly answered no leader; the same as now
+                if nothing is known.
         """
         self._state = MemberState(member_id, cfg, hard_state, log)
         self._cfg = cfg
@@ -89,8 +92,8 @@
         self._failure: str | None = None
         # A member that restarts has forgotten whom it has just heard from. If it voted at once,
         # a new leader could be elected while the old one's lease still holds.
-        self._heard_at = now
-        self._deadline = now if self._is_alone else now + self._election_delay()
+        self._heard_at = now if silent_since is None else min(silent_since, now)
+        self._deadline = now if self._is_alone else self._heard_at + self._election_delay()
         self._vote_number = 0
         self._vote_asked_at = now
         self._told_role: tuple[Role, int, str | None] = (self.role, self.term, None)
--- a/src/alderhatch/node/configuration_desk.py
+++ b/src/alderhatch/node/configuration_desk.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Callable
 
-from ..clock import LoopClock, Millis
+from ..clock import SECOND, LoopClock, Millis
+from ..control.log_node import LogNode
 from ..core.control.configuration_register import (
     ConfigurationRegister,
     StoredConfiguration,
@@ -15,6 +16,11 @@
 from ..log import log_event
 from ..log_events import LogEvent
 from .control_member import ControlMember
+from .voter_plan import wanted_voters
+
+GROWTH_SPAN: Millis = 4 * SECOND
+"""How long the first change waits for all members. Hosts join within a second; where there are fewer
+disks than members wanted, the first change is taken after this time all the same."""
 
 
 class ConfigurationDesk:
@@ -23,7 +29,7 @@
     Args:
         member: This host's part in the replicated log; None without a disk.
         register: The state that the log drives.
-        copies: On how many disks a change has to be before it is acknowledged.
+        tolerated: How many hosts with a disk may be lost at once.
         on_accepted: Told how long an accepted change took, in milliseconds.
     """
 
@@ -31,12 +37,14 @@
         self,
         member: ControlMember | None,
         register: ConfigurationRegister,
-        copies: int,
+        tolerated: int,
         on_accepted: Callable[[Millis], None],
     ) -> None:
         self._member = member
         self._register = register
-        self._copies = copies
+        self._copies = tolerated + 1
+        self._wanted = wanted_voters(tolerated)
+        self._first_asked: Millis | None = None
         self._on_accepted = on_accepted
         self._clock = LoopClock()
 
@@ -62,11 +70,7 @@
                 hold the change.
         """
         log = self._leading().leading_log()
-        if log.membership.majority < self._copies:
-            # The log was founded by one host. Until enough others have joined, what is committed
-            # is on fewer disks than may be lost at once.
-            message = f"fewer than {self._copies} disks would hold the change"
-            raise AlderhatchError(Failure(ErrorKind.NO_LEADER, message, None, 300))
+        self._check_grown(log)
         began = self._clock.now()
         result = await log.propose(encode_command(pack(version, document)))
         in_force = result if isinstance(result, int) else self._register.stored.version
@@ -81,6 +85,23 @@
         )
         return in_force
 
+    def _check_grown(self, log: LogNode) -> None:
+        """Refuse a change while the log has too few members for what may be lost.
+
+        The log is founded by one host and the others join it one by one. A change committed in
+        between would be on fewer disks than may be lost at once; and with two members the loss of
+        one would stop all further changes, although the tier is to bear it.
+        """
+        membership = log.membership
+        now = self._clock.now()
+        if self._first_asked is None:
+            self._first_asked = now
+        is_founding = self._register.stored.version == 0 and now - self._first_asked < GROWTH_SPAN
+        few = len(membership.voters) < self._wanted and is_founding
+        if membership.majority < self._copies or few:
+            message = f"the log has only {len(membership.voters)} of {self._wanted} members yet"
+            raise AlderhatchError(Failure(ErrorKind.NO_LEADER, message, None, 300))
+
     async def read(self) -> StoredConfiguration:
         """Return the newest accepted configuration.
 
--- a/src/alderhatch/node/control_member.py
+++ b/src/alderhatch/node/control_member.py
@@ -49,6 +49,7 @@
         secret: The secret that the hosts of the tier share.
         state_machine: What the log drives.
         on_role: Called when this host begins or ceases to lead, or another leader is known.
+        silent_since: When the process began, if the loop's clock can be compared with it.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         secret: bytes,
         state_machine: StateMachine,
         on_role: Callable[[], None],
+        silent_since: Millis | None = None,
     ) -> None:
         self._place = place
         self._folder = folder
@@ -66,6 +68,7 @@
         self._on_role = on_role
         self._clock = LoopClock()
         self._founds = False
+        self._silent_since = silent_since
         self._restart = trio.CancelScope()
         self.log: LogNode | None = None
         """The replicated log while the disk works."""
@@ -99,7 +102,10 @@
             self._secret,
             LOG_CONFIG,
             self._role_changed,
+            silent_since=self._silent_since,
         )
+        # Opened again in the same process, this member has answered leaders since.
+        self._silent_since = None
         async with trio.open_nursery() as nursery:
             await nursery.start(log.run)
             self.log = log
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -122,7 +122,7 @@
             self.state, self._runner, dialect, self.metrics, self._request_log
         )
         self.desk = ConfigurationDesk(
-            self._member, self._register, cfg.tolerated_hosts + 1, self.metrics.count_change
+            self._member, self._register, cfg.tolerated_hosts, self.metrics.count_change
         )
 
     def _make_member(self) -> ControlMember | None:
@@ -130,7 +130,12 @@
         if cfg.data_folder is None:
             return None
         return ControlMember(
-            cfg.place, cfg.data_folder, cfg.secret, self._register, self._role_changed
+            cfg.place,
+            cfg.data_folder,
+            cfg.secret,
+            self._register,
+            self._role_changed,
+            cfg.process_started,
         )
 
     # Beliefs
--- a/src/alderhatch/node/node_settings.py
+++ b/src/alderhatch/node/node_settings.py
@@ -44,6 +44,9 @@
     """How long the node may take to stop, in milliseconds."""
     secret: bytes
     policy: Policy = Policy()
+    process_started: float | None = None
+    """When the process began, in the milliseconds of the loop's clock; None if they can't be
+    compared."""
 
     @property
     def place(self) -> Place:
--- a/src/alderhatch/node/tier_client.py
+++ b/src/alderhatch/node/tier_client.py
@@ -29,8 +29,9 @@
 REPORT_EVERY: Millis = 500.0
 LEADER_SILENT: Millis = 1600.0
 """A leader that says nothing for three pulses is gone, or the way to it is."""
-DIAL_TIMEOUT: Millis = 800.0
-REDIAL: Millis = 200.0
+DIAL_TIMEOUT: Millis = 400.0
+"""Hosts are 3 ms away; one that needs longer is dark, and others wait to be tried."""
+REDIAL: Millis = 120.0
 MAX_REMEMBERED = 32
 """Places of hosts met before that are tried when neither seeds nor the log's hosts answer."""
 
--- a/src/alderhatch/platform/__init__.py
+++ b/src/alderhatch/platform/__init__.py
@@ -2,3 +2,9 @@
 
 Nothing outside this package knows a name of the platform; nothing inside it decides anything.
 """
+
+from __future__ import annotations
+
+from ..process_start import PROCESS_STARTED
+
+__all__ = ["PROCESS_STARTED"]
--- a/src/alderhatch/platform/__main__.py
+++ b/src/alderhatch/platform/__main__.py
@@ -13,6 +13,7 @@
 from ..log_events import LogEvent
 from ..node.boot_clock import BootClock
 from ..node.node import Node
+from . import PROCESS_STARTED
 from .configuration import decode_configuration
 from .dialect import PlatformDialect
 from .edge import PlatformEdge
@@ -37,7 +38,8 @@
         return CANNOT_START
     log_output = set_up_bounded_logs(PROGRAM, sys.stdout.fileno(), host=cfg.node.name)
     source = PlatformServerList(cfg.list_address, cfg.list_port)
-    node = Node(cfg.node, PlatformDialect(), decode_configuration, source, log_output)
+    settings = cfg.node._replace(process_started=PROCESS_STARTED)
+    node = Node(settings, PlatformDialect(), decode_configuration, source, log_output)
     trio.run(_run, node, path, clock=BootClock())
     return 0
 
