A host that looks for the leader asks each other one once in a round

Ruled out: lost news, the order of versions. Change: a hint is followed at once, but no host is asked twice in a round, and the founder is named only until there is a first configuration.

--- /dev/null
+++ b/features/steps/node_tier_client_steps.py
@@ -0,0 +1,131 @@
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import trio
+from behave import given, then, when
+
+from alderhatch.codec import Codec
+from alderhatch.link import Peer, serve_links
+from alderhatch.node.tier_client import TierClient
+from alderhatch.node.tier_messages import (
+    TIER_MESSAGE_TYPES,
+    ConfigurationNews,
+    Join,
+    Place,
+    Pulse,
+    Redirect,
+    Report,
+)
+
+SECRET = b"the secret of a tier of the tests"
+CODEC = Codec(*TIER_MESSAGE_TYPES)
+PATIENCE_S = 30
+VERSION = 17
+
+
+def host_of_tier(context, kind):
+    hosts = context.tier_hosts = getattr(context, "tier_hosts", [])
+    hosts.append(SimpleNamespace(kind=kind, place=None))
+
+
+@given("a host of a tier that names itself as the leader but does not lead")
+def step_self(context):
+    host_of_tier(context, "names itself")
+
+
+@given("two hosts of a tier that name each other as the leader")
+def step_each_other(context):
+    host_of_tier(context, "names the next")
+    host_of_tier(context, "names the one before")
+
+
+@given("a host of a tier that takes connections and says nothing")
+def step_mute(context):
+    host_of_tier(context, "mute")
+
+
+@given("a host of a tier that leads")
+def step_leads(context):
+    host_of_tier(context, "leads")
+
+
+def answer_of(hosts, index):
+    match hosts[index].kind:
+        case "names itself":
+            return Redirect(hosts[index].place, [])
+        case "names the next":
+            return Redirect(hosts[index + 1].place, [])
+        case "names the one before":
+            return Redirect(hosts[index - 1].place, [])
+        case _:
+            return ConfigurationNews(VERSION, b"packed")
+
+
+async def serve_host(hosts, index, nursery):
+    async def handle(link):
+        await link.receive()
+        await link.send(answer_of(hosts, index))
+        while hosts[index].kind == "leads":
+            await link.send(Pulse(True))
+            await trio.sleep(0.2)
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    hosts[index].place = Place(f"host-{index}", "127.0.0.1", port)
+    if hosts[index].kind == "mute":
+        nursery.start_soon(trio.serve_listeners, lambda _: trio.sleep_forever(), listeners)
+        return
+    me = Peer(f"host-{index}", "control")
+    nursery.start_soon(serve_links, listeners, CODEC, SECRET, me, handle)
+
+
+def look(context, knows, introduced=False):
+    found = trio.Event()
+    state = SimpleNamespace(controls=[], records={}, list_is_fresh=lambda: None)
+
+    def take(stored):
+        context.configured = stored.version
+        found.set()
+
+    state.take_configuration = take
+
+    async def main():
+        with trio.fail_after(PATIENCE_S):
+            async with trio.open_nursery() as nursery:
+                hosts = context.tier_hosts
+                for index in range(len(hosts)):
+                    await serve_host(hosts, index, nursery)
+                me = Place("me", "127.0.0.1", 1)
+                client = TierClient(
+                    lambda: Join(me, "zone", "127.0.0.1:1", None),
+                    lambda: Report(True, 0, None),
+                    lambda: [one.place for one in hosts] if knows else [],
+                    state,
+                    CODEC,
+                    SECRET,
+                )
+                nursery.start_soon(client.run)
+                if introduced:
+                    client.introduce(hosts[-1].place)
+                await found.wait()
+                context.followed = client.leader
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+@when("a third host that knows both looks for the leader")
+def step_look(context):
+    look(context, knows=True)
+
+
+@when("a third host that knows nobody is told of the leader")
+def step_told(context):
+    look(context, knows=False, introduced=True)
+
+
+@then("it follows the one that leads, and has its configuration")
+def step_follows(context):
+    assert context.followed == context.tier_hosts[-1].place
+    assert context.configured == VERSION
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -176,7 +176,7 @@
 
 
 def step_all_voters(context):
-    """Wait until all hosts with a disk have a vote, and note how often the one to be wiped got it."""
+    """Wait until all hosts with a disk have a vote; note how often the one to be wiped got it."""
     tier = context.platform
 
     def lines_with(text):
--- a/src/alderhatch/node/configuration_desk.py
+++ b/src/alderhatch/node/configuration_desk.py
@@ -19,8 +19,8 @@
 from .voter_plan import wanted_voters
 
 GROWTH_SPAN: Millis = 4 * SECOND
-"""How long the first change waits for all members. Hosts join within a second; where there are fewer
-disks than members wanted, the first change is taken after this time all the same."""
+"""How long the first change waits for all members. Hosts join within a second; where there are
+fewer disks than members wanted, the first change is taken after this time all the same."""
 
 
 class ConfigurationDesk:
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -149,7 +149,12 @@
     def leader(self) -> Place | None:
         """The leader of the replicated log, or who may know it, if this host knows any."""
         own = self._member.leader() if self._member is not None else None
-        return own or self._client.leader or self._judge.founder or self._founder
+        if own is not None or self._client.leader is not None:
+            return own or self._client.leader
+        # Who founded the log is worth asking only until there is a first configuration; later it
+        # is a host like any other, and may itself be cut off.
+        is_new = self.state.stored.version == 0
+        return (self._judge.founder or self._founder) if is_new else None
 
     @property
     def running(self) -> int:
--- a/src/alderhatch/node/tier_client.py
+++ b/src/alderhatch/node/tier_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Iterable
 
 import trio
@@ -77,16 +78,33 @@
     async def run(self) -> None:
         """Follow whoever leads until cancelled."""
         while True:
-            for place in self._places():
-                if await self._try(place):
-                    break
+            await self._look()
             await self._introduced.wait_for(REDIAL)
 
+    async def _look(self) -> None:
+        """Ask one host after the other for the leader, and follow it while it leads.
+
+        Where a host says that another one leads, that one is next. Each is asked once in a round:
+        a host that is cut off from the others may go on naming itself, or one that is gone, and
+        whoever believed it each time would never ask those that know better.
+        """
+        left = deque(self._places())
+        asked: set[tuple[str, int]] = set()
+        while left:
+            place = left.popleft()
+            if (place.address, place.port) in asked:
+                continue
+            asked.add((place.address, place.port))
+            if await self._try(place):
+                return
+            if self._hint is not None:
+                left.appendleft(self._hint)
+                self._hint = None
+
     def _places(self) -> list[Place]:
         hint = [self._hint] if self._hint is not None else []
         self._hint = None
-        places = [*hint, *self._state.controls, *self._known(), *self._met]
-        return list({(one.address, one.port): one for one in places}.values())
+        return [*hint, *self._state.controls, *self._known(), *self._met]
 
     def introduce(self, leader: Place) -> None:
         """Take a leader's word that it leads."""
@@ -94,7 +112,7 @@
         self._introduced.notify()
 
     async def _try(self, place: Place) -> bool:
-        """Follow a host if it leads; return whether there is a new hint to go by."""
+        """Follow a host if it leads; return whether it did."""
         peer = Peer(self._join().place.name, HOST_ROLE)
         was_followed = False
         try:
@@ -106,7 +124,8 @@
                     await link.send(self._join())
                     first = await link.receive()
                     if isinstance(first, Redirect):
-                        return self._redirected(first)
+                        self._redirected(first)
+                        return False
                     dialling.deadline = float("inf")
                     was_followed = True
                     await self._follow(place, link, first)
@@ -118,12 +137,11 @@
                 self.leader = None
         return was_followed
 
-    def _redirected(self, redirect: Redirect) -> bool:
+    def _redirected(self, redirect: Redirect) -> None:
         known = {(one.address, one.port) for one in self._met}
         fresh = [one for one in redirect.others if (one.address, one.port) not in known]
         self._met = [*fresh, *self._met][:MAX_REMEMBERED]
         self._hint = redirect.leader
-        return redirect.leader is not None
 
     async def _follow(self, place: Place, link: Link, first: object) -> None:
         self.leader = place
