--- a/features/forwarding_run.feature
+++ b/features/forwarding_run.feature
@@ -28,6 +28,21 @@
     When an idempotent request is forwarded to "kitchen"
     Then it is refused as not run within 1 ms, with a time to come back
 
+  Scenario Outline: A request that servers refused isn't kept when it can't be sent again
+    # The servers are full and refuse it without a run. There is no budget for another try, or nobody
+    # else to ask. Kept until its deadline of 8 s, it would be refused all the same; refused now, its
+    # caller can try again, and that counts as a new request.
+    Given 2 servers of "kitchen" that refuse every request, <state>
+    When a <kind> request is forwarded to "kitchen"
+    Then it is told within <span> ms that it did not run, with a time to come back
+
+    Examples:
+      | state                     | kind           | span |
+      | and no budget is left     | idempotent     | 5    |
+      | and no budget is left     | non-idempotent | 5    |
+      | and there is budget       | idempotent     | 300  |
+      | and there is budget       | non-idempotent | 300  |
+
   Scenario: Too few shards to reach the least coverage is said at once
     # Three of twenty shards have lost all their servers, and eighteen are the least. No answer that
     # counts can come, however long the caller waits.
--- a/features/steps/forwarding_run_steps.py
+++ b/features/steps/forwarding_run_steps.py
@@ -4,15 +4,17 @@
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
+from alderhatch.core.forwarding.extra_budget import BudgetTerms
 from alderhatch.core.forwarding.forward_run import Answered, Failed, NotRun, least_parts
-from features.support.forward_model import ForwardModel, scatter_route, single_route
+from features.support.forward_model import TERMS, ForwardModel, scatter_route, single_route
 
 SHARDS = [f"shard{number:02}" for number in range(20)]
 FAR = 20_000.0
+NO_BUDGET = BudgetTerms(0.0, 0.0, 10_000.0)
 
 
-def kitchen(hosts=1):
-    model = ForwardModel(hosts)
+def kitchen(terms=TERMS):
+    model = ForwardModel(1, terms=terms)
     model.add_upstream("kitchen", 100.0, 2, 3)
     # The faster one is asked first.
     model.servers["kitchen-0"].work = 50.0
@@ -75,6 +77,25 @@
     make_leaving(context.model, {"kitchen"})
 
 
+@given('2 servers of "kitchen" that refuse every request, {state}')
+def step_kitchen_refuses(context, state):
+    has_budget = state == "and there is budget"
+    model = context.model = kitchen(TERMS if has_budget else NO_BUDGET)
+    warm_up(model)
+    for server in model.servers.values():
+        server.shed_share = 1.0
+
+
+@then("it is told within {span:d} ms that it did not run, with a time to come back")
+def step_told_refused(context, span):
+    outcome, at = context.model.results[context.number]
+    assert isinstance(outcome, NotRun), outcome
+    assert outcome.retry_after > 0
+    taken = at - context.model.runs[context.number].times.arrived
+    assert taken <= span, taken
+    assert not any(one.runs for one in context.model.servers.values())
+
+
 @given("20 shards with 2 servers each")
 def step_shards(context):
     context.model = ForwardModel()
--- a/features/steps/node_tier_client_steps.py
+++ b/features/steps/node_tier_client_steps.py
@@ -99,7 +99,7 @@
                 me = Place("me", "127.0.0.1", 1)
                 client = TierClient(
                     lambda: Join(me, "zone", "127.0.0.1:1", None),
-                    lambda: Report(True, 0, None),
+                    lambda: Report(True, 0, None, []),
                     lambda: [one.place for one in hosts] if knows else [],
                     state,
                     CODEC,
--- a/src/alderhatch/core/crash_watch.py
+++ b/src/alderhatch/core/crash_watch.py
@@ -4,12 +4,14 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
-from typing import NamedTuple, TypeVar
+from typing import TYPE_CHECKING, NamedTuple, TypeVar
 
 from xxhash import xxh3_128_hexdigest
 
 from ..clock import SECOND, Millis
-from .request import Request
+
+if TYPE_CHECKING:
+    from .request import Request
 
 CRASH_LIMIT = 2
 """Servers that one body may crash; then it is refused."""
@@ -49,9 +51,12 @@
 
 def fingerprint_of(request: Request) -> str:
     """Return the hash by which a body is known tier-wide."""
-    return xxh3_128_hexdigest(
-        b"\0".join((request.upstream.encode(), request.kind.encode(), request.body))
-    )
+    return fingerprint_of_parts(request.upstream.encode(), request.kind.encode(), request.body)
+
+
+def fingerprint_of_parts(*parts: bytes) -> str:
+    """Return the hash by which what consists of these parts is known tier-wide."""
+    return xxh3_128_hexdigest(b"\0".join(parts))
 
 
 class CrashWatch:
--- a/src/alderhatch/core/forwarding/forward_run.py
+++ b/src/alderhatch/core/forwarding/forward_run.py
@@ -30,6 +30,9 @@
 """Requests for one shard, refused ones included; more would only add to an overload."""
 LOOK_AGAIN: Millis = 25.0
 """How soon a shard without a usable server is looked at again."""
+MAX_WITHOUT_SERVER: Millis = 200.0
+"""How long a shard waits for any server that may be asked. Refusals bar a server for 100 ms unless
+it says otherwise; longer than that twice over, the caller does better elsewhere."""
 REFUSED_PAUSE: Millis = 30.0
 """How long a server that refused this request is left alone by it."""
 MAX_TRACE = 400
@@ -243,9 +246,12 @@
         is_extra = kind is not DecisionKind.SEND and not free
         if is_extra and not self._table.spend(shard.upstream, now):
             self._note(now, DecisionKind.NO_BUDGET, shard, target)
-            self._look_again(shard, now)
+            if not shard.out:
+                # The budget fills up over seconds. The caller's own next try is a new request.
+                self._give_up(shard, now, "no budget for another try")
             return False
         attempt = next(_attempts)
+        shard.without_server_since = None
         self._note(now, kind, shard, target)
         shard.hedge_at = None
         shard.out[attempt] = Sent(target, now)
@@ -271,8 +277,14 @@
         return target
 
     def _look_again(self, shard: ShardState, now: Millis) -> None:
-        if not shard.out:
-            shard.waits_until = now + LOOK_AGAIN
+        if shard.out:
+            return
+        if shard.without_server_since is None:
+            shard.without_server_since = now
+        if now - shard.without_server_since >= MAX_WITHOUT_SERVER:
+            self._give_up(shard, now, "no server could be asked for too long")
+            return
+        shard.waits_until = now + LOOK_AGAIN
 
     def _note(
         self,
--- a/src/alderhatch/core/forwarding/shard_state.py
+++ b/src/alderhatch/core/forwarding/shard_state.py
@@ -35,6 +35,8 @@
     """The answer that counts."""
     failure: object = None
     """The newest answer with which a server said that it failed."""
+    without_server_since: Millis | None = None
+    """Since when no server could be asked; None while one is out or was found."""
     given_up: bool = False
     waits_until: Millis | None = None
     """When to look for a server again, if none could be asked."""
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -105,6 +105,9 @@
     CONFIGURATION_ADOPTED = EventRow(
         1060, logging.INFO, "The node serves by a newer numbered configuration."
     )
+    REQUEST_QUARANTINED = EventRow(
+        2073, logging.WARNING, "A request crashed two servers; no host sends it to any for a time."
+    )
     HOST_JOINED = EventRow(2071, logging.INFO, "A host follows this leader.")
     HOST_LOST = EventRow(2072, logging.WARNING, "A host that followed this leader is gone.")
     REQUEST_ENDED = EventRow(
--- a/src/alderhatch/node/caller_side.py
+++ b/src/alderhatch/node/caller_side.py
@@ -5,6 +5,7 @@
 import trio
 
 from ..clock import SECOND, LoopClock, Millis
+from ..core.forwarding.crash_tally import QUARANTINE
 from ..core.forwarding.forward_run import ForwardRun, RunTimes
 from ..core.forwarding.route import AllShards, OneUpstream, Route, SplitUpstreams
 from ..core.forwarding.split import SplitCounter
@@ -81,6 +82,7 @@
         try:
             await self._wait_for_start(req, arrived)
             route = self._route_of(req)
+            self._check_quarantine(req)
         except AlderhatchError as exc:
             self._metrics.count_refused(exc.failure.kind)
             self._log.refused(req, exc.failure.kind, exc.failure.message)
@@ -110,6 +112,11 @@
             raise AlderhatchError(Failure(ErrorKind.NOT_FOUND, message))
         return route
 
+    def _check_quarantine(self, req: CallerRequest) -> None:
+        if self._state.is_quarantined(req.fingerprint):
+            message = "this request crashed servers that ran it"
+            raise AlderhatchError(Failure(ErrorKind.QUARANTINED, message, None, QUARANTINE))
+
     async def _wait_for_start(self, req: CallerRequest, arrived: Millis) -> None:
         """Keep a request that comes while the node learns its configuration and the servers.
 
--- a/src/alderhatch/node/dialect.py
+++ b/src/alderhatch/node/dialect.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple, Protocol
 
 from ..clock import Millis
+from ..core.crash_watch import fingerprint_of_parts
 from ..core.entry_events import AttemptFault, LoadReport
 from ..core.forwarding.forward_run import Outcome
 from ..core.forwarding.route import Route
@@ -35,6 +36,12 @@
     passed_on: HeaderFields
     """The header fields that servers get as the caller sent them."""
 
+    @property
+    def fingerprint(self) -> str:
+        """The hash by which the same request is known when its caller sends it again."""
+        http = self.http
+        return fingerprint_of_parts(http.method.encode(), http.target.encode(), http.body)
+
 
 class Dialect(Protocol):
     """Reads and writes the protocol's messages; decides nothing."""
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -16,11 +16,11 @@
     Outcome,
     Send,
 )
-from ..core.forwarding.target_table import TargetTable
 from ..entry.attempt_faults import FAULTS
 from ..entry.connection_pool import ConnectionPool
 from ..http.client import ExchangeFault, HttpConnection, HttpExchangeError, HttpReply
 from .dialect import CallerRequest, Dialect, Reading
+from .node_state import NodeState
 
 LOSER_GRACE: Millis = 250.0
 """How long an attempt that lost may still take before its connection is closed.
@@ -37,13 +37,14 @@
 
     Args:
         pool: Where connections come from.
-        table: The servers, told what was seen of them.
+        state: The node's beliefs, told what was seen of servers and requests.
         dialect: Writes requests and reads answers.
     """
 
-    def __init__(self, pool: ConnectionPool, table: TargetTable, dialect: Dialect) -> None:
+    def __init__(self, pool: ConnectionPool, state: NodeState, dialect: Dialect) -> None:
         self._pool = pool
-        self._table = table
+        self._state = state
+        self._table = state.table
         self._dialect = dialect
         self._clock = LoopClock()
         self._nursery: trio.Nursery | None = None
@@ -88,6 +89,7 @@
             if sent_at is not None:
                 self._table.abandoned(send.target, sent_at, now)
             return
+        self._state.saw_attempt(flight.req.fingerprint, send.target, reading.fault, now)
         if reading.fault is not None:
             self._table.failed(send.target, reading.fault, reading.retry_after, now)
         elif sent_at is not None:
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -112,7 +112,7 @@
         self._client = TierClient(
             self._join, self._report, self._places, self.state, self._codec, cfg.secret
         )
-        self._runner = ForwardRunner(self._pool, self.state.table, dialect)
+        self._runner = ForwardRunner(self._pool, self.state, dialect)
         self._judge = FoundingJudge()
         self.log_output = log_output
         """Where log lines go, if they are bounded."""
@@ -189,7 +189,8 @@
         return Join(cfg.place, cfg.zone, caller_address, self._disk())
 
     def _report(self) -> Report:
-        return Report(self.ready, self.state.stored.version, self._disk())
+        crashes = self.state.take_crashes()
+        return Report(self.ready, self.state.stored.version, self._disk(), crashes)
 
     def _redirect(self) -> Redirect:
         return Redirect(self.leader, self._controls())
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -9,17 +9,22 @@
 
 from ..clock import SECOND, Clock, Millis
 from ..core.control.configuration_register import NO_CONFIGURATION, StoredConfiguration
+from ..core.crash_watch import CrashWatch
+from ..core.entry_events import AttemptFault
+from ..core.forwarding.crash_tally import QUARANTINE
 from ..core.forwarding.extra_budget import BudgetTerms
 from ..core.forwarding.route import CallerLimits, TierConfiguration
 from ..core.forwarding.route_table import RouteTable
 from ..core.forwarding.server_record import ServerRecord
-from ..core.forwarding.target_table import TargetTable
+from ..core.forwarding.target_table import Target, TargetTable
 from ..core.policy import Policy
 from ..entry.connection_pool import ConnectionPool
 from ..log import log_event
 from ..log_events import LogEvent
-from .tier_messages import HostRecord, Place, TierView
+from .tier_messages import CrashReport, HostRecord, Place, TierView
 
+MAX_CRASHES = 20
+"""Crashes in one report; a zone that is lost is no crash of requests."""
 HOSTS_MEMORY: Millis = 30 * SECOND
 """Budgets are divided by the most hosts seen within this time. A host that is cut off from the
 leader goes on sending its share, and those that are left must not use it as well."""
@@ -56,6 +61,10 @@
         self._pool = pool
         self._clock = clock
         self.table = TargetTable(zone, terms, policy, rng)
+        self.crash_watch = CrashWatch(QUARANTINE)
+        """What this host saw of requests that crash servers."""
+        self.crashes: list[CrashReport] = []
+        """Crashes that the leader was not told of yet."""
         self.routes = RouteTable(())
         self.limits = CallerLimits()
         self.stored: StoredConfiguration = NO_CONFIGURATION
@@ -127,6 +136,38 @@
             self._pool.adopt(name, (), self._pool.server_ids(name))
         self._share()
 
+    # Requests that crash servers
+
+    def saw_attempt(
+        self, fingerprint: str, target: Target, fault: AttemptFault | None, now: Millis
+    ) -> None:
+        """Take what became of a request at a server."""
+        watch = self.crash_watch
+        match fault:
+            case None | AttemptFault.FAILED:
+                watch.answered(fingerprint)
+            case AttemptFault.LOST:
+                watch.lost(fingerprint, target.upstream, target.server_id, now)
+            case AttemptFault.NOT_SENT:
+                # It takes no connection any more, so what it lost shortly before was a crash.
+                for crash in watch.confirm(target.server_id, now)[:MAX_CRASHES]:
+                    self.crashes.append(CrashReport(crash.fingerprint, crash.server_id))
+
+    def is_quarantined(self, fingerprint: str) -> bool:
+        """Return whether a request is known to crash servers.
+
+        Two lost connections alone prove nothing: servers lose answers, too. Only a server that
+        takes no connection after that makes a loss a crash.
+        """
+        watch = self.crash_watch
+        return fingerprint in watch.tier_wide or watch.is_confirmed(fingerprint)
+
+    def take_crashes(self) -> list[CrashReport]:
+        """Return the crashes to be reported, once."""
+        crashes = self.crashes[:MAX_CRASHES]
+        self.crashes = []
+        return crashes
+
     # The hosts
 
     def take_view(self, view: TierView) -> None:
--- a/src/alderhatch/node/tier_client.py
+++ b/src/alderhatch/node/tier_client.py
@@ -20,6 +20,7 @@
     Join,
     Place,
     Pulse,
+    QuarantineNews,
     Redirect,
     Report,
     ServerNews,
@@ -180,6 +181,8 @@
                 self._state.list_is_fresh()
             case TierView():
                 self._state.take_view(message)
+            case QuarantineNews(fingerprints):
+                self._state.crash_watch.tier_wide = frozenset(fingerprints)
             case Pulse(list_is_fresh):
                 if list_is_fresh:
                     self._state.list_is_fresh()
--- a/src/alderhatch/node/tier_messages.py
+++ b/src/alderhatch/node/tier_messages.py
@@ -41,6 +41,19 @@
     leader: Place
 
 
+class CrashReport(NamedTuple):
+    """A request that was running on a server when that crashed."""
+
+    fingerprint: str
+    server_id: str
+
+
+class QuarantineNews(NamedTuple):
+    """All requests that no host sends to any server for now."""
+
+    fingerprints: list[str]
+
+
 class Report(NamedTuple):
     """What a host says of itself, again and again."""
 
@@ -49,6 +62,8 @@
     configuration: int
     """The number of the configuration that it serves by."""
     disk: DiskRecord | None
+    crashes: list[CrashReport]
+    """Crashes seen since the last report."""
 
 
 class Redirect(NamedTuple):
@@ -119,6 +134,7 @@
     Join,
     Introduction,
     Report,
+    QuarantineNews,
     Redirect,
     TierView,
     ConfigurationNews,
--- a/src/alderhatch/node/tier_server.py
+++ b/src/alderhatch/node/tier_server.py
@@ -9,6 +9,7 @@
 
 from ..clock import SECOND, LoopClock, Millis
 from ..core.control.configuration_register import StoredConfiguration
+from ..core.forwarding.crash_tally import CrashTally
 from ..core.forwarding.server_record import ServerRecord
 from ..link import Link, LinkClosedError
 from ..log import log_event
@@ -22,6 +23,7 @@
     Join,
     Place,
     Pulse,
+    QuarantineNews,
     Redirect,
     Report,
     ServerNews,
@@ -60,6 +62,7 @@
         self.told_version = 0
         self.told_list = ServerList(0, {})
         self.told_view: TierView | None = None
+        self.told_refused: list[str] = []
 
     def record(self) -> HostRecord:
         """Return the host as callers need to know it."""
@@ -94,6 +97,7 @@
         self._clock = LoopClock()
         self._sessions: dict[str, _Session] = {}
         self._list = ServerList(0, {})
+        self._crashes = CrashTally()
         self.news = Signal()
         """Notified when there is something to tell the hosts."""
         self.role_changed = Signal()
@@ -168,10 +172,17 @@
                 return
             session.heard_at = self._clock.now()
             session.disk = message.disk
+            self._take_crashes(message)
             if message.serving != session.serving:
                 session.serving = message.serving
                 self.news.notify()
 
+    def _take_crashes(self, report: Report) -> None:
+        for fingerprint, server_id in report.crashes:
+            if self._crashes.report(fingerprint, server_id, self._clock.now()):
+                log_event(LogEvent.REQUEST_QUARANTINED, fingerprint=fingerprint, server=server_id)
+                self.news.notify()
+
     async def _watch(self, session: _Session, scope: trio.CancelScope) -> None:
         while self.leads and self._clock.now() - session.heard_at < SILENT_AFTER:
             await trio.sleep(SILENT_AFTER / 8 / SECOND)
@@ -205,6 +216,10 @@
         if view != session.told_view:
             session.told_view = view
             news.append(view)
+        refused = self._crashes.refused(self._clock.now())
+        if refused != session.told_refused:
+            session.told_refused = refused
+            news.append(QuarantineNews(refused))
         return news
 
     def view(self) -> TierView:
--- a/src/alderhatch/platform/edge.py
+++ b/src/alderhatch/platform/edge.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..errors import AlderhatchError, ErrorKind, Failure, Ran
+from ..errors import AlderhatchError, ErrorKind, Failure
 from ..http.messages import HttpRequest, HttpResponse, failure_response, json_response
 from ..node.node import EdgeHandlers, Node
 from .configuration import decode_configuration
@@ -33,11 +33,12 @@
         try:
             return await self._node.callers.handle(req)
         except AlderhatchError as exc:
-            answer = exc.failure.answer
-            if answer.ran is Ran.NOT_RUN and answer.status in (429, 503):
-                retry_after = exc.failure.retry_after_ms or RETRY_AFTER_MS
-                return refusal(answer.status, exc.failure.kind, retry_after)
-            return failure_response(exc.failure)
+            failure = exc.failure
+            # The platform takes a 422 of ours for a denial of what its configuration allows.
+            is_held_back = failure.kind is ErrorKind.QUARANTINED
+            if is_held_back or failure.answer.status in (429, 503):
+                return refusal(503, failure.kind, failure.retry_after_ms or RETRY_AFTER_MS)
+            return failure_response(failure)
 
     async def addresses(self, req: HttpRequest) -> HttpResponse:
         """Tell a caller which addresses to use."""
