Modules of one job: outcome, effects, trace and target of a forwarded request; one holder of tasks for three

Cause: forward_run and target_table had grown over 400 lines, and three classes kept their tasks in the same way. Change: split, without a change of behaviour.

--- a/features/steps/forwarding_load_steps.py
+++ b/features/steps/forwarding_load_steps.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from alderhatch.core.forwarding.extra_budget import BudgetShare, ExtraBudget
-from alderhatch.core.forwarding.forward_run import Answered
+from alderhatch.core.forwarding.outcome import Answered
 from features.support.forward_model import TERMS, ForwardModel, scatter_route
 
 SECOND = 1000.0
--- a/features/steps/forwarding_run_steps.py
+++ b/features/steps/forwarding_run_steps.py
@@ -5,7 +5,8 @@
 from hypothesis import strategies as st
 
 from alderhatch.core.forwarding.extra_budget import BudgetTerms
-from alderhatch.core.forwarding.forward_run import Answered, Failed, NotRun, least_parts
+from alderhatch.core.forwarding.forward_run import least_parts
+from alderhatch.core.forwarding.outcome import Answered, Failed, NotRun
 from features.support.forward_model import TERMS, ForwardModel, scatter_route, single_route
 
 SHARDS = [f"shard{number:02}" for number in range(20)]
--- a/features/steps/log_output_steps.py
+++ b/features/steps/log_output_steps.py
@@ -9,7 +9,7 @@
 import trio.testing
 from behave import given, then, when
 
-from alderhatch.core.forwarding.forward_run import Answered
+from alderhatch.core.forwarding.outcome import Answered
 from alderhatch.log import log_event, set_up_bounded_logs
 from alderhatch.log_events import LogEvent
 from alderhatch.node.request_log import RequestLog, end_of
--- a/features/steps/platform_edge_steps.py
+++ b/features/steps/platform_edge_steps.py
@@ -5,7 +5,7 @@
 import orjson
 from behave import given, then
 
-from alderhatch.core.forwarding.forward_run import Answered, Failed, FailureReason, NotRun
+from alderhatch.core.forwarding.outcome import Answered, Failed, FailureReason, NotRun
 from alderhatch.core.forwarding.route import AllShards, OneUpstream
 from alderhatch.errors import AlderhatchError
 from alderhatch.http.client import HttpReply
--- a/src/alderhatch/core/forwarding/forward_run.py
+++ b/src/alderhatch/core/forwarding/forward_run.py
@@ -2,18 +2,19 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from enum import StrEnum
 from itertools import count
-from typing import NamedTuple, TypeAlias
+from typing import NamedTuple
 
 from ...clock import Millis
 from ..entry_events import NOT_RUN_FAULTS, AttemptFault
-from ..server_view import NEVER
 from .decision import Decision, DecisionKind
+from .effects import Cancel, Effect, Finish, Send
+from .outcome import Answered, Failed, FailureReason, NotRun, Outcome
 from .route import AllShards, Route
+from .run_trace import RunTrace
 from .shard_state import Sent, ShardState
-from .target_table import Target, TargetTable
+from .target import Target
+from .target_table import TargetTable
 
 FOREVER: Millis = float("inf")
 EARLIEST_HEDGE_QUANTILE = 0.75
@@ -35,8 +36,6 @@
 it says otherwise; longer than that twice over, the caller does better elsewhere."""
 REFUSED_PAUSE: Millis = 30.0
 """How long a server that refused this request is left alone by it."""
-MAX_TRACE = 400
-"""Decisions kept of one request: three for each of 100 shards, and some."""
 DEFAULT_RETRY_AFTER: Millis = 250.0
 
 
@@ -50,71 +49,6 @@
     """When the caller has to have its final answer."""
 
 
-class Send(NamedTuple):
-    """Send the request to a server."""
-
-    attempt: int
-    target: Target
-    upstream: str
-
-
-class Cancel(NamedTuple):
-    """Nothing of this attempt is wanted any more."""
-
-    attempt: int
-
-
-class FailureReason(StrEnum):
-    """Why a request came to no answer."""
-
-    NO_SERVER = "no_server"
-    """No server of the upstream, or of too many shards, could be asked."""
-    REFUSED = "refused"
-    """Every server that was asked refused it."""
-    FAILED = "failed"
-    """Servers failed, or connections broke."""
-    TIMEOUT = "timeout"
-    """No answer came in time."""
-
-
-@dataclass(frozen=True, slots=True)
-class Answered:
-    """There is an answer for the caller."""
-
-    parts: dict[str, object]
-    """The shards' answers by their upstreams."""
-    missing: int
-    """How many shards are left out."""
-
-
-@dataclass(frozen=True, slots=True)
-class NotRun:
-    """No server began to work on the request, and none will."""
-
-    reason: FailureReason
-    retry_after: Millis
-
-
-@dataclass(frozen=True, slots=True)
-class Failed:
-    """The request may have run, and there is no answer that counts."""
-
-    reason: FailureReason
-    answer: object = None
-    """A server's own word that it failed, if it gave one."""
-
-
-Outcome: TypeAlias = Answered | NotRun | Failed
-
-
-class Finish(NamedTuple):
-    """The request is over."""
-
-    outcome: Outcome
-
-
-Effect: TypeAlias = Send | Cancel | Finish
-
 _attempts = count(1)
 
 
@@ -142,8 +76,7 @@
         """Requests sent beside one that is still out."""
         self.retries = 0
         """Requests sent after one that came to nothing."""
-        self.trace: list[Decision] = []
-        """What was decided so far, oldest first."""
+        self._trace = RunTrace(table, times.arrived)
         self._table = table
         self._shard_of: dict[int, ShardState] = {}
         self._effects: list[Effect] = []
@@ -151,6 +84,11 @@
         coverage = destination.min_coverage if isinstance(destination, AllShards) else 1.0
         self._least = least_parts(len(upstreams), coverage)
 
+    @property
+    def trace(self) -> list[Decision]:
+        """What was decided so far, oldest first."""
+        return self._trace.decisions
+
     # Events
 
     def start(self, now: Millis) -> list[Effect]:
@@ -197,7 +135,7 @@
             return self._flush()
         if answer is not None:
             shard.failure = answer
-        self._note(now, DecisionKind.FAULT, shard, sent.target, fault)
+        self._trace.note(now, DecisionKind.FAULT, shard, sent.target, fault)
         if fault in NOT_RUN_FAULTS:
             shard.refused_by[sent.target.server_id] = now
             shard.may_have_run.discard(sent.target.server_id)
@@ -240,19 +178,19 @@
         """Ask a server; what is neither the first request nor free is taken out of the budget."""
         target = self._choose(shard, now, kind)
         if target is None:
-            self._note(now, DecisionKind.NO_SERVER, shard)
+            self._trace.note(now, DecisionKind.NO_SERVER, shard)
             self._look_again(shard, now)
             return False
         is_extra = kind is not DecisionKind.SEND and not free
         if is_extra and not self._table.spend(shard.upstream, now):
-            self._note(now, DecisionKind.NO_BUDGET, shard, target)
+            self._trace.note(now, DecisionKind.NO_BUDGET, shard, target)
             if not shard.out:
                 # The budget fills up over seconds. The caller's own next try is a new request.
                 self._give_up(shard, now, "no budget for another try")
             return False
         attempt = next(_attempts)
         shard.without_server_since = None
-        self._note(now, kind, shard, target)
+        self._trace.note(now, kind, shard, target)
         shard.hedge_at = None
         shard.out[attempt] = Sent(target, now)
         shard.sends += 1
@@ -286,38 +224,6 @@
             return
         shard.waits_until = now + LOOK_AGAIN
 
-    def _note(
-        self,
-        now: Millis,
-        kind: DecisionKind,
-        shard: ShardState,
-        target: Target | None = None,
-        why: str = "",
-    ) -> None:
-        if len(self.trace) >= MAX_TRACE:
-            return
-        at = now - self.times.arrived
-        if target is None or kind is DecisionKind.FAULT:
-            server_id = target.server_id if target is not None else ""
-            self.trace.append(Decision(at, kind, shard.upstream, server_id, why))
-            return
-        budget = -1.0
-        if kind is not DecisionKind.SEND:
-            budget = self._table.budget_level(shard.upstream, now)
-        self.trace.append(
-            Decision(
-                at,
-                kind,
-                shard.upstream,
-                target.server_id,
-                why,
-                target.load(now),
-                max(-1.0, now - target.others_at) if target.others_at > NEVER else -1.0,
-                self._table.usable(shard.upstream, now),
-                budget,
-            )
-        )
-
     def _try_again(self, shard: ShardState, fault: AttemptFault, now: Millis) -> None:
         not_run = fault in NOT_RUN_FAULTS
         if not not_run and not self.route.idempotent:
@@ -332,7 +238,7 @@
 
     def _give_up(self, shard: ShardState, now: Millis, why: str) -> None:
         shard.given_up = True
-        self._note(now, DecisionKind.GIVEN_UP, shard, None, why)
+        self._trace.note(now, DecisionKind.GIVEN_UP, shard, None, why)
 
     # Hedges
 
--- /dev/null
+++ b/src/alderhatch/core/forwarding/outcome.py
@@ -0,0 +1,52 @@
+"""How a forwarded request can end."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TypeAlias
+
+from ...clock import Millis
+
+
+class FailureReason(StrEnum):
+    """Why a request came to no answer."""
+
+    NO_SERVER = "no_server"
+    """No server of the upstream, or of too many shards, could be asked."""
+    REFUSED = "refused"
+    """Every server that was asked refused it."""
+    FAILED = "failed"
+    """Servers failed, or connections broke."""
+    TIMEOUT = "timeout"
+    """No answer came in time."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """There is an answer for the caller."""
+
+    parts: dict[str, object]
+    """The shards' answers by their upstreams."""
+    missing: int
+    """How many shards are left out."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """No server began to work on the request, and none will."""
+
+    reason: FailureReason
+    retry_after: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """The request may have run, and there is no answer that counts."""
+
+    reason: FailureReason
+    answer: object = None
+    """A server's own word that it failed, if it gave one."""
+
+
+Outcome: TypeAlias = Answered | NotRun | Failed
--- a/src/alderhatch/core/forwarding/shard_state.py
+++ b/src/alderhatch/core/forwarding/shard_state.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from ...clock import Millis
-from .target_table import Target
+from .target import Target
 
 
 class Sent(NamedTuple):
--- a/src/alderhatch/core/forwarding/target_table.py
+++ b/src/alderhatch/core/forwarding/target_table.py
@@ -7,15 +7,15 @@
 from random import Random
 from typing import NamedTuple
 
-from ...clock import SECOND, Millis
+from ...clock import Millis
 from ..entry_events import AttemptFault, LoadReport
 from ..latency_histogram import LatencyHistogram
 from ..policy import Policy
 from ..replica_choice import choose_replica
-from ..server_view import NEVER, ServerView
 from ..shard_map import Server
 from .extra_budget import BudgetShare, BudgetTerms, ExtraBudget
 from .server_record import ServerRecord
+from .target import Target
 
 LISTED = "list"
 """The source of the word that a server leaves: it is draining there, or gone."""
@@ -25,65 +25,9 @@
 """Changes of belief kept until somebody asks for them; the oldest are dropped."""
 RESERVED_SHARE = 0.1
 """The part of a server's connections that no host counts on, for those that are being closed."""
-STALL_FACTOR = 4.0
-"""A server whose oldest request takes longer than this multiple of the median stands still."""
-TROUBLE_COST: Millis = 60.0
-"""What a request that comes to nothing costs: the time until it is sent again, and the budget."""
-TROUBLE_HALF_LIFE: Millis = 3 * SECOND
-"""A server that was avoided for its faults is tried again after some such spans."""
 SILENT_AFTER: Millis = 200.0
 """A server that has answered nothing for so long is out of order, as the pauses are shorter; one
 such silence is enough to leave it alone for a while."""
-MIN_STALL: Millis = 60.0
-"""Well over a usual answer, well under the pauses of 120 to 150 ms that servers take."""
-
-
-class Target(ServerView):
-    """One server with the requests of this host that are out there."""
-
-    __slots__ = ("_trouble", "_trouble_at", "answered_at", "outstanding", "upstream")
-
-    def __init__(
-        self, upstream: str, server: Server, typical: LatencyHistogram, policy: Policy
-    ) -> None:
-        super().__init__(server, typical, policy)
-        self.upstream = upstream
-        self._trouble = 0.0
-        self._trouble_at: Millis = NEVER
-        self.answered_at: Millis = NEVER
-        """When it last answered anything."""
-        self.outstanding: dict[int, Millis] = {}
-        """When each request that is out there was sent, oldest first."""
-
-    def estimate(self, now: Millis) -> Millis:
-        """Return how long a request sent now is likely to take, with what a fault of it costs."""
-        return super().estimate(now) + TROUBLE_COST * self.trouble(now)
-
-    def trouble(self, now: Millis) -> float:
-        """Return which share of the requests lately came to nothing; it fades with time.
-
-        A server that is well by its health and load may still refuse or fail a good part of its
-        requests. Each of those takes a second request out of the budget; with every other server
-        of an upstream like that, the budget is used up and the requests fail that need it.
-        """
-        return float(self._trouble * 0.5 ** ((now - self._trouble_at) / TROUBLE_HALF_LIFE))
-
-    def count_outcome(self, is_fault: bool, now: Millis) -> None:
-        """Take an answer or a fault into the share of those that came to nothing."""
-        known = self.trouble(now)
-        self._trouble = known + self.policy.latency_weight * (float(is_fault) - known)
-        self._trouble_at = now
-
-    def stands_still(self, now: Millis) -> bool:
-        """Return whether its oldest request is out for so long that it probably pauses.
-
-        Servers stop for a moment now and then. What is sent meanwhile waits for the end of the
-        pause, seen as an answer that is late by as much; the other replica answers at once.
-        """
-        if not self.outstanding:
-            return False
-        oldest = next(iter(self.outstanding.values()))
-        return now - oldest > max(MIN_STALL, STALL_FACTOR * self.typical.median)
 
 
 class UpstreamTargets:
--- a/src/alderhatch/entry/attempt_runner.py
+++ b/src/alderhatch/entry/attempt_runner.py
@@ -18,6 +18,7 @@
 from ..http.client import ExchangeFault, HttpConnection, HttpExchangeError
 from ..log import log_event
 from ..log_events import LogEvent
+from ..loop_tasks import LoopTasks
 from .attempt_faults import FAULTS
 from .connection_pool import ConnectionPool
 from .owner_client import OwnerClient
@@ -78,19 +79,12 @@
         """What ends an attempt: the connection that it is on, or its wait for one."""
         self._idle: list[_Worker] = []
         """Tasks that wait for an attempt, the last used at the end."""
-        self._nursery: trio.Nursery | None = None
+        self._tasks = LoopTasks()
         self._log_after: dict[str, Millis] = {}
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Keep the attempts' tasks until cancelled."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            task_status.started()
-            try:
-                await trio.sleep_forever()
-            finally:
-                # Whatever the core still asks for while the entry goes down has no task any more.
-                self._nursery = None
+        await self._tasks.run(task_status)
 
     @property
     def running(self) -> int:
@@ -99,7 +93,7 @@
 
     def start(self, send: SendShard) -> None:
         """Begin an attempt."""
-        if self._nursery is None:
+        if not self._tasks.running:
             return
         conn = self._pool.take_idle(send.server_id)
         if conn is not None:
@@ -107,11 +101,11 @@
             if self._idle:
                 self._idle.pop().give(send, conn)
             else:
-                self._nursery.start_soon(self._work, _Worker(send, conn))
+                self._tasks.start(self._work, _Worker(send, conn))
             return
         scope = trio.CancelScope()
         self._running[send.attempt] = scope
-        self._nursery.start_soon(self._attempt_later, send, scope)
+        self._tasks.start(self._attempt_later, send, scope)
 
     def cancel(self, attempt: int) -> None:
         """End an attempt at once; its exchange is closed and nothing of it is heard again."""
--- a/src/alderhatch/entry/owner_client.py
+++ b/src/alderhatch/entry/owner_client.py
@@ -16,6 +16,7 @@
 from ..link import LinkClosedError, Peer, open_link
 from ..log import log_event
 from ..log_events import LogEvent
+from ..loop_tasks import LoopTasks
 from .owner_link import OwnerCallError, OwnerLink
 from .owner_messages import (
     ENTRY_ROLE,
@@ -79,17 +80,11 @@
         self._links: dict[str, OwnerLink] = {}
         self._dialled: dict[str, trio.CancelScope] = {}
         self._dial_after: dict[str, Millis] = {}
-        self._nursery: trio.Nursery | None = None
+        self._tasks = LoopTasks()
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Keep the links until cancelled."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            task_status.started()
-            try:
-                await trio.sleep_forever()
-            finally:
-                self._nursery = None
+        await self._tasks.run(task_status)
 
     def set_owners(
         self, places: Mapping[str, OwnerPlace], owners: Callable[[str], Sequence[str]]
@@ -193,10 +188,10 @@
         return link
 
     def _dial(self, name: str) -> OwnerLink | None:
-        if self._nursery is None or self._clock.now() < self._dial_after.get(name, 0.0):
+        if not self._tasks.running or self._clock.now() < self._dial_after.get(name, 0.0):
             return None
         link = self._links[name] = OwnerLink(self._silence)
-        self._nursery.start_soon(partial(self._keep, name, link))
+        self._tasks.start(partial(self._keep, name, link))
         return link
 
     async def _keep(self, name: str, link: OwnerLink) -> None:
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -8,17 +8,13 @@
 
 from ..clock import SECOND, LoopClock, Millis
 from ..core.entry_events import AttemptFault
-from ..core.forwarding.forward_run import (
-    Cancel,
-    Effect,
-    Finish,
-    ForwardRun,
-    Outcome,
-    Send,
-)
+from ..core.forwarding.effects import Cancel, Effect, Finish, Send
+from ..core.forwarding.forward_run import ForwardRun
+from ..core.forwarding.outcome import Outcome
 from ..entry.attempt_faults import FAULTS
 from ..entry.connection_pool import ConnectionPool
 from ..http.client import ExchangeFault, HttpConnection, HttpExchangeError, HttpReply
+from ..loop_tasks import LoopTasks
 from .dialect import CallerRequest, Dialect, Reading
 from .node_state import NodeState
 
@@ -47,17 +43,11 @@
         self._table = state.table
         self._dialect = dialect
         self._clock = LoopClock()
-        self._nursery: trio.Nursery | None = None
+        self._tasks = LoopTasks()
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Keep the attempts' tasks until cancelled."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            task_status.started()
-            try:
-                await trio.sleep_forever()
-            finally:
-                self._nursery = None
+        await self._tasks.run(task_status)
 
     async def forward(self, req: CallerRequest, run: ForwardRun) -> Outcome:
         """Run one request to its outcome; if cancelled, its work at servers is cancelled too."""
@@ -71,8 +61,7 @@
     def begin(self, flight: _Flight, send: Send) -> trio.CancelScope:
         """Start one attempt in a task of its own."""
         scope = trio.CancelScope()
-        if self._nursery is not None:
-            self._nursery.start_soon(self._attempt, flight, send, scope)
+        self._tasks.start(self._attempt, flight, send, scope)
         return scope
 
     async def _attempt(self, flight: _Flight, send: Send, scope: trio.CancelScope) -> None:
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -16,7 +16,8 @@
 from ..core.forwarding.route import CallerLimits, TierConfiguration
 from ..core.forwarding.route_table import RouteTable
 from ..core.forwarding.server_record import ServerRecord
-from ..core.forwarding.target_table import Target, TargetTable
+from ..core.forwarding.target import Target
+from ..core.forwarding.target_table import TargetTable
 from ..core.policy import Policy
 from ..entry.connection_pool import ConnectionPool
 from ..log import log_event
--- a/src/alderhatch/node/request_log.py
+++ b/src/alderhatch/node/request_log.py
@@ -6,7 +6,8 @@
 from typing import NamedTuple
 
 from ..clock import SECOND, LoopClock, Millis
-from ..core.forwarding.forward_run import Answered, Failed, ForwardRun, NotRun, Outcome
+from ..core.forwarding.forward_run import ForwardRun
+from ..core.forwarding.outcome import Answered, Failed, NotRun, Outcome
 from ..log import log_event
 from ..log_events import LogEvent
 from .dialect import CallerRequest
--- a/src/alderhatch/platform/dialect.py
+++ b/src/alderhatch/platform/dialect.py
@@ -6,7 +6,7 @@
 
 from ..clock import SECOND, Millis
 from ..core.entry_events import AttemptFault, LoadReport
-from ..core.forwarding.forward_run import Answered, Failed, FailureReason, NotRun, Outcome
+from ..core.forwarding.outcome import Answered, Failed, FailureReason, NotRun, Outcome
 from ..core.forwarding.route import AllShards, Route
 from ..core.forwarding.top_k import merge_top_k
 from ..errors import AlderhatchError, ErrorKind, Failure
