The client's exchange without a closure for each request

Change: the check of the connection is a plain call, and the look for bytes behind an earlier answer happens only where there was one.

--- a/src/alderhatch/http/client.py
+++ b/src/alderhatch/http/client.py
@@ -144,7 +144,8 @@
         Raises:
             HttpExchangeError: If the connection broke, or the server sent no valid response.
         """
-        data = self._begin(lambda: self._request_bytes(method, target, body, headers))
+        self._claim()
+        data = self._request_bytes(method, target, body, headers)
         return await self._transfer(data, max_body)
 
     async def forward(
@@ -177,7 +178,8 @@
             HttpExchangeError: If the connection broke, or the server sent no valid response.
         """
         head = self._forward_head(method, target, fields, body)
-        data = self._begin(lambda: self._forward_bytes(head, body))
+        self._claim()
+        data = self._forward_bytes(head, body)
         if len(body) <= MAX_WHOLE_SEND:
             reply = await self._transfer(data, MAX_REPLY_BODY_BYTES)
         else:
@@ -185,18 +187,23 @@
         for _ in range(MAX_FOREIGN_REPLIES):
             if is_own(reply):
                 break
-            self._expect_another(head, body)
-            reply = await self._transfer(b"", MAX_REPLY_BODY_BYTES)
+            has_rest = self._expect_another(head, body)
+            reply = await self._transfer(b"", MAX_REPLY_BODY_BYTES, has_rest)
         return reply
 
-    def _expect_another(self, head: h11.Request, body: bytes) -> None:
-        """Read on behind a response as if the request had just been sent."""
+    def _expect_another(self, head: h11.Request, body: bytes) -> bool:
+        """Read on behind a response as if the request had just been sent.
+
+        Returns:
+            Whether bytes of what follows are there already.
+        """
         rest, _ = self._http.trailing_data
         self.usable = False
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_REPLY_HEAD_BYTES)
         self._forward_bytes(head, body)
         if rest:
             self._http.receive_data(rest)
+        return bool(rest)
 
     async def _transfer_long(self, data: bytes) -> HttpReply:
         sending = _Sending()
@@ -222,18 +229,17 @@
             # The reader of the same connection sees the same fault, and reports it.
             return
 
-    def _begin(self, make: Callable[[], bytes]) -> bytes:
+    def _claim(self) -> None:
         if not self.usable:
             message = "the connection is no longer usable"
             raise HttpExchangeError(message, ExchangeFault.NOT_SENT)
         self.usable = False
         self.used = True
-        return make()
 
-    async def _transfer(self, data: bytes, max_body: int) -> HttpReply:
+    async def _transfer(self, data: bytes, max_body: int, has_rest: bool = False) -> HttpReply:
         try:
             await self._socket.send_all(data)
-            reply = await self._read_reply(max_body)
+            reply = await self._read_reply(max_body, has_rest)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             fault = self._closed_for or ExchangeFault.LOST
             self.closed_by_peer = self._closed_for is None
@@ -275,12 +281,12 @@
             data += send(h11.Data(data=body)) or b""
         return data + (send(END_OF_MESSAGE) or b"")
 
-    async def _read_reply(self, max_body: int) -> HttpReply:
+    async def _read_reply(self, max_body: int, has_rest: bool) -> HttpReply:
         head: h11.Response | None = None
         chunks: list[bytes] = []
         size = 0
         informational = 0
-        if not self._http.trailing_data[0]:
+        if not has_rest:
             await self._receive()
         while True:
             event = self._http.next_event()
