--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -4,7 +4,6 @@
 
 import gc
 import signal
-from collections.abc import Awaitable, Callable
 from random import Random
 from typing import NamedTuple
 
@@ -18,7 +17,7 @@
 from ..entry.connection_pool import ConnectionPool
 from ..errors import AlderhatchError
 from ..http.messages import HttpLimits, HttpRequest, HttpResponse
-from ..http.server import ServeState, serve_http
+from ..http.server import Handler, ServeState, serve_http
 from ..link import Link, Peer, serve_links
 from ..log import log_event
 from ..log_events import LogEvent
@@ -34,7 +33,7 @@
 from .node_settings import NodeSettings
 from .node_state import Decoder, NodeState
 from .request_log import RequestLog
-from .server_list import ServerListReader, ServerListSource
+from .server_list import FRESH_FOR, ServerListReader, ServerListSource
 from .tier_client import TierClient
 from .tier_messages import TIER_MESSAGE_TYPES, DiskRecord, Join, Place, Redirect, Report
 from .tier_server import HOST_ROLE, TierServer
@@ -47,12 +46,11 @@
 """How long before its time to stop is over a stopping node ends as soon as it is idle."""
 STOP_MARGIN: Millis = 250.0
 """How long before that it ends whatever is still under way."""
-LIST_FRESH: Millis = 2500.0
 WATCH_LEAD_EVERY: Millis = 40.0
+"""A new leader reads the list of servers this much later at most; the look costs a microsecond."""
 TEND_LOG_EVERY: Millis = 1 * SECOND
 BACKLOG = 512
-
-Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+"""Connections that wait to be accepted; a restart of a tier brings all callers at once."""
 
 
 class EdgeHandlers(NamedTuple):
@@ -171,7 +169,7 @@
         return self._member.status() if self._member is not None else None
 
     def _list_is_fresh(self) -> bool:
-        return self.state.list_age() < LIST_FRESH
+        return self.state.list_age() < FRESH_FOR
 
     def _stored(self, stored: StoredConfiguration) -> None:
         self._server.news.notify()
