--- a/features/platform_edge.feature
+++ b/features/platform_edge.feature
@@ -136,3 +136,6 @@
     Then the platform's settings are read as those of a host with a disk
     And without a data folder the host takes no part in the replicated log
     And keys that are not known change nothing
+
+  Scenario: The examples for the platform have no mistakes
+    Then the example settings and the example configuration of the platform are read whole
--- a/features/steps/platform_edge_steps.py
+++ b/features/steps/platform_edge_steps.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import copy
+from pathlib import Path
 
 import orjson
 from behave import given, then
@@ -320,3 +321,13 @@
 @then("keys that are not known change nothing")
 def step_unknown_keys(context):
     assert parse_settings(SETTINGS + "new.key=1\n") == parse_settings(SETTINGS)
+
+
+@then("the example settings and the example configuration of the platform are read whole")
+def step_examples(context):
+    folder = Path(__file__).parents[2] / "examples" / "platform"
+    cfg = parse_settings((folder / "settings.conf").read_text())
+    assert cfg.node.name == "entry-austin-hall-1"
+    read = decode_configuration((folder / "configuration.json").read_bytes())
+    assert [route.name for route in read.routes] == ["conflict-check", "booking"]
+    assert [route.idempotent for route in read.routes] == [True, False]
