--- a/features/forwarding_run.feature
+++ b/features/forwarding_run.feature
@@ -87,3 +87,11 @@
     Given 20 shards with 2 servers each
     When the same list of servers is taken again
     Then nothing is new for the connections
+
+  Scenario: A server that fails for days ends no process
+    # A listed server takes no connection any more, and every request to it fails. Each failure doubles
+    # the time for which it is left alone; without a bound the figure grows past what a number holds,
+    # and the host that counts ends with all its requests.
+    Given 2 servers of "kitchen", of which the one asked first is well
+    When one of them fails 3000 times in a row
+    Then it is left alone for 10 s at most
--- a/features/steps/forwarding_run_steps.py
+++ b/features/steps/forwarding_run_steps.py
@@ -4,6 +4,7 @@
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
+from alderhatch.core.entry_events import AttemptFault
 from alderhatch.core.forwarding.extra_budget import BudgetTerms
 from alderhatch.core.forwarding.forward_run import least_parts
 from alderhatch.core.forwarding.outcome import Answered, Failed, NotRun
@@ -140,7 +141,24 @@
 
 @when("the same list of servers is taken again")
 def step_same_list(context):
-    context.changes = context.model.tables[0].update(context.model.records, 1.0)
+    table = context.model.tables[0]
+    table.take_changes()
+    table.update(context.model.records, 1.0)
+    context.changes = table.take_changes()
+
+
+@when("one of them fails {count:d} times in a row")
+def step_fails_often(context, count):
+    table = context.model.tables[0]
+    context.failing = table.upstream("kitchen").targets["kitchen-0"]
+    for _ in range(count):
+        table.failed(context.failing, AttemptFault.LOST, None, context.model.now)
+
+
+@then("it is left alone for 10 s at most")
+def step_left_alone_bounded(context):
+    left = context.failing.ejected_until - context.model.now
+    assert 0 < left <= 10_000.0, left
 
 
 @then("nothing is new for the connections")
--- a/src/alderhatch/core/forwarding/target_table.py
+++ b/src/alderhatch/core/forwarding/target_table.py
@@ -52,14 +52,6 @@
     """The source, or the fault that decided it."""
 
 
-class ListChange(NamedTuple):
-    """What a newer list changes for the connections."""
-
-    upstream: str
-    servers: tuple[Server, ...]
-    gone: tuple[str, ...]
-
-
 class TargetTable:
     """All upstreams' servers: who is there, how well they do, and which one is asked.
 
@@ -121,45 +113,32 @@
         for target in upstream.targets.values():
             target.set_share(share)
 
-    def update(self, records: Iterable[ServerRecord], now: Millis) -> list[ListChange]:
+    def update(self, records: Iterable[ServerRecord], now: Millis) -> None:
         """Take a newer list of all servers.
 
         Args:
             records: Every server that is listed.
             now: The time.
-
-        Returns:
-            What changed, by upstream.
         """
         listed: dict[str, list[ServerRecord]] = {}
         for record in records:
             listed.setdefault(record.upstream, []).append(record)
-        changes = []
         for name in {*listed, *self._upstreams}:
-            change = self._update_upstream(self.upstream(name), listed.get(name, []), now)
-            if change is not None:
-                changes.append(change)
-        return changes
+            self._update_upstream(self.upstream(name), listed.get(name, []), now)
 
     def _update_upstream(
         self, upstream: UpstreamTargets, records: list[ServerRecord], now: Millis
-    ) -> ListChange | None:
+    ) -> None:
         known = upstream.targets
-        added = []
         for record in records:
             target = known.get(record.server_id)
             if target is None:
                 target = self._add(upstream, record, now)
-                added.append(record.server_id)
             self._take_draining(target, record.draining)
         listed = {record.server_id for record in records}
-        gone = tuple(server_id for server_id in known if server_id not in listed)
-        for server_id in gone:
+        for server_id in [server_id for server_id in known if server_id not in listed]:
             known.pop(server_id).leaving.add(LISTED)
             self._changes.append(BeliefChange(server_id, upstream.name, "gone", LISTED))
-        if not added and not gone:
-            return None
-        return ListChange(upstream.name, tuple(one.server for one in known.values()), gone)
 
     def _take_draining(self, target: Target, draining: bool) -> None:
         if draining == (LISTED in target.leaving):
@@ -344,8 +323,6 @@
         # would empty an upstream that is well, seen as refusals with all its servers idle.
         if ejected + 1 > self._policy.max_ejected_share * len(others):
             return
-        target.ejections += 1
-        span = self._policy.eject_ms * 2.0 ** (target.ejections - 1)
-        target.ejected_until = now + min(span, self._policy.max_eject_ms)
+        target.eject(now)
         why = f"{fault}, {target.failures} in a row"
         self._changes.append(BeliefChange(target.server_id, target.upstream, "ejected", why))
--- a/src/alderhatch/core/server_table.py
+++ b/src/alderhatch/core/server_table.py
@@ -161,9 +161,7 @@
         if len(ejected) + 1 > max(1.0, self._policy.max_ejected_share * len(view.servers)):
             view.ejected = ejected
             return
-        span = self._policy.eject_ms * 2.0**server.ejections
-        server.ejected_until = now + min(span, self._policy.max_eject_ms)
-        server.ejections = min(server.ejections + 1, 10)
+        server.eject(now)
         view.ejected = ejected | {server.server_id}
 
 
--- a/src/alderhatch/core/server_view.py
+++ b/src/alderhatch/core/server_view.py
@@ -9,6 +9,8 @@
 from .shard_map import Server
 
 NEVER: Millis = float("-inf")
+MAX_DOUBLINGS = 10
+"""Past the longest ejection already; counted on, the figure would outgrow a float some day."""
 CLIP = 5.0
 """A single latency counts for at most this multiple of the upstream's median."""
 DISTRUST_RATIO = 4.0
@@ -187,6 +189,12 @@
         wrong = latency > DISTRUST_RATIO * expected or latency * DISTRUST_RATIO < expected
         self.misses += DISTRUST_WEIGHT * (float(wrong) - self.misses)
 
+    def eject(self, now: Millis) -> None:
+        """Leave it alone for a while, for twice as long each time until it answers."""
+        span = self.policy.eject_ms * 2.0**self.ejections
+        self.ejected_until = now + min(span, self.policy.max_eject_ms)
+        self.ejections = min(self.ejections + 1, MAX_DOUBLINGS)
+
     def saw_shed(self, retry_after: Millis | None, now: Millis) -> None:
         """Count a refusal by load."""
         span = self.policy.shed_ms if retry_after is None else retry_after
