One way to take a step of membership; no work repeated for each attempt and each read

Change: take_step serves all three, the fingerprint is kept with the request under way, an unchanged list is left alone.

--- a/src/alderhatch/control/_member_plan.py
+++ b/src/alderhatch/control/_member_plan.py
@@ -6,11 +6,8 @@
 
 from ..clock import SECOND, Millis
 from ..core.control.host_table import ControlRecord
-from ..errors import AlderhatchError
-from ..log import log_event
-from ..log_events import LogEvent
 from .control_log import ControlLog
-from .member_steps import AddMember, HandOver, PromoteMember, RemoveMember, Step
+from .member_steps import AddMember, HandOver, PromoteMember, RemoveMember, Step, take_step
 from .observed_state import ObservedState
 from .replicated_log import LogStatus
 
@@ -59,30 +56,10 @@
         """Take steps until cancelled."""
         while True:
             step = self._next()
-            failed = step is not None and not await self._take(step)
+            failed = step is not None and not await take_step(self._log, step)
             await trio.sleep((RETRY_INTERVAL if failed else STEP_INTERVAL) / SECOND)
 
     def _next(self) -> Step | None:
         status = self._log.status()
         ready = frozenset(name for name in status.learners if self._log.caught_up(name))
         return next_step(self._observed.state.hosts.controls, status, ready)
-
-    async def _take(self, step: Step) -> bool:
-        try:
-            match step:
-                case AddMember(name, address, port):
-                    await self._log.add_learner(name, address, port)
-                case PromoteMember(name):
-                    await self._log.promote(name)
-                case RemoveMember(name):
-                    await self._log.remove_member(name)
-                case HandOver():
-                    await self._log.transfer_leadership()
-        except AlderhatchError as exc:
-            log_event(LogEvent.MEMBER_CHANGE_FAILED, step=repr(step), why=str(exc))
-            return False
-        event = LogEvent.MEMBER_CHANGED
-        if isinstance(step, HandOver):
-            event = LogEvent.LEADERSHIP_HANDED_OVER
-        log_event(event, step=repr(step))
-        return True
--- a/src/alderhatch/control/member_steps.py
+++ b/src/alderhatch/control/member_steps.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple, TypeAlias
+from typing import TYPE_CHECKING, NamedTuple, TypeAlias
+
+from ..errors import AlderhatchError
+from ..log import log_event
+from ..log_events import LogEvent
+
+if TYPE_CHECKING:
+    from .control_log import ControlLog
 
 
 class AddMember(NamedTuple):
@@ -30,3 +37,25 @@
 
 
 Step: TypeAlias = AddMember | PromoteMember | RemoveMember | HandOver
+
+
+async def take_step(log: ControlLog, step: Step) -> bool:
+    """Take one step at the leader; return whether it is done, and log it either way."""
+    try:
+        match step:
+            case AddMember(name, address, port):
+                await log.add_learner(name, address, port)
+            case PromoteMember(name):
+                await log.promote(name)
+            case RemoveMember(name):
+                await log.remove_member(name)
+            case HandOver():
+                await log.transfer_leadership()
+    except AlderhatchError as exc:
+        log_event(LogEvent.MEMBER_CHANGE_FAILED, step=repr(step), why=str(exc))
+        return False
+    event = LogEvent.MEMBER_CHANGED
+    if isinstance(step, HandOver):
+        event = LogEvent.LEADERSHIP_HANDED_OVER
+    log_event(event, step=repr(step))
+    return True
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -78,7 +78,7 @@
             if sent_at is not None:
                 self._table.abandoned(send.target, sent_at, now)
             return
-        self._state.saw_attempt(flight.req.fingerprint, send.target, reading.fault, now)
+        self._state.saw_attempt(flight.fingerprint, send.target, reading.fault, now)
         if reading.fault is not None:
             self._table.failed(send.target, reading.fault, reading.retry_after, now)
         elif sent_at is not None:
@@ -125,6 +125,8 @@
     def __init__(self, runner: ForwardRunner, req: CallerRequest, run: ForwardRun) -> None:
         self.req = req
         self.run = run
+        self.fingerprint = req.fingerprint
+        """Worked out once: a request over all shards has a score of attempts."""
         self._runner = runner
         self._clock = LoopClock()
         self._scopes: dict[int, trio.CancelScope] = {}
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -12,10 +12,10 @@
 from ..clock import SECOND, LoopClock, Millis
 from ..codec import Codec
 from ..control.log_messages import PEER_MESSAGE_TYPES
+from ..control.member_steps import HandOver, take_step
 from ..control.replicated_log import LogStatus
 from ..core.control.configuration_register import ConfigurationRegister, StoredConfiguration
 from ..entry.connection_pool import ConnectionPool
-from ..errors import AlderhatchError
 from ..http.messages import HttpLimits, HttpRequest, HttpResponse
 from ..http.server import Handler, ServeState, serve_http
 from ..link import Link, Peer, serve_links
@@ -342,10 +342,7 @@
         member = self._member
         if member is None or member.log is None or not member.log.is_leader:
             return
-        try:
-            await member.log.transfer_leadership()
-        except AlderhatchError as exc:
-            log_event(LogEvent.MEMBER_CHANGE_FAILED, step="hand over", why=str(exc))
+        await take_step(member.log, HandOver())
 
 
 MAX_CALLER_CONNECTIONS = 1500
--- a/src/alderhatch/node/server_list.py
+++ b/src/alderhatch/node/server_list.py
@@ -85,7 +85,8 @@
         records = {record.server_id: self._steady(record) for record in listed}
         if self._server.leads:
             self._server.take_list(records)
-        self._state.take_servers(records.values(), list(self._state.records))
+        if records != self._state.records:
+            self._state.take_servers(records.values(), list(self._state.records))
         self._state.list_is_fresh()
 
     def _steady(self, record: ServerRecord) -> ServerRecord:
--- a/src/alderhatch/node/voter_keeper.py
+++ b/src/alderhatch/node/voter_keeper.py
@@ -6,10 +6,7 @@
 
 from ..clock import SECOND, LoopClock, Millis
 from ..control.log_node import LogNode
-from ..control.member_steps import AddMember, PromoteMember, RemoveMember, Step
-from ..errors import AlderhatchError
-from ..log import log_event
-from ..log_events import LogEvent
+from ..control.member_steps import Step, take_step
 from .control_member import ControlMember
 from .tier_server import TierServer
 from .voter_plan import next_step, wanted_voters
@@ -43,7 +40,7 @@
                 await trio.sleep(STEP_INTERVAL / SECOND)
                 continue
             step = self._next(log)
-            failed = step is not None and not await self._take(log, step)
+            failed = step is not None and not await take_step(log, step)
             await trio.sleep((RETRY_INTERVAL if failed else STEP_INTERVAL) / SECOND)
 
     def _next(self, log: LogNode) -> Step | None:
@@ -57,18 +54,3 @@
         caught_up = frozenset(one.name for one in membership.learners if log.caught_up(one.name))
         hosts = self._server.disk_hosts()
         return next_step(membership, hosts, caught_up, unheard, self._wanted)
-
-    async def _take(self, log: LogNode, step: Step) -> bool:
-        try:
-            match step:
-                case AddMember(name, address, port):
-                    await log.add_learner(name, address, port)
-                case PromoteMember(name):
-                    await log.promote(name)
-                case RemoveMember(name):
-                    await log.remove_member(name)
-        except AlderhatchError as exc:
-            log_event(LogEvent.MEMBER_CHANGE_FAILED, step=repr(step), why=str(exc))
-            return False
-        log_event(LogEvent.MEMBER_CHANGED, step=repr(step))
-        return True
