Metrics of the replicated log's syncs and of the time without a leader

Cause: the log's commit time was on the metrics page, the time of its syncs and elections wasn't, so a slow disk and a tier between leaders looked alike. Change: count and time of syncs, and the seconds without a known leader, on hosts with a disk. The clock can't be read before the loop runs: the first form ended each node with a disk at its start, which the feature with real processes showed.

--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -79,3 +79,4 @@
     Given a platform tier that serves
     When a query and an order were answered by a host
     Then its metrics page counts them by route, with its servers, hosts and configuration
+    And its metrics page tells how long syncs and elections of the replicated log took
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -338,3 +338,18 @@
         f'alderhatch_node_configuration{{process="node-0"}} {tier.version}',
     ):
         assert sample in page, (sample, page)
+
+
+@then("its metrics page tells how long syncs and elections of the replicated log took")
+def step_log_metrics(context):
+    tier = context.platform
+    lines = call(tier.addresses[0], tier.ports[5], "GET", "/metrics").body.decode().splitlines()
+    samples = dict(line.rsplit(" ", 1) for line in lines if not line.startswith("#"))
+    syncs, sync_time, leaderless = (
+        float(samples[f'alderhatch_node_log_{name}_total{{process="node-0"}}'])
+        for name in ("syncs", "sync_seconds", "leaderless_seconds")
+    )
+    # It has taken part in the founding and in one change at least.
+    assert syncs >= 2, lines
+    assert 0 < sync_time < syncs, lines
+    assert 0 < leaderless < 60, lines
--- a/src/alderhatch/control/_log_driver.py
+++ b/src/alderhatch/control/_log_driver.py
@@ -40,7 +40,7 @@
 from ._log_waiters import RefusedError, Waiters, failed
 from ._log_writer import LogWriter, SaveState
 from .log_node_config import LogNodeConfig
-from .replicated_log import LogStatus, StateMachine
+from .replicated_log import LogStatus, StateMachine, SyncFigures
 
 RoleCallback: TypeAlias = Callable[[Role, int, str | None], None]
 """Takes the role, the term and the leader's host name."""
@@ -236,6 +236,10 @@
         if self.node.failure is not None:
             raise failed(ErrorKind.STORAGE_FAILED, self.node.failure)
 
+    def sync_figures(self) -> SyncFigures:
+        """Return how the journal was synced so far."""
+        return self._writer.syncs
+
     def status(self) -> LogStatus:
         """Return what this host knows of the log now."""
         node = self.node
--- a/src/alderhatch/control/_log_writer.py
+++ b/src/alderhatch/control/_log_writer.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from ..clock import LoopClock
 from ..core.raft.effects import InstallSnapshot, Persist, StoreChunk, TakeSnapshot
 from ..core.raft.events import (
     Event,
@@ -19,6 +20,7 @@
     StorageFailed,
 )
 from ..storage.data_folder import DataFolder, LogWrite
+from .replicated_log import SyncFigures
 
 MAX_GROUP_BYTES = 4 * 1024 * 1024
 """Writes are put on disk together up to this size."""
@@ -56,8 +58,8 @@
         self._queue: deque[Write] = deque()
         self._wanted = trio.Event()
         self._read_error: OSError | None = None
-        self.syncs = 0
-        """How often the journal was synced."""
+        self._clock = LoopClock()
+        self.syncs = SyncFigures(0, 0.0)
 
     def add(self, write: Write) -> None:
         """Ask for a write."""
@@ -118,8 +120,11 @@
             group.append(first)
             size += sum(entry.size for entry in first.entries)
         writes = [LogWrite(one.hard_state, one.entries) for one in group]
+        began = self._clock.now()
         await self._call(lambda: self._folder.write(*writes))
-        self.syncs += 1
+        self.syncs = SyncFigures(
+            self.syncs.number + 1, self.syncs.spent + self._clock.now() - began
+        )
         self._on_event(Persisted(group[-1].number))
 
     async def _call(self, write: Callable[[], _T]) -> _T:
--- a/src/alderhatch/control/log_node.py
+++ b/src/alderhatch/control/log_node.py
@@ -26,7 +26,7 @@
 from ._log_waiters import RefusedError, Waiter, Waiters, failed
 from .log_messages import PeerHello
 from .log_node_config import LogNodeConfig
-from .replicated_log import LogStatus, StateMachine
+from .replicated_log import LogStatus, StateMachine, SyncFigures
 
 if TYPE_CHECKING:
     from ..settings.models import NamedEndpoint
@@ -223,6 +223,10 @@
         """Return what this host knows of the log now."""
         return self._driver.status()
 
+    def sync_figures(self) -> SyncFigures:
+        """Return how the journal was synced so far."""
+        return self._driver.sync_figures()
+
     @property
     def membership(self) -> Membership:
         """The newest membership in this host's log."""
--- a/src/alderhatch/control/replicated_log.py
+++ b/src/alderhatch/control/replicated_log.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple, Protocol
 
+from ..clock import Millis
+
 
 class StateMachine(Protocol):
     """What the log drives. It must come to the same state on every host from the same commands."""
@@ -40,6 +42,15 @@
     storage_failure: str | None
 
 
+class SyncFigures(NamedTuple):
+    """How a host's journal was synced so far."""
+
+    number: int
+    """How many; changes that wait for the disk together share one."""
+    spent: Millis
+    """How long they took together, with the wait for a worker thread."""
+
+
 class ReplicatedLog(Protocol):
     """A log of commands that a majority of the control hosts has on disk."""
 
--- a/src/alderhatch/metric_catalogue.py
+++ b/src/alderhatch/metric_catalogue.py
@@ -149,6 +149,24 @@
         Unit.ONE,
         "The term of the replicated log, on hosts with a disk.",
     )
+    NODE_LOG_SYNCS = MetricRow(
+        "alderhatch_node_log_syncs_total",
+        MetricKind.COUNTER,
+        Unit.ONE,
+        "Syncs of the replicated log's journal, on hosts with a disk.",
+    )
+    NODE_LOG_SYNC_TIME = MetricRow(
+        "alderhatch_node_log_sync_seconds_total",
+        MetricKind.COUNTER,
+        Unit.SECONDS,
+        "How long these syncs took together; over their count it is what one takes.",
+    )
+    NODE_LOG_LEADERLESS = MetricRow(
+        "alderhatch_node_log_leaderless_seconds_total",
+        MetricKind.COUNTER,
+        Unit.SECONDS,
+        "For how long a host with a disk has known no leader: elections, losses of a majority.",
+    )
     NODE_CHANGE_DURATION = MetricRow(
         "alderhatch_node_change_duration_seconds",
         MetricKind.HISTOGRAM,
--- a/src/alderhatch/node/control_member.py
+++ b/src/alderhatch/node/control_member.py
@@ -11,7 +11,7 @@
 from ..control._log_links import PeerAddress
 from ..control.log_node import LogNode
 from ..control.log_node_config import LogNodeConfig
-from ..control.replicated_log import LogStatus, StateMachine
+from ..control.replicated_log import LogStatus, StateMachine, SyncFigures
 from ..core.raft.effects import Role
 from ..core.raft.membership import Membership
 from ..core.raft.raft_config import RaftConfig
@@ -70,6 +70,8 @@
         self._founds = False
         self._silent_since = silent_since
         self._restart = trio.CancelScope()
+        self._leaderless_since: Millis | None = None
+        self._leaderless: Millis = 0.0
         self.log: LogNode | None = None
         """The replicated log while the disk works."""
         self.disk: DiskRecord | None = None
@@ -77,6 +79,7 @@
 
     async def run(self) -> None:
         """Take part until cancelled."""
+        self._leaderless_since = self._clock.now()
         while True:
             with trio.CancelScope() as self._restart:
                 try:
@@ -119,8 +122,24 @@
         return DataFolder(DiskFiles(self._folder), self._place.name)
 
     def _role_changed(self, role: Role, term: int, leader: str | None) -> None:
+        now = self._clock.now()
+        if leader is None:
+            self._leaderless_since = self._leaderless_since or now
+        elif self._leaderless_since is not None:
+            self._leaderless += now - self._leaderless_since
+            self._leaderless_since = None
         self._on_role()
 
+    @property
+    def leaderless(self) -> Millis:
+        """For how long, all together, this host has known no leader of the log."""
+        since = self._leaderless_since
+        return self._leaderless + (self._clock.now() - since if since is not None else 0.0)
+
+    def sync_figures(self) -> SyncFigures | None:
+        """Return how the journal was synced since it was opened; None while the disk fails."""
+        return self.log.sync_figures() if self.log is not None else None
+
     def found(self) -> None:
         """Found the replicated log with this host as its first member."""
         if self.disk is not None and self.disk.cluster_id:
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -13,7 +13,6 @@
 from ..codec import Codec
 from ..control.log_messages import PEER_MESSAGE_TYPES
 from ..control.member_steps import HandOver, take_step
-from ..control.replicated_log import LogStatus
 from ..core.control.configuration_register import ConfigurationRegister, StoredConfiguration
 from ..entry.connection_pool import ConnectionPool
 from ..http.messages import HttpLimits, HttpRequest, HttpResponse
@@ -98,9 +97,10 @@
         self._leaving = False
         self._serving = ServeState()
         self._register = ConfigurationRegister(self._stored)
-        self._member = self._make_member()
+        self.member = self._make_member()
+        """This host's part in the replicated log; None without a disk."""
         self._server = TierServer(
-            self._member,
+            self.member,
             lambda: self._register.stored,
             self._list_is_fresh,
             self._redirect,
@@ -120,7 +120,7 @@
             self.state, self._runner, dialect, self.metrics, self._request_log
         )
         self.desk = ConfigurationDesk(
-            self._member, self._register, cfg.tolerated_hosts, self.metrics.count_change
+            self.member, self._register, cfg.tolerated_hosts, self.metrics.count_change
         )
 
     def _make_member(self) -> ControlMember | None:
@@ -146,7 +146,7 @@
     @property
     def leader(self) -> Place | None:
         """The leader of the replicated log, or who may know it, if this host knows any."""
-        own = self._member.leader() if self._member is not None else None
+        own = self.member.leader() if self.member is not None else None
         if own is not None or self._client.leader is not None:
             return own or self._client.leader
         # Who founded the log is worth asking only until there is a first configuration; later it
@@ -164,10 +164,6 @@
         """When the leader was last heard; 0 if never."""
         return self._client.heard_at
 
-    def log_status(self) -> LogStatus | None:
-        """Return what this host knows of the replicated log, if it takes part."""
-        return self._member.status() if self._member is not None else None
-
     def _list_is_fresh(self) -> bool:
         return self.state.list_age() < FRESH_FOR
 
@@ -179,7 +175,7 @@
         self._server.news.notify()
 
     def _disk(self) -> DiskRecord | None:
-        return self._member.disk if self._member is not None else None
+        return self.member.disk if self.member is not None else None
 
     def _join(self) -> Join:
         cfg = self.cfg
@@ -195,7 +191,7 @@
         return Redirect(self.leader, self._controls())
 
     def _controls(self) -> list[Place]:
-        return self._member.controls() if self._member is not None else self.state.controls
+        return self.member.controls() if self.member is not None else self.state.controls
 
     def _places(self) -> list[Place]:
         return [*self._controls(), *self.seeds]
@@ -208,12 +204,12 @@
             await nursery.start(self._pool.run)
             await nursery.start(self._runner.run)
             await self._open_ports(nursery, handlers)
-            if self._member is not None:
-                nursery.start_soon(self._member.run)
+            if self.member is not None:
+                nursery.start_soon(self.member.run)
                 nursery.start_soon(self._watch_lead)
                 nursery.start_soon(self._introduce)
                 nursery.start_soon(
-                    VoterKeeper(self._member, self._server, self.cfg.tolerated_hosts).run
+                    VoterKeeper(self.member, self._server, self.cfg.tolerated_hosts).run
                 )
                 if self.cfg.first_start:
                     nursery.start_soon(self._bid)
@@ -247,10 +243,10 @@
         await introduce_leader(self._server, cfg.place, lambda: self.seeds, self._codec, cfg.secret)
 
     async def _bid(self) -> None:
-        assert self._member is not None
+        assert self.member is not None
         cfg = self.cfg
         self._founder = await bid_for_founding(
-            self._member, cfg.place, self._judge_place, self._judge, self._codec, cfg.secret
+            self.member, cfg.place, self._judge_place, self._judge, self._codec, cfg.secret
         )
 
     def _judge_place(self) -> Place:
@@ -309,8 +305,8 @@
 
     async def _on_link(self, link: Link) -> None:
         match link.peer.role:
-            case "control" if self._member is not None:
-                await self._member.serve_peer(link)
+            case "control" if self.member is not None:
+                await self.member.serve_peer(link)
             case role if role == HOST_ROLE:
                 await self._server.serve(link)
             case role if role == FOUNDING_ROLE and self.cfg.first_start:
@@ -340,7 +336,7 @@
             nursery.cancel_scope.cancel()
 
     async def _hand_over(self) -> None:
-        member = self._member
+        member = self.member
         if member is None or member.log is None or not member.log.is_leader:
             return
         await take_step(member.log, HandOver())
--- a/src/alderhatch/node/node_metrics.py
+++ b/src/alderhatch/node/node_metrics.py
@@ -13,6 +13,7 @@
 from .request_log import RequestEnd
 
 if TYPE_CHECKING:
+    from .control_member import ControlMember
     from .node import Node
 
 SENDS = (DecisionKind.SEND, DecisionKind.HEDGE, DecisionKind.RETRY)
@@ -74,10 +75,20 @@
             metrics.set(Metric.NODE_LIST_AGE, state.list_age() / SECOND)
         if node.leader_heard_at:
             metrics.set(Metric.NODE_LEADER_SILENCE, (now - node.leader_heard_at) / SECOND)
-        status = node.log_status()
-        if status is not None:
-            metrics.set(Metric.NODE_LOG_INDEX, status.commit_index)
-            metrics.set(Metric.NODE_LOG_TERM, status.term)
+        if node.member is not None:
+            self._copy_log(node.member)
         if node.log_output is not None:
             metrics.set(Metric.NODE_LOG_LINES_DROPPED, node.log_output.dropped)
             metrics.set(Metric.NODE_LOG_BYTES, node.log_output.written_bytes)
+
+    def _copy_log(self, member: ControlMember) -> None:
+        metrics = self._metrics
+        metrics.set(Metric.NODE_LOG_LEADERLESS, member.leaderless / SECOND)
+        status = member.status()
+        if status is not None:
+            metrics.set(Metric.NODE_LOG_INDEX, status.commit_index)
+            metrics.set(Metric.NODE_LOG_TERM, status.term)
+        syncs = member.sync_figures()
+        if syncs is not None:
+            metrics.set(Metric.NODE_LOG_SYNCS, syncs.number)
+            metrics.set(Metric.NODE_LOG_SYNC_TIME, syncs.spent / SECOND)
