http: connection, exchange and request heads in modules of their own

Change: exchange.py (what becomes of an exchange), connection.py (one connection), _request_heads.py, client.py (connecting, single exchanges). No behaviour changes. The stand-in tier's waits end with the words of a node that has ended, instead of after minutes.

--- a/bench/control_cluster.py
+++ b/bench/control_cluster.py
@@ -18,7 +18,8 @@
 
 from alderhatch.core.control.entry_lease import EntryIdentity
 from alderhatch.entry.control_client import ControlClient
-from alderhatch.http.client import HttpExchangeError, http_once
+from alderhatch.http.client import http_once
+from alderhatch.http.exchange import HttpExchangeError
 from alderhatch.settings.models import NamedEndpoint
 
 LOOPBACK = "127.0.0.1"
--- a/bench/policy_loopback.py
+++ b/bench/policy_loopback.py
@@ -22,7 +22,9 @@
 
 from alderhatch.clock import SECOND, LoopClock, Millis
 from alderhatch.entry.entry_node import EntryNode
-from alderhatch.http.client import HttpConnection, HttpExchangeError, open_http
+from alderhatch.http.client import open_http
+from alderhatch.http.connection import HttpConnection
+from alderhatch.http.exchange import HttpExchangeError
 from alderhatch.settings.models import Endpoint, EntrySettings, UpstreamSettings
 from alderhatch.standin.standin_server import ServiceTime, UpstreamShape
 from alderhatch.standin.standin_upstream import StandinUpstream
--- a/features/entry_world.py
+++ b/features/entry_world.py
@@ -13,7 +13,8 @@
 from alderhatch.entry.app import planned_stop
 from alderhatch.entry.control_link import ControlLink
 from alderhatch.entry.entry_node import EntryNode
-from alderhatch.http.client import HttpExchangeError, http_once
+from alderhatch.http.client import http_once
+from alderhatch.http.exchange import HttpExchangeError
 from alderhatch.settings.models import CallerLimits, Endpoint, EntrySettings, UpstreamSettings
 from alderhatch.standin.answer_check import check_answer
 from alderhatch.standin.standin_platform import StandinPlatform
--- a/features/steps/entry_connections_steps.py
+++ b/features/steps/entry_connections_steps.py
@@ -6,7 +6,7 @@
 from alderhatch.core.entry_events import LeaseChanged
 from alderhatch.core.shard_map import Server
 from alderhatch.entry.server_connections import ServerConnections
-from alderhatch.http.client import ExchangeFault, HttpExchangeError
+from alderhatch.http.exchange import ExchangeFault, HttpExchangeError
 from features.entry_world import world
 
 
--- a/features/steps/entry_stop_steps.py
+++ b/features/steps/entry_stop_steps.py
@@ -15,7 +15,8 @@
 from alderhatch.entry.app import planned_stop
 from alderhatch.entry.operator_side import OperatorSide
 from alderhatch.errors import AlderhatchError
-from alderhatch.http.client import HttpExchangeError, http_once
+from alderhatch.http.client import http_once
+from alderhatch.http.exchange import HttpExchangeError
 from alderhatch.http.messages import HttpRequest
 from features.entry_world import LOOPBACK, world
 
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -6,7 +6,8 @@
 import trio.testing
 from behave import given, then, when
 
-from alderhatch.http.client import ExchangeFault, HttpExchangeError, open_http
+from alderhatch.http.client import open_http
+from alderhatch.http.exchange import ExchangeFault, HttpExchangeError
 
 LOOPBACK = "127.0.0.1"
 PATIENCE_S = 30
--- a/features/steps/http_forward_steps.py
+++ b/features/steps/http_forward_steps.py
@@ -6,7 +6,8 @@
 import trio
 from behave import given, then, when
 
-from alderhatch.http.client import ExchangeFault, HttpExchangeError, open_http
+from alderhatch.http.client import open_http
+from alderhatch.http.exchange import ExchangeFault, HttpExchangeError
 from alderhatch.http.messages import HttpResponse
 from alderhatch.http.server import serve_http
 from features.steps.http_client_steps import LOOPBACK, PATIENCE_S, with_connection
--- a/features/steps/platform_edge_steps.py
+++ b/features/steps/platform_edge_steps.py
@@ -9,7 +9,7 @@
 from alderhatch.core.forwarding.outcome import Answered, Failed, FailureReason, NotRun
 from alderhatch.core.forwarding.route import AllShards, OneUpstream
 from alderhatch.errors import AlderhatchError
-from alderhatch.http.client import HttpReply
+from alderhatch.http.exchange import HttpReply
 from alderhatch.http.messages import HttpRequest
 from alderhatch.node.dialect import CallerRequest
 from alderhatch.platform.configuration import decode_configuration
--- a/features/support/control_tier.py
+++ b/features/support/control_tier.py
@@ -22,7 +22,8 @@
 from alderhatch.core.raft.raft_config import RaftConfig
 from alderhatch.entry.control_client import ControlClient
 from alderhatch.errors import AlderhatchError
-from alderhatch.http.client import HttpExchangeError, http_once
+from alderhatch.http.client import http_once
+from alderhatch.http.exchange import HttpExchangeError
 from alderhatch.settings.models import ControlSettings, Endpoint, NamedEndpoint
 from alderhatch.signal import Signal
 from alderhatch.storage.data_folder import DataFolder
--- a/features/support/platform_tier.py
+++ b/features/support/platform_tier.py
@@ -197,6 +197,14 @@
     def running(self):
         return sorted(self.processes)
 
+    def check_alive(self, *indexes):
+        """Fail with a process's own words if it has ended; a wait for it would last for minutes."""
+        for index in indexes or self.running():
+            process = self.processes.get(index)
+            if process is not None and process.poll() not in (None, 0):
+                words = self.log_text(index)[-2000:]
+                raise AssertionError(f"node {index} ended with {process.returncode}:\n{words}")
+
     def log_text(self, index):
         return (self.folder / f"node-{index}.log").read_text()
 
@@ -249,6 +257,7 @@
         """Send a configuration to one running node after the other until one accepts it."""
 
         def accepted():
+            self.check_alive()
             answers = (self.operate(index, "PUT", document) for index in self.running())
             return next((one for one in answers if one is not None and one.status == 200), None)
 
@@ -263,6 +272,7 @@
         return None
 
     def is_ready(self, index):
+        self.check_alive(index)
         answer = call(self.addresses[index], self.ports[2], "GET", "/-/readiness")
         return answer is not None and answer.status == 200
 
--- a/src/alderhatch/cli/ctl_caller.py
+++ b/src/alderhatch/cli/ctl_caller.py
@@ -12,7 +12,8 @@
 from ..clock import SECOND, LoopClock, Millis, WallClock
 from ..core.priority import Priority
 from ..errors import ErrorKind, Ran, Resend
-from ..http.client import HttpExchangeError, http_once
+from ..http.client import http_once
+from ..http.exchange import HttpExchangeError
 from .ctl_context import OutputOption, ask, context_of
 from .ctl_look import require_entries
 from .operator_client import PAUSE, Place, RemoteError, read_error
--- a/src/alderhatch/cli/operator_client.py
+++ b/src/alderhatch/cli/operator_client.py
@@ -11,7 +11,8 @@
 
 from ..clock import SECOND, LoopClock, Millis
 from ..errors import ANSWERS, ErrorKind, Ran, Resend
-from ..http.client import HttpExchangeError, HttpReply, http_once
+from ..http.client import http_once
+from ..http.exchange import HttpExchangeError, HttpReply
 
 ATTEMPT_TIMEOUT: Millis = 3 * SECOND
 CONTROL_DUMP = "/v1/dump"
--- a/src/alderhatch/entry/attempt_faults.py
+++ b/src/alderhatch/entry/attempt_faults.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..core.entry_events import AttemptFault
-from ..http.client import ExchangeFault
+from ..http.exchange import ExchangeFault
 
 FAULTS = {
     ExchangeFault.NOT_SENT: AttemptFault.NOT_SENT,
--- a/src/alderhatch/entry/attempt_runner.py
+++ b/src/alderhatch/entry/attempt_runner.py
@@ -15,7 +15,8 @@
     SendShard,
     ShardAnswered,
 )
-from ..http.client import ExchangeFault, HttpConnection, HttpExchangeError
+from ..http.connection import HttpConnection
+from ..http.exchange import ExchangeFault, HttpExchangeError
 from ..log import log_event
 from ..log_events import LogEvent
 from ..loop_tasks import LoopTasks
--- a/src/alderhatch/entry/connection_pool.py
+++ b/src/alderhatch/entry/connection_pool.py
@@ -8,7 +8,9 @@
 
 from ..clock import MINUTE, SECOND, LoopClock, Millis
 from ..core.shard_map import Server
-from ..http.client import ExchangeFault, HttpConnection, HttpExchangeError, open_http
+from ..http.client import open_http
+from ..http.connection import HttpConnection
+from ..http.exchange import ExchangeFault, HttpExchangeError
 from .server_connections import ServerConnections, Waiter
 
 DEFAULT_SHARE = 2
--- a/src/alderhatch/entry/health_poller.py
+++ b/src/alderhatch/entry/health_poller.py
@@ -9,7 +9,8 @@
 from ..clock import SECOND, LoopClock, Millis
 from ..core.entry_events import AttemptFault, HealthReported, ServerState
 from ..core.shard_map import ShardMap
-from ..http.client import ExchangeFault, HttpExchangeError, exchange_within
+from ..http.client import exchange_within
+from ..http.exchange import ExchangeFault, HttpExchangeError
 from ..settings.models import UpstreamSettings
 from .connection_pool import ConnectionPool
 from .owner_client import OwnerClient
--- a/src/alderhatch/entry/map_poller.py
+++ b/src/alderhatch/entry/map_poller.py
@@ -8,7 +8,8 @@
 
 from ..clock import SECOND, Millis
 from ..core.shard_map import ShardMap
-from ..http.client import HttpExchangeError, HttpReply, exchange_within, http_once
+from ..http.client import exchange_within, http_once
+from ..http.exchange import HttpExchangeError, HttpReply
 from ..log import log_event
 from ..log_events import LogEvent
 from ..settings.models import Endpoint, UpstreamSettings
--- a/src/alderhatch/entry/owner_client.py
+++ b/src/alderhatch/entry/owner_client.py
@@ -12,7 +12,7 @@
 from ..clock import SECOND, LoopClock, Millis
 from ..codec import Codec
 from ..core.entry_events import AttemptFault, SendShard
-from ..http.client import HttpReply
+from ..http.exchange import HttpReply
 from ..link import LinkClosedError, Peer, open_link
 from ..log import log_event
 from ..log_events import LogEvent
--- a/src/alderhatch/entry/owner_link.py
+++ b/src/alderhatch/entry/owner_link.py
@@ -8,7 +8,7 @@
 
 from ..clock import SECOND, LoopClock, Millis
 from ..core.entry_events import AttemptFault
-from ..http.client import HttpReply
+from ..http.exchange import HttpReply
 from ..link import Link, LinkClosedError
 from .owner_messages import (
     BATCH_BYTES,
--- a/src/alderhatch/entry/owner_server.py
+++ b/src/alderhatch/entry/owner_server.py
@@ -11,7 +11,8 @@
 from ..core.entry_events import AttemptFailed, AttemptFault, SendShard
 from ..core.request import Request
 from ..core.shard_map import Snapshot
-from ..http.client import HttpConnection, HttpExchangeError, HttpReply
+from ..http.connection import HttpConnection
+from ..http.exchange import HttpExchangeError, HttpReply
 from ..link import Link, LinkClosedError, Peer, serve_links
 from ..log import log_event
 from ..log_events import LogEvent
--- a/src/alderhatch/entry/platform_poller.py
+++ b/src/alderhatch/entry/platform_poller.py
@@ -7,7 +7,8 @@
 import trio
 
 from ..clock import SECOND, Millis
-from ..http.client import HttpExchangeError, http_once
+from ..http.client import http_once
+from ..http.exchange import HttpExchangeError
 from ..settings.models import Endpoint
 from .upstream_lists import PlatformHost, parse_hosts
 from .upstream_protocol import OK, ProtocolError
--- a/src/alderhatch/entry/server_connections.py
+++ b/src/alderhatch/entry/server_connections.py
@@ -8,7 +8,8 @@
 
 from ..clock import Millis
 from ..core.shard_map import Server
-from ..http.client import ExchangeFault, HttpConnection, HttpExchangeError
+from ..http.connection import HttpConnection
+from ..http.exchange import ExchangeFault, HttpExchangeError
 
 CLOSE_LINGER: Millis = 100.0
 """How long a closed connection still counts: the server may not have seen it close yet."""
--- a/src/alderhatch/entry/upstream_protocol.py
+++ b/src/alderhatch/entry/upstream_protocol.py
@@ -20,7 +20,7 @@
     ShardAnswered,
 )
 from ..core.shard_map import Snapshot
-from ..http.client import HttpReply
+from ..http.exchange import HttpReply
 
 OK = 200
 FAULTS_BY_NAME = {
--- a/src/alderhatch/node/dialect.py
+++ b/src/alderhatch/node/dialect.py
@@ -9,7 +9,7 @@
 from ..core.entry_events import AttemptFault, LoadReport
 from ..core.forwarding.outcome import Outcome
 from ..core.forwarding.route import Route
-from ..http.client import HttpReply
+from ..http.exchange import HttpReply
 from ..http.messages import HeaderFields, HttpRequest, HttpResponse
 
 
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -13,7 +13,8 @@
 from ..core.forwarding.outcome import Outcome
 from ..entry.attempt_faults import FAULTS
 from ..entry.connection_pool import ConnectionPool
-from ..http.client import ExchangeFault, HttpConnection, HttpExchangeError, HttpReply
+from ..http.connection import HttpConnection
+from ..http.exchange import ExchangeFault, HttpExchangeError, HttpReply
 from ..loop_tasks import LoopTasks
 from .dialect import CallerRequest, Dialect, Reading
 from .node_state import NodeState
--- a/src/alderhatch/platform/dialect.py
+++ b/src/alderhatch/platform/dialect.py
@@ -10,7 +10,7 @@
 from ..core.forwarding.route import AllShards, Route
 from ..core.forwarding.top_k import merge_top_k
 from ..errors import AlderhatchError, ErrorKind, Failure
-from ..http.client import HttpReply
+from ..http.exchange import HttpReply
 from ..http.messages import HeaderFields, HttpRequest, HttpResponse
 from ..node.dialect import CallerRequest, Reading
 from . import wire_names as wire
--- a/src/alderhatch/platform/server_list.py
+++ b/src/alderhatch/platform/server_list.py
@@ -9,7 +9,9 @@
 
 from ..clock import Millis
 from ..core.forwarding.server_record import ServerRecord
-from ..http.client import HttpConnection, HttpExchangeError, HttpReply, exchange_within, open_http
+from ..http.client import exchange_within, open_http
+from ..http.connection import HttpConnection
+from ..http.exchange import HttpExchangeError, HttpReply
 from ..node.server_list import ListUnavailableError
 
 CALL_TIMEOUT: Millis = 700.0
--- a/src/alderhatch/standin/demo_caller.py
+++ b/src/alderhatch/standin/demo_caller.py
@@ -9,7 +9,8 @@
 
 from ..clock import SECOND, LoopClock, Millis
 from ..errors import Resend
-from ..http.client import HttpConnection, http_once, open_http
+from ..http.client import http_once, open_http
+from ..http.connection import HttpConnection
 
 PATIENCE: Millis = 60 * SECOND
 """How long one request is sent again before its last answer is taken for final."""
--- a/src/alderhatch/standin/demo_controls.py
+++ b/src/alderhatch/standin/demo_controls.py
@@ -18,7 +18,8 @@
 from ..control.operator_keys import parse_keys
 from ..core.control.lease_messages import CONTROL_MESSAGES
 from ..core.rule_list import RuleList
-from ..http.client import HttpExchangeError, http_once
+from ..http.client import http_once
+from ..http.exchange import HttpExchangeError
 from ..settings.models import ControlSettings, Endpoint, NamedEndpoint
 from ..storage.data_folder import DataFolder
 from ..storage.files import DiskFiles
