--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -57,6 +57,12 @@
     When the settings of a host are changed to nonsense and it gets SIGHUP
     Then it serves on and says that it refused the settings
 
+  Scenario: SIGHUP comes while the program is still being loaded
+    # The platform changes the settings of a host that it has just started. A process that handles
+    # the signal only once it serves would end, and its callers find nobody.
+    When the node program gets SIGHUP as it loads its first library
+    Then it goes on, and ends by what its settings say
+
   Scenario: A caller leaves
     # Its order takes long, and it closes the connection. Nobody needs the answer any more.
     Given a platform tier that serves
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -1,8 +1,11 @@
 from __future__ import annotations
 
+import os
 import shutil
 import signal
 import socket
+import subprocess
+import sys
 import threading
 import time
 
@@ -353,3 +356,29 @@
     assert syncs >= 2, lines
     assert 0 < sync_time < syncs, lines
     assert 0 < leaderless < 60, lines
+
+
+LOADED_UNDER_SIGHUP = """
+import os, runpy, signal, sys
+
+class Probe:
+    def find_spec(self, name, path=None, target=None):
+        if name == "trio":
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, Probe())
+runpy.run_module("alderhatch.platform", run_name="__main__", alter_sys=True)
+"""
+
+
+@when("the node program gets SIGHUP as it loads its first library")
+def step_early_hang_up(context):
+    env = os.environ | {"ALDERHATCH_SETTINGS": "/nonexistent/settings.conf"}
+    command = [sys.executable, "-c", LOADED_UNDER_SIGHUP]
+    context.early = subprocess.run(command, env=env, capture_output=True, timeout=60, check=False)
+
+
+@then("it goes on, and ends by what its settings say")
+def step_went_on(context):
+    assert context.early.returncode == 2, context.early
+    assert b"program_cannot_start" in context.early.stdout, context.early
--- a/features/support/platform_tier.py
+++ b/features/support/platform_tier.py
@@ -60,6 +60,8 @@
         self.runs = []
         self.cancelled = 0
         self.state = "ready"
+        self.proxy = None
+        """What the list names instead of the server itself, if anything."""
 
     async def serve(self, task_status):
         listeners = await trio.open_tcp_listeners(0, host=self.address)
@@ -87,9 +89,10 @@
         return b"".join(f"{self.upstream:>12}{number:04}".encode() for number in range(3))
 
     def entry(self):
+        at = self.proxy or self
         return {
             "service": self.upstream,
-            "address": f"{self.address}:{self.port}",
+            "address": f"{at.address}:{at.port}",
             "zone": self.zone,
             "version": "v1",
             "max-concurrency": 2,
@@ -201,7 +204,7 @@
         """Fail with a process's own words if it has ended; a wait for it would last for minutes."""
         for index in indexes or self.running():
             process = self.processes.get(index)
-            if process is not None and process.poll() not in (None, 0):
+            if process is not None and process.poll() not in (None, 0, -signal.SIGKILL):
                 words = self.log_text(index)[-2000:]
                 raise AssertionError(f"node {index} ended with {process.returncode}:\n{words}")
 
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -4,6 +4,7 @@
 
 import gc
 import signal
+from collections.abc import AsyncIterator
 from random import Random
 from typing import NamedTuple
 
@@ -200,6 +201,13 @@
 
     async def run(self, handlers: EdgeHandlers) -> None:
         """Serve until told to stop by a signal."""
+        # Taken only once the ports are open, a signal to stop would end the process under the first
+        # requests that it has read: their callers would see a connection cut without an answer.
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            await self._serve(handlers, signals)
+        log_event(LogEvent.NODE_STOPPED, node=self.cfg.name)
+
+    async def _serve(self, handlers: EdgeHandlers, signals: AsyncIterator[int]) -> None:
         async with trio.open_nursery() as nursery:
             await nursery.start(self._pool.run)
             await nursery.start(self._runner.run)
@@ -220,9 +228,8 @@
             log_event(LogEvent.NODE_STARTED, node=self.cfg.name, zone=self.cfg.zone)
             gc.collect()
             gc.freeze()
-            await self._wait_for_stop()
+            await self._wait_for_stop(signals)
             nursery.cancel_scope.cancel()
-        log_event(LogEvent.NODE_STOPPED, node=self.cfg.name)
 
     async def _watch_lead(self) -> None:
         """Tell those who wait for it that this host has begun or ceased to lead.
@@ -314,11 +321,10 @@
             case role:
                 log_event(LogEvent.LINK_ROLE_REFUSED, peer=link.peer.name, role=role)
 
-    async def _wait_for_stop(self) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-            async for number in received:
-                log_event(LogEvent.PROGRAM_STOPPED_BY_SIGNAL, signal=signal.Signals(number).name)
-                break
+    async def _wait_for_stop(self, signals: AsyncIterator[int]) -> None:
+        async for number in signals:
+            log_event(LogEvent.PROGRAM_STOPPED_BY_SIGNAL, signal=signal.Signals(number).name)
+            break
         await self._drain()
 
     async def _drain(self) -> None:
--- a/src/alderhatch/platform/__main__.py
+++ b/src/alderhatch/platform/__main__.py
@@ -1,55 +1,14 @@
-"""The program that the platform starts on each of its machines."""
+"""Starts the node on the platform's machines: ``python -m alderhatch.platform``."""
 
-from __future__ import annotations
-
-import os
+import signal
 import sys
-from pathlib import Path
-
-import trio
-
-from ..errors import AlderhatchError
-from ..log import log_event, set_up_bounded_logs
-from ..log_events import LogEvent
-from ..node.boot_clock import BootClock
-from ..node.node import Node
-from . import PROCESS_STARTED
-from .configuration import decode_configuration
-from .dialect import PlatformDialect
-from .edge import PlatformEdge
-from .server_list import PlatformServerList
-from .settings import read_settings
-from .settings_watch import watch_settings
-
-SETTINGS_VARIABLE = "ALDERHATCH_SETTINGS"
-SETTINGS_PATH = "/etc/alderhatch/settings.conf"
-PROGRAM = "alderhatch-node"
-CANNOT_START = 2
-
-
-def main() -> int:
-    """Run the node until it is stopped; return the exit code."""
-    set_up_bounded_logs(PROGRAM, sys.stdout.fileno())
-    path = Path(os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH))
-    try:
-        cfg = read_settings(path)
-    except (AlderhatchError, OSError) as exc:
-        log_event(LogEvent.PROGRAM_CANNOT_START, why=str(exc))
-        return CANNOT_START
-    log_output = set_up_bounded_logs(PROGRAM, sys.stdout.fileno(), host=cfg.node.name)
-    source = PlatformServerList(cfg.list_address, cfg.list_port)
-    settings = cfg.node._replace(process_started=PROCESS_STARTED)
-    node = Node(settings, PlatformDialect(), decode_configuration, source, log_output)
-    trio.run(_run, node, path, clock=BootClock())
-    return 0
-
 
-async def _run(node: Node, path: Path) -> None:
-    async with trio.open_nursery() as nursery:
-        await nursery.start(watch_settings, node, path)
-        await node.run(PlatformEdge(node).handlers())
-        nursery.cancel_scope.cancel()
+# Until the program watches its settings, SIGHUP would end it; and it may come at any moment, also
+# while the modules are still being loaded, which takes a third of a second. The settings are read
+# after that, so nothing is missed. The programs of other tests and tools keep their own handling,
+# as only this module is run and never imported.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+from .program import main  # noqa: E402
 
-if __name__ == "__main__":
-    sys.exit(main())
+sys.exit(main())
