--- a/features/http_forward.feature
+++ b/features/http_forward.feature
@@ -45,3 +45,11 @@
     Given a node's server on loopback
     When a client sends two requests on one connection
     Then the second one is known to come on a used connection, and the round trip is below 1000 ms
+
+  Scenario: A request that arrives as the node ends is not begun
+    # A node that was told to stop has waited until nothing ran. In the moment until all its tasks
+    # are cancelled a request arrives on a kept connection. Sent on to a server and cut off there,
+    # an order would be lost: its caller can't know whether it ran.
+    Given a node's server on loopback
+    When the node ends, and a client sends a request on a connection that it has kept
+    Then the connection is closed and the request was not begun
--- a/features/steps/http_forward_steps.py
+++ b/features/steps/http_forward_steps.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+from functools import partial
 
 import trio
 from behave import given, then, when
@@ -9,7 +10,7 @@
 from alderhatch.http.client import open_http
 from alderhatch.http.exchange import ExchangeFault, HttpExchangeError
 from alderhatch.http.messages import HttpResponse
-from alderhatch.http.server import serve_http
+from alderhatch.http.server import ServeState, serve_http
 from features.steps.http_client_steps import LOOPBACK, PATIENCE_S, with_connection
 
 OWN = b"own"
@@ -181,3 +182,37 @@
     first, second = context.requests
     assert (first.on_used_connection, second.on_used_connection) == (False, True)
     assert 0.0 <= second.round_trip < 1000.0
+
+
+@when("the node ends, and a client sends a request on a connection that it has kept")
+def step_ending(context):
+    context.begun = 0
+
+    async def handle(req):
+        context.begun += 1
+        return HttpResponse(200, b"")
+
+    async def main():
+        state = ServeState()
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host=LOOPBACK)
+            port = listeners[0].socket.getsockname()[1]
+            nursery.start_soon(partial(serve_http, listeners, handle, state=state))
+            with trio.fail_after(PATIENCE_S):
+                conn = await open_http(LOOPBACK, port)
+                await conn.forward("GET", "/", FIELDS)
+                state.refusing = True
+                try:
+                    await conn.forward("GET", "/", FIELDS)
+                except HttpExchangeError as exc:
+                    context.ended = exc.fault
+            nursery.cancel_scope.cancel()
+
+    context.ended = None
+    trio.run(main)
+
+
+@then("the connection is closed and the request was not begun")
+def step_not_begun(context):
+    assert context.ended is ExchangeFault.LOST, context.ended
+    assert context.begun == 1, context.begun
--- a/features/support/platform_tier.py
+++ b/features/support/platform_tier.py
@@ -204,7 +204,12 @@
         """Fail with a process's own words if it has ended; a wait for it would last for minutes."""
         for index in indexes or self.running():
             process = self.processes.get(index)
-            if process is not None and process.poll() not in (None, 0, -signal.SIGKILL):
+            if process is not None and process.poll() not in (
+                None,
+                0,
+                -signal.SIGKILL,
+                -signal.SIGTERM,
+            ):
                 words = self.log_text(index)[-2000:]
                 raise AssertionError(f"node {index} ended with {process.returncode}:\n{words}")
 
--- a/src/alderhatch/http/server.py
+++ b/src/alderhatch/http/server.py
@@ -37,6 +37,8 @@
         """Requests that are being answered, from their last byte to the last byte sent back."""
         self.closing = False
         """Set to close each connection with its next answer, so that clients go elsewhere."""
+        self.refusing = False
+        """Set to begin no further request: connections on which one arrives are closed."""
 
 
 async def serve_http(
@@ -108,7 +110,7 @@
                 await self._send(failure_response(exc.failure), close=True)
                 await self._linger()
                 return
-            if req is None:
+            if req is None or self._state.refusing:
                 return
             self._state.exchanges += 1
             try:
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -339,6 +339,10 @@
             end = began + self.cfg.stop_span - STOP_MARGIN
             while self._serving.exchanges and self._clock.now() < end:
                 await trio.sleep(0.02)
+            # The tasks run on until all of them are cancelled, and one could read another request
+            # just then: sent to a server and cut off there, its caller would not know whether it
+            # ran. Closed before anything is sent, its caller simply asks another host.
+            self._serving.refusing = True
             nursery.cancel_scope.cancel()
 
     async def _hand_over(self) -> None:
