Hosts lost after a long calm count for their 30 s; the budget's window stays small

Cause, by reading the change: what a host shares with others was stamped when the view last changed, so after a calm of over 30 s a lost host was forgotten at once, though it may be cut off only and go on; this was so for budgets before, and new for connections. And the window of the budget dropped old steps only when somebody asked for the sum, which requests that may not run twice never do. Change: the last view counts until the next one; steps go as new ones come.

--- a/features/caller_hosts.feature
+++ b/features/caller_hosts.feature
@@ -36,3 +36,12 @@
     Then 4 cores are needed
     When they send 100 requests a second for 20 seconds
     Then 1 core is needed
+
+  Scenario: A host that is lost after a long calm still counts for a while
+    # It may only be cut off from the leader, and go on using its connections and its part of the
+    # budget. Hosts that shared them out again at once would together go over what servers accept.
+    Given a node that knows 4 hosts of equal strength before servers that accept 28 connections
+    When nothing changes for 120 seconds, and then one host is lost
+    Then the node holds 6 connections to each server at most
+    When 31 seconds later the view is told again
+    Then the node holds 8 connections to each server at most
--- a/features/forwarding_load.feature
+++ b/features/forwarding_load.feature
@@ -44,3 +44,9 @@
     # Each host knows only its own requests. Whatever the traffic of each, all together may send no
     # more extra requests than the budget of the upstream allows in any window.
     Then over random traffic at random hosts the shared budget is kept in every window
+
+
+  Scenario: A budget that nobody asks about stays small
+    # Requests that must not run twice are counted for the budget of their upstream, but never ask
+    # for it. A host that kept each step of the window would grow until it is killed.
+    Then a budget that counts requests for an hour takes no more room than after a minute
--- a/features/steps/caller_hosts_steps.py
+++ b/features/steps/caller_hosts_steps.py
@@ -1,13 +1,30 @@
 from __future__ import annotations
 
 from collections import Counter
+from random import Random
 
 from behave import given, then, when
 
 from alderhatch.core.forwarding.caller_hosts import HostRecord, choose_caller_hosts
+from alderhatch.core.forwarding.extra_budget import BudgetTerms
 from alderhatch.core.forwarding.host_demand import HostDemand
+from alderhatch.core.forwarding.server_record import ServerRecord
+from alderhatch.entry.connection_pool import ConnectionPool
+from alderhatch.node.node_state import NodeState
+from alderhatch.node.tier_messages import TierView
+from alderhatch.platform.settings import POLICY
 
 REPORT_EVERY = 500.0
+TERMS = BudgetTerms(0.2, 60.0, 10_000.0)
+UPSTREAM = "shard-a"
+
+
+class HandClock:
+    def __init__(self):
+        self.time = 1000.0
+
+    def now(self):
+        return self.time
 
 
 def hosts_of(kind, count, cores, zones):
@@ -72,3 +89,41 @@
 def step_needed(context, cores):
     needed = context.demand.processor_needed()
     assert needed == cores, needed
+
+
+def view_of(count):
+    return TierView(hosts_of("host", count, 1.0, 2), [], 1.0)
+
+
+@given(
+    "a node that knows {count:d} hosts of equal strength before servers that accept {most:d}"
+    " connections"
+)
+def step_node(context, count, most):
+    context.clock = HandClock()
+    pool = ConnectionPool(0, spares=False)
+    pool._clock = context.clock
+    node = NodeState("host-0", "zone-0", None, pool, TERMS, POLICY, context.clock, Random(1))
+    node.table.set_max_connections({UPSTREAM: most})
+    server = ServerRecord("i-1", UPSTREAM, "127.0.0.1", 1, "zone-0", 2, False)
+    node.table.update([server], 0.0)
+    node.take_view(view_of(count))
+    context.beliefs = node
+
+
+@when("nothing changes for {seconds:d} seconds, and then one host is lost")
+def step_lost(context, seconds):
+    context.clock.time += seconds * 1000.0
+    context.beliefs.take_view(view_of(len(context.beliefs.hosts) - 1))
+
+
+@when("{seconds:d} seconds later the view is told again")
+def step_later(context, seconds):
+    context.clock.time += seconds * 1000.0
+    context.beliefs.take_view(view_of(len(context.beliefs.hosts)))
+
+
+@then("the node holds {count:d} connections to each server at most")
+def step_share(context, count):
+    shares = context.beliefs.table.shares()
+    assert shares == {"i-1": count}, shares
--- a/features/steps/forwarding_load_steps.py
+++ b/features/steps/forwarding_load_steps.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import pickle
+
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import strategies as st
@@ -183,3 +185,16 @@
             assert spent <= 0.2 * came + 6.0 + 1e-9, (spent, came)
 
     check()
+
+
+@then("a budget that counts requests for an hour takes no more room than after a minute")
+def step_small(context):
+    budget = ExtraBudget(10_000.0)
+
+    def size_after(minutes):
+        for at in range(0, minutes * 60_000, 100):
+            budget.count_first(float(at))
+        return len(pickle.dumps(budget))
+
+    after_a_minute = size_after(1)
+    assert size_after(60) <= 1.2 * after_a_minute
--- a/src/alderhatch/core/forwarding/caller_hosts.py
+++ b/src/alderhatch/core/forwarding/caller_hosts.py
@@ -12,7 +12,6 @@
 STRONG_SHARE = 0.75
 """A host with at least this part of the strongest one's processor time counts as strong. Between
 hosts that differ by less, the spread over availability zones matters more."""
-
 CONNECTIONS_EACH = 4
 """How many connections to each server a host should be able to hold: two for the requests that a
 server with two slots runs, one for a hedge beside them, one that was closed a moment ago."""
--- a/src/alderhatch/core/forwarding/extra_budget.py
+++ b/src/alderhatch/core/forwarding/extra_budget.py
@@ -48,6 +48,9 @@
     def add(self, now: Millis) -> None:
         """Count one event."""
         if now >= self._began + SLOT:
+            # Nobody may ever ask for the sum, as for an upstream whose requests must not run twice;
+            # old steps that only went then would fill the memory over days.
+            self.total(now)
             self._steps.append((self._began, self._count))
             self._began = now
             self._count = 0
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -184,21 +184,24 @@
 
     def take_view(self, view: TierView) -> None:
         """Take the leader's word of who is there."""
+        # Those of the last view were there until now, however long ago that came.
+        most = max(len(self.hosts), len(view.hosts))
         self.hosts = view.hosts
         self.controls = view.controls
         self.processor_needed = view.processor_needed
         now = self._clock.now()
         counts = [(at, count) for at, count in self._host_counts if now - at < HOSTS_MEMORY]
-        self._host_counts = [*counts, (now, len(view.hosts))]
+        self._host_counts = [*counts, (now, most)]
         self._choose_caller_hosts()
         self._share()
 
     def _choose_caller_hosts(self) -> None:
         now = self._clock.now()
+        before = self.caller_hosts
         self.caller_hosts = choose_caller_hosts(
             self.hosts, self.table.usable_connections(), self.processor_needed
         )
-        for host in self.caller_hosts:
+        for host in (*before, *self.caller_hosts):
             self._named[host.name] = now
         self._named = {name: at for name, at in self._named.items() if now - at < HOSTS_MEMORY}
 
