The naive choice of replicas ages load reports as the policy says

Cause of the red scenario: the naive version weighed a report of 10 ms with 1 - 10/40. Traced by the shrunken example, two servers of 5 and 7 ms with 3 and 1 reported requests: the choice holds both to be equal at 8.75 ms, the naive version at 10.6 and 9.6. Change: the naive version reads the age from the policy. The assertion and its slack are unchanged, and are stricter now, as both sides compute the same.

--- a/features/steps/core_replica_steps.py
+++ b/features/steps/core_replica_steps.py
@@ -250,10 +250,11 @@
 def naive_costs(all_fields):
     """Return the cost of each server that may be asked, doubtful ones apart, by plain sums."""
     usual, doubtful = {}, {}
+    fresh = 1 - 10.0 / Policy().report_age_ms
     for index, (in_flight, latency, others, trouble, zone, excluded) in enumerate(all_fields):
         if in_flight >= 3 or excluded or trouble in ("shed", "drained", "leaving"):
             continue
-        load = in_flight + others * (1 - 10.0 / 40.0)
+        load = in_flight + others * fresh
         cost = latency * (1 + load / 2) + (0 if zone == ZONES[0] else 1)
         (doubtful if trouble in ("ejected", "down") else usual)[f"x{index}"] = cost
     return usual or doubtful
