One piece for what stood twice; nothing kept that nobody reads

Found in reading the change as a whole: - The bucket of tokens of the request log repeated that of the rate limiter: core/token_bucket.py, each with its own rate and burst as before. - Three programs waited for and logged the signal to stop: stop_signal.py. - The leader listed its live hosts anew for each word to each host. Behaviour stays as it is; no assertion was changed.

--- a/features/steps/caller_hosts_steps.py
+++ b/features/steps/caller_hosts_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from alderhatch.clock import SECOND, ManualClock
 from alderhatch.core.forwarding.caller_hosts import HostRecord, choose_caller_hosts
 from alderhatch.core.forwarding.extra_budget import BudgetTerms
 from alderhatch.core.forwarding.host_demand import HostDemand
@@ -19,14 +20,6 @@
 UPSTREAM = "shard-a"
 
 
-class HandClock:
-    def __init__(self):
-        self.time = 1000.0
-
-    def now(self):
-        return self.time
-
-
 def hosts_of(kind, count, cores, zones):
     return [
         HostRecord(f"{kind}-{index}", f"zone-{index % zones}", f"{kind}-{index}:1", True, cores)
@@ -100,7 +93,7 @@
     " connections"
 )
 def step_node(context, count, most):
-    context.clock = HandClock()
+    context.clock = ManualClock(1000.0)
     pool = ConnectionPool(0, spares=False)
     pool._clock = context.clock
     node = NodeState("host-0", "zone-0", None, pool, TERMS, POLICY, context.clock, Random(1))
@@ -113,13 +106,13 @@
 
 @when("nothing changes for {seconds:d} seconds, and then one host is lost")
 def step_lost(context, seconds):
-    context.clock.time += seconds * 1000.0
+    context.clock.advance(seconds * SECOND)
     context.beliefs.take_view(view_of(len(context.beliefs.hosts) - 1))
 
 
 @when("{seconds:d} seconds later the view is told again")
 def step_later(context, seconds):
-    context.clock.time += seconds * 1000.0
+    context.clock.advance(seconds * SECOND)
     context.beliefs.take_view(view_of(len(context.beliefs.hosts)))
 
 
--- a/features/steps/forwarding_crash_steps.py
+++ b/features/steps/forwarding_crash_steps.py
@@ -9,7 +9,8 @@
 from alderhatch.core.entry_events import AttemptFault
 from alderhatch.core.forwarding.crash_tally import CrashTally
 from alderhatch.node.node_state import NodeState
-from features.support.forward_model import POLICY, TERMS
+from alderhatch.platform.settings import POLICY
+from features.support.forward_model import TERMS
 
 
 @given("a node's beliefs and a leader's tally")
--- a/features/steps/http_forward_steps.py
+++ b/features/steps/http_forward_steps.py
@@ -1,7 +1,5 @@
 from __future__ import annotations
 
-import socket
-import struct
 from functools import partial
 
 import trio
@@ -12,6 +10,7 @@
 from alderhatch.http.messages import HttpResponse
 from alderhatch.http.server import ServeState, serve_http
 from features.steps.http_client_steps import LOOPBACK, PATIENCE_S, with_connection
+from features.support.loopback_proxy import reset_on_close
 
 OWN = b"own"
 FIELDS = ((b"host", b"fleet.example"), (b"attempt-id", b"a1"))
@@ -61,7 +60,7 @@
             await trio.sleep_forever()
         if then_do == "reset":
             await trio.sleep(0.1)
-            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            reset_on_close(stream)
 
     return handle
 
--- a/features/support/forward_model.py
+++ b/features/support/forward_model.py
@@ -13,18 +13,11 @@
 from alderhatch.core.forwarding.route import AllShards, OneUpstream, Route
 from alderhatch.core.forwarding.server_record import ServerRecord
 from alderhatch.core.forwarding.target_table import TargetTable
-from alderhatch.core.policy import Policy
-
-POLICY = Policy(
-    first_latency_ms=20.0,
-    report_age_ms=100.0,
-    zone_cost_ms=4.0,
-    latency_weight=0.25,
-    eject_failures=2,
-)
+from alderhatch.node.forward_runner import LOSER_GRACE
+from alderhatch.platform.settings import POLICY
+
 TERMS = BudgetTerms(0.2, 62.0, 10_000.0)
 WAY = 0.5
-LOSER_GRACE = 250.0
 
 
 def scatter_route(shards, **changes):
--- a/features/support/loopback_proxy.py
+++ b/features/support/loopback_proxy.py
@@ -10,8 +10,6 @@
 from features.support.tier import own_loopback_address
 
 DELAY_S = 0.25
-RESET = struct.pack("ii", 1, 0)
-"""Makes the kernel reset a connection instead of closing it."""
 
 
 class LoopbackProxy:
@@ -68,9 +66,14 @@
         scope.cancel()
 
 
+def reset_on_close(stream):
+    """Let a connection be reset, not ended, when it is closed."""
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 def _reset(client):
     try:
-        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        reset_on_close(client)
     except OSError:
         return
     trio.lowlevel.notify_closing(client.socket)
--- a/features/support/platform_soak.py
+++ b/features/support/platform_soak.py
@@ -7,10 +7,12 @@
 import threading
 import time
 from collections import Counter
+from contextlib import ExitStack
 from functools import partial
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 from random import Random
+from types import SimpleNamespace
 
 import orjson
 
@@ -299,33 +301,19 @@
     return any(int(masks[name], 16) >> (number - 1) & 1 for name in ("SigIgn", "SigCgt"))
 
 
-class _Cleanups:
-    """What a soak needs of a behave context."""
-
-    def __init__(self):
-        self._calls = []
-
-    def add_cleanup(self, call):
-        self._calls.append(call)
-
-    def run(self):
-        for call in reversed(self._calls):
-            call()
-
-
 def run_seed(seed, seconds):
     """Run one seed outside of behave; print what was done and found; return 1 for a finding."""
-    cleanups = _Cleanups()
-    soak = PlatformSoak(cleanups, seed, seconds)
-    try:
-        soak.run()
-    except AssertionError as exc:
-        soak.findings.append(str(exc))
-    finally:
+    with ExitStack() as stack:
+        # The part of behave's context that a soak needs.
+        context = SimpleNamespace(add_cleanup=stack.callback)
+        soak = PlatformSoak(context, seed, seconds)
+        try:
+            soak.run()
+        except AssertionError as exc:
+            soak.findings.append(str(exc))
         if soak.findings:
             kept = shutil.copytree(soak.tier.folder, f"{soak.tier.folder}-seed-{seed}")
             print(f"logs kept in {kept}")
-        cleanups.run()
     done = ", ".join(f"{key} {count}" for key, count in sorted(soak.counts.items(), key=str))
     print("; ".join([done, *soak.findings]))
     return 1 if soak.findings else 0
--- a/src/alderhatch/cli/program.py
+++ b/src/alderhatch/cli/program.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import signal
 from collections.abc import Awaitable, Callable
 from enum import StrEnum
 from pathlib import Path
@@ -16,6 +15,7 @@
 from ..log import log_event, set_up_logs
 from ..log_events import LogEvent
 from ..settings.fault import SettingsFaultsError
+from ..stop_signal import STOP_SIGNALS, wait_for_stop
 from .exit_codes import ExitCode
 
 _Settings = TypeVar("_Settings")
@@ -146,8 +146,6 @@
 
 
 async def _cancel_on_signal(scope: trio.CancelScope) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        async for number in received:
-            log_event(LogEvent.PROGRAM_STOPPED_BY_SIGNAL, signal=signal.Signals(number).name)
-            scope.cancel()
-            return
+    with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
+        await wait_for_stop(signals)
+    scope.cancel()
--- a/src/alderhatch/control/app.py
+++ b/src/alderhatch/control/app.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import signal
 from collections.abc import AsyncIterator
 from contextlib import suppress
 
@@ -13,11 +12,10 @@
 from ..core.control.lease_messages import CONTROL_MESSAGES
 from ..core.raft.raft_config import RaftConfig
 from ..errors import AlderhatchError, ErrorKind, Failure
-from ..log import log_event
-from ..log_events import LogEvent
 from ..settings.models import ControlSettings
 from ..settings.secret import read_secret
 from ..signal import Signal
+from ..stop_signal import STOP_SIGNALS, wait_for_stop
 from ..storage.data_folder import DataFolder
 from ..storage.data_folder_error import DataFolderError
 from ..storage.files import DiskFiles
@@ -66,7 +64,7 @@
     codec = Codec(*CONTROL_MESSAGES, *PEER_MESSAGE_TYPES)
     server = ControlServer(cfg, node, observed, secret, keys, codec, role_changed)
     async with trio.open_nursery() as nursery:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
             await nursery.start(node.run)
             task_status.started(await nursery.start(server.run))
             nursery.start_soon(_stop_on_signal, signals, node, nursery.cancel_scope)
@@ -92,9 +90,7 @@
 async def _stop_on_signal(
     signals: AsyncIterator[int], node: LogNode, scope: trio.CancelScope
 ) -> None:
-    async for number in signals:
-        log_event(LogEvent.PROGRAM_STOPPED_BY_SIGNAL, signal=signal.Signals(number).name)
-        break
+    await wait_for_stop(signals)
     if node.is_leader:
         # Without a hand-over the others notice only after an election timeout that nobody leads,
         # and every change and claim waits for that long on each planned restart.
--- a/src/alderhatch/core/forwarding/extra_budget.py
+++ b/src/alderhatch/core/forwarding/extra_budget.py
@@ -84,8 +84,6 @@
         # A step that has only just left the window at its beginning may still be in the window
         # that the servers' side counts, so extra requests are held for one more step.
         self._extra = _SlidingCount(window + SLOT)
-        self.refused = 0
-        """Extra requests that were not sent for lack of budget."""
 
     def count_first(self, now: Millis) -> None:
         """Count a request that goes to this upstream."""
@@ -104,7 +102,6 @@
     def spend(self, share: BudgetShare, now: Millis) -> bool:
         """Count one extra request; return False, and count none, if the budget is used up."""
         if self.left(share, now) < 1.0:
-            self.refused += 1
             return False
         self._extra.add(now)
         return True
--- a/src/alderhatch/core/forwarding/route.py
+++ b/src/alderhatch/core/forwarding/route.py
@@ -79,7 +79,6 @@
     """What an operator says of one upstream."""
 
     name: str
-    health_path: str
     max_connections: int
     """How many connections each of its servers accepts from all hosts together."""
 
--- a/src/alderhatch/core/forwarding/route_table.py
+++ b/src/alderhatch/core/forwarding/route_table.py
@@ -21,12 +21,6 @@
     def __init__(self, routes: Iterable[Route]) -> None:
         self._by_place = {(route.host, route.path_prefix): route for route in routes}
 
-    def ordered(self) -> list[Route]:
-        """Return the routes in the order in which they are tried."""
-        return sorted(
-            self._by_place.values(), key=lambda route: (route.host, -len(route.path_prefix))
-        )
-
     def find(self, host: str, path: str) -> Route | None:
         """Return the first route that matches, or None.
 
--- a/src/alderhatch/core/rate_limiter.py
+++ b/src/alderhatch/core/rate_limiter.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 
 from ..clock import SECOND, Millis
+from .token_bucket import TokenBucket
 
 MAX_CALLERS = 10_000
 BURST: Millis = SECOND
@@ -15,7 +16,7 @@
     """Token buckets by rule and caller, bounded in number."""
 
     def __init__(self) -> None:
-        self._buckets: OrderedDict[tuple[str, str], tuple[float, Millis]] = OrderedDict()
+        self._buckets: OrderedDict[tuple[str, str], TokenBucket] = OrderedDict()
 
     def take(self, rule: str, caller: str, rate: float, now: Millis) -> Millis:
         """Count one request.
@@ -30,10 +31,9 @@
             0 if the request is within the rate, otherwise how long until it will be.
         """
         burst = max(1.0, rate * BURST / SECOND)
-        tokens, at = self._buckets.pop((rule, caller), (burst, now))
-        tokens = min(burst, tokens + (now - at) * rate / SECOND)
-        wait = 0.0 if tokens >= 1.0 else (1.0 - tokens) * SECOND / rate
-        self._buckets[rule, caller] = (tokens if wait else tokens - 1.0, now)
+        bucket = self._buckets.pop((rule, caller), None) or TokenBucket(burst, now)
+        wait = bucket.take(rate, burst, now)
+        self._buckets[rule, caller] = bucket
         if len(self._buckets) > MAX_CALLERS:
             self._buckets.popitem(last=False)
         return wait
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import gc
-import signal
 from collections.abc import AsyncIterator
 from random import Random
 from typing import NamedTuple
@@ -22,6 +21,7 @@
 from ..log import log_event
 from ..log_events import LogEvent
 from ..log_output import BoundedLogHandler
+from ..stop_signal import STOP_SIGNALS, wait_for_stop
 from .caller_side import CallerSide
 from .configuration_desk import ConfigurationDesk
 from .control_member import ControlMember
@@ -203,7 +203,7 @@
         """Serve until told to stop by a signal."""
         # Taken only once the ports are open, a signal to stop would end the process under the first
         # requests that it has read: their callers would see a connection cut without an answer.
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
             await self._serve(handlers, signals)
         log_event(LogEvent.NODE_STOPPED, node=self.cfg.name)
 
@@ -228,7 +228,8 @@
             log_event(LogEvent.NODE_STARTED, node=self.cfg.name, zone=self.cfg.zone)
             gc.collect()
             gc.freeze()
-            await self._wait_for_stop(signals)
+            await wait_for_stop(signals)
+            await self._drain()
             nursery.cancel_scope.cancel()
 
     async def _watch_lead(self) -> None:
@@ -321,12 +322,6 @@
             case role:
                 log_event(LogEvent.LINK_ROLE_REFUSED, peer=link.peer.name, role=role)
 
-    async def _wait_for_stop(self, signals: AsyncIterator[int]) -> None:
-        async for number in signals:
-            log_event(LogEvent.PROGRAM_STOPPED_BY_SIGNAL, signal=signal.Signals(number).name)
-            break
-        await self._drain()
-
     async def _drain(self) -> None:
         """Leave the address answers, serve on while callers hold old ones, then end."""
         began = self._clock.now()
--- a/src/alderhatch/node/request_log.py
+++ b/src/alderhatch/node/request_log.py
@@ -5,9 +5,10 @@
 from collections import Counter
 from typing import NamedTuple
 
-from ..clock import SECOND, LoopClock, Millis
+from ..clock import LoopClock, Millis
 from ..core.forwarding.forward_run import ForwardRun
 from ..core.forwarding.outcome import Answered, Failed, NotRun, Outcome
+from ..core.token_bucket import TokenBucket
 from ..log import log_event
 from ..log_events import LogEvent
 from .dialect import CallerRequest
@@ -55,8 +56,7 @@
     def __init__(self, state: NodeState) -> None:
         self._state = state
         self._clock = LoopClock()
-        self._tokens = BURST
-        self._filled_at: Millis = 0.0
+        self._lines = TokenBucket(BURST, 0.0)
         self._since_sample = 0
         self._folded = 0
 
@@ -101,14 +101,7 @@
             self._folded = 0
 
     def _take_token(self) -> bool:
-        now = self._clock.now()
-        filled = (now - self._filled_at) / SECOND * LINES_PER_SECOND
-        self._tokens = min(BURST, self._tokens + filled)
-        self._filled_at = now
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
+        return self._lines.take(LINES_PER_SECOND, BURST, self._clock.now()) == 0.0
 
     def _fields(self, req: CallerRequest, run: ForwardRun, end: RequestEnd) -> dict[str, object]:
         age = self._state.list_age()
--- a/src/alderhatch/node/tier_server.py
+++ b/src/alderhatch/node/tier_server.py
@@ -99,6 +99,9 @@
         self._on_introduction = on_introduction
         self._clock = LoopClock()
         self._sessions: dict[str, _Session] = {}
+        self._hosts: list[HostRecord] | None = None
+        """The live hosts by name; None if they have to be listed anew. Listed anew for each word to
+        each of them, they would cost the leader the square of their number."""
         self._list = ServerList(0, {})
         self._crashes = CrashTally()
         self._demand = HostDemand()
@@ -150,7 +153,7 @@
         name = join.place.name
         self._sessions[name] = session
         log_event(LogEvent.HOST_JOINED, host=name, zone=join.zone)
-        self.news.notify()
+        self._hosts_changed()
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._tell, session, nursery.cancel_scope)
@@ -161,7 +164,11 @@
             if self._sessions.get(name) is session:
                 del self._sessions[name]
                 log_event(LogEvent.HOST_LOST, host=name, silent_ms=self._silence(session))
-                self.news.notify()
+                self._hosts_changed()
+
+    def _hosts_changed(self) -> None:
+        self._hosts = None
+        self.news.notify()
 
     def _silence(self, session: _Session) -> int:
         return int(self._clock.now() - session.heard_at)
@@ -180,7 +187,7 @@
             self._take_sends(message.sends)
             if message.serving != session.serving:
                 session.serving = message.serving
-                self.news.notify()
+                self._hosts_changed()
 
     def _take_crashes(self, report: Report) -> None:
         for fingerprint, server_id in report.crashes:
@@ -235,9 +242,10 @@
 
     def view(self) -> TierView:
         """Return who is there now."""
-        hosts = [self._sessions[name].record() for name in sorted(self._sessions)]
+        if self._hosts is None:
+            self._hosts = [self._sessions[name].record() for name in sorted(self._sessions)]
         controls = self._member.controls() if self._member is not None else []
-        return TierView(hosts, controls, self._demand.processor_needed())
+        return TierView(self._hosts, controls, self._demand.processor_needed())
 
 
 def _difference(old: ServerList, new: ServerList) -> ServerNews:
--- a/src/alderhatch/platform/configuration.py
+++ b/src/alderhatch/platform/configuration.py
@@ -137,12 +137,8 @@
 
 
 def _upstream(table: _Table) -> UpstreamSettings:
-    health = table.raw.get("health-path")
-    return UpstreamSettings(
-        table.text("name"),
-        health if isinstance(health, str) else "/health",
-        max(1, table.integer("max-connections", DEFAULT_CONNECTIONS)),
-    )
+    connections = max(1, table.integer("max-connections", DEFAULT_CONNECTIONS))
+    return UpstreamSettings(table.text("name"), connections)
 
 
 def _limits(top: _Table) -> CallerLimits:
