--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -44,6 +44,29 @@
     Then every host of the platform tier becomes ready
     And each host reads the configuration back as it was sent
 
+  Scenario: The log has no majority after a restart of all hosts
+    # Only one of three hosts with a disk comes back, so nobody leads and no change can be taken. The
+    # servers are well, and the configuration that was in force is on its disk: callers are served
+    # by it, where they were all refused.
+    Given a platform tier that serves
+    When all hosts are killed, and only the first one starts again
+    Then a query at each host that is left is answered at once
+    And it names itself to callers
+    And a change and a read of the configuration are answered with 503
+
+  Scenario Outline: What a host kept of its beliefs can't be read
+    # The disk has spoilt the file. The host starts without it, as one that is new.
+    Given a platform tier that serves
+    When all hosts are killed, the kept beliefs of each become <bytes>, and all start again
+    Then every host of the platform tier becomes ready
+    And each host reads the configuration back as it was sent
+
+    Examples:
+      | bytes          |
+      | empty          |
+      | nonsense       |
+      | half of them   |
+
   Scenario: A planned stop cuts nothing off
     Given a platform tier that serves
     When a host is told to stop while an order runs on it
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -12,6 +12,7 @@
 import orjson
 from behave import given, then, when
 
+from alderhatch.node.kept_state import KEPT_NAME
 from features.support.platform_tier import HOST, ZONES, PlatformTier, call
 from features.support.tier import until
 
@@ -382,3 +383,46 @@
 def step_went_on(context):
     assert context.early.returncode == 2, context.early
     assert b"program_cannot_start" in context.early.stdout, context.early
+
+
+def kept_file(tier, index):
+    return tier.data_folder(index) / KEPT_NAME
+
+
+def kill_all(tier):
+    for index in range(tier.disks):
+        until(kept_file(tier, index).exists, f"node {index} has kept its beliefs")
+    tier.first_start = False
+    tier.kill(*tier.running())
+
+
+@when("all hosts are killed, and only the first one starts again")
+def step_first_only(context):
+    tier = context.platform
+    kill_all(tier)
+    tier.start(0)
+    until(lambda: tier.is_ready(0), "the first node is ready")
+
+
+@when("all hosts are killed, the kept beliefs of each become {what}, and all start again")
+def step_spoilt_beliefs(context, what):
+    tier = context.platform
+    kill_all(tier)
+    for index in range(tier.disks):
+        data = kept_file(tier, index).read_bytes()
+        spoilt = {"empty": b"", "nonsense": b"\xff" * 40, "half of them": data[: len(data) // 2]}
+        kept_file(tier, index).write_bytes(spoilt[what])
+    tier.start()
+
+
+@then("it names itself to callers")
+def step_names_itself(context):
+    tier = context.platform
+    assert f"{tier.addresses[0]}:{tier.ports[0]}" in named(tier, 0)
+
+
+@then("a change and a read of the configuration are answered with 503")
+def step_no_leader(context):
+    tier = context.platform
+    assert tier.operate(0, "GET").status == 503
+    assert tier.operate(0, "PUT", tier.configuration(SHARDS)).status == 503
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -126,6 +126,11 @@
         logging.INFO,
         "What the node believes of a server changed: listed, leaving or ejected.",
     )
+    BELIEFS_NOT_KEPT = EventRow(
+        1074,
+        logging.WARNING,
+        "What the node serves by after a restart could not be written or read.",
+    )
     LEADER_FOUND = EventRow(1061, logging.INFO, "The node follows a leader.")
     LEADER_LOST = EventRow(
         1062, logging.WARNING, "The node has no leader; it serves on by what it last knew."
--- /dev/null
+++ b/src/alderhatch/node/kept_state.py
@@ -0,0 +1,112 @@
+"""What a host with a disk keeps of its beliefs, to serve by them right after a restart."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import NamedTuple
+
+import trio
+
+from ..clock import SECOND, Millis
+from ..codec import Codec
+from ..core.control.configuration_register import StoredConfiguration
+from ..errors import AlderhatchError
+from ..log import log_event
+from ..log_events import LogEvent
+from ..storage.files import DiskFiles, Files
+from .node_state import NodeState
+from .tier_messages import ConfigurationNews, TierView
+
+KEPT_NAME = "beliefs"
+WRITTEN_NAME = "beliefs.new"
+KEEP_EVERY: Millis = 300.0
+"""How soon a change is on the disk; of several that follow closely only the newest is written."""
+
+
+class KeptState(NamedTuple):
+    """The beliefs of a host that it can serve by without a leader."""
+
+    configuration: ConfigurationNews
+    """It was in force, so it is committed; the replicated log may have a newer one."""
+    view: TierView
+    """The other hosts: budgets and connections are divided by their number."""
+
+
+CODEC = Codec(KeptState)
+
+
+class BeliefKeeper:
+    """Writes a node's beliefs beside its replicated log, and reads them after a start.
+
+    After a restart of all hosts the log first has to elect a leader, and each host to find it.
+    Until then nobody would know a configuration, and every request would be refused for half a
+    second and more although all hosts and servers are there. What was in force before is good
+    enough meanwhile: changes and reads of the configuration still wait for the leader.
+
+    Args:
+        folder: The host's data folder.
+        state: The beliefs.
+    """
+
+    def __init__(self, folder: Path, state: NodeState) -> None:
+        self._folder = folder
+        self._state = state
+        self._kept: KeptState | None = None
+        self._works = True
+
+    async def restore(self) -> None:
+        """Take the beliefs of the last run, if there are any."""
+        try:
+            kept = await trio.to_thread.run_sync(_read, self._folder)
+        except (OSError, AlderhatchError) as exc:
+            log_event(LogEvent.BELIEFS_NOT_KEPT, why=str(exc))
+            return
+        if kept is None:
+            return
+        self._kept = kept
+        self._state.take_configuration(StoredConfiguration(*kept.configuration))
+        self._state.take_view(kept.view)
+
+    async def run(self) -> None:
+        """Keep the beliefs as they change, until cancelled."""
+        while True:
+            await trio.sleep(KEEP_EVERY / SECOND)
+            state = self._state
+            if state.stored.version == 0 or state.view is None:
+                continue
+            now = KeptState(ConfigurationNews(*state.stored), state.view)
+            if now == self._kept:
+                continue
+            await self._keep(now)
+
+    async def _keep(self, beliefs: KeptState) -> None:
+        try:
+            await trio.to_thread.run_sync(_write, DiskFiles(self._folder), beliefs)
+        except OSError as exc:
+            # The log's own files tell of a disk that fails; one line here for each time it begins.
+            if self._works:
+                log_event(LogEvent.BELIEFS_NOT_KEPT, why=str(exc))
+            self._works = False
+            return
+        self._works = True
+        self._kept = beliefs
+
+
+def _read(folder: Path) -> KeptState | None:
+    files = DiskFiles(folder)
+    if KEPT_NAME not in files.names():
+        return None
+    kept: KeptState = CODEC.decode(files.read(KEPT_NAME))
+    return kept
+
+
+def _write(files: Files, beliefs: KeptState) -> None:
+    # Written in place, the file would be half old and half new after a loss of power.
+    file = files.create(WRITTEN_NAME)
+    try:
+        file.write(CODEC.encode(beliefs))
+        file.sync()
+    finally:
+        file.close()
+    files.rename(WRITTEN_NAME, KEPT_NAME)
+    files.sync_folder()
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -29,6 +29,7 @@
 from .forward_runner import ForwardRunner
 from .founding import FOUNDING_ROLE, FoundingJudge, bid_for_founding
 from .introductions import introduce_leader
+from .kept_state import BeliefKeeper
 from .node_metrics import NodeMetrics
 from .node_settings import NodeSettings
 from .node_state import Decoder, NodeState
@@ -172,6 +173,10 @@
         self._server.news.notify()
 
     def _role_changed(self) -> None:
+        # A voter hears of a new leader at once; left to its search, it would find it by chance.
+        leader = self.member.leader() if self.member is not None else None
+        if leader is not None and self._client.leader is None:
+            self._client.introduce(leader)
         self._server.role_changed.notify()
         self._server.news.notify()
 
@@ -209,6 +214,10 @@
 
     async def _serve(self, handlers: EdgeHandlers, signals: AsyncIterator[int]) -> None:
         async with trio.open_nursery() as nursery:
+            if self.cfg.data_folder is not None:
+                keeper = BeliefKeeper(self.cfg.data_folder, self.state)
+                await keeper.restore()
+                nursery.start_soon(keeper.run)
             await nursery.start(self._pool.run)
             await nursery.start(self._runner.run)
             await self._open_ports(nursery, handlers)
@@ -216,10 +225,10 @@
                 nursery.start_soon(self.member.run)
                 nursery.start_soon(self._watch_lead)
                 nursery.start_soon(self._introduce)
-                keeper = VoterKeeper(
+                voters = VoterKeeper(
                     self.member, self._server, self.cfg.tolerated_hosts, self.cfg.catch_up
                 )
-                nursery.start_soon(keeper.run)
+                nursery.start_soon(voters.run)
                 if self.cfg.first_start:
                     nursery.start_soon(self._bid)
             nursery.start_soon(self._tend_log)
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -77,6 +77,8 @@
         """All listed servers by their ids."""
         self.listed_at: Millis | None = None
         """When the list was last known to be fresh."""
+        self.view: TierView | None = None
+        """The leader's last word of who is there."""
         self.hosts: list[HostRecord] = []
         """The live hosts by the leader's last word."""
         self.caller_hosts: list[HostRecord] = []
@@ -186,6 +188,7 @@
         """Take the leader's word of who is there."""
         # Those of the last view were there until now, however long ago that came.
         most = max(len(self.hosts), len(view.hosts))
+        self.view = view
         self.hosts = view.hosts
         self.controls = view.controls
         self.processor_needed = view.processor_needed
--- a/src/alderhatch/node/server_list.py
+++ b/src/alderhatch/node/server_list.py
@@ -60,8 +60,14 @@
 
     async def run(self) -> None:
         """Read whenever it is due, until cancelled."""
+        if self._state.stored.version > 0:
+            # After a restart this host can serve as soon as it knows the servers. Read only by the
+            # leader, the list would be there an election later.
+            await self._read()
         while True:
             if self._server.leads:
+                if self._state.list_age() < FRESH_FOR:
+                    self._server.take_list(dict(self._state.records))
                 await self._read()
                 await trio.sleep(READ_EVERY / SECOND)
                 continue
