--- a/src/alderhatch/node/tier_client.py
+++ b/src/alderhatch/node/tier_client.py
@@ -33,11 +33,62 @@
 """A leader that says nothing for three pulses is gone, or the way to it is."""
 DIAL_TIMEOUT: Millis = 400.0
 """Hosts are 3 ms away; one that needs longer is dark, and others wait to be tried."""
+STAGGER: Millis = 60.0
+"""How long a host is awaited before the next one is asked as well; a link takes some 10 ms."""
 REDIAL: Millis = 120.0
 MAX_REMEMBERED = 32
 """Places of hosts met before that are tried when neither seeds nor the log's hosts answer."""
 
 
+class _Search:
+    """One round of asking hosts for the leader, a few of them at the same time."""
+
+    def __init__(self, places: Iterable[Place]) -> None:
+        self.left = deque(places)
+        """Who is to be asked, the next one first."""
+        self.progress = trio.Event()
+        """Set when a host has answered, or can't."""
+        self._asked: set[tuple[str, int]] = set()
+        self._dialling: set[trio.CancelScope] = set()
+        self._is_settled = False
+
+    @property
+    def is_over(self) -> bool:
+        """Whether a leader was found, or nobody is left who could name one."""
+        return self._is_settled or not (self.left or self._dialling)
+
+    def next_place(self) -> Place | None:
+        """Return who is to be asked next, or None if nobody is left."""
+        while self.left:
+            place = self.left.popleft()
+            if (place.address, place.port) not in self._asked:
+                self._asked.add((place.address, place.port))
+                return place
+        return None
+
+    def begin(self) -> trio.CancelScope:
+        """Return what bounds the time for one host's answer."""
+        scope = trio.CancelScope(deadline=trio.current_time() + DIAL_TIMEOUT / SECOND)
+        self._dialling.add(scope)
+        return scope
+
+    def settle_on(self, scope: trio.CancelScope) -> bool:
+        """Leave all others for the host that has just answered; False if one was before it."""
+        if self._is_settled:
+            return False
+        self._is_settled = True
+        for other in self._dialling - {scope}:
+            other.cancel()
+        scope.deadline = float("inf")
+        self.progress.set()
+        return True
+
+    def ended(self, scope: trio.CancelScope) -> None:
+        """Take note that a host has answered, or that it can't be asked."""
+        self._dialling.discard(scope)
+        self.progress.set()
+
+
 class TierClient:
     """Finds the leader and follows it for as long as it leads.
 
@@ -83,24 +134,31 @@
             await self._introduced.wait_for(REDIAL)
 
     async def _look(self) -> None:
-        """Ask one host after the other for the leader, and follow it while it leads.
+        """Ask hosts for the leader, and follow it while it leads.
 
         Where a host says that another one leads, that one is next. Each is asked once in a round:
         a host that is cut off from the others may go on naming itself, or one that is gone, and
         whoever believed it each time would never ask those that know better.
+
+        A host that is dark or still starting answers nothing, and takes all the time that it is
+        given. So the next one is asked while it is awaited; asked one after the other, two such
+        hosts kept a host without a configuration for most of a second after a restart of all.
         """
-        left = deque(self._places())
-        asked: set[tuple[str, int]] = set()
-        while left:
-            place = left.popleft()
-            if (place.address, place.port) in asked:
-                continue
-            asked.add((place.address, place.port))
-            if await self._try(place):
-                return
-            if self._hint is not None:
-                left.appendleft(self._hint)
-                self._hint = None
+        search = _Search(self._places())
+        async with trio.open_nursery() as nursery:
+            while not search.is_over:
+                self._take_hint(search)
+                place = search.next_place()
+                if place is not None:
+                    nursery.start_soon(self._try, place, search)
+                with trio.move_on_after(STAGGER / SECOND):
+                    await search.progress.wait()
+                search.progress = trio.Event()
+
+    def _take_hint(self, search: _Search) -> None:
+        if self._hint is not None:
+            search.left.appendleft(self._hint)
+            self._hint = None
 
     def _places(self) -> list[Place]:
         hint = [self._hint] if self._hint is not None else []
@@ -112,13 +170,13 @@
         self._hint = leader
         self._introduced.notify()
 
-    async def _try(self, place: Place) -> bool:
-        """Follow a host if it leads; return whether it did."""
+    async def _try(self, place: Place, search: _Search) -> None:
+        """Ask a host, and follow it if it leads and is the first that does."""
         peer = Peer(self._join().place.name, HOST_ROLE)
-        was_followed = False
+        follows = False
+        dialling = search.begin()
         try:
-            with trio.CancelScope() as dialling:
-                dialling.deadline = trio.current_time() + DIAL_TIMEOUT / SECOND
+            with dialling:
                 async with open_link(
                     place.address, place.port, self._codec, self._secret, peer
                 ) as link:
@@ -126,17 +184,17 @@
                     first = await link.receive()
                     if isinstance(first, Redirect):
                         self._redirected(first)
-                        return False
-                    dialling.deadline = float("inf")
-                    was_followed = True
-                    await self._follow(place, link, first)
+                        return
+                    follows = search.settle_on(dialling)
+                    if follows:
+                        await self._follow(place, link, first)
         except LinkClosedError:
             pass
         finally:
-            if was_followed:
+            search.ended(dialling)
+            if follows:
                 log_event(LogEvent.LEADER_LOST, leader=place.name, address=place.address)
                 self.leader = None
-        return was_followed
 
     def _redirected(self, redirect: Redirect) -> None:
         known = {(one.address, one.port) for one in self._met}
