--- a/features/core_replicas.feature
+++ b/features/core_replicas.feature
@@ -125,3 +125,18 @@
 
   Scenario: Owners of a server are few, near and stable
     Then owners of a server come from its zone first and move little when an entry goes
+
+  Scenario Outline: A near replica that is quick enough is asked
+    # Another replica would be a few milliseconds quicker at the moment, but is in another availability
+    # zone. The operator pays for what crosses, and the caller notices nothing. A near one that is far
+    # behind is no use to anybody.
+    Given a near replica that takes <near> ms and a far one that takes <far> ms
+    When a near one is quick enough within <enough> ms
+    Then the <asked> one is asked
+
+    Examples:
+      | near | far | enough | asked |
+      | 40   | 10  | 60     | near  |
+      | 70   | 10  | 60     | far   |
+      | 70   | 90  | 60     | near  |
+      | 40   | 10  | 0      | far   |
--- a/features/steps/core_replica_steps.py
+++ b/features/steps/core_replica_steps.py
@@ -351,3 +351,30 @@
         kept = [name for name in owners if name != gone.name]
         assert after[: len(kept)] == tuple(kept)
         assert len(owners_of(f"srv-{index}", zone, entries)) == 12
+
+
+def idle_view(name, zone, latency):
+    server = Server(name, "127.0.0.1", 80, zone, 2, 8)
+    view = ServerView(server, LatencyHistogram(latency), Policy())
+    view.saw_latency(latency, 100.0)
+    return view
+
+
+@given("a near replica that takes {near:g} ms and a far one that takes {far:g} ms")
+def step_near_and_far(context, near, far):
+    context.views = [idle_view("near", ZONES[0], near), idle_view("far", ZONES[1], far)]
+
+
+@when("a near one is quick enough within {enough:g} ms")
+def step_near_enough(context, enough):
+    context.asked = {
+        choose_replica(
+            context.views, (), ZONES[0], 1.0, 100.0, Random(seed), near_enough=enough
+        ).server_id
+        for seed in range(20)
+    }
+
+
+@then("the {name} one is asked")
+def step_asked(context, name):
+    assert context.asked == {name}, context.asked
--- a/src/alderhatch/core/forwarding/target_table.py
+++ b/src/alderhatch/core/forwarding/target_table.py
@@ -65,7 +65,8 @@
     def __init__(self, zone: str, terms: BudgetTerms, policy: Policy, rng: Random) -> None:
         self._zone = zone
         self._terms = terms
-        self._policy = policy
+        self.policy = policy
+        """The numbers that the choice is tuned by."""
         self._rng = rng
         self._hosts = 1
         self._connecting_hosts = 1
@@ -81,7 +82,7 @@
         """Return an upstream; one that was never heard of has no servers."""
         known = self._upstreams.get(name)
         if known is None:
-            known = UpstreamTargets(name, self._terms, self._policy.first_latency_ms)
+            known = UpstreamTargets(name, self._terms, self.policy.first_latency_ms)
             self._upstreams[name] = known
         return known
 
@@ -178,9 +179,9 @@
             record.slots,
             upstream.max_connections,
         )
-        target = Target(upstream.name, server, upstream.latencies, self._policy)
+        target = Target(upstream.name, server, upstream.latencies, self.policy)
         if record.warm_up > 0:
-            target.saw_start(now - max(0.0, self._policy.slow_start_ms - record.warm_up))
+            target.saw_start(now - max(0.0, self.policy.slow_start_ms - record.warm_up))
         target.set_share(self.connection_share(upstream))
         upstream.targets[record.server_id] = target
         self._changes.append(BeliefChange(record.server_id, upstream.name, "listed", LISTED))
@@ -231,15 +232,25 @@
             now: The time.
             only: Ids of the only servers that may be asked; None for all.
         """
+        upstream = self.upstream(name)
         targets = [
-            one
-            for one in self.upstream(name).targets.values()
-            if only is None or one.server_id in only
+            one for one in upstream.targets.values() if only is None or one.server_id in only
         ]
         moving = [one for one in targets if not one.stands_still(now)]
-        cost = self._policy.zone_cost_ms
+        cost = self.policy.zone_cost_ms
+        # A part that comes a little later is as good, as long as it is in when the answer is due;
+        # what crosses between zones is the largest part of a request's cost.
+        near_enough = self.policy.near_factor * upstream.latencies.median
         for among in (moving, targets):
-            found = choose_replica(among, excluded, self._zone, cost, now, self._rng)
+            found = choose_replica(
+                among,
+                excluded,
+                self._zone,
+                cost,
+                now,
+                self._rng,
+                near_enough=near_enough,
+            )
             if isinstance(found, Target):
                 return found
         return None
@@ -273,7 +284,7 @@
         """
         known = self._route_latencies.get(route)
         if known is None:
-            known = LatencyHistogram(self._policy.first_latency_ms)
+            known = LatencyHistogram(self.policy.first_latency_ms)
             self._route_latencies[route] = known
         return known
 
@@ -317,7 +328,7 @@
         """
         target.saw_latency(now - sent_at, now)
         if now - sent_at >= SILENT_AFTER and target.answered_at < sent_at:
-            target.failures = max(target.failures, self._policy.eject_failures - 1)
+            target.failures = max(target.failures, self.policy.eject_failures - 1)
             self._eject_after_failures(target, AttemptFault.SILENT, now)
 
     def failed(
@@ -335,13 +346,13 @@
 
     def _eject_after_failures(self, target: Target, fault: AttemptFault, now: Millis) -> None:
         target.failures += 1
-        if target.failures < self._policy.eject_failures:
+        if target.failures < self.policy.eject_failures:
             return
         others = self.upstream(target.upstream).targets.values()
         ejected = sum(1 for one in others if one is not target and now < one.ejected_until)
         # Faults of the network look like faults of every server at once. Without this bound they
         # would empty an upstream that is well, seen as refusals with all its servers idle.
-        if ejected + 1 > self._policy.max_ejected_share * len(others):
+        if ejected + 1 > self.policy.max_ejected_share * len(others):
             return
         target.eject(now)
         why = f"{fault}, {target.failures} in a row"
--- a/src/alderhatch/core/policy.py
+++ b/src/alderhatch/core/policy.py
@@ -15,6 +15,9 @@
     """The way of a shard answer back through this entry to the caller."""
     zone_cost_ms: Millis = 1.0
     """What a replica in another availability zone is held to cost more."""
+    near_factor: float = 0.0
+    """A forwarded request goes to a server of the own availability zone that is likely to answer
+    within this multiple of the upstream's median latency, however quick the others are."""
     trouble_cost_ms: Millis = 60.0
     """What a forwarded request that comes to nothing costs in time and in budget for retries."""
     first_latency_ms: Millis = 5.0
--- a/src/alderhatch/core/replica_choice.py
+++ b/src/alderhatch/core/replica_choice.py
@@ -23,6 +23,7 @@
     now: Millis,
     rng: Random,
     alone: bool = False,
+    near_enough: Millis = 0.0,
 ) -> ServerView | None:
     """Return the replica that is likely to answer first.
 
@@ -34,6 +35,8 @@
         now: The present time.
         rng: Decides between equals.
         alone: Whether servers that run a suspected body are left out.
+        near_enough: What a replica in another zone is held to take at least. A near one that is
+            quicker than that is chosen however quick the far one is.
 
     Returns:
         The replica; doubtful ones only if there is no other; None if none can be asked now.
@@ -51,7 +54,7 @@
             continue
         cost = server.estimate(now)
         if server.zone != zone:
-            cost += zone_cost
+            cost = max(cost + zone_cost, near_enough)
         if best is not None and doubtful is best_doubtful:
             if -NEAR * cost <= cost - best_cost <= NEAR * cost:
                 if rng.random() < 0.5:
--- a/src/alderhatch/platform/settings.py
+++ b/src/alderhatch/platform/settings.py
@@ -19,8 +19,9 @@
 POLICY = Policy(
     first_latency_ms=20.0,
     report_age_ms=100.0,
-    zone_cost_ms=300.0,
-    trouble_cost_ms=1500.0,
+    zone_cost_ms=4.0,
+    near_factor=4.5,
+    trouble_cost_ms=300.0,
     latency_weight=0.25,
     eject_failures=2,
 )
