--- a/src/alderhatch/core/forwarding/target_table.py
+++ b/src/alderhatch/core/forwarding/target_table.py
@@ -328,6 +328,9 @@
         """
         target.saw_latency(now - sent_at, now)
         if now - sent_at >= SILENT_AFTER and target.answered_at < sent_at:
+            # Once its ejection is over, a dark server of the host's own zone would be asked first
+            # again and again; as a fault, its silence sends the next requests elsewhere.
+            target.count_outcome(True, now)
             target.failures = max(target.failures, self.policy.eject_failures - 1)
             self._eject_after_failures(target, AttemptFault.SILENT, now)
 
