--- a/src/alderhatch/node/kept_state.py
+++ b/src/alderhatch/node/kept_state.py
@@ -65,7 +65,10 @@
             return
         self._kept = kept
         self._state.take_configuration(StoredConfiguration(*kept.configuration))
-        self._state.take_view(kept.view)
+        # Some may not have served just when the view was kept, this one among them. Left out, they
+        # would be named to no caller until there is a leader.
+        hosts = [host._replace(serving=True) for host in kept.view.hosts]
+        self._state.take_view(kept.view._replace(hosts=hosts))
 
     async def run(self) -> None:
         """Keep the beliefs as they change, until cancelled."""
