--- a/src/alderhatch/core/forwarding/target_table.py
+++ b/src/alderhatch/core/forwarding/target_table.py
@@ -5,7 +5,6 @@
 from collections import deque
 from collections.abc import Container, Iterable, Mapping
 from random import Random
-from typing import NamedTuple
 
 from ...clock import Millis
 from ..entry_events import AttemptFault, LoadReport
@@ -13,45 +12,21 @@
 from ..policy import Policy
 from ..replica_choice import choose_replica
 from ..shard_map import Server
-from .extra_budget import BudgetShare, BudgetTerms, ExtraBudget
+from .belief_change import BeliefChange
+from .extra_budget import BudgetShare, BudgetTerms
 from .server_record import ServerRecord
 from .target import Target
+from .upstream_targets import DEFAULT_MAX_CONNECTIONS, UpstreamTargets, usable
 
 LISTED = "list"
 """The source of the word that a server leaves: it is draining there, or gone."""
-DEFAULT_MAX_CONNECTIONS = 16
-"""For an upstream whose settings have not come yet."""
 MAX_CHANGES = 300
 """Changes of belief kept until somebody asks for them; the oldest are dropped."""
-RESERVED_SHARE = 0.1
-"""The part of a server's connections that no host counts on, for those that are being closed."""
 SILENT_AFTER: Millis = 200.0
 """A server that has answered nothing for so long is out of order, as the pauses are shorter; one
 such silence is enough to leave it alone for a while."""
 
 
-class UpstreamTargets:
-    """The servers of one upstream and its budget for extra requests."""
-
-    def __init__(self, name: str, terms: BudgetTerms, first_latency: Millis) -> None:
-        self.name = name
-        self.max_connections = DEFAULT_MAX_CONNECTIONS
-        self.targets: dict[str, Target] = {}
-        self.latencies = LatencyHistogram(first_latency)
-        self.budget = ExtraBudget(terms.window)
-
-
-class BeliefChange(NamedTuple):
-    """What this host believes of a server is no longer what it was."""
-
-    server_id: str
-    upstream: str
-    belief: str
-    """``listed``, ``leaving``, ``staying``, ``gone`` or ``ejected``."""
-    why: str
-    """The source, or the fault that decided it."""
-
-
 class TargetTable:
     """All upstreams' servers: who is there, how well they do, and which one is asked.
 
@@ -107,12 +82,12 @@
 
     def connection_share(self, upstream: UpstreamTargets) -> int:
         """Return how many connections to each of its servers this host may hold."""
-        return max(1, _usable(upstream.max_connections) // self._connecting_hosts)
+        return max(1, upstream.usable_connections // self._connecting_hosts)
 
     def usable_connections(self) -> int:
         """Return how many connections all hosts together may hold to any server."""
         limits = [one.max_connections for one in self._upstreams.values()]
-        return _usable(min(limits, default=DEFAULT_MAX_CONNECTIONS))
+        return usable(min(limits, default=DEFAULT_MAX_CONNECTIONS))
 
     def shares(self) -> dict[str, int]:
         """Return the connections that this host may hold, by server id."""
@@ -360,7 +335,3 @@
         target.eject(now)
         why = f"{fault}, {target.failures} in a row"
         self._changes.append(BeliefChange(target.server_id, target.upstream, "ejected", why))
-
-
-def _usable(max_connections: int) -> int:
-    return int(max_connections * (1.0 - RESERVED_SHARE))
