--- a/features/platform_edge.feature
+++ b/features/platform_edge.feature
@@ -137,5 +137,20 @@
     And without a data folder the host takes no part in the replicated log
     And keys that are not known change nothing
 
+  Scenario Outline: Numbers of the policy that can't be used are refused, naming them
+    Then changing the policy by "<text>" is refused, naming "<name>"
+
+    Examples:
+      | text                           | name         |
+      | near_factr=3                   | near_factr   |
+      | near_factor=                   | near_factor  |
+      | near_factor=soon               | near_factor  |
+      | eject_failures=many            | eject_failures |
+      | near_factor=3, zone_cost_ms=no | zone_cost_ms |
+
+  Scenario: Numbers of the policy that are changed, and those that are not
+    Then changing the policy by "" changes nothing
+    And changing the policy by "near_factor=0, eject_failures=5" changes just these two
+
   Scenario: The examples for the platform have no mistakes
     Then the example settings and the example configuration of the platform are read whole
--- a/features/steps/platform_edge_steps.py
+++ b/features/steps/platform_edge_steps.py
@@ -8,6 +8,7 @@
 
 from alderhatch.core.forwarding.outcome import Answered, Failed, FailureReason, NotRun
 from alderhatch.core.forwarding.route import AllShards, OneUpstream
+from alderhatch.core.policy import Policy, change_policy
 from alderhatch.errors import AlderhatchError
 from alderhatch.http.exchange import HttpReply
 from alderhatch.http.messages import HttpRequest
@@ -299,6 +300,28 @@
     raise AssertionError("they were taken")
 
 
+@then('changing the policy by "{text}" is refused, naming "{name}"')
+def step_policy_refused(context, text, name):
+    try:
+        change_policy(Policy(), text)
+    except AlderhatchError as exc:
+        assert exc.failure.field == name, exc.failure
+        return
+    raise AssertionError("they were taken")
+
+
+@then('changing the policy by "" changes nothing')
+def step_policy_same(context):
+    assert change_policy(Policy(), "") == Policy()
+
+
+@then('changing the policy by "near_factor=0, eject_failures=5" changes just these two')
+def step_policy_changed(context):
+    changed = change_policy(Policy(), "near_factor=0, eject_failures=5")
+    assert changed == Policy(near_factor=0.0, eject_failures=5)
+    assert isinstance(changed.eject_failures, int)
+
+
 @then("the platform's settings are read as those of a host with a disk")
 def step_settings_read(context):
     cfg = parse_settings(SETTINGS)
@@ -310,6 +333,7 @@
     assert [seed.address for seed in node.seeds] == ["10.1.0.6", "10.2.0.27"]
     assert node.budget == (0.2, 62.0, 10_000.0)
     assert node.stop_span == 6000.0
+    assert node.catch_up == 4000.0
 
 
 @then("without a data folder the host takes no part in the replicated log")
