--- a/features/platform_edge.feature
+++ b/features/platform_edge.feature
@@ -145,6 +145,7 @@
       | near_factr=3                   | near_factr   |
       | near_factor=                   | near_factor  |
       | near_factor=soon               | near_factor  |
+      | near_factor=nan                | near_factor  |
       | eject_failures=many            | eject_failures |
       | near_factor=3, zone_cost_ms=no | zone_cost_ms |
 
--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -54,6 +54,13 @@
     And it names itself to callers
     And a change and a read of the configuration are answered with 503
 
+  Scenario: The disk hangs while a host starts
+    # Its kept beliefs can't be read for seconds. The host starts without them; if it waited, its
+    # callers would find nobody although it could serve as soon as it hears the leader.
+    Given kept beliefs on a disk that answers after 5 s
+    When a host restores its beliefs
+    Then it goes on without them before the disk has answered
+
   Scenario Outline: What a host kept of its beliefs can't be read
     # The disk has spoilt the file. The host starts without it, as one that is new.
     Given a platform tier that serves
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -8,11 +8,13 @@
 import sys
 import threading
 import time
+from pathlib import Path
 
 import orjson
+import trio
 from behave import given, then, when
 
-from alderhatch.node.kept_state import KEPT_NAME
+from alderhatch.node.kept_state import KEPT_NAME, BeliefKeeper
 from features.support.platform_tier import HOST, ZONES, PlatformTier, call
 from features.support.tier import until
 
@@ -426,3 +428,29 @@
     tier = context.platform
     assert tier.operate(0, "GET").status == 503
     assert tier.operate(0, "PUT", tier.configuration(SHARDS)).status == 503
+
+
+@given("kept beliefs on a disk that answers after {seconds:d} s")
+def step_hanging_disk(context, seconds):
+    context.released = threading.Event()
+    context.add_cleanup(context.released.set)
+    context.hangs_for = seconds
+    context.has_answered = False
+
+
+@when("a host restores its beliefs")
+def step_restore(context):
+    def read(folder):
+        context.released.wait(context.hangs_for)
+        context.has_answered = True
+
+    async def restore():
+        keeper = BeliefKeeper(Path("nowhere"), None, read)
+        await keeper.restore()
+
+    trio.run(restore)
+
+
+@then("it goes on without them before the disk has answered")
+def step_goes_on(context):
+    assert not context.has_answered
--- a/src/alderhatch/core/policy.py
+++ b/src/alderhatch/core/policy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import isnan
 from typing import NamedTuple
 
 from ..clock import SECOND, Millis
@@ -134,6 +135,8 @@
             number = type(getattr(policy, name))(float(value))
         except (ValueError, OverflowError) as exc:
             raise _wrong(name, f"not a number: {value!r}") from exc
+        if isnan(number):
+            raise _wrong(name, f"not a number: {value!r}")
         policy = policy._replace(**{name: number})
     return policy
 
--- a/src/alderhatch/node/kept_state.py
+++ b/src/alderhatch/node/kept_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from pathlib import Path
 from typing import NamedTuple
 
@@ -13,7 +14,7 @@
 from ..errors import AlderhatchError
 from ..log import log_event
 from ..log_events import LogEvent
-from ..storage.files import DiskFiles, Files
+from ..storage.files import DiskFiles
 from .node_state import NodeState
 from .tier_messages import ConfigurationNews, TierView
 
@@ -22,6 +23,9 @@
 KEEP_EVERY: Millis = 300.0
 """How soon a change is on the disk; of several that follow closely only the newest is written."""
 
+RESTORE_TIMEOUT: Millis = 200.0
+"""How long a start waits for the disk; a sound one answers within some milliseconds."""
+
 
 class KeptState(NamedTuple):
     """The beliefs of a host that it can serve by without a leader."""
@@ -46,21 +50,34 @@
     Args:
         folder: The host's data folder.
         state: The beliefs.
+        read: Reads what is kept in a folder; None if there is nothing.
     """
 
-    def __init__(self, folder: Path, state: NodeState) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        state: NodeState,
+        read: Callable[[Path], KeptState | None] | None = None,
+    ) -> None:
         self._folder = folder
         self._state = state
+        self._read = read or _read
         self._kept: KeptState | None = None
         self._works = True
 
     async def restore(self) -> None:
         """Take the beliefs of the last run, if there are any."""
+        kept: KeptState | None = None
         try:
-            kept = await trio.to_thread.run_sync(_read, self._folder)
+            # A disk may hang for seconds. The host opens its ports without it rather than later.
+            with trio.fail_after(RESTORE_TIMEOUT / SECOND):
+                kept = await trio.to_thread.run_sync(
+                    self._read, self._folder, abandon_on_cancel=True
+                )
+        except trio.TooSlowError:
+            log_event(LogEvent.BELIEFS_NOT_KEPT, why="the disk did not answer in time")
         except (OSError, AlderhatchError) as exc:
             log_event(LogEvent.BELIEFS_NOT_KEPT, why=str(exc))
-            return
         if kept is None:
             return
         self._kept = kept
@@ -84,7 +101,7 @@
 
     async def _keep(self, beliefs: KeptState) -> None:
         try:
-            await trio.to_thread.run_sync(_write, DiskFiles(self._folder), beliefs)
+            await trio.to_thread.run_sync(_write, self._folder, beliefs, abandon_on_cancel=True)
         except OSError as exc:
             # The log's own files tell of a disk that fails; one line here for each time it begins.
             if self._works:
@@ -103,7 +120,8 @@
     return kept
 
 
-def _write(files: Files, beliefs: KeptState) -> None:
+def _write(folder: Path, beliefs: KeptState) -> None:
+    files = DiskFiles(folder)
     # Written in place, the file would be half old and half new after a loss of power.
     file = files.create(WRITTEN_NAME)
     try:
--- a/src/alderhatch/node/server_list.py
+++ b/src/alderhatch/node/server_list.py
@@ -67,6 +67,7 @@
         while True:
             if self._server.leads:
                 if self._state.list_age() < FRESH_FOR:
+                    # A new leader tells at once what it read before it was elected.
                     self._server.take_list(dict(self._state.records))
                 await self._read()
                 await trio.sleep(READ_EVERY / SECOND)
