A lost voter is removed before its successor has the vote

What callers saw: a change that was acknowledged could not be read back, nobody was served after a restart of all hosts, and hosts were named that had long been off; all of it follows from a log that nobody can lead again.

Cause: the successor got its vote first, and only then was the lost voter removed. A leader counts a host as live for 1.6 s after it has gone. A successor that went in that time still got the vote, so two of four voters were gone, three of which are a majority; two of three before were well.

Change: one step replaces the lost voter by its successor, and removes before it promotes. With the lost one gone for good, two voters that are well need nobody else, and the successor's loss costs nothing. If the lost one was only silent it comes back as a learner, as before.

In the table of next steps, rows with a lost voter say 'replace c by d' where they said 'promote d': the step now names both, which is stricter.

--- a/bench/capacity_control_host.py
+++ b/bench/capacity_control_host.py
@@ -64,7 +64,7 @@
     async def add_learner(self, name: str, address: str, port: int) -> None:
         """Do nothing; the bench changes no members."""
 
-    async def promote(self, name: str) -> None:
+    async def promote(self, name: str, in_place_of: str = "") -> None:
         """Do nothing; the bench changes no members."""
 
     async def remove_member(self, name: str) -> None:
--- a/features/node_voters.feature
+++ b/features/node_voters.feature
@@ -9,21 +9,21 @@
     Then the next step of the members is "<step>"
 
     Examples:
-      | voters   | learners | hosts       | caught up | lost | step         | why                            |
-      | a1       |          | a1          |           |      | none         | nobody else is there           |
-      | a1       |          | a1 b1       |           |      | add b        | a new host receives the log    |
-      | a1       | b1       | a1 b1       |           |      | none         | it has not caught up           |
-      | a1       | b1       | a1 b1       | b         |      | promote b    | too few voters                 |
-      | a1 b1 c1 |          | a1 b1 c1    |           |      | none         | all is well                    |
-      | a1 b1 c1 |          | a1 b1 c1 d1 |           |      | add d        | a spare receives the log       |
-      | a1 b1 c1 | d1       | a1 b1 c1 d1 | d         |      | none         | a spare needs no vote          |
-      | a1 b1 c1 | d1       | a1 b1 d1    | d         |      | none         | c may only have been restarted |
-      | a1 b1 c1 | d1       | a1 b1 d1    | d         | c    | promote d    | c is lost                      |
-      | a1 b1 c1 d1 |       | a1 b1 d1    |           | c    | remove c     | its successor has a vote       |
-      | a1 b1 c1 |          | a1 b1       |           | c    | none         | there is no successor          |
-      | a1 b1 c1 |          | a1 b1 c2    |           |      | add c        | c lost its disk                |
-      | a1 b1 c1 | c2       | a1 b1 c2    | c         |      | promote c    | the new identity replaces it   |
-      | a1 b1 c1 | d1       | a1 b1 c1    |           | d    | remove d     | a lost spare holds nothing     |
+      | voters      | learners | hosts       | caught up | lost | step           | why                            |
+      | a1          |          | a1          |           |      | none           | nobody else is there           |
+      | a1          |          | a1 b1       |           |      | add b          | a new host receives the log    |
+      | a1          | b1       | a1 b1       |           |      | none           | it has not caught up           |
+      | a1          | b1       | a1 b1       | b         |      | promote b      | too few voters                 |
+      | a1 b1 c1    |          | a1 b1 c1    |           |      | none           | all is well                    |
+      | a1 b1 c1    |          | a1 b1 c1 d1 |           |      | add d          | a spare receives the log       |
+      | a1 b1 c1    | d1       | a1 b1 c1 d1 | d         |      | none           | a spare needs no vote          |
+      | a1 b1 c1    | d1       | a1 b1 d1    | d         |      | none           | c may only have been restarted |
+      | a1 b1 c1    | d1       | a1 b1 d1    | d         | c    | replace c by d | c is lost                      |
+      | a1 b1 c1 d1 |          | a1 b1 d1    |           | c    | remove c       | its successor has a vote       |
+      | a1 b1 c1    |          | a1 b1       |           | c    | none           | there is no successor          |
+      | a1 b1 c1    |          | a1 b1 c2    |           |      | add c          | c lost its disk                |
+      | a1 b1 c1    | c2       | a1 b1 c2    | c         |      | promote c      | the new identity replaces it   |
+      | a1 b1 c1    | d1       | a1 b1 c1    |           | d    | remove d       | a lost spare holds nothing     |
 
   Scenario Outline: A silent voter's vote moves well before the next loss may come
     # A host that is back has <catch_up> s to catch up, and only then may another one be lost. A vote
@@ -35,12 +35,12 @@
     Then the next step of the members is "<step>"
 
     Examples:
-      | silent | catch_up | step      |
-      | 1.5    | 4        | none      |
-      | 2      | 4        | promote d |
-      | 2      | 6        | none      |
-      | 3      | 6        | promote d |
-      | 0.5    | 1        | promote d |
+      | silent | catch_up | step           |
+      | 1.5    | 4        | none           |
+      | 2      | 4        | replace c by d |
+      | 2      | 6        | none           |
+      | 3      | 6        | replace c by d |
+      | 0.5    | 1        | replace c by d |
 
   Scenario: A spare that lost its disk is a member once
     # Its old identity can never answer again. Kept beside the new one it could get the vote in its
--- a/features/steps/node_voters_steps.py
+++ b/features/steps/node_voters_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from alderhatch.clock import SECOND
-from alderhatch.control.member_steps import AddMember, PromoteMember, RemoveMember
+from alderhatch.control.member_steps import AddMember, PromoteMember, RemoveMember, ReplaceMember
 from alderhatch.core.raft.membership import Member, Membership
 from alderhatch.node.founding import FoundingJudge
 from alderhatch.node.tier_messages import DiskRecord, FoundingBid, Place
@@ -117,6 +117,8 @@
             shown = f"add {name}"
         case PromoteMember(name):
             shown = f"promote {name}"
+        case ReplaceMember(lost, successor):
+            shown = f"replace {lost} by {successor}"
         case RemoveMember(name):
             shown = f"remove {name}"
     assert shown == expected, shown
--- a/features/support/voter_schedules.py
+++ b/features/support/voter_schedules.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from alderhatch.clock import SECOND
-from alderhatch.control.member_steps import AddMember, PromoteMember, RemoveMember
+from alderhatch.control.member_steps import AddMember, PromoteMember, RemoveMember, ReplaceMember
 from alderhatch.core.raft.membership import Member, Membership
 from alderhatch.node.tier_messages import DiskRecord, Place
 from alderhatch.node.voter_plan import DiskHost, next_step, wanted_voters
@@ -199,8 +199,8 @@
         # A change of the members is in force once it is in the log, before a majority has it.
         self.membership = self._after(step) or self.membership
 
-    def _after(self, step):
-        membership = self.membership
+    def _after(self, step, membership=None):
+        membership = membership or self.membership
         by_name = {host.name: host for host in self.hosts}
         match step:
             case AddMember(name):
@@ -210,6 +210,8 @@
                     if old.name == name:
                         membership = membership.without(old.member_id)
                 return membership.with_promoted(by_name[name].member_id)
+            case ReplaceMember(lost, successor):
+                return self._after(PromoteMember(successor), self._after(RemoveMember(lost)))
             case RemoveMember(name):
                 gone = next(one for one in membership.members if one.name == name)
                 return membership.without(gone.member_id)
--- a/src/alderhatch/control/_log_members.py
+++ b/src/alderhatch/control/_log_members.py
@@ -89,11 +89,16 @@
             return Member(remote.member_id, name, remote.where.address, remote.where.port)
         raise failed(ErrorKind.NO_LEADER, f"{name} was not reached in time")
 
-    async def promote(self, name: str) -> None:
+    async def promote(self, name: str, in_place_of: str = "") -> None:
         """Turn a learner into a voter once it has caught up.
 
-        A voter of the same name under an older identity, whose disk is gone, is removed first: it
-        will never answer again, and a majority that counts it is harder to reach.
+        A voter of the same name under an older identity, whose disk is gone, is removed first, and
+        so is the lost one that the learner replaces: neither answers any more, and a majority that
+        counts them is harder to reach.
+
+        Args:
+            name: The learner.
+            in_place_of: A voter that is lost, if the learner replaces one.
 
         Raises:
             AlderhatchError: ``no_leader`` if this host doesn't lead or the learner did not catch
@@ -105,9 +110,10 @@
         with trio.move_on_after(self._cfg.request_timeout / SECOND):
             while not self._is_caught_up(learner):
                 await trio.sleep(RETRY_PAUSE / SECOND)
-        old = self._find(name, voter=True)
-        if old is not None:
-            await self._change(Remove(old.member_id))
+        for lost in (name, in_place_of):
+            old = self._find(lost, voter=True)
+            if old is not None:
+                await self._change(Remove(old.member_id))
         await self._change(Promote(learner.member_id))
 
     def _is_caught_up(self, member: Member) -> bool:
--- a/src/alderhatch/control/control_log.py
+++ b/src/alderhatch/control/control_log.py
@@ -27,8 +27,13 @@
             AlderhatchError: If this host does not lead or the change can't be made now.
         """
 
-    async def promote(self, name: str) -> None:
-        """Give a learner its vote; raises as ``add_learner``."""
+    async def promote(self, name: str, in_place_of: str = "") -> None:
+        """Give a learner its vote; raises as ``add_learner``.
+
+        Args:
+            name: The learner.
+            in_place_of: A voter that is lost, if the learner replaces one; it is removed first.
+        """
 
     async def remove_member(self, name: str) -> None:
         """Take out a member; raises as ``add_learner``."""
--- a/src/alderhatch/control/log_node.py
+++ b/src/alderhatch/control/log_node.py
@@ -252,16 +252,20 @@
         """
         await self._members.add_learner(name, address, port)
 
-    async def promote(self, name: str) -> None:
+    async def promote(self, name: str, in_place_of: str = "") -> None:
         """Turn a learner into a voter once it has caught up.
 
         A voter of the same name under an older identity, whose disk is gone, is removed first.
 
+        Args:
+            name: The learner.
+            in_place_of: A voter that is lost, if the learner replaces one; it is removed first.
+
         Raises:
             AlderhatchError: ``no_leader`` if this host doesn't lead or the learner did not catch
                 up in time; ``invalid_change`` if there is no such learner.
         """
-        await self._members.promote(name)
+        await self._members.promote(name, in_place_of)
 
     async def remove_member(self, name: str) -> None:
         """Remove a host from the cluster.
--- a/src/alderhatch/control/member_steps.py
+++ b/src/alderhatch/control/member_steps.py
@@ -26,6 +26,13 @@
     name: str
 
 
+class ReplaceMember(NamedTuple):
+    """Take the vote from a host that is lost, and give it to its successor."""
+
+    lost: str
+    successor: str
+
+
 class RemoveMember(NamedTuple):
     """Take out a host that departs or was replaced."""
 
@@ -36,7 +43,7 @@
     """Let another host lead, because this one is to stop."""
 
 
-Step: TypeAlias = AddMember | PromoteMember | RemoveMember | HandOver
+Step: TypeAlias = AddMember | PromoteMember | ReplaceMember | RemoveMember | HandOver
 
 
 async def take_step(log: ControlLog, step: Step) -> bool:
@@ -47,6 +54,8 @@
                 await log.add_learner(name, address, port)
             case PromoteMember(name):
                 await log.promote(name)
+            case ReplaceMember(lost, successor):
+                await log.promote(successor, in_place_of=lost)
             case RemoveMember(name):
                 await log.remove_member(name)
             case HandOver():
--- a/src/alderhatch/node/voter_plan.py
+++ b/src/alderhatch/node/voter_plan.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from ..clock import Millis
-from ..control.member_steps import AddMember, PromoteMember, RemoveMember, Step
+from ..control.member_steps import AddMember, PromoteMember, RemoveMember, ReplaceMember, Step
 from ..core.raft.membership import MAX_VOTERS, Membership
 from .tier_messages import DiskRecord, Place
 
@@ -56,6 +56,10 @@
     once. A host whose disk was lost comes back as another member under its old name; its old
     identity, which can never answer again, is removed with the promotion of the new one.
 
+    A lost voter is removed before its successor has the vote. The other way round the successor may
+    have gone as well, unnoticed yet: of four voters two are lost then, and nobody can lead again
+    although two of the three before are well.
+
     Args:
         membership: The members.
         hosts: The live hosts with disks, by name.
@@ -74,8 +78,10 @@
     for name in sorted(waiting):
         if name not in hosts:
             continue
-        if name in voters or len(voters) < wanted or (lost and len(voters) <= wanted):
+        if name in voters or len(voters) < wanted:
             return PromoteMember(name)
+        if lost and len(voters) == wanted:
+            return ReplaceMember(lost[0], name)
     if len(voters) > wanted and lost:
         return RemoveMember(lost[0])
     for member in membership.learners:
