Failing test: a replacement that has gone gets a vote

An operator's replacement of a lost host, or the platform's successor, counts as caught up by what it acknowledged last, however long ago that was. Promoted then, it is one of two lost voters of four.

--- a/features/log_node.feature
+++ b/features/log_node.feature
@@ -40,6 +40,13 @@
     When a fourth log host joins 3 as learner, is promoted, and another one is removed
     Then the log has the other three as voters, with every acknowledged command
 
+  Scenario: A replacement that has gone gets no vote
+    # An operator repairs the loss of a host, and the replacement goes before it has its vote. What it
+    # had acknowledged is nearly all there is, also minutes later. With the vote it would be one of
+    # two lost voters of four, and no change would be taken any more.
+    When a fourth log host joins 3 as learner, stops with another one, and is to be promoted
+    Then it gets no vote, and the log takes new commands
+
   Scenario: A planned stop of the leading control host
     # An operator stops the host that leads. With a hand-over first, callers notice next to nothing.
     When the log leader of 3 hands over and is stopped while commands come in
--- a/features/steps/log_node_steps.py
+++ b/features/steps/log_node_steps.py
@@ -6,11 +6,12 @@
 import trio
 from behave import then, when
 
+from alderhatch.clock import SECOND
 from alderhatch.control._log_links import PeerAddress
 from alderhatch.errors import AlderhatchError, ErrorKind
 from alderhatch.link import Link
 from alderhatch.storage.files import DiskFiles
-from features.support.log_cluster import CFG, LogCluster, run_log_cluster
+from features.support.log_cluster import CFG, LogCluster, LogHost, run_log_cluster
 
 FULL = "disk is full"
 
@@ -223,6 +224,14 @@
         assert context.log_states[name] == context.acknowledged
 
 
+async def _join_fourth(cluster):
+    new = LogHost("control-4", cluster.hosts["control-1"].folder.parent / "4")
+    await cluster.choose_port(new)
+    cluster.hosts["control-4"] = new
+    await cluster.start("control-4")
+    await _until_done(cluster, lambda node: node.add_learner("control-4", "127.0.0.1", new.port))
+
+
 @when("a fourth log host joins 3 as learner, is promoted, and another one is removed")
 def step_fourth(context):
     context.acknowledged = []
@@ -230,13 +239,7 @@
     async def scenario(cluster: LogCluster):
         await _propose_all(cluster, 120, context.acknowledged)
         removed = (await _follower_names(cluster))[-1]
-        new = type(cluster.hosts[removed])("control-4", cluster.hosts[removed].folder.parent / "4")
-        await cluster.choose_port(new)
-        cluster.hosts["control-4"] = new
-        await cluster.start("control-4")
-        await _until_done(
-            cluster, lambda node: node.add_learner("control-4", "127.0.0.1", new.port)
-        )
+        await _join_fourth(cluster)
         await _until_done(cluster, lambda node: node.promote("control-4"))
         await _until_done(cluster, lambda node: node.remove_member(removed))
         context.removed = removed
@@ -254,6 +257,41 @@
     _check_nothing_lost(context)
 
 
+@when("a fourth log host joins 3 as learner, stops with another one, and is to be promoted")
+def step_gone_replacement(context):
+    context.acknowledged = []
+
+    async def scenario(cluster: LogCluster):
+        await _propose_all(cluster, 20, context.acknowledged)
+        await _join_fourth(cluster)
+        leader = await cluster.leader()
+        while not leader.caught_up("control-4"):
+            await trio.sleep(0.01)
+        lost = next(name for name in ("control-1", "control-2") if name != leader.name)
+        await cluster.stop("control-4")
+        await cluster.stop(lost)
+        await trio.sleep(2 * CFG.raft.election_timeout / SECOND)
+        context.gone_counts = leader.caught_up("control-4")
+        try:
+            await leader.promote("control-4", in_place_of=lost)
+        except AlderhatchError as exc:
+            context.refusal = exc.failure.kind
+        context.names = {one.name for one in leader.membership.voters}
+        await _propose_all(cluster, 5, context.acknowledged)
+        await _record(context, cluster)
+
+    run_log_cluster(3, scenario)
+
+
+@then("it gets no vote, and the log takes new commands")
+def step_no_vote(context):
+    assert not context.gone_counts
+    assert context.refusal is ErrorKind.NO_LEADER, context.refusal
+    assert context.names == {"control-1", "control-2", "control-3"}, context.names
+    _check_nothing_lost(context)
+    assert len(context.acknowledged) == 25
+
+
 @when("the log leader of 3 hands over and is stopped while commands come in")
 def step_planned_stop(context):
     context.acknowledged = []
