A learner that has gone has not caught up

What callers saw: none served, changes not taken, after two hosts were lost of which one had no vote yet. Cause: catching up was judged by what a learner had acknowledged last, without asking when. A replacement that went after that still got its vote, at an operator's repair (where nothing else checks that it runs) as at the platform's plan. And a promotion whose learner did not catch up in time went on after the wait: it removed the old identity and only then was refused.

Scenario 'A replacement that has gone gets no vote': failed before, passes. log_node, node_voters, control_programs and control_tier: 57 passed, 0 failed.

--- a/src/alderhatch/control/_log_members.py
+++ b/src/alderhatch/control/_log_members.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from ..clock import SECOND, Millis
+from ..clock import SECOND, LoopClock, Millis
 from ..core.raft.effects import Refusal, Role
 from ..core.raft.events import (
     AddLearner,
@@ -45,13 +45,14 @@
         self._links = links
         self._driver = driver
         self._waiters = waiters
+        self._clock = LoopClock()
 
     @property
     def _leads(self) -> bool:
         return self._driver.node.role is Role.LEADER
 
     def caught_up(self, name: str) -> bool:
-        """Return whether this leader's member has nearly all of the log on disk."""
+        """Return whether this leader's member runs and has nearly all of the log on disk."""
         member = self._find(name, voter=False) or self._find(name, voter=True)
         return self._leads and member is not None and self._is_caught_up(member)
 
@@ -107,9 +108,11 @@
         learner = self._find(name, voter=False)
         if learner is None:
             raise failed(ErrorKind.INVALID_CHANGE, f"{name} is no learner")
-        with trio.move_on_after(self._cfg.request_timeout / SECOND):
+        with trio.move_on_after(self._cfg.request_timeout / SECOND) as waiting:
             while not self._is_caught_up(learner):
                 await trio.sleep(RETRY_PAUSE / SECOND)
+        if waiting.cancelled_caught:
+            raise failed(ErrorKind.NO_LEADER, f"{name} did not catch up in time")
         for lost in (name, in_place_of):
             old = self._find(lost, voter=True)
             if old is not None:
@@ -120,6 +123,10 @@
         node = self._driver.node
         if member.member_id == node.member_id:
             return True
+        # What it has acknowledged stays when it goes. With a vote it would only make the majority
+        # larger, and beside the voter that it replaces no other could be spared.
+        if member.member_id not in node.heard_from(self._clock.now()):
+            return False
         lag = node.commit_index - node.match_index(member.member_id)
         return lag <= self._cfg.raft.max_lag_to_promote
 
--- a/src/alderhatch/control/log_node.py
+++ b/src/alderhatch/control/log_node.py
@@ -235,7 +235,7 @@
     # Membership
 
     def caught_up(self, name: str) -> bool:
-        """Return whether this leader's member has nearly all of the log on disk."""
+        """Return whether this leader's member runs and has nearly all of the log on disk."""
         return self._members.caught_up(name)
 
     async def add_learner(self, name: str, address: str = "", port: int = 0) -> None:
