Hosts without a leader find out by themselves whom they can name to callers

Cause: only the leader hears from all hosts, and its last word of who is there stayed in use for as long as there was no other.

Change: a host that has followed no leader for 1.6 s tries each second those that it names, and the ones that it did not reach; those out of reach are left out, and the next ones take their place. If it reaches nobody it may be cut off itself and goes on naming all. The next leader's word ends it. hosts_out_of_reach in the log tells of changes.

--- a/features/caller_hosts.feature
+++ b/features/caller_hosts.feature
@@ -45,3 +45,29 @@
     Then the node holds 6 connections to each server at most
     When 31 seconds later the view is told again
     Then the node holds 8 connections to each server at most
+
+  Scenario Outline: Hosts are tried while no leader tells who is gone
+    # Named without end, a dead host costs each caller a second. A host that reaches nobody may be
+    # cut off itself, and names all, as its callers may well reach them.
+    Given a node "a" that knows 9 hosts "a b c d e f g h i" from its last leader
+    When it has tried whom it names 3 times, and only "<alive>" answered
+    Then it names "<named>" to callers
+
+    Examples:
+      | alive           | named   | why                                   |
+      | b c d e f g h i | a b c d | all are well                          |
+      | c d e f g h i   | a c d e | the next one takes its place          |
+      | i               | a i     | those behind the dead ones are tried  |
+      |                 | a b c d | it reaches nobody, so it can't tell   |
+
+  Scenario: A host that was out of reach is named again
+    Given a node "a" that knows 9 hosts "a b c d e f g h i" from its last leader
+    When it has tried whom it names 3 times, and only "c d e" answered
+    And it has tried whom it names 3 times, and only "b c d e" answered
+    Then it names "a b c d" to callers
+
+  Scenario: The leader's word ends what a host found out by itself
+    Given a node "a" that knows 9 hosts "a b c d e f g h i" from its last leader
+    When it has tried whom it names 3 times, and only "c d e" answered
+    And a leader says that the hosts "a b c" are there
+    Then it names "a b c" to callers
--- a/features/steps/caller_hosts_steps.py
+++ b/features/steps/caller_hosts_steps.py
@@ -93,15 +93,19 @@
     " connections"
 )
 def step_node(context, count, most):
+    context.beliefs = node_before_servers(context, "host-0", most)
+    context.beliefs.take_view(view_of(count))
+
+
+def node_before_servers(context, name, most):
     context.clock = ManualClock(1000.0)
     pool = ConnectionPool(0, spares=False)
     pool._clock = context.clock
-    node = NodeState("host-0", "zone-0", None, pool, TERMS, POLICY, context.clock, Random(1))
+    node = NodeState(name, "zone-0", None, pool, TERMS, POLICY, context.clock, Random(1))
     node.table.set_max_connections({UPSTREAM: most})
     server = ServerRecord("i-1", UPSTREAM, "127.0.0.1", 1, "zone-0", 2, False)
     node.table.update([server], 0.0)
-    node.take_view(view_of(count))
-    context.beliefs = node
+    return node
 
 
 @when("nothing changes for {seconds:d} seconds, and then one host is lost")
@@ -120,3 +124,38 @@
 def step_share(context, count):
     shares = context.beliefs.table.shares()
     assert shares == {"i-1": count}, shares
+
+
+FOR_FOUR_HOSTS = 18
+"""So many connections that four hosts get requests, and no more than are needed."""
+
+
+def view_by_name(names):
+    hosts = [HostRecord(one, "zone-0", f"{one}:1", True, 1.0) for one in names.split()]
+    return TierView(hosts, [], 1.0)
+
+
+@given('a node "{name}" that knows {count:d} hosts "{names}" from its last leader')
+def step_told(context, name, count, names):
+    assert len(names.split()) == count
+    context.beliefs = node_before_servers(context, name, FOR_FOUR_HOSTS)
+    step_view(context, names)
+
+
+@when('a leader says that the hosts "{names}" are there')
+def step_view(context, names):
+    context.beliefs.take_view(view_by_name(names))
+
+
+@when('it has tried whom it names {times:d} times, and only "{alive}" answered')
+@when('it has tried whom it names {times:d} times, and only "" answered')
+def step_tried(context, times, alive=""):
+    for _ in range(times):
+        tried = [host.name for host in context.beliefs.hosts_to_try()]
+        context.beliefs.saw_hosts({name: name in alive.split() for name in tried})
+
+
+@then('it names "{names}" to callers')
+def step_names(context, names):
+    named = [host.name for host in context.beliefs.caller_hosts]
+    assert named == names.split(), named
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -28,6 +28,7 @@
 from .dialect import Dialect
 from .forward_runner import ForwardRunner
 from .founding import FOUNDING_ROLE, FoundingJudge, bid_for_founding
+from .host_probe import probe_hosts
 from .introductions import introduce_leader
 from .kept_state import BeliefKeeper
 from .node_metrics import NodeMetrics
@@ -234,6 +235,7 @@
             nursery.start_soon(self._tend_log)
             nursery.start_soon(self._reader.run)
             nursery.start_soon(self._client.run)
+            nursery.start_soon(probe_hosts, self.state, lambda: self._client.leader is not None)
             self.callers.begin()
             log_event(LogEvent.NODE_STARTED, node=self.cfg.name, zone=self.cfg.zone)
             gc.collect()
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from random import Random
 
 import trio
@@ -14,6 +14,7 @@
 from ..core.forwarding.caller_hosts import HostRecord, choose_caller_hosts
 from ..core.forwarding.crash_tally import QUARANTINE
 from ..core.forwarding.extra_budget import BudgetTerms
+from ..core.forwarding.host_reach import HostReach
 from ..core.forwarding.route import CallerLimits, TierConfiguration
 from ..core.forwarding.route_table import RouteTable
 from ..core.forwarding.server_record import ServerRecord
@@ -85,6 +86,8 @@
         """Those of them that callers are sent to."""
         self.processor_needed = 0.0
         """How much processor time those should have together, in seconds a second."""
+        self._reach = HostReach()
+        """What this host found out by itself since the leader's last word."""
         self._named: dict[str, Millis] = {}
         """When each host was last among those that callers are sent to."""
         self.controls: list[Place] = []
@@ -189,6 +192,7 @@
         # Those of the last view were there until now, however long ago that came.
         most = max(len(self.hosts), len(view.hosts))
         self.view = view
+        self._reach = HostReach()
         self.hosts = view.hosts
         self.controls = view.controls
         self.processor_needed = view.processor_needed
@@ -198,12 +202,30 @@
         self._choose_caller_hosts()
         self._share()
 
+    @property
+    def unreachable_hosts(self) -> frozenset[str]:
+        """The names of hosts that were not reached since the leader's last word."""
+        return self._reach.unreachable
+
+    def hosts_to_try(self) -> list[HostRecord]:
+        """Return the other hosts of which it should be known whether they can be reached."""
+        named = self._choose(self._reach.left(self.hosts))
+        lost = [host for host in self.hosts if host.name in self._reach.unreachable]
+        return [host for host in (*named, *lost) if host.name != self.name]
+
+    def saw_hosts(self, reached: Mapping[str, bool]) -> None:
+        """Take which of those hosts were reached, by name."""
+        self._reach.saw(reached)
+        self._choose_caller_hosts()
+        self._share()
+
+    def _choose(self, hosts: Iterable[HostRecord]) -> list[HostRecord]:
+        return choose_caller_hosts(hosts, self.table.usable_connections(), self.processor_needed)
+
     def _choose_caller_hosts(self) -> None:
         now = self._clock.now()
         before = self.caller_hosts
-        self.caller_hosts = choose_caller_hosts(
-            self.hosts, self.table.usable_connections(), self.processor_needed
-        )
+        self.caller_hosts = self._choose(self._reach.named(self.hosts))
         for host in (*before, *self.caller_hosts):
             self._named[host.name] = now
         self._named = {name: at for name, at in self._named.items() if now - at < HOSTS_MEMORY}
