A redirect by the last host of a round is followed in the same round

A host that is sent on by the last one that it asks looked for the leader there only in the next round, 120 ms later; before hosts were asked side by side it went on at once. The hint is now taken after each answer in one place, and kept for later once a leader is found. The new scenario (a minute between rounds) failed with TooSlowError before.

--- a/features/node_tier_client.feature
+++ b/features/node_tier_client.feature
@@ -22,6 +22,14 @@
     When a third host that knows nobody is told of the leader
     Then it follows the one that leads, and has its configuration
 
+  Scenario: The last host that is asked names the leader
+    # After a restart a host knows one other. Were its word followed only in the next round, the host
+    # would have no configuration for that much longer, and its callers would be refused.
+    Given a host of a tier that names the next one
+    And a host of a tier that leads
+    When a third host that knows only the first, and asks once a minute, looks for the leader
+    Then it follows the one that leads, and has its configuration
+
   Scenario: A host from which nothing comes is left for the next one
     # The machine of a seed has lost power. Connections to it neither open nor fail.
     Given a host of a tier that takes connections and says nothing
--- a/features/steps/node_tier_client_steps.py
+++ b/features/steps/node_tier_client_steps.py
@@ -1,12 +1,15 @@
 from __future__ import annotations
 
 from types import SimpleNamespace
+from unittest.mock import patch
 
 import trio
 from behave import given, then, when
 
+from alderhatch.clock import SECOND
 from alderhatch.codec import Codec
 from alderhatch.link import Peer, serve_links
+from alderhatch.node import tier_client
 from alderhatch.node.tier_client import TierClient
 from alderhatch.node.tier_messages import (
     TIER_MESSAGE_TYPES,
@@ -34,6 +37,11 @@
     host_of_tier(context, "names itself")
 
 
+@given("a host of a tier that names the next one")
+def step_next(context):
+    host_of_tier(context, "names the next")
+
+
 @given("two hosts of a tier that name each other as the leader")
 def step_each_other(context):
     host_of_tier(context, "names the next")
@@ -80,7 +88,7 @@
     nursery.start_soon(serve_links, listeners, CODEC, SECRET, me, handle)
 
 
-def look(context, knows, introduced=False):
+def look(context, known, introduced=False):
     found = trio.Event()
     state = SimpleNamespace(controls=[], records={}, list_is_fresh=lambda: None)
 
@@ -100,7 +108,7 @@
                 client = TierClient(
                     lambda: Join(me, "zone", "127.0.0.1:1", 1.0, None),
                     lambda: Report(True, 0, None, [], 0),
-                    lambda: [one.place for one in hosts] if knows else [],
+                    lambda: [one.place for one in hosts[:known]],
                     state,
                     CODEC,
                     SECRET,
@@ -117,12 +125,18 @@
 
 @when("a third host that knows both looks for the leader")
 def step_look(context):
-    look(context, knows=True)
+    look(context, known=len(context.tier_hosts))
 
 
 @when("a third host that knows nobody is told of the leader")
 def step_told(context):
-    look(context, knows=False, introduced=True)
+    look(context, known=0, introduced=True)
+
+
+@when("a third host that knows only the first, and asks once a minute, looks for the leader")
+def step_look_once(context):
+    with patch.object(tier_client, "REDIAL", 60 * SECOND):
+        look(context, known=1)
 
 
 @then("it follows the one that leads, and has its configuration")
--- a/src/alderhatch/node/tier_client.py
+++ b/src/alderhatch/node/tier_client.py
@@ -50,12 +50,13 @@
         """Set when a host has answered, or can't."""
         self._asked: set[tuple[str, int]] = set()
         self._dialling: set[trio.CancelScope] = set()
-        self._is_settled = False
+        self.is_settled = False
+        """Whether a leader was found."""
 
     @property
     def is_over(self) -> bool:
         """Whether a leader was found, or nobody is left who could name one."""
-        return self._is_settled or not (self.left or self._dialling)
+        return self.is_settled or not (self.left or self._dialling)
 
     def next_place(self) -> Place | None:
         """Return who is to be asked next, or None if nobody is left."""
@@ -74,9 +75,9 @@
 
     def settle_on(self, scope: trio.CancelScope) -> bool:
         """Leave all others for the host that has just answered; False if one was before it."""
-        if self._is_settled:
+        if self.is_settled:
             return False
-        self._is_settled = True
+        self.is_settled = True
         for other in self._dialling - {scope}:
             other.cancel()
         scope.deadline = float("inf")
@@ -144,27 +145,23 @@
         given. So the next one is asked while it is awaited; asked one after the other, two such
         hosts kept a host without a configuration for most of a second after a restart of all.
         """
-        search = _Search(self._places())
+        search = _Search([*self._state.controls, *self._known(), *self._met])
         async with trio.open_nursery() as nursery:
+            self._take_hint(search)
             while not search.is_over:
-                self._take_hint(search)
                 place = search.next_place()
                 if place is not None:
                     nursery.start_soon(self._try, place, search)
                 with trio.move_on_after(STAGGER / SECOND):
                     await search.progress.wait()
                 search.progress = trio.Event()
+                self._take_hint(search)
 
     def _take_hint(self, search: _Search) -> None:
-        if self._hint is not None:
+        if self._hint is not None and not search.is_settled:
             search.left.appendleft(self._hint)
             self._hint = None
 
-    def _places(self) -> list[Place]:
-        hint = [self._hint] if self._hint is not None else []
-        self._hint = None
-        return [*hint, *self._state.controls, *self._known(), *self._met]
-
     def introduce(self, leader: Place) -> None:
         """Take a leader's word that it leads."""
         self._hint = leader
