One way to replace a whole file; one refusal of what is no number; the list is handed over once

Left by earlier work: the write, sync and rename of a file stood twice, a policy's two refusals were the same, and a leader handed over the list that it knew before each read although only the first time does anything. No change of behaviour.

--- a/src/alderhatch/core/policy.py
+++ b/src/alderhatch/core/policy.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from math import isnan
-from typing import NamedTuple
+from math import isnan, nan
+from typing import Any, NamedTuple
 
 from ..clock import SECOND, Millis
 from ..errors import AlderhatchError, ErrorKind, Failure
@@ -131,15 +131,20 @@
             continue
         if name not in Policy._fields:
             raise _wrong(name, "there is no such number")
-        try:
-            number = type(getattr(policy, name))(float(value))
-        except (ValueError, OverflowError) as exc:
-            raise _wrong(name, f"not a number: {value!r}") from exc
-        if isnan(number):
-            raise _wrong(name, f"not a number: {value!r}")
-        policy = policy._replace(**{name: number})
+        policy = policy._replace(**{name: _number(policy, name, value)})
     return policy
 
 
+def _number(policy: Policy, name: str, value: str) -> Any:
+    """Return a value in the type that the field has."""
+    try:
+        number = type(getattr(policy, name))(float(value))
+    except (ValueError, OverflowError):
+        number = nan
+    if isnan(number):
+        raise _wrong(name, f"not a number: {value!r}")
+    return number
+
+
 def _wrong(name: str, message: str) -> AlderhatchError:
     return AlderhatchError(Failure(ErrorKind.BAD_REQUEST, f"policy {name}: {message}", name))
--- a/src/alderhatch/node/kept_state.py
+++ b/src/alderhatch/node/kept_state.py
@@ -14,7 +14,7 @@
 from ..errors import AlderhatchError
 from ..log import log_event
 from ..log_events import LogEvent
-from ..storage.files import DiskFiles
+from ..storage.files import DiskFiles, write_whole
 from .node_state import NodeState
 from .tier_messages import ConfigurationNews, TierView
 
@@ -121,13 +121,4 @@
 
 
 def _write(folder: Path, beliefs: KeptState) -> None:
-    files = DiskFiles(folder)
-    # Written in place, the file would be half old and half new after a loss of power.
-    file = files.create(WRITTEN_NAME)
-    try:
-        file.write(CODEC.encode(beliefs))
-        file.sync()
-    finally:
-        file.close()
-    files.rename(WRITTEN_NAME, KEPT_NAME)
-    files.sync_folder()
+    write_whole(DiskFiles(folder), KEPT_NAME, WRITTEN_NAME, CODEC.encode(beliefs))
--- a/src/alderhatch/node/server_list.py
+++ b/src/alderhatch/node/server_list.py
@@ -66,18 +66,21 @@
             await self._read()
         while True:
             if self._server.leads:
-                if self._state.list_age() < FRESH_FOR:
-                    # A new leader tells at once what it read before it was elected.
-                    self._server.take_list(dict(self._state.records))
-                await self._read()
-                await trio.sleep(READ_EVERY / SECOND)
-                continue
+                await self._read_while_leading()
             # Not at once after a start: the leader's news usually come within this time.
             pause = (1.0 + self._rng.random() / 2) * OWN_READ_EVERY
             await self._server.role_changed.wait_for(pause)
             if not self._server.leads and self._state.list_age() > FRESH_FOR:
                 await self._read()
 
+    async def _read_while_leading(self) -> None:
+        if self._state.list_age() < FRESH_FOR:
+            # A new leader tells at once what it read before it was elected.
+            self._server.take_list(dict(self._state.records))
+        while self._server.leads:
+            await self._read()
+            await trio.sleep(READ_EVERY / SECOND)
+
     async def _read(self) -> None:
         try:
             listed = await self._source.read()
--- a/src/alderhatch/storage/data_folder.py
+++ b/src/alderhatch/storage/data_folder.py
@@ -11,7 +11,7 @@
 from ._frame import encode_frame, read_frame
 from ._records import FORMAT, Identity, LogReset, Record, decode_head, encode_head
 from .data_folder_error import DataFolderError
-from .files import LOCK_NAME, Files
+from .files import LOCK_NAME, Files, write_whole
 from .journal import PREFIX as JOURNAL_PREFIX
 from .journal import Journal
 from .snapshot_files import PREFIX as SNAPSHOT_PREFIX
@@ -111,14 +111,8 @@
         return found
 
     def _save_identity(self, identity: Identity) -> None:
-        file = self._files.create(_IDENTITY_TEMPORARY)
-        try:
-            file.write(encode_frame(encode_head(identity), 0, 0))
-            file.sync()
-        finally:
-            file.close()
-        self._files.rename(_IDENTITY_TEMPORARY, IDENTITY_NAME)
-        self._files.sync_folder()
+        data = encode_frame(encode_head(identity), 0, 0)
+        write_whole(self._files, IDENTITY_NAME, _IDENTITY_TEMPORARY, data)
 
     def join(self, cluster_id: str) -> None:
         """Belong to a cluster from now on, with nothing of its log yet.
--- a/src/alderhatch/storage/files.py
+++ b/src/alderhatch/storage/files.py
@@ -73,6 +73,30 @@
 LOCK_NAME = "lock"
 
 
+def write_whole(files: Files, name: str, temporary: str, data: bytes) -> None:
+    """Put a whole new file in place of one, or nothing of it.
+
+    Written in place, the file would be half old and half new after a loss of power.
+
+    Args:
+        files: The folder.
+        name: The file.
+        temporary: The name under which it is written first.
+        data: Its new bytes.
+
+    Raises:
+        OSError: If the disk is full or failed.
+    """
+    file = files.create(temporary)
+    try:
+        file.write(data)
+        file.sync()
+    finally:
+        file.close()
+    files.rename(temporary, name)
+    files.sync_folder()
+
+
 class DiskAppendFile:
     """A file on a real disk."""
 
