A host without a leader hands on what it serves by

What callers saw: after a restart without a majority of the log, hosts with a disk served by what was on it, but those without one knew no configuration and refused every request, for as long as nobody led.

Cause: only the leader told a host anything. A host that asks for the leader and does not serve yet now gets, from one that has no leader either, the configuration, the view of the hosts and, if read lately, the list of servers. It goes on looking; a leader's word is newer. Who serves already takes nothing of it.

--- a/features/node_tier_client.feature
+++ b/features/node_tier_client.feature
@@ -16,6 +16,19 @@
     When a third host that knows both looks for the leader
     Then it follows the one that leads, and has its configuration
 
+  Scenario: Nobody leads, but a host has a configuration that was in force
+    # The log has lost its majority, or has not elected a leader yet. A host without a disk that starts
+    # now would refuse its callers although another host could tell it what to serve by.
+    Given a host of a tier that has a configuration and no leader
+    When a third host that knows both looks for the leader
+    Then it has that configuration, and goes on looking for a leader
+
+  Scenario: A host that serves takes nothing older from one without a leader
+    # The other host was away while changes were made. What it has kept would undo them here.
+    Given a host of a tier that has a configuration and no leader
+    When a third host that serves by a newer one looks for the leader
+    Then it still serves by the newer one
+
   Scenario: The leader introduces itself to a host that knows nobody
     # All hosts were restarted, and the only seed of this one is gone.
     Given a host of a tier that leads
--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -54,6 +54,15 @@
     And it names itself to callers
     And a change and a read of the configuration are answered with 503
 
+  Scenario: A host without a disk starts while the log has no majority
+    # Two of three hosts with a disk don't come back after a restart of all. The third one serves by
+    # what is on its disk; the host without one knew nothing, as only a leader told it, and refused
+    # every request that it was sent.
+    Given a platform tier that serves
+    When all hosts are killed, and only the first one and the one without a disk start again
+    Then a query at each host that is left is answered at once
+    And a change and a read of the configuration are answered with 503
+
   Scenario: Hosts go while the log has no majority
     # The leader and another host with a disk are gone for good at the same moment, so nobody leads
     # any more, and it was always the leader that told the others who had gone. Callers were sent to
--- a/features/steps/node_tier_client_steps.py
+++ b/features/steps/node_tier_client_steps.py
@@ -15,16 +15,19 @@
     TIER_MESSAGE_TYPES,
     ConfigurationNews,
     Join,
+    KeptNews,
     Place,
     Pulse,
     Redirect,
     Report,
+    TierView,
 )
 
 SECRET = b"the secret of a tier of the tests"
 CODEC = Codec(*TIER_MESSAGE_TYPES)
 PATIENCE_S = 30
 VERSION = 17
+VIEW = TierView([], [], 1.0)
 
 
 def host_of_tier(context, kind):
@@ -53,6 +56,11 @@
     host_of_tier(context, "mute")
 
 
+@given("a host of a tier that has a configuration and no leader")
+def step_kept(context):
+    host_of_tier(context, "keeps")
+
+
 @given("a host of a tier that leads")
 def step_leads(context):
     host_of_tier(context, "leads")
@@ -64,6 +72,8 @@
             return Redirect(hosts[index].place, [])
         case "names the next":
             return Redirect(hosts[index + 1].place, [])
+        case "keeps":
+            return Redirect(None, [])
         case "names the one before":
             return Redirect(hosts[index - 1].place, [])
         case _:
@@ -73,6 +83,8 @@
 async def serve_host(hosts, index, nursery):
     async def handle(link):
         await link.receive()
+        if hosts[index].kind == "keeps":
+            await link.send(KeptNews(ConfigurationNews(VERSION, b"packed"), VIEW, []))
         await link.send(answer_of(hosts, index))
         while hosts[index].kind == "leads":
             await link.send(Pulse(True))
@@ -88,15 +100,33 @@
     nursery.start_soon(serve_links, listeners, CODEC, SECRET, me, handle)
 
 
-def look(context, known, introduced=False):
-    found = trio.Event()
-    state = SimpleNamespace(controls=[], records={}, list_is_fresh=lambda: None)
+class Beliefs:
+    """What the host that looks believes, as far as a test needs it."""
+
+    def __init__(self, version=0):
+        self.controls = []
+        self.records = {}
+        self.view = None
+        self.is_started = version > 0
+        self.version = version
+        self.found = trio.Event()
+
+    def take_configuration(self, stored):
+        self.version = stored.version
+        self.found.set()
+
+    def take_view(self, view):
+        self.view = view
+
+    def take_servers(self, changed, gone):
+        pass
+
+    def list_is_fresh(self):
+        pass
 
-    def take(stored):
-        context.configured = stored.version
-        found.set()
 
-    state.take_configuration = take
+def look(context, known, introduced=False, version=0):
+    state = Beliefs(version)
 
     async def main():
         with trio.fail_after(PATIENCE_S):
@@ -106,7 +136,7 @@
                     await serve_host(hosts, index, nursery)
                 me = Place("me", "127.0.0.1", 1)
                 client = TierClient(
-                    lambda: Join(me, "zone", "127.0.0.1:1", 1.0, None),
+                    lambda: Join(me, "zone", "127.0.0.1:1", 1.0, None, version > 0),
                     lambda: Report(True, 0, None, [], 0),
                     lambda: [one.place for one in hosts[:known]],
                     state,
@@ -116,7 +146,12 @@
                 nursery.start_soon(client.run)
                 if introduced:
                     client.introduce(hosts[-1].place)
-                await found.wait()
+                if version:
+                    # Another round begins, so what came with the first one has been taken.
+                    await trio.sleep(3 * tier_client.REDIAL / SECOND)
+                else:
+                    await state.found.wait()
+                context.configured = state.version
                 context.followed = client.leader
                 nursery.cancel_scope.cancel()
 
@@ -143,3 +178,19 @@
 def step_follows(context):
     assert context.followed == context.tier_hosts[-1].place
     assert context.configured == VERSION
+
+
+@when("a third host that serves by a newer one looks for the leader")
+def step_look_newer(context):
+    look(context, known=len(context.tier_hosts), version=VERSION + 1)
+
+
+@then("it has that configuration, and goes on looking for a leader")
+def step_kept_taken(context):
+    assert context.configured == VERSION
+    assert context.followed is None
+
+
+@then("it still serves by the newer one")
+def step_newer(context):
+    assert context.configured == VERSION + 1
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -433,6 +433,16 @@
     until(lambda: tier.is_ready(0), "the first node is ready")
 
 
+@when("all hosts are killed, and only the first one and the one without a disk start again")
+def step_first_and_diskless(context):
+    tier = context.platform
+    kill_all(tier)
+    started = (0, tier.disks)
+    tier.start(*started)
+    for index in started:
+        until(lambda index=index: tier.is_ready(index), f"node {index} is ready")
+
+
 @when("all hosts are killed, the kept beliefs of each become {what}, and all start again")
 def step_spoilt_beliefs(context, what):
     tier = context.platform
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -37,7 +37,16 @@
 from .request_log import RequestLog
 from .server_list import FRESH_FOR, ServerListReader, ServerListSource
 from .tier_client import TierClient
-from .tier_messages import TIER_MESSAGE_TYPES, DiskRecord, Join, Place, Redirect, Report
+from .tier_messages import (
+    TIER_MESSAGE_TYPES,
+    ConfigurationNews,
+    DiskRecord,
+    Join,
+    KeptNews,
+    Place,
+    Redirect,
+    Report,
+)
 from .tier_server import HOST_ROLE, TierServer
 from .voter_keeper import VoterKeeper
 
@@ -107,6 +116,7 @@
             lambda: self._register.stored,
             self._list_is_fresh,
             self._redirect,
+            self._kept,
             lambda leader: self._client.introduce(leader),
         )
         self._reader = ServerListReader(source, self.state, self._server, self._rng)
@@ -187,7 +197,8 @@
     def _join(self) -> Join:
         cfg = self.cfg
         caller_address = f"{cfg.address}:{cfg.ports.callers}"
-        return Join(cfg.place, cfg.zone, caller_address, cfg.processor, self._disk())
+        started = self.state.is_started
+        return Join(cfg.place, cfg.zone, caller_address, cfg.processor, self._disk(), started)
 
     def _report(self) -> Report:
         crashes = self.state.take_crashes()
@@ -197,6 +208,13 @@
     def _redirect(self) -> Redirect:
         return Redirect(self.leader, self._controls())
 
+    def _kept(self) -> KeptNews | None:
+        state = self.state
+        if state.stored.version == 0 or state.view is None:
+            return None
+        servers = list(state.records.values()) if self._list_is_fresh() else []
+        return KeptNews(ConfigurationNews(*state.stored), state.view, servers)
+
     def _controls(self) -> list[Place]:
         return self.member.controls() if self.member is not None else self.state.controls
 
--- a/src/alderhatch/node/tier_client.py
+++ b/src/alderhatch/node/tier_client.py
@@ -18,6 +18,7 @@
 from .tier_messages import (
     ConfigurationNews,
     Join,
+    KeptNews,
     Place,
     Pulse,
     QuarantineNews,
@@ -179,6 +180,9 @@
                 ) as link:
                     await link.send(self._join())
                     first = await link.receive()
+                    if isinstance(first, KeptNews):
+                        self._take_kept(first)
+                        first = await link.receive()
                     if isinstance(first, Redirect):
                         self._redirected(first)
                         return
@@ -193,6 +197,15 @@
                 log_event(LogEvent.LEADER_LOST, leader=place.name, address=place.address)
                 self.leader = None
 
+    def _take_kept(self, kept: KeptNews) -> None:
+        if self._state.is_started:
+            return
+        self._state.take_configuration(StoredConfiguration(*kept.configuration))
+        if self._state.view is None:
+            self._state.take_view(kept.view)
+        if not self._state.records:
+            self._state.take_servers(kept.servers, [])
+
     def _redirected(self, redirect: Redirect) -> None:
         known = {(one.address, one.port) for one in self._met}
         fresh = [one for one in redirect.others if (one.address, one.port) not in known]
--- a/src/alderhatch/node/tier_messages.py
+++ b/src/alderhatch/node/tier_messages.py
@@ -36,6 +36,8 @@
     processor: float
     """Seconds of processor time that it gets in a second."""
     disk: DiskRecord | None
+    started: bool
+    """Whether it knows a configuration and the servers."""
 
 
 class Introduction(NamedTuple):
@@ -99,6 +101,16 @@
     """The operator's document, compressed."""
 
 
+class KeptNews(NamedTuple):
+    """What a host without a leader serves by, for one that knows nothing yet."""
+
+    configuration: ConfigurationNews
+    """It was in force; there may be a newer one."""
+    view: TierView
+    servers: list[ServerRecord]
+    """The list as it read it a moment ago; empty if it did not."""
+
+
 class ServerNews(NamedTuple):
     """What changed in the list of servers since the last such message over this link."""
 
@@ -137,6 +149,7 @@
     Redirect,
     TierView,
     ConfigurationNews,
+    KeptNews,
     ServerNews,
     Pulse,
     FoundingBid,
--- a/src/alderhatch/node/tier_server.py
+++ b/src/alderhatch/node/tier_server.py
@@ -22,6 +22,7 @@
     ConfigurationNews,
     Introduction,
     Join,
+    KeptNews,
     Place,
     Pulse,
     QuarantineNews,
@@ -81,6 +82,7 @@
         stored: Returns the newest configuration of the log's state.
         list_is_fresh: Returns whether the list of servers was read lately.
         redirect: Returns what a host is told while this one does not lead.
+        kept: Returns what this host serves by; None if it knows no configuration or no other hosts.
         on_introduction: Told of a leader that has introduced itself.
     """
 
@@ -90,12 +92,14 @@
         stored: Callable[[], StoredConfiguration],
         list_is_fresh: Callable[[], bool],
         redirect: Callable[[], Redirect],
+        kept: Callable[[], KeptNews | None],
         on_introduction: Callable[[Place], None],
     ) -> None:
         self._member = member
         self._stored = stored
         self._list_is_fresh = list_is_fresh
         self._redirect = redirect
+        self._kept = kept
         self._on_introduction = on_introduction
         self._clock = LoopClock()
         self._sessions: dict[str, _Session] = {}
@@ -146,7 +150,16 @@
             case Join() if self.leads:
                 await self._follow(first, link)
             case Join():
-                await link.send(self._redirect())
+                await self._send_on(first, link)
+
+    async def _send_on(self, join: Join, link: Link) -> None:
+        redirect = self._redirect()
+        kept = self._kept() if redirect.leader is None and not join.started else None
+        if kept is not None:
+            # Nobody else tells the other host anything without a leader. It would refuse callers
+            # whom it can serve as well as this one does.
+            await link.send(kept)
+        await link.send(redirect)
 
     async def _follow(self, join: Join, link: Link) -> None:
         session = _Session(join, link, self._clock.now())
