A host lifts a quarantine by itself after the time that callers are told

What callers saw: a request that was refused as one that crashes servers was told to come back after 600 s, and refused for ever by a host that saw the crashes itself, or that lost its leader meanwhile.

Cause: the host asked whether it had ever seen two crashes, and took the leader's list as in force until another one came: the incident's class, old news without an age. It now asks for the hold in force, and keeps the leader's word for as long as callers are told. A copy that was under way then no longer turns the quarantine into a hold of 5 s.

--- a/features/forwarding_crash.feature
+++ b/features/forwarding_crash.feature
@@ -27,3 +27,12 @@
   Scenario: Crashes far apart, and an old quarantine, are forgotten
     Given a node's beliefs and a leader's tally
     Then two crashes 61 s apart refuse nothing, and a quarantine is over after 600 s
+
+  Scenario: A host lifts a quarantine by itself
+    # Its caller is told to come back after ten minutes. A host that crashed the servers itself refused
+    # the request ever after, and one that lost its leader meanwhile was told no end of it.
+    Given a node's beliefs and a leader's tally
+    When request "r1" is lost on server "s1", which then takes no connection, and the host reports
+    And request "r1" is lost on server "s2", which then takes no connection, and the host reports
+    And the leader says that "r2" is quarantined, and is heard of no more
+    Then the host refuses "r1" and "r2" for 590 s and not after 602 s
--- a/features/steps/forwarding_crash_steps.py
+++ b/features/steps/forwarding_crash_steps.py
@@ -96,3 +96,18 @@
     assert tally.report("r1", "s3", 62 * SECOND)
     assert tally.refused(661 * SECOND) == ["r1"]
     assert tally.refused(662 * SECOND) == []
+
+
+@when('the leader says that "{request}" is quarantined, and is heard of no more')
+def step_told(context, request):
+    context.beliefs.take_quarantine([request])
+
+
+@then('the host refuses "{first}" and "{second}" for {held:d} s and not after {over:d} s')
+def step_lifted(context, first, second, held, over):
+    begun = context.clock.now()
+    context.clock.advance(held * SECOND)
+    assert context.beliefs.is_quarantined(first) and context.beliefs.is_quarantined(second)
+    context.clock.advance(begun + over * SECOND - context.clock.now())
+    assert not context.beliefs.is_quarantined(first)
+    assert not context.beliefs.is_quarantined(second)
--- a/src/alderhatch/core/crash_watch.py
+++ b/src/alderhatch/core/crash_watch.py
@@ -84,6 +84,11 @@
         """Return whether a body is known to have crashed as many servers as it may."""
         return len(self._crashed.get(fingerprint, ())) >= CRASH_LIMIT
 
+    def is_quarantined(self, fingerprint: str, now: Millis) -> bool:
+        """Return whether a body is refused here because it crashed servers."""
+        hold = self._holds.get(fingerprint)
+        return hold is not None and hold.confirmed and now < hold.until
+
     def refused_for(self, fingerprint: str, now: Millis) -> Millis | None:
         """Return how long a body is refused, or None if it is not."""
         if fingerprint in self.tier_wide:
@@ -133,7 +138,8 @@
         servers = {s: at for s, at in servers.items() if now - at < CONFIRM_WITHIN}
         servers[server_id] = now
         _put(self._lost_on, fingerprint, servers)
-        if len(servers) >= CRASH_LIMIT:
+        # A copy that was under way when the body was quarantined must not shorten that.
+        if len(servers) >= CRASH_LIMIT and not self.is_quarantined(fingerprint, now):
             _put(self._holds, fingerprint, _Hold(now, now + HOLD, False))
         return len(servers)
 
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -69,6 +69,8 @@
         self.table = TargetTable(zone, terms, policy, rng)
         self.crash_watch = CrashWatch(QUARANTINE)
         """What this host saw of requests that crash servers."""
+        self._quarantined_until: dict[str, Millis] = {}
+        """When the requests that the leader refuses everywhere may run again."""
         self.crashes: list[CrashReport] = []
         """Crashes that the leader was not told of yet."""
         self.routes = RouteTable(())
@@ -176,8 +178,19 @@
         Two lost connections alone prove nothing: servers lose answers, too. Only a server that
         takes no connection after that makes a loss a crash.
         """
-        watch = self.crash_watch
-        return fingerprint in watch.tier_wide or watch.is_confirmed(fingerprint)
+        now = self._clock.now()
+        if self._quarantined_until.get(fingerprint, 0.0) > now:
+            return True
+        return self.crash_watch.is_quarantined(fingerprint, now)
+
+    def take_quarantine(self, fingerprints: Iterable[str]) -> None:
+        """Take the leader's word of which requests are refused everywhere.
+
+        Each is refused for as long as callers are told, also if no leader says that it is over.
+        """
+        until = self._clock.now() + QUARANTINE
+        known = self._quarantined_until
+        self._quarantined_until = {one: known.get(one, until) for one in fingerprints}
 
     def take_crashes(self) -> list[CrashReport]:
         """Return the crashes to be reported, once."""
--- a/src/alderhatch/node/tier_client.py
+++ b/src/alderhatch/node/tier_client.py
@@ -250,7 +250,7 @@
             case TierView():
                 self._state.take_view(message)
             case QuarantineNews(fingerprints):
-                self._state.crash_watch.tier_wide = frozenset(fingerprints)
+                self._state.take_quarantine(fingerprints)
             case Pulse(list_is_fresh):
                 if list_is_fresh:
                     self._state.list_is_fresh()
