--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -131,13 +131,13 @@
         logging.WARNING,
         "What the node serves by after a restart could not be written or read.",
     )
+    HOSTS_OUT_OF_REACH = EventRow(
+        1075, logging.WARNING, "Without a leader, the hosts out of reach changed; see hosts."
+    )
     LEADER_FOUND = EventRow(1061, logging.INFO, "The node follows a leader.")
     LEADER_LOST = EventRow(
         1062, logging.WARNING, "The node has no leader; it serves on by what it last knew."
     )
-    HOSTS_OUT_OF_REACH = EventRow(
-        1075, logging.WARNING, "Without a leader, the hosts out of reach changed; see hosts."
-    )
     SERVER_LIST_LOST = EventRow(
         1063, logging.WARNING, "The list of servers could not be read; the last one stays in use."
     )
