--- a/features/steps/log_node_steps.py
+++ b/features/steps/log_node_steps.py
@@ -267,6 +267,7 @@
         leader = await cluster.leader()
         while not leader.caught_up("control-4"):
             await trio.sleep(0.01)
+            leader = await cluster.leader()
         lost = next(name for name in ("control-1", "control-2") if name != leader.name)
         await cluster.stop("control-4")
         await cluster.stop(lost)
