One way to find the leading host in the steps of the platform's tier

The wait for a leader stood three times, the third added with the scenario of hosts that go while nobody leads. It hid an index of 0 behind a string; said once now.

--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -143,20 +143,24 @@
     step_read_back(context)
 
 
+def leading(tier):
+    """Wait until a host leads, and return its index."""
+    # A host's index may be 0, which would not count as found.
+    found = until(lambda: [one for one in [tier.leader()] if one is not None], "a leader")
+    return found[0]
+
+
 @when("the leading host of the platform tier is killed")
 def step_kill_leader(context):
     tier = context.platform
-    leader = until(lambda: str(found) if (found := tier.leader()) is not None else None, "a leader")
-    context.gone = int(leader)
+    context.gone = leading(tier)
     tier.kill(context.gone)
 
 
 @when("the leading host and another one with a disk are killed")
 def step_kill_majority(context):
     tier = context.platform
-    leader = int(
-        until(lambda: str(found) if (found := tier.leader()) is not None else None, "lead")
-    )
+    leader = leading(tier)
     other = next(index for index in range(tier.disks) if index != leader)
     context.gone_hosts = (leader, other)
     tier.kill(leader, other)
@@ -226,8 +230,8 @@
 def step_lose_disk(context):
     tier = context.platform
     tier.first_start = False
-    leader = until(lambda: str(found) if (found := tier.leader()) is not None else None, "a leader")
-    context.wiped = next(index for index in range(tier.disks) if index != int(leader))
+    leader = leading(tier)
+    context.wiped = next(index for index in range(tier.disks) if index != leader)
     step_all_voters(context)
     tier.kill(context.wiped)
     shutil.rmtree(tier.data_folder(context.wiped))
