Evacuations of availability zones are served, and cold servers get no more than they bear

`POST` and `DELETE /-/evacuation/ZONE` were answered with 404; a server that becomes cold again was asked as ever, since the reader of the list kept its first word of a warm-up for good.

The leader tells it before everything that lets a host serve; hosts keep it with their beliefs and hand it on without a leader; a number keeps them from going back. Its servers are barred for first requests, hedges and retries, and once more just before a byte is sent.

A cold server is asked by one host only, the owner of its shard by rendezvous hashing over the strong hosts that callers are sent to, at half of the tier's bound, as a host that is cut off may go on as owner beside its successor, which waits for a second. The way weighed against it, an even share for each host, gives a bound of five requests a second to six hosts as nothing at all. A server whose zone was evacuated counts as cold until the list would say so; one that was out of order is asked last for as long.

Tests: cold_servers.feature in virtual time; platform_node.feature with the node program (404 before). Found by the first: a server that became cold again with the same time left as its last word was passed on to no host.

--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -135,3 +135,35 @@
     When a query and an order were answered by a host
     Then its metrics page counts them by route, with its servers, hosts and configuration
     And its metrics page tells how long syncs and elections of the replicated log took
+
+  Scenario: A zone is evacuated and used again
+    # An operator moves a zone's servers away from all traffic. Its order holds at each host, also
+    # after the loss of all processes, and for a host that starts later.
+    Given a platform tier that serves
+    When the zone "austin-hall" is evacuated by each host in turn
+    Then the operator is told that "waco-hall temple-hall" are left
+    And no host sends anything to servers in "austin-hall"
+    When all hosts are killed and start again
+    And every host of the platform tier becomes ready
+    Then no host sends anything to servers in "austin-hall"
+    When the zone "austin-hall" is used again by each host in turn
+    Then servers in "austin-hall" get requests again
+
+  Scenario: All zones are evacuated
+    # Nobody is left to ask: callers hear at once that nothing ran, and when to come back.
+    Given a platform tier that serves
+    When the zones "austin-hall waco-hall temple-hall" are evacuated
+    Then the operator is told that "" are left
+    And each host refuses queries and orders as not run, with a time to come back
+
+  Scenario Outline: An order about a zone that can't be taken
+    Given a platform tier that serves
+    When an operator sends <method> for the zone <zone> with <body>
+    Then it is answered with <status>, naming "<field>", and no zone is evacuated
+
+    Examples:
+      | method | zone        | body    | status | field |
+      | POST   | nowhere     | no body | 404    | zone  |
+      | DELETE | nowhere     | no body | 404    | zone  |
+      | POST   | austin-hall | a body  | 400    | body  |
+      | PUT    | austin-hall | no body | 404    |       |
--- /dev/null
+++ b/features/steps/cold_servers_steps.py
@@ -0,0 +1,347 @@
+from __future__ import annotations
+
+from random import Random
+
+import cbor2
+from behave import given, then, when
+
+from alderhatch.clock import ManualClock
+from alderhatch.codec import Codec
+from alderhatch.core.control.configuration_register import (
+    ConfigurationRegister,
+    StoredConfiguration,
+    TierOrders,
+    encode_command,
+    encode_evacuation,
+)
+from alderhatch.core.control.evacuations import Evacuations
+from alderhatch.core.entry_events import LoadReport
+from alderhatch.core.forwarding.caller_hosts import HostRecord
+from alderhatch.core.forwarding.cold_allowance import ColdTerms
+from alderhatch.core.forwarding.forward_run import MAX_WITHOUT_SERVER
+from alderhatch.core.forwarding.route import UpstreamSettings
+from alderhatch.core.forwarding.server_record import ServerRecord
+from alderhatch.core.forwarding.shard_owners import ShardOwners
+from alderhatch.core.forwarding.target_table import TargetTable
+from alderhatch.entry.connection_pool import ConnectionPool
+from alderhatch.node.node_state import NodeState
+from alderhatch.node.server_list import ServerListReader
+from alderhatch.node.tier_messages import TIER_MESSAGE_TYPES, TierView
+from alderhatch.node.tier_news import Duty, TierNews, Told
+from alderhatch.platform.settings import POLICY
+from features.support.forward_model import TERMS
+
+UPSTREAM = "shard"
+BOUND = ColdTerms(1.5, 5.0)
+SECOND = 1000.0
+ANSWER = 5.0
+
+
+class ColdTier:
+    """Hosts that ask the same three servers on a virtual clock."""
+
+    def __init__(self, hosts, settings):
+        self.now = 10_000.0
+        self.rng = Random(3)
+        self.records = [self.record(index, 0.0) for index in range(3)]
+        self.names = [f"host-{index}" for index in range(hosts)]
+        self.owners = {name: ShardOwners(name) for name in self.names}
+        self.tables = {}
+        for name in self.names:
+            table = TargetTable("zone-0", TERMS, POLICY, Random(name), BOUND)
+            table.set_part(1 / hosts, 1)
+            table.set_upstreams([settings])
+            table.update(self.records, self.now)
+            self.tables[name] = table
+        self.see_hosts(self.names, self.names)
+        self.now += 5 * SECOND
+        self.arrivals = {}
+        self.asked = 0
+        self.unserved = 0
+
+    @staticmethod
+    def record(index, warm_up, name="server"):
+        server_id = f"{name}-{index}"
+        return ServerRecord(
+            server_id, UPSTREAM, "127.0.0.1", 80, f"zone-{index}", 2, False, warm_up
+        )
+
+    def see_hosts(self, who, hosts):
+        records = [HostRecord(name, "zone-0", f"{name}:1", True, 1.0) for name in hosts]
+        for name in who:
+            if self.owners[name].take_hosts(records, self.now):
+                self.tables[name].set_owned(self.owners[name].owned_from)
+
+    def list_again(self, warm_ups):
+        self.records = [self.record(index, span) for index, span in enumerate(warm_ups)]
+        for table in self.tables.values():
+            table.update(self.records, self.now)
+
+    def ask(self, each, span, at_second=None):
+        """Let each host ask so often a second; each answer takes a moment."""
+        ends = []
+        begin = self.now
+        step = SECOND / each / len(self.names)
+        while self.now < begin + span:
+            if at_second is not None and self.now >= begin + SECOND:
+                at_second()
+                at_second = None
+            name = self.names[self.asked % len(self.names)]
+            for end in [one for one in ends if one[0] <= self.now]:
+                ends.remove(end)
+                self._answer(*end[1:])
+            self._ask_once(name, ends)
+            self.now += step
+        for _, *end in ends:
+            self._answer(*end)
+
+    def _ask_once(self, name, ends):
+        table = self.tables[name]
+        self.asked += 1
+        target = table.choose(UPSTREAM, (), self.now)
+        if target is None:
+            assert table.usable(UPSTREAM, self.now) == 0
+            self.unserved += 1
+            return
+        table.sent(target, self.asked, self.now)
+        self.arrivals.setdefault(target.server_id, []).append(self.now + self.rng.random() * 100)
+        ends.append((self.now + ANSWER, table, target, self.asked))
+
+    def _answer(self, table, target, attempt):
+        sent_at = table.ended(target, attempt)
+        table.answered(target, self.now - sent_at, LoadReport(1, 0), self.now)
+
+    def most_in_a_second(self, server_id):
+        times = sorted(self.arrivals.get(server_id, []))
+        return max((sum(at <= one < at + SECOND for one in times) for at in times), default=0)
+
+
+@given(
+    "{hosts:d} hosts that know 3 servers of an upstream that bears {rate:d} requests a second cold"
+)
+def step_tier(context, hosts, rate):
+    context.cold = ColdTier(hosts, UpstreamSettings(UPSTREAM, 600, 3 * SECOND, float(rate)))
+
+
+@given("{hosts:d} hosts that know 3 servers of an upstream without a bound for cold servers")
+def step_unbound(context, hosts):
+    context.cold = ColdTier(hosts, UpstreamSettings(UPSTREAM, 600))
+
+
+@when("one server becomes cold for 3 seconds while each host asks {each:d} times a second")
+def step_one_cold(context, each):
+    context.each = each
+    context.cold.list_again([3 * SECOND, 0.0, 0.0])
+    context.cold.ask(each, 2900.0)
+
+
+@when("its owner is gone for all others but goes on after 1 second")
+def step_owner_gone(context):
+    tier = context.cold
+    owner = tier.owners[tier.names[0]].owner(UPSTREAM)
+    others = [name for name in tier.names if name != owner]
+    tier.now += SECOND
+    tier.list_again([2999.0, 0.0, 0.0])
+    tier.ask(context.each, 2900.0, lambda: tier.see_hosts(others, others))
+
+
+@when("all servers become cold for 3 seconds while each host asks {each:d} times a second")
+def step_all_cold(context, each):
+    context.cold.list_again([3 * SECOND] * 3)
+    context.cold.ask(each, 2900.0)
+
+
+@then("it gets at most {most:d} requests in any second, and at least 1 in all")
+@then("its server gets at most {most:d} requests in any second, and at least 1 in all")
+def step_most(context, most):
+    assert 1 <= context.cold.most_in_a_second("server-0") <= most, context.cold.arrivals
+
+
+@then("each server gets at most {most:d} requests in any second")
+def step_each_most(context, most):
+    for index in range(3):
+        assert 1 <= context.cold.most_in_a_second(f"server-{index}") <= most
+
+
+@then("the others get the rest")
+def step_rest(context):
+    assert context.cold.unserved == 0
+
+
+@then("whoever can't be served is told within {span:d} ms that nothing ran")
+def step_told(context, span):
+    assert context.cold.unserved > 0
+    assert span >= MAX_WITHOUT_SERVER
+
+
+@then("every request is sent")
+def step_all_sent(context):
+    assert context.cold.unserved == 0
+
+
+# The list
+
+
+class Standin:
+    """What the reader tells of the list goes nowhere."""
+
+    leads = False
+
+
+@given("the reader of a list with a server that started long ago")
+def step_reader(context):
+    context.clock = ManualClock(1000.0)
+    pool = ConnectionPool(0, spares=False)
+    state = NodeState("a", "zone-0", None, pool, TERMS, POLICY, context.clock, Random(1), BOUND)
+    context.reader = ServerListReader(None, state, Standin(), Random(1))
+    context.reader._clock = context.clock
+    read(context, 0.0)
+
+
+def read(context, warm_up):
+    record = context.reader._steady(ColdTier.record(0, warm_up))
+    state = context.reader._state
+    is_new = record != state.records.get(record.server_id)
+    state.records[record.server_id] = record
+    return is_new
+
+
+@then("these readings are passed on or not")
+def step_readings(context):
+    for row in context.table:
+        context.clock.advance(float(row["after_ms"]))
+        found = "yes" if read(context, float(row["warm_up_ms"])) else "no"
+        assert found == row["passed_on"], row
+
+
+# Evacuations
+
+
+@when('zone "{zone}" is evacuated while each host asks {each:d} times a second')
+def step_evacuate(context, zone, each):
+    tier = context.cold
+    for table in tier.tables.values():
+        table.set_evacuated([zone], tier.now)
+    tier.ask(each, 3 * SECOND)
+
+
+@then("its server gets nothing")
+def step_nothing(context):
+    assert "server-0" not in context.cold.arrivals
+    assert context.cold.unserved == 0
+
+
+@when("the evacuation is taken back and each host asks {each:d} times a second")
+def step_back(context, each):
+    tier = context.cold
+    for table in tier.tables.values():
+        table.set_evacuated([], tier.now)
+    tier.ask(each, 4 * SECOND)
+
+
+@when('zone "{zone}" is evacuated and then a new server appears there')
+def step_new_server(context, zone):
+    tier = context.cold
+    for table in tier.tables.values():
+        table.set_evacuated([zone], tier.now)
+        table.update([*tier.records, tier.record(0, 0.0, "new")], tier.now)
+
+
+@then("none of its servers may be asked")
+def step_none(context):
+    tier = context.cold
+    for table in tier.tables.values():
+        assert table.usable(UPSTREAM, tier.now) == 2
+        for excluded in ((), ("server-1", "server-2")):
+            chosen = table.choose(UPSTREAM, excluded, tier.now)
+            assert chosen is None or chosen.zone != "zone-0"
+
+
+# Orders in the log
+
+
+@given("a configuration register with configuration 7")
+def step_register(context):
+    context.changes = 0
+
+    def changed():
+        context.changes += 1
+
+    context.register = ConfigurationRegister(changed)
+    context.register.apply(1, encode_command(StoredConfiguration(7, b"packed")))
+    context.changes = 0
+
+
+@when("these orders are applied: {orders}")
+def step_orders(context, orders):
+    for index, order in enumerate(orders.split(), 2):
+        context.register.apply(index, encode_evacuation(order[1:], order[0] == "+"))
+
+
+@then('the zones "{zones}" are evacuated after {changes:d} changes')
+def step_zones(context, zones, changes):
+    assert context.register.evacuations.zones == tuple(zones.split())
+    assert context.changes == changes
+
+
+@then('the zones "" are evacuated after {changes:d} changes')
+def step_no_zones(context, changes):
+    step_zones(context, "", changes)
+
+
+@then("a register restored from its snapshot says the same")
+def step_restored(context):
+    other = ConfigurationRegister(lambda: None)
+    other.restore(context.register.snapshot())
+    assert other.orders == context.register.orders
+
+
+@given("a snapshot that holds configuration 7 alone")
+def step_old_snapshot(context):
+    context.snapshot = cbor2.dumps([7, b"packed"])
+
+
+@then("a register restored from it has configuration 7 and no evacuated zone")
+def step_from_old(context):
+    register = ConfigurationRegister(lambda: None)
+    register.restore(context.snapshot)
+    assert register.orders == TierOrders(StoredConfiguration(7, b"packed"), Evacuations())
+
+
+# What hosts hear
+
+
+@given("a node that knows of evacuations number 5")
+def step_node(context):
+    clock = ManualClock(1000.0)
+    pool = ConnectionPool(0, spares=False)
+    context.state = NodeState("a", "zone-0", None, pool, TERMS, POLICY, clock, Random(1))
+    context.state.take_evacuations(Evacuations(5, ("zone-0",)))
+
+
+@then("word of number 4 and of number 5 changes nothing, and number 6 is taken")
+def step_numbers(context):
+    state = context.state
+    for number, zones in ((4, ()), (5, ("zone-1",))):
+        state.take_evacuations(Evacuations(number, zones))
+        assert state.evacuations == Evacuations(5, ("zone-0",))
+    state.take_evacuations(Evacuations(6, ()))
+    assert state.evacuations == Evacuations(6, ())
+
+
+@given("news of a configuration, servers, hosts and an evacuated zone")
+def step_news(context):
+    context.codec = Codec(*TIER_MESSAGE_TYPES)
+    context.news = TierNews(context.codec.encode)
+    context.news.take_servers({"server-0": ColdTier.record(0, 0.0)})
+    context.news.take_view(TierView([], [], 0.0, 1))
+
+
+@then("a host that has just joined is told of the zone first")
+def step_first(context):
+    orders = TierOrders(StoredConfiguration(7, b"packed"), Evacuations(3, ("zone-0",)))
+    news = context.news.since(Told(), orders, Duty.SERVES)
+    names = [type(context.codec.decode(one)).__name__ for one in news.messages]
+    assert names[0] == "EvacuationNews" and len(names) == 4, names
+    again = context.news.since(news.told, orders, Duty.SERVES)
+    assert again.messages == []
--- a/features/steps/node_tier_client_steps.py
+++ b/features/steps/node_tier_client_steps.py
@@ -125,6 +125,9 @@
         self.version = stored.version
         self.found.set()
 
+    def take_evacuations(self, evacuations):
+        self.evacuations = evacuations
+
     def take_view(self, view):
         self.view = view
 
--- a/features/support/platform_tier.py
+++ b/features/support/platform_tier.py
@@ -159,6 +159,7 @@
             f"node-name=node-{index}",
             f"ip={address}",
             f"zone={ZONES[index % 3]}",
+            *(f"zones.{zone}=tx-central" for zone in ZONES),
             f"bind-addresses.front={address}:{caller}",
             f"bind-addresses.directory={address}:{addresses}",
             f"bind-addresses.readiness={address}:{readiness}",
@@ -249,12 +250,12 @@
             {"version": self.version, "routes": [gather, orders], "services": services}
         )
 
-    def operate(self, index, method, body=None):
+    def operate(self, index, method, body=None, path="/-/config"):
         """One call of an operator, who follows two redirects."""
         address, port = self.addresses[index], self.ports[3]
         answer = None
         for _ in range(3):
-            answer = call(address, port, method, "/-/config", body)
+            answer = call(address, port, method, path, body)
             if answer is None or answer.status != 307:
                 return answer
             address, port = answer.headers["location"].split("/")[2].split(":")
--- a/src/alderhatch/core/forwarding/route.py
+++ b/src/alderhatch/core/forwarding/route.py
@@ -81,6 +81,10 @@
     name: str
     max_connections: int
     """How many connections each of its servers accepts from all hosts together."""
+    cold_span: Millis = 0.0
+    """How long its servers are cold after a start."""
+    cold_rate: float | None = None
+    """How many requests a second a cold server bears; None if that isn't limited."""
 
 
 class CallerLimits(NamedTuple):
--- a/src/alderhatch/core/forwarding/target.py
+++ b/src/alderhatch/core/forwarding/target.py
@@ -7,6 +7,7 @@
 from ..policy import Policy
 from ..server_view import NEVER, ServerView
 from ..shard_map import Server
+from .cold_allowance import LIST_BEHIND, ColdAllowance
 
 STALL_FACTOR = 4.0
 """A server whose oldest request takes longer than this multiple of the median stands still."""
@@ -19,7 +20,16 @@
 class Target(ServerView):
     """One server with the requests of this host that are out there."""
 
-    __slots__ = ("_trouble", "_trouble_at", "answered_at", "outstanding", "upstream")
+    __slots__ = (
+        "_trouble",
+        "_trouble_at",
+        "answered_at",
+        "cold",
+        "cold_span",
+        "outstanding",
+        "upstream",
+        "warm_up",
+    )
 
     def __init__(
         self, upstream: str, server: Server, typical: LatencyHistogram, policy: Policy
@@ -30,9 +40,42 @@
         self._trouble_at: Millis = NEVER
         self.answered_at: Millis = NEVER
         """When it last answered anything."""
+        self.cold = ColdAllowance()
+        """What it may get while it is cold."""
+        self.cold_span: Millis = 0.0
+        """How long its upstream's servers are cold after a start."""
+        self.warm_up: Millis = 0.0
+        """How much longer it was to be cold by the list's last word."""
         self.outstanding: dict[int, Millis] = {}
         """When each request that is out there was sent, oldest first."""
 
+    def barred(self, now: Millis) -> bool:
+        """Return whether it must get nothing now, also because it is cold and got its share."""
+        return super().barred(now) or self.cold.closed(now)
+
+    def doubtful(self, now: Millis) -> bool:
+        """Return whether it is asked only if no other replica is there."""
+        return super().doubtful(now) or now < self.cold.may_until
+
+    def take_warm_up(self, warm_up: Millis, now: Millis) -> None:
+        """Take the list's word of how much longer it is cold, if that is new."""
+        if warm_up == self.warm_up:
+            return
+        self.warm_up = warm_up
+        self.cold.until = now + warm_up if warm_up > 0 else NEVER
+        self.cold.may_until = NEVER
+        if warm_up > 0:
+            self.saw_start(now - max(0.0, self.policy.slow_start_ms - warm_up))
+
+    def may_be_cold(self, now: Millis) -> None:
+        """Treat it as cold until the list would have said so."""
+        self.cold.until = max(self.cold.until, now + self.cold_span + LIST_BEHIND)
+
+    def may_come_back_cold(self, now: Millis) -> None:
+        """Note that it is out of order; once it answers again it has probably started anew."""
+        if self.cold.allowed is not None:
+            self.cold.may_until = now + self.cold_span + LIST_BEHIND
+
     def estimate(self, now: Millis) -> Millis:
         """Return how long a request sent now is likely to take, with what a fault of it costs."""
         return super().estimate(now) + self.policy.trouble_cost_ms * self.trouble(now)
--- a/src/alderhatch/core/forwarding/target_table.py
+++ b/src/alderhatch/core/forwarding/target_table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Container, Iterable, Mapping
+from collections.abc import Callable, Container, Iterable, Mapping
 from random import Random
 
 from ...clock import Millis
@@ -13,11 +13,15 @@
 from ..replica_choice import choose_replica
 from ..shard_map import Server
 from .belief_change import BeliefChange
+from .cold_allowance import ColdTerms
 from .extra_budget import BudgetShare, BudgetTerms
+from .route import UpstreamSettings
 from .server_record import ServerRecord
 from .target import Target
 from .upstream_targets import DEFAULT_MAX_CONNECTIONS, UpstreamTargets, usable
 
+EVACUATED = "evacuated"
+"""The source of the word that nothing may be sent to a server's availability zone."""
 LISTED = "list"
 """The source of the word that a server leaves: it is draining there, or gone."""
 MAX_CHANGES = 300
@@ -35,16 +39,28 @@
         terms: The budget for extra requests of each upstream.
         policy: The numbers that the choice is tuned by.
         rng: Decides between servers that are equally good.
+        cold: What cold servers may get; None for no limit.
     """
 
-    def __init__(self, zone: str, terms: BudgetTerms, policy: Policy, rng: Random) -> None:
+    def __init__(
+        self,
+        zone: str,
+        terms: BudgetTerms,
+        policy: Policy,
+        rng: Random,
+        cold: ColdTerms | None = None,
+    ) -> None:
         self._zone = zone
         self._terms = terms
+        self._cold = cold
+        self._owned_from: Callable[[str], Millis | None] = lambda upstream: None
         self.policy = policy
         """The numbers that the choice is tuned by."""
         self._rng = rng
         self._constant_part = 1.0
         self._connecting_hosts = 1
+        self._evacuated: frozenset[str] = frozenset()
+        """Availability zones whose servers get nothing."""
         self._sends = 0
         """Requests sent to servers since somebody asked."""
         self._upstreams: dict[str, UpstreamTargets] = {}
@@ -74,12 +90,37 @@
             self._share_out(upstream)
 
     def set_max_connections(self, limits: Mapping[str, int]) -> None:
-        """Take the connection limits of upstreams from the configuration."""
+        """Take the connection limits of upstreams."""
         for name, limit in limits.items():
             upstream = self.upstream(name)
             upstream.max_connections = limit
             self._share_out(upstream)
 
+    def set_upstreams(self, settings: Iterable[UpstreamSettings]) -> None:
+        """Take what the configuration says of upstreams."""
+        settings = list(settings)
+        self.set_max_connections({one.name: one.max_connections for one in settings})
+        for one in settings:
+            upstream = self.upstream(one.name)
+            upstream.cold_span = one.cold_span
+            upstream.cold_allowed = None
+            if self._cold is not None and one.cold_rate is not None:
+                upstream.cold_allowed = self._cold.allowed(one.cold_rate)
+            for target in upstream.targets.values():
+                self._take_cold_terms(upstream, target)
+
+    def set_owned(self, owned_from: Callable[[str], Millis | None]) -> None:
+        """Take since when this host owns an upstream by its name; None stands for not at all."""
+        self._owned_from = owned_from
+        for upstream in self._upstreams.values():
+            for target in upstream.targets.values():
+                target.cold.owned_from = owned_from(upstream.name)
+
+    def _take_cold_terms(self, upstream: UpstreamTargets, target: Target) -> None:
+        target.cold_span = upstream.cold_span
+        target.cold.allowed = upstream.cold_allowed
+        target.cold.owned_from = self._owned_from(upstream.name)
+
     def connection_share(self, upstream: UpstreamTargets) -> int:
         """Return how many connections to each of its servers this host may hold."""
         return max(1, upstream.usable_connections // self._connecting_hosts)
@@ -102,6 +143,23 @@
         for target in upstream.targets.values():
             target.set_share(share)
 
+    def set_evacuated(self, zones: Iterable[str], now: Millis) -> None:
+        """Take the availability zones whose servers get nothing from now on."""
+        before = self._evacuated
+        self._evacuated = frozenset(zones)
+        for upstream in self._upstreams.values():
+            for target in upstream.targets.values():
+                if target.zone in before ^ self._evacuated:
+                    self._take_evacuated(target, now)
+
+    def _take_evacuated(self, target: Target, now: Millis) -> None:
+        if target.zone in self._evacuated:
+            target.leaving.add(EVACUATED)
+            return
+        target.leaving.discard(EVACUATED)
+        # Without requests its servers may have become cold, which the list tells a moment later.
+        target.may_be_cold(now)
+
     def update(self, records: Iterable[ServerRecord], now: Millis) -> None:
         """Take a newer list of all servers.
 
@@ -124,6 +182,7 @@
             if target is None:
                 target = self._add(upstream, record, now)
             self._take_draining(target, record.draining)
+            target.take_warm_up(record.warm_up, now)
         listed = {record.server_id for record in records}
         for server_id in [server_id for server_id in known if server_id not in listed]:
             known.pop(server_id).leaving.add(LISTED)
@@ -155,9 +214,10 @@
             upstream.max_connections,
         )
         target = Target(upstream.name, server, upstream.latencies, self.policy)
-        if record.warm_up > 0:
-            target.saw_start(now - max(0.0, self.policy.slow_start_ms - record.warm_up))
+        self._take_cold_terms(upstream, target)
         target.set_share(self.connection_share(upstream))
+        if record.zone in self._evacuated:
+            target.leaving.add(EVACUATED)
         upstream.targets[record.server_id] = target
         self._changes.append(BeliefChange(record.server_id, upstream.name, "listed", LISTED))
         return target
@@ -272,6 +332,7 @@
         """Count a request as out at a server."""
         self._sends += 1
         target.in_flight += 1
+        target.cold.count(now)
         target.outstanding[attempt] = now
 
     def take_sends(self) -> int:
@@ -333,5 +394,7 @@
         if ejected + 1 > self.policy.max_ejected_share * len(others):
             return
         target.eject(now)
+        if fault in (AttemptFault.NOT_SENT, AttemptFault.SILENT):
+            target.may_come_back_cold(now)
         why = f"{fault}, {target.failures} in a row"
         self._changes.append(BeliefChange(target.server_id, target.upstream, "ejected", why))
--- a/src/alderhatch/core/forwarding/upstream_targets.py
+++ b/src/alderhatch/core/forwarding/upstream_targets.py
@@ -19,6 +19,10 @@
     def __init__(self, name: str, terms: BudgetTerms, first_latency: Millis) -> None:
         self.name = name
         self.max_connections = DEFAULT_MAX_CONNECTIONS
+        self.cold_span: Millis = 0.0
+        """How long its servers are cold after a start."""
+        self.cold_allowed: int | None = None
+        """What the owner may send to a cold server in a second; None for no limit."""
         self.targets: dict[str, Target] = {}
         self.latencies = LatencyHistogram(first_latency)
         self.budget = ExtraBudget(terms.window)
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -105,6 +105,12 @@
     CONFIGURATION_ADOPTED = EventRow(
         1060, logging.INFO, "The node serves by a newer numbered configuration."
     )
+    EVACUATION_ACCEPTED = EventRow(
+        2074, logging.INFO, "An operator's order about an availability zone is on enough disks."
+    )
+    EVACUATIONS_ADOPTED = EventRow(
+        1079, logging.INFO, "The node sends nothing to servers of these availability zones."
+    )
     REQUEST_QUARANTINED = EventRow(
         2073, logging.WARNING, "A request crashed two servers; no host sends it to any for a time."
     )
--- a/src/alderhatch/node/configuration_desk.py
+++ b/src/alderhatch/node/configuration_desk.py
@@ -10,6 +10,7 @@
     ConfigurationRegister,
     StoredConfiguration,
     encode_command,
+    encode_evacuation,
     pack,
 )
 from ..errors import AlderhatchError, ErrorKind, Failure
@@ -85,6 +86,37 @@
         )
         return in_force
 
+    async def evacuate(self, zone: str, evacuate: bool) -> tuple[str, ...]:
+        """Have nothing more sent to the servers of an availability zone, or take that back.
+
+        The same order again is accepted without effect.
+
+        Args:
+            zone: The zone; one that is known.
+            evacuate: Whether it is to get nothing, or to be used again.
+
+        Returns:
+            All availability zones that are evacuated now.
+
+        Raises:
+            AlderhatchError: If this host doesn't lead, or it is not known whether enough disks
+                hold the order.
+        """
+        log = self._leading().leading_log()
+        self._check_grown(log)
+        began = self._clock.now()
+        await log.propose(encode_evacuation(zone, evacuate))
+        zones = self._register.evacuations.zones
+        span = self._clock.now() - began
+        log_event(
+            LogEvent.EVACUATION_ACCEPTED,
+            zone=zone,
+            evacuated=evacuate,
+            zones=list(zones),
+            took_ms=round(span),
+        )
+        return zones
+
     def _check_grown(self, log: LogNode) -> None:
         """Refuse a change while the log has too few members for what may be lost.
 
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -11,6 +11,7 @@
 from ..core.forwarding.effects import Cancel, Effect, Finish, Send
 from ..core.forwarding.forward_run import ForwardRun
 from ..core.forwarding.outcome import Outcome
+from ..core.forwarding.target_table import EVACUATED
 from ..entry.attempt_faults import FAULTS
 from ..entry.connection_pool import ConnectionPool
 from ..http.connection import HttpConnection
@@ -92,6 +93,9 @@
         if conn is None:
             conn = await self._pool.take(server_id)
         try:
+            if EVACUATED in send.target.leaving:
+                # The order may have come while this waited for its connection.
+                raise HttpExchangeError("its zone is evacuated", ExchangeFault.NOT_SENT)
             return await self._exchange_on(conn, flight, server_id)
         finally:
             self._pool.give_back(server_id, conn)
--- a/src/alderhatch/node/kept_state.py
+++ b/src/alderhatch/node/kept_state.py
@@ -11,6 +11,7 @@
 from ..clock import SECOND, Millis
 from ..codec import Codec
 from ..core.control.configuration_register import StoredConfiguration
+from ..core.control.evacuations import NO_EVACUATIONS, Evacuations
 from ..errors import AlderhatchError
 from ..log import log_event
 from ..log_events import LogEvent
@@ -34,6 +35,7 @@
     """It was in force, so it is committed; the replicated log may have a newer one."""
     view: TierView
     """The other hosts: budgets and connections are divided by their number."""
+    evacuations: Evacuations = NO_EVACUATIONS
 
 
 CODEC = Codec(KeptState)
@@ -81,6 +83,7 @@
         if kept is None:
             return
         self._kept = kept
+        self._state.take_evacuations(kept.evacuations)
         self._state.take_configuration(StoredConfiguration(*kept.configuration))
         # Some may not have served just when the view was kept, this one among them. Left out, they
         # would be named to no caller until there is a leader.
@@ -94,7 +97,7 @@
             state = self._state
             if state.stored.version == 0 or state.view is None:
                 continue
-            now = KeptState(ConfigurationNews(*state.stored), state.view)
+            now = KeptState(ConfigurationNews(*state.stored), state.view, state.evacuations)
             if now == self._kept:
                 continue
             await self._keep(now)
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -13,7 +13,7 @@
 from ..codec import Codec
 from ..control.log_messages import PEER_MESSAGE_TYPES
 from ..control.member_steps import HandOver, take_step
-from ..core.control.configuration_register import ConfigurationRegister, StoredConfiguration
+from ..core.control.configuration_register import ConfigurationRegister
 from ..entry.connection_pool import ConnectionPool
 from ..http.messages import HttpLimits, HttpRequest, HttpResponse
 from ..http.server import Handler, ServeState, serve_http
@@ -104,19 +104,27 @@
         # back the new connections would be reset: most queries failed for some 5 s.
         self._pool = ConnectionPool(0, PROGRESS_TIMEOUT, spares=False)
         self.state = NodeState(
-            cfg.name, cfg.zone, decode, self._pool, cfg.budget, cfg.policy, self._clock, self._rng
+            cfg.name,
+            cfg.zone,
+            decode,
+            self._pool,
+            cfg.budget,
+            cfg.policy,
+            self._clock,
+            self._rng,
+            cfg.cold,
         )
         self.seeds = cfg.seeds
         """Where to look for the tier; the settings may name others later."""
         self._founder: Place | None = None
         self._leaving = False
         self._serving = ServeState()
-        self._register = ConfigurationRegister(self._stored)
+        self._register = ConfigurationRegister(self._orders_changed)
         self.member = self._make_member()
         """This host's part in the replicated log; None without a disk."""
         self._server = TierServer(
             self.member,
-            lambda: self._register.stored,
+            lambda: self._register.orders,
             self._list_is_fresh,
             self._redirect,
             self._kept,
@@ -195,7 +203,7 @@
     def _list_is_fresh(self) -> bool:
         return self.state.list_age() < FRESH_FOR
 
-    def _stored(self, stored: StoredConfiguration) -> None:
+    def _orders_changed(self) -> None:
         self._server.news.notify()
 
     def _role_changed(self) -> None:
@@ -231,7 +239,8 @@
             return None
         has_use = self._list_is_fresh() and state.view.needs(name)
         servers = list(state.records.values()) if has_use else []
-        return KeptNews(ConfigurationNews(*state.stored), state.view, servers)
+        news = ConfigurationNews(*state.stored)
+        return KeptNews(news, state.view, servers, state.evacuations)
 
     def _controls(self) -> list[Place]:
         return self.member.controls() if self.member is not None else self.state.controls
--- a/src/alderhatch/node/node_settings.py
+++ b/src/alderhatch/node/node_settings.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from ..clock import Millis
+from ..core.forwarding.cold_allowance import ColdTerms
 from ..core.forwarding.extra_budget import BudgetTerms
 from ..core.policy import Policy
 from .tier_messages import Place
@@ -46,6 +47,10 @@
     stop_span: Millis
     """How long the node may take to stop."""
     secret: bytes
+    zones: frozenset[str] = frozenset()
+    """All availability zones of the tier."""
+    cold: ColdTerms | None = None
+    """What all hosts together may send to a server that is cold; None for no limit."""
     processor: float = 1.0
     """Seconds of processor time that this host gets in a second."""
     policy: Policy = Policy()
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -9,15 +9,18 @@
 
 from ..clock import SECOND, Clock, Millis
 from ..core.control.configuration_register import NO_CONFIGURATION, StoredConfiguration
+from ..core.control.evacuations import NO_EVACUATIONS, Evacuations
 from ..core.crash_watch import CrashWatch
 from ..core.entry_events import AttemptFault
 from ..core.forwarding.caller_hosts import HostRecord, choose_caller_hosts
+from ..core.forwarding.cold_allowance import ColdTerms
 from ..core.forwarding.crash_tally import FORGET_AFTER, QUARANTINE
 from ..core.forwarding.extra_budget import BudgetTerms, constant_part
 from ..core.forwarding.host_reach import HostReach
 from ..core.forwarding.route import CallerLimits, TierConfiguration
 from ..core.forwarding.route_table import RouteTable
 from ..core.forwarding.server_record import ServerRecord
+from ..core.forwarding.shard_owners import ShardOwners
 from ..core.forwarding.target import Target
 from ..core.forwarding.target_table import TargetTable
 from ..core.policy import Policy
@@ -49,6 +52,7 @@
         policy: The numbers that the choice of servers is tuned by.
         clock: The time.
         rng: Decides between servers that are equally good.
+        cold: What cold servers may get; None for no limit.
     """
 
     def __init__(
@@ -61,13 +65,14 @@
         policy: Policy,
         clock: Clock,
         rng: Random,
+        cold: ColdTerms | None = None,
     ) -> None:
         self.name = name
         self.zone = zone
         self._decode = decode
         self._pool = pool
         self._clock = clock
-        self.table = TargetTable(zone, terms, policy, rng)
+        self.table = TargetTable(zone, terms, policy, rng, cold)
         self.crash_watch = CrashWatch(QUARANTINE)
         """What this host saw of requests that crash servers."""
         self._quarantined_until: dict[str, Millis] = {}
@@ -79,6 +84,8 @@
         self.routes = RouteTable(())
         self.limits = CallerLimits()
         self.stored: StoredConfiguration = NO_CONFIGURATION
+        self.evacuations = NO_EVACUATIONS
+        """The availability zones whose servers get nothing."""
         self.configured = Signal()
         """Notified when a newer configuration is in use."""
         self.records: dict[str, ServerRecord] = {}
@@ -97,6 +104,8 @@
         """How much processor time those should have together, in seconds a second."""
         self._reach = HostReach()
         """What this host found out by itself since the leader's last word."""
+        self.owners = ShardOwners(name)
+        """Which of those hosts owns a shard."""
         self._named: dict[str, Millis] = {}
         """When each host was last among those that callers are sent to."""
         self.controls: list[Place] = []
@@ -121,7 +130,7 @@
         self.stored = stored
         self.routes = RouteTable(cfg.routes)
         self.limits = cfg.limits
-        self.table.set_max_connections({one.name: one.max_connections for one in cfg.upstreams})
+        self.table.set_upstreams(cfg.upstreams)
         self._wanted = frozenset(name for route in cfg.routes for name in route.upstreams)
         self.table.keep_routes({route.name for route in cfg.routes})
         self._choose_caller_hosts()
@@ -141,6 +150,19 @@
         """Take the number of a configuration that another host served a caller of this one by."""
         self._seen_version = max(self._seen_version, version)
 
+    def take_evacuations(self, evacuations: Evacuations) -> None:
+        """Send nothing more to servers of evacuated availability zones, and again to the others.
+
+        Nothing ever takes a host back to an earlier order.
+        """
+        if evacuations.number <= self.evacuations.number:
+            return
+        self.evacuations = evacuations
+        self.table.set_evacuated(evacuations.zones, self._clock.now())
+        log_event(
+            LogEvent.EVACUATIONS_ADOPTED, number=evacuations.number, zones=list(evacuations.zones)
+        )
+
     # The servers
 
     def take_servers(self, changed: Iterable[ServerRecord], gone: Iterable[str]) -> None:
@@ -312,6 +334,8 @@
         now = self._clock.now()
         before = self.caller_hosts
         self.caller_hosts = self.choose(self._reach.named(self.hosts), self.processor_needed)
+        if self.owners.take_hosts(self.caller_hosts, now):
+            self.table.set_owned(self.owners.owned_from)
         for host in (*before, *self.caller_hosts):
             self._named[host.name] = now
         self._named = {name: at for name, at in self._named.items() if now - at < HOSTS_MEMORY}
--- a/src/alderhatch/node/server_list.py
+++ b/src/alderhatch/node/server_list.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from ..clock import SECOND, Millis
+from ..clock import SECOND, LoopClock, Millis
 from ..core.forwarding.server_record import ServerRecord
 from ..log import log_event
 from ..log_events import LogEvent
@@ -17,6 +17,8 @@
 READ_EVERY: Millis = 900.0
 """How often the leader reads it. With the list's own lag, the way to the hosts and one failed read
 it stays well under the time within which a leaving server must get nothing more."""
+COLD_SLACK: Millis = 500.0
+"""A server that is cold for longer than it was to be by so much has become cold again."""
 FRESH_FOR: Millis = 2500.0
 """A host whose list is older reads it for itself."""
 OWN_READ_EVERY: Millis = 2000.0
@@ -57,6 +59,9 @@
         self._server = server
         self._rng = rng
         self._works = True
+        self._clock = LoopClock()
+        self._cold_ends: dict[str, Millis] = {}
+        """When each server is warm by what was passed on of it."""
 
     async def run(self) -> None:
         """Read whenever it is due, until cancelled."""
@@ -100,6 +105,9 @@
             log_event(LogEvent.SERVER_LIST_BACK, servers=len(listed))
         self._works = True
         records = {record.server_id: self._steady(record) for record in listed}
+        self._cold_ends = {
+            name: self._cold_ends[name] for name in self._cold_ends if name in records
+        }
         if self._server.leads:
             self._server.take_list(records)
         if records != self._state.records:
@@ -107,7 +115,19 @@
         self._state.list_is_fresh()
 
     def _steady(self, record: ServerRecord) -> ServerRecord:
-        # The time left of a warm-up differs in each read. Passed on each time, it would make every
-        # server news for every host; it is told once, and hosts count it down by themselves.
+        """Return a record that differs from the last one only if the server itself does.
+
+        The time left of a warm-up differs in each read. Passed on each time, it would make every
+        server news for every host; it is told once, and hosts count it down by themselves.
+        """
+        now = self._clock.now()
         known = self._state.records.get(record.server_id)
-        return record if known is None else record._replace(warm_up=known.warm_up)
+        ends = self._cold_ends.get(record.server_id, now)
+        is_cold_again = record.warm_up > 0 and now + record.warm_up > ends + COLD_SLACK
+        if known is None or is_cold_again or (record.warm_up == 0) != (known.warm_up == 0):
+            self._cold_ends[record.server_id] = now + record.warm_up
+            if known is not None and record.warm_up == known.warm_up:
+                # Equal to the last word, this one would tell nobody anything.
+                return record._replace(warm_up=record.warm_up + 1.0)
+            return record
+        return record._replace(warm_up=known.warm_up)
--- a/src/alderhatch/node/tier_client.py
+++ b/src/alderhatch/node/tier_client.py
@@ -18,6 +18,7 @@
 from .node_state import NodeState
 from .tier_messages import (
     ConfigurationNews,
+    EvacuationNews,
     Join,
     KeptNews,
     Place,
@@ -162,6 +163,7 @@
     def _take_kept(self, kept: KeptNews) -> None:
         if self._state.is_started:
             return
+        self._state.take_evacuations(kept.evacuations)
         self._state.take_configuration(StoredConfiguration(*kept.configuration))
         if self._state.view is None:
             self._state.take_view(kept.view)
@@ -214,6 +216,8 @@
                 self._state.take_standing(False)
                 self._state.take_servers(changed, list(self._state.records) if complete else gone)
                 self._state.list_is_fresh()
+            case EvacuationNews(evacuations):
+                self._state.take_evacuations(evacuations)
             case TierView():
                 self._state.take_view(message)
             case Standing(stands_by):
--- a/src/alderhatch/node/tier_messages.py
+++ b/src/alderhatch/node/tier_messages.py
@@ -4,6 +4,7 @@
 
 from typing import Any, NamedTuple
 
+from ..core.control.evacuations import NO_EVACUATIONS, Evacuations
 from ..core.forwarding.caller_hosts import MIN_TOLD, HostRecord
 from ..core.forwarding.server_record import ServerRecord
 
@@ -111,6 +112,12 @@
     """The operator's document, compressed."""
 
 
+class EvacuationNews(NamedTuple):
+    """The availability zones whose servers get nothing."""
+
+    evacuations: Evacuations
+
+
 class KeptNews(NamedTuple):
     """What a host without a leader serves by, for one that knows nothing yet."""
 
@@ -119,6 +126,7 @@
     view: TierView
     servers: list[ServerRecord]
     """The list as it read it a moment ago; empty if it did not."""
+    evacuations: Evacuations = NO_EVACUATIONS
 
 
 class ServerNews(NamedTuple):
@@ -166,6 +174,7 @@
     Redirect,
     TierView,
     ConfigurationNews,
+    EvacuationNews,
     KeptNews,
     ServerNews,
     Standing,
--- a/src/alderhatch/node/tier_news.py
+++ b/src/alderhatch/node/tier_news.py
@@ -6,9 +6,17 @@
 from enum import Enum, auto
 from typing import Any, NamedTuple
 
-from ..core.control.configuration_register import StoredConfiguration
+from ..core.control.configuration_register import StoredConfiguration, TierOrders
+from ..core.control.evacuations import NO_EVACUATIONS, Evacuations
 from ..core.forwarding.server_record import ServerRecord
-from .tier_messages import ConfigurationNews, QuarantineNews, ServerNews, Standing, TierView
+from .tier_messages import (
+    ConfigurationNews,
+    EvacuationNews,
+    QuarantineNews,
+    ServerNews,
+    Standing,
+    TierView,
+)
 
 
 class ServerList(NamedTuple):
@@ -45,6 +53,7 @@
     refused: tuple[str, ...] = ()
     """The requests that no host sends to any server."""
     stands_by: bool = False
+    evacuations: Evacuations = NO_EVACUATIONS
 
 
 class News(NamedTuple):
@@ -109,15 +118,20 @@
         self._refused_message = self._encode(QuarantineNews(fingerprints))
         return True
 
-    def since(self, told: Told, stored: StoredConfiguration, duty: Duty) -> News:
+    def since(self, told: Told, orders: TierOrders, duty: Duty) -> News:
         """Return what a host has to be told.
 
         Args:
             told: What it was told last.
-            stored: The newest configuration.
+            orders: What operators have ordered.
             duty: What it is needed for.
         """
+        stored, evacuations = orders
         messages: list[bytes] = []
+        if evacuations != told.evacuations:
+            # Before everything that lets a host serve: one that heard of it later would send
+            # requests to an evacuated zone in between.
+            messages.append(self._encode(EvacuationNews(evacuations)))
         has_configuration = stored.version > told.version
         if has_configuration:
             messages.append(self._configuration_message(stored))
@@ -132,7 +146,7 @@
         if self._refused != told.refused:
             messages.append(self._refused_message)
         version = max(stored.version, told.version)
-        now = Told(version, servers, self._view, self._refused, stands_by)
+        now = Told(version, servers, self._view, self._refused, stands_by, evacuations)
         return News(messages, now, has_configuration)
 
     def _configuration_message(self, stored: StoredConfiguration) -> bytes:
--- a/src/alderhatch/node/tier_server.py
+++ b/src/alderhatch/node/tier_server.py
@@ -8,7 +8,7 @@
 
 from ..clock import SECOND, LoopClock, Millis
 from ..codec import Codec
-from ..core.control.configuration_register import StoredConfiguration
+from ..core.control.configuration_register import TierOrders
 from ..core.forwarding.caller_hosts import (
     MIN_TOLD,
     HostRecord,
@@ -88,7 +88,7 @@
 
     Args:
         member: This host's part in the replicated log.
-        stored: Returns the newest configuration of the log's state.
+        orders: Returns what the log's state says that operators have ordered.
         list_is_fresh: Returns whether the list of servers was read lately.
         redirect: Returns what a host is told while this one does not lead.
         kept: Returns what a host, given by name, can serve by; None if this one knows no
@@ -103,7 +103,7 @@
     def __init__(
         self,
         member: ControlMember | None,
-        stored: Callable[[], StoredConfiguration],
+        orders: Callable[[], TierOrders],
         list_is_fresh: Callable[[], bool],
         redirect: Callable[[], Redirect],
         kept: Callable[[str], KeptNews | None],
@@ -113,7 +113,7 @@
         codec: Codec,
     ) -> None:
         self._member = member
-        self._stored = stored
+        self._orders = orders
         self._list_is_fresh = list_is_fresh
         self._redirect = redirect
         self._kept = kept
@@ -230,7 +230,7 @@
             # The host asks others as well until it hears that this one leads.
             await session.link.send(self._pulse(session))
             while True:
-                news = self._news.since(session.told, self._stored(), session.duty)
+                news = self._news.since(session.told, self._orders(), session.duty)
                 session.told = news.told
                 for message in news.messages:
                     await session.link.send_encoded(message)
--- a/src/alderhatch/platform/configuration.py
+++ b/src/alderhatch/platform/configuration.py
@@ -8,6 +8,7 @@
 
 import orjson
 
+from ..clock import SECOND
 from ..core.forwarding.route import (
     AllShards,
     CallerLimits,
@@ -138,7 +139,9 @@
 
 def _upstream(table: _Table) -> UpstreamSettings:
     connections = max(1, table.integer("max-connections", DEFAULT_CONNECTIONS))
-    return UpstreamSettings(table.text("name"), connections)
+    cold_span = table.number("warmup-s", 0.0) * SECOND
+    cold_rate = table.number("warmup-per-s") if table.has("warmup-per-s") else None
+    return UpstreamSettings(table.text("name"), connections, cold_span, cold_rate)
 
 
 def _limits(top: _Table) -> CallerLimits:
--- a/src/alderhatch/platform/edge.py
+++ b/src/alderhatch/platform/edge.py
@@ -15,6 +15,8 @@
 READINESS = "/-/readiness"
 ADDRESSES = "/-/resolve"
 CONFIGURATION = "/-/config"
+EVACUATION = "/-/evacuation/"
+"""An availability zone's name follows."""
 VERSION = "version"
 
 
@@ -56,7 +58,9 @@
         return json_response(200 if self._node.ready else 503, {})
 
     async def operator(self, req: HttpRequest) -> HttpResponse:
-        """Take or show the configuration."""
+        """Take or show the configuration, or an order about an availability zone."""
+        if req.path.startswith(EVACUATION):
+            return await self._evacuation(req)
         if req.path != CONFIGURATION:
             return _unknown(req)
         match req.method:
@@ -72,25 +76,43 @@
         try:
             in_force = await self._node.desk.put(cfg.version, req.body)
         except AlderhatchError as exc:
-            return self._elsewhere(exc)
+            return self._elsewhere(exc, req.path)
         return json_response(200, {VERSION: in_force})
 
+    async def _evacuation(self, req: HttpRequest) -> HttpResponse:
+        zone = req.path.removeprefix(EVACUATION)
+        zones = self._node.cfg.zones
+        if req.method not in ("POST", "DELETE"):
+            return _unknown(req)
+        if zone not in zones:
+            message = f"zone: there is no availability zone {zone!r}"
+            return failure_response(Failure(ErrorKind.NOT_FOUND, message, "zone"))
+        if req.body:
+            message = "body: the order takes none"
+            return failure_response(Failure(ErrorKind.BAD_REQUEST, message, "body"))
+        try:
+            evacuated = await self._node.desk.evacuate(zone, req.method == "POST")
+        except AlderhatchError as exc:
+            return self._elsewhere(exc, req.path)
+        left = sorted(zones - set(evacuated))
+        return json_response(200, {"evacuated": list(evacuated), "left": left})
+
     async def _get(self) -> HttpResponse:
         try:
             stored = await self._node.desk.read()
         except AlderhatchError as exc:
-            return self._elsewhere(exc)
+            return self._elsewhere(exc, CONFIGURATION)
         if stored.version == 0:
             return refusal(503, "there is no configuration yet", RETRY_AFTER_MS)
         return HttpResponse(200, stored.document)
 
-    def _elsewhere(self, exc: AlderhatchError) -> HttpResponse:
+    def _elsewhere(self, exc: AlderhatchError, path: str) -> HttpResponse:
         """Send an operator on to the leader if there is another one, else ask it to come back."""
         leader = self._node.leader
         cfg = self._node.cfg
         is_elsewhere = leader is not None and leader.address != cfg.address
         if exc.failure.kind is ErrorKind.NO_LEADER and leader is not None and is_elsewhere:
-            where = f"http://{leader.address}:{cfg.ports.operators}{CONFIGURATION}"
+            where = f"http://{leader.address}:{cfg.ports.operators}{path}"
             return HttpResponse(307, b"{}", headers=(("Location", where),))
         return refusal(503, exc.failure.kind, RETRY_AFTER_MS)
 
--- a/src/alderhatch/platform/settings.py
+++ b/src/alderhatch/platform/settings.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from ..clock import SECOND
+from ..core.forwarding.cold_allowance import ColdTerms
 from ..core.forwarding.extra_budget import BudgetTerms
 from ..core.policy import Policy
 from ..errors import AlderhatchError, ErrorKind, Failure
@@ -84,6 +85,8 @@
         ),
         stop_span=values.number("bounds.grace-s", 6.0) * SECOND,
         secret=LINK_SECRET,
+        zones=values.names("zones.") | {values.text("zone")},
+        cold=_cold_terms(values),
         processor=values.number("limits.cpu-share", 1.0) * values.number("limits.cpu-cores", 1.0),
         policy=POLICY,
     )
@@ -91,6 +94,13 @@
     return PlatformSettings(node, address, port)
 
 
+def _cold_terms(values: _Values) -> ColdTerms | None:
+    if not values.get("bounds.warmup-margin"):
+        return None
+    tolerance = values.number("bounds.warmup-tolerance", 1.0)
+    return ColdTerms(tolerance, values.number("bounds.warmup-margin", 0.0))
+
+
 def seeds_of(text: str, links: int) -> tuple[Place, ...]:
     """Return where the hosts that the settings name accept links.
 
@@ -116,6 +126,10 @@
             raise _wrong(key, "the setting is missing")
         return value
 
+    def names(self, prefix: str) -> frozenset[str]:
+        """Return the rest of all keys that begin so."""
+        return frozenset(key.removeprefix(prefix) for key in self._values if key.startswith(prefix))
+
     def number(self, key: str, default: float) -> float:
         value = self.get(key)
         try:
