--- a/bench/forward.py
+++ b/bench/forward.py
@@ -33,7 +33,9 @@
 from alderhatch.node.node import Node
 from alderhatch.node.node_metrics import NodeMetrics
 from alderhatch.node.node_state import NodeState
+from alderhatch.node.parts_collector import PartsCollector
 from alderhatch.node.request_log import RequestLog
+from alderhatch.node.split_gather import SplitGathers
 from alderhatch.node.tier_messages import TierView
 from alderhatch.platform.configuration import decode_configuration
 from alderhatch.platform.dialect import PlatformDialect
@@ -107,7 +109,8 @@
         log = RequestLog(self.state)
         metrics = NodeMetrics(cast(Node, SimpleNamespace(cfg=SimpleNamespace(name="bench"))))
         others = HandOverClient(self.state, Codec(*HAND_OVER_MESSAGE_TYPES), b"", Random(1))
-        self.callers = CallerSide(self.state, self.runner, dialect, metrics, log, others)
+        gathers = SplitGathers(self.state, PartsCollector(self.runner, dialect), others)
+        self.callers = CallerSide(self.state, self.runner, dialect, metrics, log, others, gathers)
 
     async def ask(self, first: int, count: int) -> None:
         """Send requests one after the other.
--- a/features/entry_connections.feature
+++ b/features/entry_connections.feature
@@ -79,3 +79,12 @@
       | no connection could be opened       | 2     | start fail                    | 0    | not wanted |
       | it could not be opened a while ago  | 2     | start fail wait               | 0    | wanted     |
       | the share shrank below what is idle | 1     | open take open back wait trim | 1    | not wanted |
+
+  Scenario: A server closes connections that nobody has used yet
+    # Before the first traffic, and where requests are rare, each connection is closed for being idle.
+    # Taken for a server that is full, it got no request for a while, and most parts of a query no
+    # server.
+    Given a pool with a connection to a server that closes what was unused for 700 ms
+    When the server has closed it
+    Then the next request gets a connection without a fault
+    And the pool has a live one again by itself when the server has closed that, too
--- a/features/steps/cold_servers_steps.py
+++ b/features/steps/cold_servers_steps.py
@@ -70,7 +70,7 @@
         records = [HostRecord(name, "zone-0", f"{name}:1", True, 1.0) for name in hosts]
         for name in who:
             if self.owners[name].take_hosts(records, self.now):
-                self.tables[name].set_owned(self.owners[name].owned_from)
+                self.tables[name].set_owners(self.owners[name])
 
     def list_again(self, warm_ups):
         self.records = [self.record(index, span) for index, span in enumerate(warm_ups)]
--- /dev/null
+++ b/features/steps/gather_split_steps.py
@@ -0,0 +1,468 @@
+from __future__ import annotations
+
+import heapq
+from itertools import count
+from random import Random
+from types import SimpleNamespace
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings as limits
+from hypothesis import strategies as st
+
+from alderhatch.clock import ManualClock
+from alderhatch.core.forwarding.caller_hosts import HostRecord
+from alderhatch.core.forwarding.forward_run import RunTimes
+from alderhatch.core.forwarding.gather_plan import GatherPlan, HostShare, plan_gather
+from alderhatch.core.forwarding.outcome import Failed, Gathered
+from alderhatch.core.forwarding.parts_bundle import PartsBundle
+from alderhatch.core.forwarding.route import AllShards
+from alderhatch.core.forwarding.server_record import ServerRecord
+from alderhatch.core.forwarding.shard_owners import ShardOwners
+from alderhatch.core.forwarding.split_run import AskHere, AskHost, Drop, Finish, SplitRun
+from alderhatch.core.forwarding.top_k import RECORD_BYTES, merge_top_k
+from alderhatch.entry.connection_pool import ConnectionPool
+from alderhatch.errors import AlderhatchError
+from alderhatch.node.gather_messages import (
+    PartsNews,
+    PartsRequest,
+    bundle_of,
+    check_parts_request,
+)
+from alderhatch.node.node_state import NodeState
+from alderhatch.node.split_gather import SplitGathers
+from alderhatch.platform.dialect import PlatformDialect
+from alderhatch.platform.settings import POLICY
+from alderhatch.platform.wire_names import SEAL
+from features.support.forward_model import TERMS, scatter_route
+
+SHARDS = [f"shard-{number:03}" for number in range(135)]
+DUE = 100.0
+DEADLINE = 1000.0
+
+
+# Who asks for what
+
+
+@given("{strong:d} strong and {weak:d} weak hosts that callers are sent to")
+def step_hosts(context, strong, weak):
+    context.hosts = [
+        HostRecord(
+            f"host-{index}", f"zone-{index % 3}", "a:1", True, 1.4 if index < strong else 0.5
+        )
+        for index in range(strong + weak)
+    ]
+    context.lost = set()
+
+
+def owners_at(name, hosts):
+    owners = ShardOwners(name)
+    owners.take_gathers([tuple(SHARDS[:90])], 0.0)
+    owners.take_hosts(hosts, 0.0)
+    return owners
+
+
+@when("a gather of {parts:d} parts comes to {first}")
+def step_gather(context, parts, first):
+    index = -1 if first == "a weak host" else 0
+    me = context.hosts[index].name
+    context.shards = SHARDS[:parts]
+    context.plan = plan_gather(
+        context.shards, owners_at(me, context.hosts), me, lambda name: name not in context.lost
+    )
+
+
+@when("{lost:d} of the others were lost lately, and a gather of {parts:d} parts comes to {first}")
+def step_gather_lost(context, lost, parts, first):
+    context.lost = {host.name for host in context.hosts[1 : lost + 1]}
+    step_gather(context, parts, first)
+
+
+@then("it is divided among {asked:d} hosts, and each part is asked for once")
+def step_divided(context, asked):
+    plan = context.plan
+    if plan is None:
+        assert asked == 1
+        return
+    assert len(plan.others) + bool(plan.own) == asked, plan
+    names = [*plan.own, *(name for share in plan.others for name in share.shards)]
+    assert sorted(names) == sorted(context.shards)
+
+
+@then(
+    "all hosts name the same owner for each of {parts:d} shards, whatever order they know each"
+    " other in"
+)
+def step_same_owner(context, parts):
+    tables = [
+        owners_at(host.name, context.hosts[index:] + context.hosts[:index])
+        for index, host in enumerate(context.hosts)
+    ]
+    context.owners = {name: tables[0].owner(name) for name in SHARDS[:parts]}
+    for table in tables:
+        assert {name: table.owner(name) for name in SHARDS[:parts]} == context.owners
+
+
+@then("each strong host owns {even:d} of them")
+def step_each_owns(context, even):
+    strong = [host.name for host in context.hosts if host.processor > 1]
+    owned = list(context.owners.values())
+    assert {name: owned.count(name) for name in strong} == dict.fromkeys(strong, even)
+
+
+@when("one of the strong hosts goes")
+def step_one_goes(context):
+    context.before = context.owners
+    context.hosts.pop(0)
+
+
+@then("at least {least:d} of them have the same owner as before")
+def step_same_as_before(context, least):
+    same = sum(context.before[name] == owner for name, owner in context.owners.items())
+    assert same >= least, same
+
+
+# One gather
+
+
+class Model:
+    """A gather of 9 parts over 3 hosts on a virtual clock; ``brings`` says what comes when."""
+
+    def __init__(self):
+        hosts = [HostRecord(f"host-{index}", "zone", "a:1", True, 1.0) for index in range(3)]
+        shares = [
+            HostShare(hosts[index], tuple(f"{index}-{part}" for part in "abc")) for index in (1, 2)
+        ]
+        plan = GatherPlan(("0-a", "0-b", "0-c"), tuple(shares))
+        self.run = SplitRun(plan, 8, RunTimes(0.0, DUE, DEADLINE))
+        self.now = 0.0
+        self.events = []
+        self.order = count()
+        self.asked_here = []
+        self.repeats = []
+        self.outcome = None
+        self.ended_at = None
+        self.gets_here = True
+        self.trouble = {}
+
+    def at(self, when, event, *args):
+        heapq.heappush(self.events, (when, next(self.order), event, args))
+
+    def take(self, effects):
+        for effect in effects:
+            match effect:
+                case AskHost(number, share):
+                    self.begin(number, share.host.name, share.shards)
+                case AskHere(number, shards, is_repeat):
+                    is_own = shards[0].startswith("0")
+                    if not is_own:
+                        self.asked_here += shards
+                        self.repeats.append(is_repeat)
+                    if is_own or self.gets_here:
+                        span = 10.0 if is_own else 5.0
+                        self.at(self.now + span, self.parts, number, shards)
+                        self.at(self.now + span, self.end, number)
+                case Drop():
+                    pass
+                case Finish(outcome):
+                    self.outcome = outcome
+                    self.ended_at = self.now
+
+    def begin(self, number, host, shards):
+        if host in self.trouble:
+            self.trouble[host](number, shards)
+            return
+        self.at(10.0, self.parts, number, shards)
+        self.at(10.0, self.end, number)
+
+    def parts(self, number, shards):
+        bundle = PartsBundle(tuple(shards), tuple(name.encode() for name in shards), b"")
+        try:
+            return self.run.on_parts(number, bundle, self.now)
+        except ValueError:
+            return self.run.on_lost(number, True, self.now)
+
+    def end(self, number):
+        return self.run.on_end(number, self.now)
+
+    def lost(self, number, may_have_run):
+        return self.run.on_lost(number, may_have_run, self.now)
+
+    def play(self):
+        self.take(self.run.start(0.0))
+        while self.outcome is None:
+            due = self.run.next_wake
+            if self.events and self.events[0][0] <= due:
+                self.now, _, event, args = heapq.heappop(self.events)
+                self.take(event(*args))
+            else:
+                self.now = max(self.now, due)
+                self.take(self.run.on_time(self.now))
+
+
+@given("a gather of 9 parts over 3 hosts")
+def step_model(context):
+    context.model = Model()
+
+
+@when("the second host {trouble}")
+def step_trouble(context, trouble):
+    model = context.model
+
+    def brings(first, rest_at=None, ends=True):
+        def begin(number, shards):
+            model.at(10.0, model.parts, number, shards[:first])
+            if rest_at is not None:
+                model.at(rest_at, model.parts, number, shards[first:])
+            if ends:
+                model.at(rest_at or 10.0, model.end, number)
+
+        return begin
+
+    def lost(at, first, may_have_run):
+        def begin(number, shards):
+            if first:
+                model.at(at / 2, model.parts, number, shards[:first])
+            model.at(at, model.lost, number, may_have_run)
+
+        return begin
+
+    def late(number, shards):
+        model.at(70.0, model.parts, number, shards)
+
+    def of_others(number, shards):
+        model.at(10.0, model.parts, number, ("0-a", "0-b"))
+
+    def lost_with_spent(number, shards):
+        bundle = PartsBundle((), (), b"", shards[:1])
+        model.at(5.0, model.run.on_parts, number, bundle, 5.0)
+        model.at(10.0, model.lost, number, True)
+
+    def twice(number, shards):
+        model.at(5.0, model.parts, number, shards[:1])
+        model.at(10.0, model.parts, number, shards[:1])
+
+    model.trouble["host-1"] = {
+        "brings all at once": brings(3),
+        "brings 2 at once and 1 at 60 ms": brings(2, 60.0),
+        "brings 2 at once and 1 at 300 ms": brings(2, 300.0),
+        "brings 1 at once and 2 at 300 ms": brings(1, 300.0),
+        "brings 2 at once and ends": brings(2),
+        "brings 1 at once and ends": brings(1),
+        "is lost at once": lost(10.0, 0, True),
+        "is lost at 30 ms with 1 brought": lost(30.0, 1, True),
+        "is lost with 1 that none may ask": lost_with_spent,
+        "refuses at once": lost(10.0, 0, False),
+        "says nothing": lambda number, shards: None,
+        "brings parts of others": of_others,
+        "brings a part twice": twice,
+        "says nothing and brings all late": late,
+    }[trouble]
+
+
+@when("this host {here} what it then asks for itself")
+def step_here(context, here):
+    context.model.gets_here = here == "gets"
+    context.model.play()
+
+
+@then(
+    "it ends as {outcome} at {at:d} ms, and this host has asked for {asked:d} parts of the other"
+    " one"
+)
+def step_ends(context, outcome, at, asked):
+    model = context.model
+    match model.outcome:
+        case Gathered(bundles, missing):
+            names = [name for bundle in bundles for name in bundle.shards]
+            assert len(set(names)) == len(names) == 9 - missing
+            found = f"{len(names)} of 9"
+        case Failed(reason):
+            found = str(reason)
+        case other:
+            found = repr(other)
+    assert (found, model.ended_at, len(model.asked_here)) == (outcome, at, asked), (
+        found,
+        model.ended_at,
+        model.asked_here,
+    )
+
+
+@given("a host among 6 before 90 shards of which {gone:d} have no server left")
+def step_before(context, gone):
+    clock = ManualClock(1000.0)
+    pool = ConnectionPool(0, spares=False)
+    state = NodeState("host-0", "zone-0", None, pool, TERMS, POLICY, clock, Random(1))
+    shards = SHARDS[:90]
+    state.table.update(
+        (ServerRecord(f"i-{name}", name, "127.0.0.1", 80, "zone-0", 2, False) for name in shards),
+        clock.now(),
+    )
+    state.table.update(
+        (
+            ServerRecord(f"i-{name}", name, "127.0.0.1", 80, "zone-0", 2, index < gone)
+            for index, name in enumerate(shards)
+        ),
+        clock.now(),
+    )
+    hosts = [HostRecord(f"host-{index}", "zone-0", "a:1", True, 1.0) for index in range(6)]
+    state.owners.take_hosts(hosts, clock.now())
+    links = SimpleNamespace(is_sound=lambda name, now: True)
+    context.gathers = SplitGathers(state, None, links)
+    context.route = scatter_route(shards, destination=AllShards(tuple(shards), 10, 0.95))
+
+
+@then("it {does} a gather that needs 86 of them")
+def step_does(context, does):
+    times = RunTimes(1000.0, 1100.0, 2000.0)
+    gather = context.gathers.begin(SimpleNamespace(http=None), context.route, times)
+    assert (gather is not None) == (does == "splits")
+
+
+@then("gathers of any hosts and any order of {steps:d} events keep these promises")
+def step_any_order(context, steps):
+    @limits(max_examples=steps, deadline=None, derandomize=True)
+    @for_all(st.data())
+    def check(data):
+        hosts = data.draw(st.integers(0, 4))
+        own = data.draw(st.integers(0 if hosts else 1, 4))
+        plan = GatherPlan(
+            tuple(f"own-{part}" for part in range(own)),
+            tuple(
+                HostShare(
+                    HostRecord(f"host-{index}", "zone", "a:1", True, 1.0),
+                    tuple(f"{index}-{part}" for part in range(data.draw(st.integers(1, 4)))),
+                )
+                for index in range(hosts)
+            ),
+        )
+        total = own + sum(len(share.shards) for share in plan.others)
+        least = data.draw(st.integers(1, total))
+        run = SplitRun(plan, least, RunTimes(0.0, DUE, DEADLINE))
+        play_any(data, run, total, least)
+
+    check()
+
+
+def play_any(data, run, total, least):
+    shares = {}
+    finished = []
+    now = 0.0
+
+    def take(effects):
+        for effect in effects:
+            match effect:
+                case AskHost(number, share):
+                    shares[number] = list(share.shards)
+                case AskHere(number, shards, _):
+                    shares[number] = list(shards)
+                case Finish(outcome):
+                    finished.append((outcome, now))
+
+    take(run.start(now))
+    while not finished:
+        now += data.draw(st.sampled_from((0.0, 1.0, 30.0, 400.0)))
+        if now >= run.next_wake:
+            take(run.on_time(now))
+            continue
+        number = data.draw(st.sampled_from(sorted(shares)))
+        match data.draw(st.sampled_from(("parts", "end", "lost"))):
+            case "parts":
+                some = tuple(data.draw(st.lists(st.sampled_from(shares[number]), max_size=3)))
+                bundle = PartsBundle(some, tuple(name.encode() for name in some), b"")
+                try:
+                    take(run.on_parts(number, bundle, now))
+                except ValueError:
+                    take(run.on_lost(number, True, now))
+            case "end":
+                take(run.on_end(number, now))
+            case "lost":
+                take(run.on_lost(number, data.draw(st.booleans()), now))
+    outcome, at = finished[0]
+    assert len(finished) == 1 and at <= DEADLINE + 400.0
+    if isinstance(outcome, Gathered):
+        names = [name for bundle in outcome.bundles for name in bundle.shards]
+        assert len(set(names)) == len(names) >= least
+        assert len(names) + outcome.missing == total
+
+
+# Messages
+
+KNOWN = ["a", "b", "c"]
+ASKED = PartsRequest(1, "GET", "/all/1", [], b"", 800.0, 50.0, ["a", "b"], [[], ["i-1"]], False)
+ANSWER = PartsNews(1, [0, 1], [b"x", b"y"], b"r" * 32, [])
+
+
+@then('a request for a share with {mistake} is refused naming "{field}"')
+def step_bad_share(context, mistake, field):
+    check_parts_request(ASKED, KNOWN)
+    nan = float("nan")
+    spoilt = {
+        "no time left": ASKED._replace(time_left=0.0),
+        "a time that is no number": ASKED._replace(time_left=nan),
+        "a due time that is no number": ASKED._replace(due_in=nan),
+        "no shard": ASKED._replace(shards=[], servers=[]),
+        "a shard twice": ASKED._replace(shards=["a", "a"]),
+        "a shard of no route": ASKED._replace(shards=["a", "z"]),
+        "more shards than the route": ASKED._replace(shards=["a", "b", "c", "d"], servers=[[]] * 4),
+        "servers for fewer shards": ASKED._replace(servers=[[]]),
+    }[mistake]
+    try:
+        check_parts_request(spoilt, KNOWN)
+    except AlderhatchError as exc:
+        assert exc.failure.field == field, exc.failure
+        return
+    raise AssertionError("taken")
+
+
+@then('an answer with {mistake} is refused naming "{field}"')
+def step_bad_answer(context, mistake, field):
+    assert bundle_of(ANSWER, ("a", "b"), 2) == PartsBundle(("a", "b"), (b"x", b"y"), b"r" * 32)
+    spoilt = {
+        "a place beyond the request": ANSWER._replace(shards=[0, 2]),
+        "a place below zero": ANSWER._replace(shards=[0, -1]),
+        "a spent place beyond it": ANSWER._replace(spent=[2]),
+        "fewer signatures than parts": ANSWER._replace(signatures=[b"x"]),
+        "an empty signature": ANSWER._replace(signatures=[b"x", b""]),
+        "a record that is cut": ANSWER._replace(records=b"r" * 31),
+        "more records than are wanted": ANSWER._replace(records=b"r" * 48),
+    }[mistake]
+    try:
+        bundle_of(spoilt, ("a", "b"), 2)
+    except ValueError as exc:
+        assert str(exc).startswith(field), exc
+        return
+    raise AssertionError("taken")
+
+
+@then("merging any parts in any bundles gives the greatest records of all")
+def step_merged(context):
+    record = st.binary(min_size=RECORD_BYTES, max_size=RECORD_BYTES)
+    few = st.sampled_from([bytes([number]) * RECORD_BYTES for number in range(3)])
+    part = st.lists(record | few, max_size=5).map(b"".join)
+    bundles = st.lists(st.lists(part, min_size=1, max_size=4), min_size=1, max_size=4)
+
+    @limits(max_examples=100, deadline=None, derandomize=True)
+    @for_all(bundles, st.integers(1, 6))
+    def check(groups, most):
+        destination = AllShards(("a",), most, 0.5)
+        route = SimpleNamespace(destination=destination)
+        dialect = PlatformDialect()
+        merged = []
+        for group in groups:
+            replies = {str(index): reply(body) for index, body in enumerate(group)}
+            merged.append(dialect.bundle(destination, replies))
+        res = dialect.response(route, Gathered(tuple(merged), 3))
+        every = [body for group in groups for body in group]
+        assert res.body == merge_top_k(every, most)
+        assert len(dict(res.fields)[b"part-seals"].split(b", ")) == len(every)
+        assert dict(res.fields)[b"missing-parts"] == b"3"
+
+    check()
+
+
+def reply(body):
+    def header(name):
+        return b"sealed" if name == SEAL else None
+
+    return SimpleNamespace(body=body, header=header)
--- a/features/steps/hand_over_steps.py
+++ b/features/steps/hand_over_steps.py
@@ -174,7 +174,7 @@
         self.begun = trio.Event()
         self.span = 0.0
         self.serving = ServeState()
-        self.server = HandOverServer(self.answer, lambda: VERSION, self.serving)
+        self.server = HandOverServer(self.answer, None, lambda: VERSION, self.serving)
         self.links = []
         self.is_mute = False
 
@@ -481,7 +481,7 @@
 
 @then('its callers are refused as "{kind}" until it has {version:d}')
 def step_refused_until(context, kind, version):
-    side = CallerSide(context.beliefs, None, None, None, None, None)
+    side = CallerSide(context.beliefs, None, None, None, None, None, None)
     req = SimpleNamespace(host="a", http=request())
     kinds = []
     for held in (version - 1, version):
--- /dev/null
+++ b/features/steps/idle_connections_steps.py
@@ -0,0 +1,78 @@
+from __future__ import annotations
+
+import trio
+from behave import given, then, when
+
+from alderhatch.core.shard_map import Server
+from alderhatch.entry.connection_pool import ConnectionPool
+
+UPSTREAM = "rare"
+SERVER_ID = "i-1"
+UNUSED_S = 0.7
+PATIENCE_S = 30
+
+
+class Idling:
+    """A server that answers nothing and closes each connection after a time."""
+
+    def __init__(self):
+        self.closed = 0
+
+    async def serve(self, stream):
+        await trio.sleep(UNUSED_S)
+        await stream.aclose()
+        self.closed += 1
+
+
+@given("a pool with a connection to a server that closes what was unused for 700 ms")
+def step_pool(context):
+    context.server = Idling()
+    context.steps = []
+
+
+@when("the server has closed it")
+def step_closed(context):
+    async def closed(pool):
+        while not context.server.closed:
+            await trio.sleep(0.01)
+
+    context.steps.append(closed)
+
+
+@then("the next request gets a connection without a fault")
+def step_taken(context):
+    async def taken(pool):
+        conn = await pool.take(SERVER_ID)
+        assert conn.alive
+        pool.give_back(SERVER_ID, conn)
+
+    context.steps.append(taken)
+
+
+@then("the pool has a live one again by itself when the server has closed that, too")
+def step_again(context):
+    async def again(pool):
+        known = context.server.closed
+        while context.server.closed == known:
+            await trio.sleep(0.01)
+        opened = pool.opened
+        while pool.opened == opened or pool.held_to(SERVER_ID) != (1, 0):
+            await trio.sleep(0.01)
+
+    context.steps.append(again)
+    trio.run(play, context)
+
+
+async def play(context):
+    with trio.fail_after(PATIENCE_S):
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, context.server.serve, 0)
+            port = listeners[0].socket.getsockname()[1]
+            pool = ConnectionPool(4, spares=False)
+            await nursery.start(pool.run)
+            pool.adopt(UPSTREAM, [Server(SERVER_ID, "127.0.0.1", port, "zone", 2, 10)], ())
+            while not pool.opened:
+                await trio.sleep(0.01)
+            for step in context.steps:
+                await step(pool)
+            nursery.cancel_scope.cancel()
--- a/features/steps/log_output_steps.py
+++ b/features/steps/log_output_steps.py
@@ -190,7 +190,7 @@
     context.model.run_until(context.model.now + 20_000.0)
     outcome, at = context.model.results[number]
     run = context.model.runs[number]
-    return run, end_of(run, outcome, min(at - run.times.arrived, 100.0))
+    return run, end_of(outcome, min(at - run.times.arrived, 100.0))
 
 
 @when("{count:d} requests go well in it")
--- a/features/support/platform_tier.py
+++ b/features/support/platform_tier.py
@@ -285,6 +285,9 @@
         answer = call(self.addresses[index], self.ports[2], "GET", "/-/readiness")
         return answer is not None and answer.status == 200
 
+    def metrics(self, index):
+        return call(self.addresses[index], self.ports[5], "GET", "/metrics").body.decode()
+
     def resolve(self, index, zone="elsewhere"):
         path = f"/-/resolve?name={HOST}&region=r&zone={zone}"
         answer = call(self.addresses[index], self.ports[1], "GET", path)
--- a/src/alderhatch/core/forwarding/forward_run.py
+++ b/src/alderhatch/core/forwarding/forward_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Container, Mapping
 from itertools import count
 from typing import NamedTuple
 
@@ -27,6 +28,8 @@
 GUESS_FACTOR = 2.0
 """Before there are enough samples, a part is late after this multiple of the usual latency."""
 MIN_HEDGE_DELAY: Millis = 8.0
+IN_TIME_FACTOR = 2.5
+"""How many usual latencies before the answer is due a part of a split gather is asked for again."""
 MAX_SENDS = 4
 """Requests for one shard, refused ones included; more would only add to an overload."""
 LOOK_AGAIN: Millis = 25.0
@@ -49,6 +52,19 @@
     """When the caller has to have its final answer."""
 
 
+class PartRules(NamedTuple):
+    """What binds a run that asks only for a share of a gather."""
+
+    servers: Mapping[str, Container[str]]
+    """For shards with more servers than a request may run on, those that may be asked: another host
+    that has to ask for the same shard keeps to the same ones. A hedge that finds none of them sound
+    may go elsewhere, and the shard is then asked for by no other host."""
+    is_repeat: bool
+    """Whether another host may have asked for the same shards."""
+    due: Millis
+    """When the answer of the whole gather should leave."""
+
+
 _attempts = count(1)
 
 
@@ -63,10 +79,17 @@
         upstreams: The shards, or the one upstream chosen for it.
         times: What it is bound by.
         table: The servers.
+        rules: What else binds it if it is a share of a gather; such a run goes on until no part
+            can come any more, and has no least coverage.
     """
 
     def __init__(
-        self, route: Route, upstreams: tuple[str, ...], times: RunTimes, table: TargetTable
+        self,
+        route: Route,
+        upstreams: tuple[str, ...],
+        times: RunTimes,
+        table: TargetTable,
+        rules: PartRules | None = None,
     ) -> None:
         self.route = route
         self.times = times
@@ -93,7 +116,10 @@
         self._effects: list[Effect] = []
         destination = route.destination
         coverage = destination.min_coverage if isinstance(destination, AllShards) else 1.0
-        self._least = least_parts(len(upstreams), coverage)
+        self._rules = rules
+        self._is_repeat = rules is not None and rules.is_repeat
+        self._due = times.answer_by if rules is None else rules.due
+        self._least = 0 if rules is not None else least_parts(len(upstreams), coverage)
 
     @property
     def trace(self) -> list[Decision]:
@@ -109,11 +135,17 @@
             self._finish(NotRun(FailureReason.NO_SERVER, DEFAULT_RETRY_AFTER))
             return self._flush()
         for shard in self.shards.values():
-            self._table.count_first(shard.upstream, now)
-            self._send(shard, now, DecisionKind.SEND)
+            if not self._is_repeat:
+                self._table.count_first(shard.upstream, now)
+            self._send(shard, now, DecisionKind.RETRY if self._is_repeat else DecisionKind.SEND)
         self._settle(now)
         return self._flush()
 
+    def let_go(self) -> list[Effect]:
+        """Ask nobody else; what is out already may end within its grace."""
+        self._finish(self._answer())
+        return self._flush()
+
     def on_answer(self, attempt: int, answer: object, now: Millis) -> list[Effect]:
         """Take a server's answer that counts."""
         sent = self._peek(attempt)
@@ -231,11 +263,17 @@
     def _choose(self, shard: ShardState, now: Millis, kind: DecisionKind) -> Target | None:
         table = self._table
         refused = {name for name, at in shard.refused_by.items() if now - at < REFUSED_PAUSE}
+        only = self._rules.servers.get(shard.upstream) if self._rules is not None else None
         if kind is DecisionKind.HEDGE:
-            return table.choose_sound(shard.upstream, shard.may_have_run | refused, now)
+            excluded = shard.may_have_run | refused
+            target = table.choose_sound(shard.upstream, excluded, now, only)
+            if target is None and only is not None and not self._is_repeat:
+                target = table.choose_sound(shard.upstream, excluded, now)
+                shard.is_spent = target is not None
+            return target
         target = None
         if len(shard.may_have_run) < self.route.max_servers:
-            target = table.choose(shard.upstream, shard.may_have_run | refused, now)
+            target = table.choose(shard.upstream, shard.may_have_run | refused, now, only)
         if target is None and shard.may_have_run and not shard.out:
             # Nobody else can be asked, or no further server may run it. A server that has failed it
             # once may do better now.
@@ -280,9 +318,21 @@
             return FOREVER
         if shard.hedge_at is None:
             (sent,) = shard.out.values()
-            shard.hedge_at = sent.at + self.hedge_delay(shard.upstream, sent.at)
+            usual = sent.at + self.hedge_delay(shard.upstream, sent.at)
+            shard.hedge_at = self._in_time(shard.upstream, usual, sent.at)
         return shard.hedge_at
 
+    def _in_time(self, upstream: str, usual: Millis, sent_at: Millis) -> Millis:
+        """Return when to ask another server so that its answer still comes before it is due.
+
+        While many servers are slow, all but the quickest answers take as long as theirs: a part
+        that is asked for again only after that is of no use.
+        """
+        if self._rules is None:
+            return usual
+        last = self._due - IN_TIME_FACTOR * self._table.upstream(upstream).latencies.median
+        return usual if last <= sent_at + MIN_HEDGE_DELAY else min(usual, last)
+
     def hedge_delay(self, upstream: str, now: Millis) -> Millis:
         """Return how long an answer is awaited before another server is asked as well."""
         latencies = self._table.route_latencies(self.route.name)
--- a/src/alderhatch/core/forwarding/hand_over.py
+++ b/src/alderhatch/core/forwarding/hand_over.py
@@ -36,6 +36,10 @@
         known = {one: until for one, until in self._avoided_until.items() if until > now}
         self._avoided_until = {**known, name: now + AVOID_FOR}
 
+    def is_avoided(self, name: str, now: Millis) -> bool:
+        """Return whether a host is passed over just now."""
+        return self._avoided_until.get(name, 0.0) > now
+
     def choose(
         self, hosts: Iterable[HostRecord], tried: Iterable[str], now: Millis
     ) -> HostRecord | None:
--- a/src/alderhatch/core/forwarding/outcome.py
+++ b/src/alderhatch/core/forwarding/outcome.py
@@ -7,6 +7,7 @@
 from typing import TypeAlias
 
 from ...clock import Millis
+from .parts_bundle import PartsBundle
 
 
 class FailureReason(StrEnum):
@@ -32,6 +33,16 @@
     """How many shards are left out."""
 
 
+@dataclass(frozen=True, slots=True)
+class Gathered:
+    """There is an answer that several hosts have gathered."""
+
+    bundles: tuple[PartsBundle, ...]
+    """The parts; no shard is in two of them."""
+    missing: int
+    """How many shards are left out."""
+
+
 @dataclass(frozen=True, slots=True)
 class NotRun:
     """No server began to work on the request, and none will."""
@@ -49,4 +60,4 @@
     """A server's own word that it failed, if it gave one."""
 
 
-Outcome: TypeAlias = Answered | NotRun | Failed
+Outcome: TypeAlias = Answered | Gathered | NotRun | Failed
--- a/src/alderhatch/core/forwarding/shard_state.py
+++ b/src/alderhatch/core/forwarding/shard_state.py
@@ -38,6 +38,8 @@
     without_server_since: Millis | None = None
     """Since when no server could be asked; None while one is out or was found."""
     given_up: bool = False
+    is_spent: bool = False
+    """Whether it was asked for at a server that other hosts would not ask, so that none may."""
     waits_until: Millis | None = None
     """When to look for a server again, if none could be asked."""
 
--- a/src/alderhatch/core/forwarding/target_table.py
+++ b/src/alderhatch/core/forwarding/target_table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Container, Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 from random import Random
 
 from ...clock import Millis
@@ -17,6 +17,7 @@
 from .extra_budget import BudgetShare, BudgetTerms
 from .route import UpstreamSettings
 from .server_record import ServerRecord
+from .shard_owners import ShardOwners
 from .target import Target
 from .upstream_targets import DEFAULT_MAX_CONNECTIONS, UpstreamTargets, usable
 
@@ -53,7 +54,7 @@
         self._zone = zone
         self._terms = terms
         self._cold = cold
-        self._owned_from: Callable[[str], Millis | None] = lambda upstream: None
+        self._owners: ShardOwners | None = None
         self.policy = policy
         """The numbers that the choice is tuned by."""
         self._rng = rng
@@ -74,6 +75,7 @@
         known = self._upstreams.get(name)
         if known is None:
             known = UpstreamTargets(name, self._terms, self.policy.first_latency_ms)
+            known.is_owned = self._owners is not None and self._owners.divides(name)
             self._upstreams[name] = known
         return known
 
@@ -109,17 +111,19 @@
             for target in upstream.targets.values():
                 self._take_cold_terms(upstream, target)
 
-    def set_owned(self, owned_from: Callable[[str], Millis | None]) -> None:
-        """Take since when this host owns an upstream by its name; None stands for not at all."""
-        self._owned_from = owned_from
+    def set_owners(self, owners: ShardOwners) -> None:
+        """Take who owns which upstream."""
+        self._owners = owners
         for upstream in self._upstreams.values():
+            upstream.is_owned = owners.divides(upstream.name)
             for target in upstream.targets.values():
-                target.cold.owned_from = owned_from(upstream.name)
+                target.cold.owned_from = owners.owned_from(upstream.name)
 
     def _take_cold_terms(self, upstream: UpstreamTargets, target: Target) -> None:
         target.cold_span = upstream.cold_span
         target.cold.allowed = upstream.cold_allowed
-        target.cold.owned_from = self._owned_from(upstream.name)
+        if self._owners is not None:
+            target.cold.owned_from = self._owners.owned_from(upstream.name)
 
     def connection_share(self, upstream: UpstreamTargets) -> int:
         """Return how many connections to each of its servers this host may hold."""
@@ -239,17 +243,50 @@
         """Return how many servers of an upstream could be asked now."""
         return sum(1 for one in self.upstream(name).targets.values() if not one.barred(now))
 
-    def choose_sound(self, name: str, excluded: Container[str], now: Millis) -> Target | None:
+    def choose_sound(
+        self,
+        name: str,
+        excluded: Container[str],
+        now: Millis,
+        only: Container[str] | None = None,
+    ) -> Target | None:
         """Return a server that nothing speaks against, or None.
 
         A hedge that goes to a server which was ejected, or stands still itself, only uses up the
         budget.
         """
-        target = self.choose(name, excluded, now)
+        target = self.choose(name, excluded, now, only)
         if target is None or target.doubtful(now) or target.stands_still(now):
             return None
         return target
 
+    def servers_for(self, name: str, count: int, zone: str, now: Millis) -> tuple[str, ...]:
+        """Return the ids of the servers that may be asked if only so many may run a request.
+
+        Args:
+            name: The upstream.
+            count: How many.
+            zone: The availability zone of the host that asks first.
+            now: The time.
+
+        Returns:
+            The ids; none if there are no more servers than that.
+        """
+        targets = self.upstream(name).targets.values()
+        if len(targets) <= count:
+            return ()
+        ranked = sorted(
+            (
+                one.barred(now),
+                one.doubtful(now),
+                one.zone != zone,
+                self._rng.random(),
+                one.server_id,
+            )
+            for one in targets
+        )
+        return tuple(server_id for *_, server_id in ranked[:count])
+
     def choose(
         self,
         name: str,
@@ -275,7 +312,9 @@
         cost = self.policy.zone_cost_ms
         # A part that comes a little later is as good, as long as it is in when the answer is due;
         # what crosses between zones is the largest part of a request's cost.
-        near_enough = self.policy.near_factor * upstream.latencies.median
+        policy = self.policy
+        factor = policy.owner_near_factor if upstream.is_owned else policy.near_factor
+        near_enough = factor * upstream.latencies.median
         for among in (moving, targets):
             found = choose_replica(
                 among,
--- a/src/alderhatch/core/forwarding/upstream_targets.py
+++ b/src/alderhatch/core/forwarding/upstream_targets.py
@@ -23,6 +23,8 @@
         """How long its servers are cold after a start."""
         self.cold_allowed: int | None = None
         """What the owner may send to a cold server in a second; None for no limit."""
+        self.is_owned = False
+        """Whether one host asks it for all, which then sees how each of its servers does."""
         self.targets: dict[str, Target] = {}
         self.latencies = LatencyHistogram(first_latency)
         self.budget = ExtraBudget(terms.window)
--- a/src/alderhatch/core/policy.py
+++ b/src/alderhatch/core/policy.py
@@ -19,6 +19,8 @@
     near_factor: float = 0.0
     """A forwarded request goes to a server of the own availability zone that is likely to answer
     within this multiple of the upstream's median latency, however quick the others are."""
+    owner_near_factor: float = 0.0
+    """The same where one host asks an upstream for all others."""
     trouble_cost_ms: Millis = 60.0
     """What a forwarded request that comes to nothing costs in time and in budget for retries."""
     first_latency_ms: Millis = 5.0
--- a/src/alderhatch/entry/connection_pool.py
+++ b/src/alderhatch/entry/connection_pool.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import trio
 
@@ -19,6 +19,9 @@
 SWEEP_EVERY: Millis = 100.0
 SURPLUS_AFTER: Millis = 3 * SECOND
 """Without spares, how long a second connection to a server is kept when it is not needed."""
+LOOK_EVERY_SWEEPS = 10
+"""Each server's idle connections are looked at in one of so many sweeps; servers close what was
+idle for some seconds, and a request that finds its connection closed waits for a new one."""
 MAX_AGE: Millis = 10 * MINUTE
 RETIRE_AFTER: Millis = 60 * SECOND
 """How long a server that left the map is kept for queries that still pin the old one."""
@@ -46,8 +49,10 @@
         self._default_share = default_share
         self._progress_timeout = progress_timeout
         self._spares = spares
-        self.keeps_warm = True
-        """Whether a connection to each server is opened ahead; else only when one is asked for."""
+        self.keeps_warm: Callable[[str], bool] = lambda upstream: True
+        """Whether a connection to each server of an upstream is opened ahead; else only when one is
+        asked for."""
+        self._sweeps = 0
         self._shares: Mapping[str, int] | None = None
         self._servers: dict[str, ServerConnections] = {}
         self._openings = trio.CapacityLimiter(OPENINGS_AT_ONCE)
@@ -221,7 +226,7 @@
     def _grow(self, conns: ServerConnections) -> None:
         if self._nursery is None or not conns.wants_more(self._clock.now()):
             return
-        if not self.keeps_warm and not conns.waiting:
+        if not conns.waiting and not self.keeps_warm(conns.upstream):
             return
         conns.opening = True
         self._nursery.start_soon(self._open, conns)
@@ -261,7 +266,10 @@
             self._nursery = None
 
     def _sweep_once(self, now: Millis, stall: Millis) -> None:
-        for server_id, conns in list(self._servers.items()):
+        self._sweeps += 1
+        for index, (server_id, conns) in enumerate(list(self._servers.items())):
+            if (index + self._sweeps) % LOOK_EVERY_SWEEPS == 0:
+                conns.drop_closed(now)
             conns.drop_silent(now - self._progress_timeout - stall, now)
             conns.drop_old(now - MAX_AGE, now)
             if not self._spares:
--- a/src/alderhatch/entry/server_connections.py
+++ b/src/alderhatch/entry/server_connections.py
@@ -13,6 +13,8 @@
 
 CLOSE_LINGER: Millis = 100.0
 """How long a closed connection still counts: the server may not have seen it close yet."""
+TURNED_AWAY_WITHIN: Millis = 500.0
+"""A server that is full closes a new connection within this time; idle ones are closed later."""
 FIRST_BACKOFF: Millis = 50.0
 LONGEST_BACKOFF: Millis = 5000.0
 
@@ -104,7 +106,7 @@
         conn.close(fault)
         if not conn.closed_by_peer:
             self._closed_at.append(now)
-        elif not conn.used:
+        elif not conn.used and now - conn.opened_at < TURNED_AWAY_WITHIN:
             # A server that is full closes each new connection at once. Opened again at once, they
             # would keep it busy with nothing else.
             self._back_off(now)
@@ -163,6 +165,12 @@
             self.silent += 1
             self.drop(conn, now, ExchangeFault.SILENT)
 
+    def drop_closed(self, now: Millis) -> None:
+        """Let go of idle connections that the server has closed."""
+        for conn in [conn for conn in self.idle if not conn.alive]:
+            self.idle.remove(conn)
+            self.drop(conn, now)
+
     def drop_surplus(self, before: Millis, now: Millis) -> None:
         """Close idle connections but the last used one that were not used since a point in time."""
         while len(self.idle) > 1 and self.idle[0].progress_at < before:
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -148,6 +148,11 @@
     HAND_OVER_LINK_LOST = EventRow(
         1077, logging.WARNING, "The link to a node that serves callers is gone; see why."
     )
+    SHARE_LOST = EventRow(
+        1080,
+        logging.WARNING,
+        "Another node did not bring its share of a gather; this one asks for it; see why.",
+    )
     STANDING_CHANGED = EventRow(
         1078, logging.INFO, "The leader told the node whether it stands by or asks servers itself."
     )
--- a/src/alderhatch/node/caller_side.py
+++ b/src/alderhatch/node/caller_side.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from contextlib import contextmanager
+
 import trio
 
 from ..clock import SECOND, LoopClock, Millis
 from ..core.forwarding.crash_tally import QUARANTINE
 from ..core.forwarding.forward_run import ForwardRun, RunTimes
+from ..core.forwarding.outcome import Outcome
 from ..core.forwarding.own_time import OwnTime
 from ..core.forwarding.route import AllShards, OneUpstream, Route, SplitUpstreams
 from ..core.forwarding.split import SplitCounter
@@ -18,6 +22,7 @@
 from .node_metrics import NodeMetrics
 from .node_state import NodeState
 from .request_log import RequestLog, end_of
+from .split_gather import SplitGather, SplitGathers
 
 FIRST_ROUND_TRIPS = 2.0
 """A caller's new connection takes a round trip, its request and its answer another."""
@@ -48,6 +53,7 @@
         metrics: Counts requests.
         log: Writes a line about those that have one.
         hand_over_client: Has other hosts answer while this one stands by.
+        gathers: Has other hosts ask for shares of large gathers.
     """
 
     def __init__(
@@ -58,6 +64,7 @@
         metrics: NodeMetrics,
         log: RequestLog,
         hand_over_client: HandOverClient,
+        gathers: SplitGathers,
     ) -> None:
         self._state = state
         self._metrics = metrics
@@ -65,6 +72,7 @@
         self._runner = runner
         self._dialect = dialect
         self._hand_over_client = hand_over_client
+        self._gathers = gathers
         self._clock = LoopClock()
         self._splits: dict[str, SplitCounter] = {}
         self._longest: dict[str, Millis] = {}
@@ -143,22 +151,45 @@
             self._metrics.count_refused(exc.failure.kind)
             self._log.refused(req, exc.failure.kind, exc.failure.message)
             raise
-        run = ForwardRun(
-            route, self._upstreams(route), self._times(route, req, arrived), self._state.table
-        )
-        try:
+        times = self._times(route, req, arrived)
+        gather = self._gathers.begin(req, route, times)
+        if gather is not None:
+            return await self._gather(gather, route, req, times)
+        run = ForwardRun(route, self._upstreams(route), times, self._state.table)
+        with self._logged_if_cancelled(req, run):
             outcome = await self._runner.forward(req, run)
-        except trio.Cancelled:
-            self._log.cancelled(req, run, self._clock.now() - arrived)
-            raise
-        end = end_of(run, outcome, self._clock.now() - arrived)
-        self._metrics.count(run, end)
-        self._log.ended(req, run, end)
+        self._ended(req, run, outcome)
         res = self._dialect.response(route, outcome)
         if run.left_parts_out:
-            self._own_time(route).saw(self._clock.now() - run.times.answer_by)
+            self._own_time(route).saw(self._clock.now() - times.answer_by)
         return res
 
+    async def _gather(
+        self, gather: SplitGather, route: Route, req: CallerRequest, times: RunTimes
+    ) -> HttpResponse:
+        with self._logged_if_cancelled(req, gather.own):
+            outcome = await gather.run()
+        self._ended(req, gather.own, outcome)
+        for run in gather.again:
+            self._metrics.count_steps(run)
+        res = self._dialect.response(route, outcome)
+        if gather.split.left_parts_out:
+            self._own_time(route).saw(self._clock.now() - times.answer_by)
+        return res
+
+    def _ended(self, req: CallerRequest, run: ForwardRun, outcome: Outcome) -> None:
+        end = end_of(outcome, self._clock.now() - run.times.arrived)
+        self._metrics.count(run, end)
+        self._log.ended(req, run, end)
+
+    @contextmanager
+    def _logged_if_cancelled(self, req: CallerRequest, run: ForwardRun) -> Iterator[None]:
+        try:
+            yield
+        except trio.Cancelled:
+            self._log.cancelled(req, run, self._clock.now() - run.times.arrived)
+            raise
+
     def _own_time(self, route: Route) -> OwnTime:
         return self._own_times.setdefault(route.name, OwnTime())
 
--- a/src/alderhatch/node/dialect.py
+++ b/src/alderhatch/node/dialect.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import NamedTuple, Protocol
 
 from ..clock import Millis
 from ..core.crash_watch import fingerprint_of_parts
 from ..core.entry_events import AttemptFault, LoadReport
 from ..core.forwarding.outcome import Outcome
-from ..core.forwarding.route import Route
+from ..core.forwarding.parts_bundle import PartsBundle
+from ..core.forwarding.route import AllShards, Route
 from ..http.exchange import HttpReply
 from ..http.messages import HeaderFields, HttpRequest, HttpResponse
 
@@ -63,5 +65,8 @@
         ``WRONG_ANSWER``.
         """
 
+    def bundle(self, destination: AllShards, replies: Mapping[str, HttpReply]) -> PartsBundle:
+        """Return the answers of some shards, by their names, merged."""
+
     def response(self, route: Route, outcome: Outcome) -> HttpResponse:
         """Return the caller's response for an outcome."""
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -60,6 +60,19 @@
             flight.abandon()
             raise
 
+    async def collect(self, req: CallerRequest, run: ForwardRun) -> None:
+        """Run one share of a gather until no part can come any more.
+
+        If cancelled, what is out at servers may still end within the grace of attempts that lost:
+        the connections of a gather that has all it needs would be closed in mid-answer otherwise.
+        """
+        flight = _Flight(self, req, run)
+        try:
+            await flight.fly()
+        except trio.Cancelled:
+            flight.let_go()
+            raise
+
     def begin(self, flight: _Flight, send: Send) -> trio.CancelScope:
         """Start one attempt in a task of its own."""
         scope = trio.CancelScope()
@@ -157,6 +170,10 @@
         for scope in self._scopes.values():
             scope.cancel()
 
+    def let_go(self) -> None:
+        """Ask nobody else; what is out may end within its grace."""
+        self._carry_out(self.run.let_go())
+
     def ended(self, attempt: int, reading: Reading, reply: HttpReply | None, now: Millis) -> None:
         """Take what became of an attempt."""
         self._scopes.pop(attempt, None)
--- a/src/alderhatch/node/hand_over_client.py
+++ b/src/alderhatch/node/hand_over_client.py
@@ -8,17 +8,26 @@
 
 import trio
 
-from ..clock import LoopClock, Millis
+from ..clock import SECOND, LoopClock, Millis
 from ..codec import Codec
 from ..core.forwarding.caller_hosts import HostRecord
 from ..core.forwarding.hand_over import HandOverRun, HandOverTargets
 from ..errors import AlderhatchError, ErrorKind, Failure
 from ..http.messages import HttpRequest, HttpResponse
 from ..loop_tasks import LoopTasks
-from .hand_over_link import HandOverLink, HandOverLostError
-from .hand_over_messages import MAX_HANDED_BYTES, HandedAnswer, HandedRequest, to_fields
+from .gather_messages import PartsEnd, PartsRequest
+from .hand_over_link import HandOverLink, HandOverLostError, TakeNews
+from .hand_over_messages import (
+    MAX_HANDED_BYTES,
+    HandedAnswer,
+    HandedRefusal,
+    HandedRequest,
+    to_fields,
+)
 from .node_state import NodeState
 
+READY_EVERY: Millis = 500.0
+
 
 class Handed(NamedTuple):
     """A request that another host answered."""
@@ -53,7 +62,57 @@
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Keep the links until cancelled."""
-        await self._tasks.run(task_status)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._tasks.run)
+            nursery.start_soon(self._keep_ready)
+            task_status.started()
+
+    async def _keep_ready(self) -> None:
+        """Hold links to the hosts that own shards while callers are sent to this one.
+
+        Opened with the first gather that is split, they would make it late.
+        """
+        while True:
+            await trio.sleep(READY_EVERY / SECOND)
+            state = self._state
+            if not any(host.name == state.name for host in state.caller_hosts):
+                continue
+            if not state.gathers_many:
+                continue
+            now = self._clock.now()
+            for host in state.owners.hosts.values():
+                if host.name != state.name and self.is_sound(host.name, now):
+                    self._link_to(host).keep()
+
+    def is_sound(self, name: str, now: Millis) -> bool:
+        """Return whether a host is not passed over just now."""
+        return not self._targets.is_avoided(name, now)
+
+    def avoid(self, name: str, now: Millis) -> None:
+        """Pass a host over for a while."""
+        self._targets.avoid(name, now)
+
+    async def ask_parts(self, host: HostRecord, req: PartsRequest, take: TakeNews) -> PartsEnd:
+        """Have a host ask for a share of a gather.
+
+        Args:
+            host: The host.
+            req: What it is asked for.
+            take: Takes the parts as they come; raises ``ValueError`` if they don't fit.
+
+        Raises:
+            HandOverLostError: If the way to it is gone.
+            ValueError: If what came does not fit.
+            AlderhatchError: If it refused.
+        """
+        reply = await self._link_to(host).call(req, take)
+        match reply:
+            case PartsEnd():
+                return reply
+            case HandedAnswer():
+                raise ValueError("an answer to another kind of request")
+            case HandedRefusal():
+                raise AlderhatchError(_failure(reply))
 
     async def hand_over(self, http: HttpRequest, time_left: Millis | None) -> Handed:
         """Have another host answer a request.
@@ -81,8 +140,10 @@
             if isinstance(reply, HandedAnswer):
                 self._state.saw_version(reply.version)
                 return Handed(host.name, _response(reply))
-            failure = Failure(reply.kind, reply.message, reply.field, reply.retry_after)
-            run.refused(host, failure, self._clock.now())
+            if isinstance(reply, PartsEnd):
+                run.lost(host, True, self._clock.now())
+                continue
+            run.refused(host, _failure(reply), self._clock.now())
 
     def _message(self, http: HttpRequest, left: Millis) -> HandedRequest:
         return HandedRequest(
@@ -107,6 +168,10 @@
         return link
 
 
+def _failure(refusal: HandedRefusal) -> Failure:
+    return Failure(refusal.kind, refusal.message, refusal.field, refusal.retry_after)
+
+
 def _response(answer: HandedAnswer) -> HttpResponse:
     fields = [(one.name, one.value) for one in answer.fields]
     return HttpResponse(answer.status, answer.body, answer.content_type, (), fields)
--- a/src/alderhatch/node/hand_over_link.py
+++ b/src/alderhatch/node/hand_over_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any, TypeAlias
 
 import trio
@@ -12,6 +13,7 @@
 from ..link import Link, LinkClosedError, Peer, open_link
 from ..log import log_event
 from ..log_events import LogEvent
+from .gather_messages import PartsEnd, PartsNews, PartsRequest
 from .hand_over_messages import (
     HAND_OVER_ROLE,
     MAX_IN_FLIGHT,
@@ -22,7 +24,9 @@
     HandedRequest,
 )
 
-Reply: TypeAlias = HandedAnswer | HandedRefusal
+Request: TypeAlias = HandedRequest | PartsRequest
+Reply: TypeAlias = HandedAnswer | HandedRefusal | PartsEnd
+TakeNews: TypeAlias = Callable[[PartsNews], None]
 OPEN_TIMEOUT: Millis = 500.0
 SILENCE: Millis = 1000.0
 """How long a host with requests of ours may say nothing; five of its signs of life fit in."""
@@ -43,12 +47,29 @@
 class _Call:
     """One request on its way."""
 
-    __slots__ = ("done", "reply", "was_sent")
+    __slots__ = ("_take", "done", "error", "reply", "was_sent")
 
-    def __init__(self) -> None:
+    def __init__(self, take: TakeNews | None) -> None:
         self.done = trio.Event()
         self.reply: Reply | None = None
+        self.error: ValueError | None = None
+        """What is wrong with what came, if anything."""
         self.was_sent = False
+        self._take = take
+
+    def took(self, message: Reply | PartsNews) -> None:
+        """Take what the other host said of the request."""
+        if not isinstance(message, PartsNews):
+            self.reply = message
+            self.done.set()
+            return
+        try:
+            if self._take is None:
+                raise ValueError("parts of a request that asked for none")
+            self._take(message)
+        except ValueError as exc:
+            self.error = exc
+            self.done.set()
 
 
 class HandOverLink:
@@ -76,6 +97,10 @@
         self._heard_at: Millis = 0.0
         self._used_at: Millis = 0.0
 
+    def keep(self) -> None:
+        """Keep the link open as if it had just been used."""
+        self._used_at = self._clock.now()
+
     def leads_to(self, host: HostRecord) -> bool:
         """Return whether a host is still where this link goes to."""
         known = self.host
@@ -105,20 +130,22 @@
         if why:
             log_event(LogEvent.HAND_OVER_LINK_LOST, host=self.host.name, why=why)
 
-    async def call(self, req: HandedRequest) -> Reply:
+    async def call(self, req: Request, take: TakeNews | None = None) -> Reply:
         """Hand a request over and wait for what becomes of it.
 
         Args:
             req: The request; its number is chosen here.
+            take: Takes parts that come before the end; raises ``ValueError`` if they don't fit.
 
         Raises:
             HandOverLostError: If the link is gone, or has too many requests already.
+            ValueError: If parts came that don't fit the request; it is cancelled at the other host.
         """
         if not self.is_open or len(self._calls) >= MAX_IN_FLIGHT:
             raise HandOverLostError(False)
         self._numbers += 1
         number = self._numbers
-        call = self._calls[number] = _Call()
+        call = self._calls[number] = _Call(take)
         self._used_at = self._clock.now()
         try:
             self._queue.send_nowait(req._replace(number=number))
@@ -130,6 +157,9 @@
             raise
         finally:
             del self._calls[number]
+        if call.error is not None:
+            self._cancel(number)
+            raise call.error
         if call.reply is None:
             raise HandOverLostError(call.was_sent)
         return call.reply
@@ -171,7 +201,7 @@
     async def _send(self, link: Link, scope: trio.CancelScope) -> None:
         try:
             async for message in self._queued:
-                if isinstance(message, HandedRequest):
+                if isinstance(message, Request):
                     call = self._calls.get(message.number)
                     if call is None:
                         continue
@@ -186,11 +216,10 @@
                 message = await link.receive()
                 self._heard_at = self._clock.now()
                 match message:
-                    case HandedAnswer() | HandedRefusal():
+                    case HandedAnswer() | HandedRefusal() | PartsNews() | PartsEnd():
                         call = self._calls.get(message.number)
                         if call is not None:
-                            call.reply = message
-                            call.done.set()
+                            call.took(message)
                     case Alive():
                         pass
                     case _:
--- a/src/alderhatch/node/hand_over_messages.py
+++ b/src/alderhatch/node/hand_over_messages.py
@@ -6,7 +6,8 @@
 
 from ..clock import Millis
 from ..errors import ErrorKind
-from ..http.messages import HeaderFields
+from ..http.messages import HeaderFields, HttpRequest
+from ..http.server import parse_target
 
 HAND_OVER_ROLE = "hand_over"
 MAX_HANDED_BYTES = 3 * 1024 * 1024
@@ -83,6 +84,14 @@
 )
 
 
+def to_http(method: str, target: str, fields: list[Field], body: bytes) -> HttpRequest:
+    """Return the request that a message holds."""
+    path, query = parse_target(target)
+    pairs = [(one.name, one.value) for one in fields]
+    headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in pairs}
+    return HttpRequest(method, path, query, headers, body, target, pairs)
+
+
 def to_fields(fields: HeaderFields) -> list[Field]:
     """Return header fields as a message carries them."""
     return [Field(name, value) for name, value in fields]
--- a/src/alderhatch/node/hand_over_server.py
+++ b/src/alderhatch/node/hand_over_server.py
@@ -10,10 +10,11 @@
 from ..clock import SECOND, Millis
 from ..errors import AlderhatchError, ErrorKind, Failure
 from ..http.messages import HttpRequest, HttpResponse
-from ..http.server import ServeState, parse_target
+from ..http.server import ServeState
 from ..link import Link, LinkClosedError
 from ..log import log_event
 from ..log_events import LogEvent
+from .gather_messages import PartsEnd, PartsNews, PartsRequest
 from .hand_over_messages import (
     ALIVE_EVERY,
     MAX_HANDED_BYTES,
@@ -24,10 +25,17 @@
     HandedRefusal,
     HandedRequest,
     to_fields,
+    to_http,
 )
 
+Request: TypeAlias = HandedRequest | PartsRequest
+Reply: TypeAlias = HandedAnswer | HandedRefusal | PartsEnd
 Answerer: TypeAlias = Callable[[HttpRequest, Millis | None, int], Awaitable[HttpResponse]]
 """Takes a request, how long its caller waits, and the least version to serve it by."""
+PartsAnswerer: TypeAlias = Callable[
+    [PartsRequest, Callable[[PartsNews], None]], Awaitable[PartsEnd]
+]
+"""Takes a request for parts and whom to tell of those that come in."""
 
 
 class HandOverServer:
@@ -35,12 +43,20 @@
 
     Args:
         answer: Answers a request as this host's own callers are answered.
+        answer_parts: Asks servers for a share of another host's gather.
         version: Returns the number of the configuration that this host serves by.
         serving: Counts the requests under way, so that a stopping node waits for them.
     """
 
-    def __init__(self, answer: Answerer, version: Callable[[], int], serving: ServeState) -> None:
+    def __init__(
+        self,
+        answer: Answerer,
+        answer_parts: PartsAnswerer,
+        version: Callable[[], int],
+        serving: ServeState,
+    ) -> None:
         self._answer = answer
+        self._answer_parts = answer_parts
         self._version = version
         self._serving = serving
 
@@ -48,12 +64,13 @@
         """Answer one host until its link closes; what runs for it then is cancelled."""
         await _Session(link, self).run()
 
-    async def answer(self, req: HandedRequest) -> HandedAnswer | HandedRefusal:
-        """Answer one request."""
+    async def answer(self, req: Request, say: Callable[[PartsNews], None]) -> Reply:
+        """Answer one request, or ask for the parts that it wants."""
         self._serving.exchanges += 1
         try:
-            http = _to_http(req)
-            res = await self._answer(http, req.time_left, req.version)
+            if isinstance(req, PartsRequest):
+                return await self._answer_parts(req, say)
+            return await self._answer_whole(req)
         except AlderhatchError as exc:
             return _refusal(req, exc.failure)
         except Exception as exc:
@@ -61,6 +78,11 @@
             return _refusal(req, Failure(ErrorKind.INTERNAL, "a fault in alderhatch"))
         finally:
             self._serving.exchanges -= 1
+
+    async def _answer_whole(self, req: HandedRequest) -> Reply:
+        http = to_http(req.method, req.target, req.fields, req.body)
+        http = http._replace(on_used_connection=req.on_used_connection, round_trip=req.round_trip)
+        res = await self._answer(http, req.time_left, req.version)
         if len(res.body) > MAX_HANDED_BYTES:
             message = f"the answer has over {MAX_HANDED_BYTES} bytes"
             return _refusal(req, Failure(ErrorKind.UPSTREAM_FAILED, message))
@@ -70,7 +92,7 @@
             req.number, res.status, res.content_type, fields, res.body, self._version()
         )
 
-    def refuse(self, req: HandedRequest, running: int) -> HandedRefusal | None:
+    def refuse(self, req: Request, running: int) -> HandedRefusal | None:
         """Return why a request is not begun, or None if it may be."""
         if self._serving.refusing:
             return _refusal(req, Failure(ErrorKind.STOPPING, "this host is about to end"))
@@ -104,7 +126,7 @@
 
     async def _take(self, message: object, nursery: trio.Nursery) -> None:
         match message:
-            case HandedRequest(number):
+            case HandedRequest(number) | PartsRequest(number):
                 refusal = self._server.refuse(message, len(self._scopes))
                 if refusal is not None:
                     await self._replies.send(refusal)
@@ -117,13 +139,21 @@
             case _:
                 raise LinkClosedError("the other host sent what is no request")
 
-    async def _run(self, req: HandedRequest) -> None:
+    async def _run(self, req: Request) -> None:
         try:
             with self._scopes[req.number]:
-                await self._replies.send(await self._server.answer(req))
+                await self._replies.send(await self._server.answer(req, self._say))
         finally:
             del self._scopes[req.number]
 
+    def _say(self, news: PartsNews) -> None:
+        try:
+            self._replies.send_nowait(news)
+        except trio.WouldBlock as exc:
+            # The other host does not read. Held back here, parts would fill the memory; it asks for
+            # them itself once the link is gone.
+            raise LinkClosedError("the other host does not read") from exc
+
     async def _send(self, scope: trio.CancelScope) -> None:
         try:
             async for message in self._replied:
@@ -140,24 +170,7 @@
                 await self._replies.send(Alive())
 
 
-def _refusal(req: HandedRequest, failure: Failure) -> HandedRefusal:
+def _refusal(req: Request, failure: Failure) -> HandedRefusal:
     return HandedRefusal(
         req.number, failure.kind, failure.message, failure.field, failure.retry_after_ms
     )
-
-
-def _to_http(req: HandedRequest) -> HttpRequest:
-    path, query = parse_target(req.target)
-    fields = [(one.name, one.value) for one in req.fields]
-    headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in fields}
-    return HttpRequest(
-        req.method,
-        path,
-        query,
-        headers,
-        req.body,
-        req.target,
-        fields,
-        req.on_used_connection,
-        req.round_trip,
-    )
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -28,6 +28,8 @@
 from .dialect import Dialect
 from .forward_runner import ForwardRunner
 from .founding import FOUNDING_ROLE, FoundingJudge, bid_for_founding
+from .gather_messages import GATHER_MESSAGE_TYPES
+from .gather_server import GatherServer
 from .hand_over_client import HandOverClient
 from .hand_over_messages import HAND_OVER_MESSAGE_TYPES, HAND_OVER_ROLE
 from .hand_over_server import HandOverServer
@@ -37,8 +39,10 @@
 from .node_metrics import NodeMetrics
 from .node_settings import NodeSettings
 from .node_state import Decoder, NodeState
+from .parts_collector import PartsCollector
 from .request_log import RequestLog
 from .server_list import FRESH_FOR, ServerListReader, ServerListSource
+from .split_gather import SplitGathers
 from .tier_client import TierClient
 from .tier_messages import (
     TIER_MESSAGE_TYPES,
@@ -54,6 +58,7 @@
 from .voter_keeper import VoterKeeper
 
 CONTROL_ROLE = "control"
+LINK_MESSAGE_TYPES = (*HAND_OVER_MESSAGE_TYPES, *GATHER_MESSAGE_TYPES)
 PROGRESS_TIMEOUT: Millis = 60 * SECOND
 """Servers may work for long without a byte; the deadline of each request ends its wait."""
 STOP_SERVING_BEFORE: Millis = 2000.0
@@ -97,7 +102,7 @@
     ) -> None:
         self.cfg = cfg
         self._clock = LoopClock()
-        self._codec = Codec(*PEER_MESSAGE_TYPES, *TIER_MESSAGE_TYPES, *HAND_OVER_MESSAGE_TYPES)
+        self._codec = Codec(*PEER_MESSAGE_TYPES, *TIER_MESSAGE_TYPES, *LINK_MESSAGE_TYPES)
         self._rng = Random()
         # Servers count the connections of a host that lost power until they time out. With spares
         # the tier would hold four fifths of what a server accepts, and when all hosts have come
@@ -144,6 +149,10 @@
         self.metrics = NodeMetrics(self)
         self._request_log = RequestLog(self.state)
         self._hand_over_client = HandOverClient(self.state, self._codec, cfg.secret, self._rng)
+        collector = PartsCollector(self._runner, dialect)
+        self._gather_server = GatherServer(
+            self.state, collector, dialect, self.metrics, self._request_log
+        )
         self.callers = CallerSide(
             self.state,
             self._runner,
@@ -151,9 +160,13 @@
             self.metrics,
             self._request_log,
             self._hand_over_client,
+            SplitGathers(self.state, collector, self._hand_over_client),
         )
         self._hand_over_server = HandOverServer(
-            self.callers.handle_handed, lambda: self.state.stored.version, self._serving
+            self.callers.handle_handed,
+            self._gather_server.answer,
+            lambda: self.state.stored.version,
+            self._serving,
         )
         self.desk = ConfigurationDesk(
             self.member, self._register, cfg.tolerated_hosts, self.metrics.count_change
--- a/src/alderhatch/node/node_metrics.py
+++ b/src/alderhatch/node/node_metrics.py
@@ -41,6 +41,11 @@
             metrics.observe(Metric.NODE_DURATION, end.span, route)
             if isinstance(run.route.destination, AllShards):
                 metrics.observe(Metric.NODE_COVERAGE, end.coverage, route)
+        self.count_steps(run)
+
+    def count_steps(self, run: ForwardRun) -> None:
+        """Count what was sent to servers, and what became of it."""
+        metrics = self._metrics
         for one in run.trace:
             if one.kind in SENDS:
                 metrics.inc(Metric.NODE_SENDS, one.kind)
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -17,10 +17,10 @@
 from ..core.forwarding.crash_tally import FORGET_AFTER, QUARANTINE
 from ..core.forwarding.extra_budget import BudgetTerms, constant_part
 from ..core.forwarding.host_reach import HostReach
-from ..core.forwarding.route import CallerLimits, TierConfiguration
+from ..core.forwarding.route import AllShards, CallerLimits, TierConfiguration
 from ..core.forwarding.route_table import RouteTable
 from ..core.forwarding.server_record import ServerRecord
-from ..core.forwarding.shard_owners import ShardOwners
+from ..core.forwarding.shard_owners import MIN_PARTS, ShardOwners
 from ..core.forwarding.target import Target
 from ..core.forwarding.target_table import TargetTable
 from ..core.policy import Policy
@@ -116,6 +116,7 @@
         """Whether this host hands requests over, by the leader's word."""
         self.wants_servers = False
         """Whether it needs the list of servers although it stands by."""
+        self._gathers_many = False
         self._seen_version = 0
         self._wanted: frozenset[str] = frozenset()
         self._host_counts: list[tuple[Millis, int]] = []
@@ -132,12 +133,21 @@
         self.limits = cfg.limits
         self.table.set_upstreams(cfg.upstreams)
         self._wanted = frozenset(name for route in cfg.routes for name in route.upstreams)
+        gathers = (one.upstreams for one in cfg.routes if isinstance(one.destination, AllShards))
+        if self.owners.take_gathers(gathers, self._clock.now()):
+            self.table.set_owners(self.owners)
+        self._gathers_many = any(len(route.upstreams) >= MIN_PARTS for route in cfg.routes)
         self.table.keep_routes({route.name for route in cfg.routes})
         self._choose_caller_hosts()
         self._connect()
         self.configured.notify()
         log_event(LogEvent.CONFIGURATION_ADOPTED, version=stored.version, routes=len(cfg.routes))
 
+    @property
+    def gathers_many(self) -> bool:
+        """Whether any route gathers so many parts that several hosts ask for them."""
+        return self._gathers_many
+
     @property
     def seen_version(self) -> int:
         """The newest configuration that was in use here, also at hosts that answered for this one.
@@ -335,16 +345,24 @@
         before = self.caller_hosts
         self.caller_hosts = self.choose(self._reach.named(self.hosts), self.processor_needed)
         if self.owners.take_hosts(self.caller_hosts, now):
-            self.table.set_owned(self.owners.owned_from)
+            self.table.set_owners(self.owners)
         for host in (*before, *self.caller_hosts):
             self._named[host.name] = now
         self._named = {name: at for name, at in self._named.items() if now - at < HOSTS_MEMORY}
 
+    def _keeps_warm(self, upstream: str) -> bool:
+        """Return whether connections to an upstream are opened before there is a request.
+
+        What another host owns is asked for here only if that host is lost.
+        """
+        owners = self.owners
+        return not owners.divides(upstream) or owners.owner(upstream) == self.name
+
     def _share(self) -> None:
         most = max((count for _, count in self._host_counts), default=1)
         is_named = self.name in self._named
         # A host that stands by makes do with one connection to a server, opened when it is needed.
         part = constant_part(most, len(self._named), is_named)
         self.table.set_part(part, len(self._named) if is_named else most)
-        self._pool.keeps_warm = is_named
+        self._pool.keeps_warm = self._keeps_warm if is_named else lambda upstream: False
         self._pool.set_shares(self.table.shares())
--- a/src/alderhatch/node/request_log.py
+++ b/src/alderhatch/node/request_log.py
@@ -7,7 +7,7 @@
 
 from ..clock import LoopClock, Millis
 from ..core.forwarding.forward_run import ForwardRun
-from ..core.forwarding.outcome import Answered, Failed, NotRun, Outcome
+from ..core.forwarding.outcome import Answered, Failed, Gathered, NotRun, Outcome
 from ..core.token_bucket import TokenBucket
 from ..log import log_event
 from ..log_events import LogEvent
@@ -36,12 +36,16 @@
     span: Millis
 
 
-def end_of(run: ForwardRun, outcome: Outcome, span: Millis) -> RequestEnd:
+def end_of(outcome: Outcome, span: Millis) -> RequestEnd:
     """Return how a request ended."""
     match outcome:
         case Answered(parts, missing):
             coverage = len(parts) / (len(parts) + missing)
             return RequestEnd("partial" if missing else "complete", coverage, span)
+        case Gathered(bundles, missing):
+            parts_in = sum(len(bundle.shards) for bundle in bundles)
+            coverage = parts_in / (parts_in + missing)
+            return RequestEnd("partial" if missing else "complete", coverage, span)
         case NotRun(reason) | Failed(reason):
             return RequestEnd(reason, 0.0, span)
 
@@ -78,6 +82,11 @@
         else:
             self._folded += 1
 
+    def share_ended(self, req: CallerRequest, run: ForwardRun, end: RequestEnd) -> None:
+        """Take a share of another host's gather; that host has the line of the whole."""
+        if end.outcome != "complete":
+            self.ended(req, run, end)
+
     def cancelled(self, req: CallerRequest, run: ForwardRun, span: Millis) -> None:
         """Take a request whose caller has gone; its work at servers is cancelled."""
         self.ended(req, run, RequestEnd(CALLER_GONE, 0.0, span))
--- /dev/null
+++ b/src/alderhatch/node/split_gather.py
@@ -0,0 +1,227 @@
+"""Gathers over many shards that several hosts ask for together, seen from the first one."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from ..clock import SECOND, LoopClock, Millis
+from ..core.forwarding.forward_run import ForwardRun, PartRules, RunTimes, least_parts
+from ..core.forwarding.gather_plan import GatherPlan, HostShare, plan_gather
+from ..core.forwarding.outcome import Outcome
+from ..core.forwarding.parts_bundle import PartsBundle
+from ..core.forwarding.route import AllShards, Route
+from ..core.forwarding.split_run import (
+    AskHere,
+    AskHost,
+    Drop,
+    Effect,
+    Finish,
+    SplitRun,
+)
+from ..errors import AlderhatchError, Ran
+from ..log import log_event
+from ..log_events import LogEvent
+from .dialect import CallerRequest
+from .gather_messages import PartsNews, PartsRequest, bundle_of
+from .hand_over_client import HandOverClient
+from .hand_over_link import HandOverLostError
+from .hand_over_messages import to_fields
+from .node_state import NodeState
+from .parts_collector import PartsCollector
+
+LAST_WORD: Millis = 0.5
+"""Before the answer is due, so that this host's own parts are in it."""
+
+
+class SplitGathers:
+    """Has other hosts ask for shares of gathers, and merges what they bring.
+
+    Args:
+        state: Knows who owns which shard.
+        collector: Asks for this host's own share.
+        links: The links to other hosts.
+    """
+
+    def __init__(self, state: NodeState, collector: PartsCollector, links: HandOverClient) -> None:
+        self.state = state
+        self.collector = collector
+        self.links = links
+
+    def begin(self, req: CallerRequest, route: Route, times: RunTimes) -> SplitGather | None:
+        """Return a gather that has not asked anybody yet; None if this host does better alone."""
+        destination = route.destination
+        if not isinstance(destination, AllShards):
+            return None
+        now = times.arrived
+        plan = plan_gather(
+            destination.shards,
+            self.state.owners,
+            self.state.name,
+            lambda name: self.links.is_sound(name, now),
+        )
+        if plan is None or not self._is_servable(destination, now):
+            return None
+        return SplitGather(self, req, route, destination, plan, times)
+
+    def _is_servable(self, destination: AllShards, now: Millis) -> bool:
+        """Return whether so many shards have a server that an answer can be had at all.
+
+        If not, this host refuses the request by itself, and its caller hears that nothing ran.
+        """
+        table = self.state.table
+        servable = sum(1 for name in destination.shards if table.usable(name, now))
+        return servable >= least_parts(len(destination.shards), destination.min_coverage)
+
+
+class SplitGather:
+    """One gather: what each host was asked for, and what came."""
+
+    def __init__(
+        self,
+        gathers: SplitGathers,
+        req: CallerRequest,
+        route: Route,
+        destination: AllShards,
+        plan: GatherPlan,
+        times: RunTimes,
+    ) -> None:
+        self._gathers = gathers
+        self._state = gathers.state
+        self._req = req
+        self._route = route
+        self._most_records = destination.top_k
+        self._times = times
+        self._servers: dict[str, tuple[str, ...]] = {}
+        """For each shard of another host the servers that may be asked, if not all may."""
+        self.split = SplitRun(
+            plan, least_parts(len(route.upstreams), destination.min_coverage), times
+        )
+        self.own = self._share(plan.own, False)
+        """The run of this host's own share."""
+        self._own_number = len(plan.others) if plan.own else None
+        self.again: list[ForwardRun] = []
+        """Runs for what other hosts did not bring."""
+        self._clock = LoopClock()
+        self._scopes: dict[int, trio.CancelScope] = {}
+        self._outcome: Outcome | None = None
+        self._changed = trio.Event()
+
+    async def run(self) -> Outcome:
+        """Gather until there is an outcome; if cancelled, so is the work of all hosts."""
+        async with trio.open_nursery() as nursery:
+            self._carry_out(self.split.start(self._clock.now()), nursery)
+            while self._outcome is None:
+                self._changed = trio.Event()
+                with trio.move_on_at(self.split.next_wake / SECOND):
+                    await self._changed.wait()
+                now = self._clock.now()
+                if self._outcome is None and now >= self.split.next_wake:
+                    self._carry_out(self.split.on_time(now), nursery)
+            nursery.cancel_scope.cancel()
+        return self._outcome
+
+    def _carry_out(self, effects: list[Effect], nursery: trio.Nursery) -> None:
+        for effect in effects:
+            match effect:
+                case AskHost(number, share):
+                    nursery.start_soon(self._ask_host, number, share, nursery)
+                case AskHere(number, shards, is_repeat):
+                    nursery.start_soon(self._ask_here, number, shards, is_repeat, nursery)
+                case Drop(number):
+                    if number in self._scopes:
+                        self._scopes[number].cancel()
+                case Finish(outcome):
+                    self._outcome = outcome
+        if effects:
+            self._changed.set()
+
+    # At this host
+
+    def _share(self, shards: tuple[str, ...], is_repeat: bool) -> ForwardRun:
+        times = RunTimes(self._times.arrived, self._times.deadline, self._times.deadline)
+        rules = PartRules(self._servers, is_repeat, self._times.answer_by)
+        return ForwardRun(self._route, shards, times, self._state.table, rules)
+
+    async def _ask_here(
+        self, number: int, shards: tuple[str, ...], is_repeat: bool, nursery: trio.Nursery
+    ) -> None:
+        run = self.own
+        if number != self._own_number:
+            run = self._share(shards, is_repeat)
+            self.again.append(run)
+
+        def take(bundle: PartsBundle) -> None:
+            self._carry_out(self.split.on_parts(number, bundle, self._clock.now()), nursery)
+
+        word_at = (self._times.answer_by - LAST_WORD,)
+        with self._scope(number):
+            await self._gathers.collector.collect(self._req, run, word_at, take)
+            self._carry_out(self.split.on_end(number, self._clock.now()), nursery)
+
+    def _scope(self, number: int) -> trio.CancelScope:
+        scope = self._scopes[number] = trio.CancelScope()
+        return scope
+
+    # At other hosts
+
+    async def _ask_host(self, number: int, share: HostShare, nursery: trio.Nursery) -> None:
+        lost = self._lost_handler(number, share, nursery)
+
+        def take(news: PartsNews) -> None:
+            bundle = bundle_of(news, share.shards, self._most_records)
+            self._carry_out(self.split.on_parts(number, bundle, self._clock.now()), nursery)
+
+        with self._scope(number):
+            try:
+                await self._gathers.links.ask_parts(share.host, self._message(share), take)
+            except HandOverLostError as exc:
+                lost("the way to it is gone", exc.was_sent)
+                return
+            except ValueError as exc:
+                lost(f"its answer does not fit: {exc}", True)
+                return
+            except AlderhatchError as exc:
+                lost(exc.failure.message, exc.failure.answer.ran is not Ran.NOT_RUN)
+                return
+            self._carry_out(self.split.on_end(number, self._clock.now()), nursery)
+
+    def _lost_handler(
+        self, number: int, share: HostShare, nursery: trio.Nursery
+    ) -> Callable[[str, bool], None]:
+        def lost(why: str, may_have_run: bool) -> None:
+            now = self._clock.now()
+            self._gathers.links.avoid(share.host.name, now)
+            log_event(
+                LogEvent.SHARE_LOST,
+                request=self._req.request_id,
+                host=share.host.name,
+                shards=len(share.shards),
+                why=why,
+            )
+            self._carry_out(self.split.on_lost(number, may_have_run, now), nursery)
+
+        return lost
+
+    def _message(self, share: HostShare) -> PartsRequest:
+        now = self._clock.now()
+        http = self._req.http
+        table = self._state.table
+        most = self._route.max_servers
+        servers = [table.servers_for(name, most, share.host.zone, now) for name in share.shards]
+        self._servers.update(
+            {name: ids for name, ids in zip(share.shards, servers, strict=True) if ids}
+        )
+        return PartsRequest(
+            0,
+            http.method,
+            http.target,
+            to_fields(http.fields),
+            http.body,
+            self._times.deadline - now,
+            self._times.answer_by - now,
+            list(share.shards),
+            [list(ids) for ids in servers],
+            False,
+        )
--- a/src/alderhatch/platform/dialect.py
+++ b/src/alderhatch/platform/dialect.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping, Sequence
 from typing import cast
 
 from ..clock import SECOND, Millis
 from ..core.entry_events import AttemptFault, LoadReport
-from ..core.forwarding.outcome import Answered, Failed, FailureReason, NotRun, Outcome
+from ..core.forwarding.outcome import Answered, Failed, FailureReason, Gathered, NotRun, Outcome
+from ..core.forwarding.parts_bundle import PartsBundle
 from ..core.forwarding.route import AllShards, Route
 from ..core.forwarding.top_k import merge_top_k
 from ..errors import AlderhatchError, ErrorKind, Failure
@@ -69,14 +71,23 @@
             return Reading(AttemptFault.GARBAGE, load)
         return Reading(None, load)
 
+    def bundle(self, destination: AllShards, replies: Mapping[str, HttpReply]) -> PartsBundle:
+        """Return the answers of some shards, by their names, merged."""
+        signatures = tuple(reply.header(wire.SEAL) or b"" for reply in replies.values())
+        records = merge_top_k((reply.body for reply in replies.values()), destination.top_k)
+        return PartsBundle(tuple(replies), signatures, records)
+
     def response(self, route: Route, outcome: Outcome) -> HttpResponse:
         """Return the caller's response for an outcome."""
         match outcome:
             case Answered(parts, missing):
                 replies = cast(dict[str, HttpReply], parts)
                 if isinstance(route.destination, AllShards):
-                    return _merged(route.destination, replies, missing)
+                    whole = self.bundle(route.destination, replies)
+                    return _merged(route.destination, [whole], missing)
                 return _passed_back(next(iter(replies.values())))
+            case Gathered(bundles, missing):
+                return _merged(cast(AllShards, route.destination), bundles, missing)
             case NotRun(_, retry_after):
                 return refusal(503, outcome.reason, retry_after)
             case Failed(_, answer) if answer is not None and not _is_scatter(route):
@@ -109,9 +120,9 @@
     ]
 
 
-def _merged(destination: AllShards, replies: dict[str, HttpReply], missing: int) -> HttpResponse:
-    body = merge_top_k((reply.body for reply in replies.values()), destination.top_k)
-    seals = b", ".join(reply.header(wire.SEAL) or b"" for reply in replies.values())
+def _merged(destination: AllShards, bundles: Sequence[PartsBundle], missing: int) -> HttpResponse:
+    body = merge_top_k((bundle.records for bundle in bundles), destination.top_k)
+    seals = b", ".join(one for bundle in bundles for one in bundle.signatures)
     fields = [(wire.SEALS_OF_PARTS, seals), (wire.MISSING_SHARDS, b"%d" % missing)]
     return HttpResponse(200, body, BINARY, (), fields)
 
--- a/src/alderhatch/platform/settings.py
+++ b/src/alderhatch/platform/settings.py
@@ -22,6 +22,7 @@
     report_age_ms=100.0,
     zone_cost_ms=4.0,
     near_factor=4.5,
+    owner_near_factor=2.0,
     trouble_cost_ms=300.0,
     latency_weight=0.25,
     eject_failures=2,
