The owner of a shard has a third of its upstream's budget constant; servers are agreed on without a message

Five sixths of the budget's constant lay with hosts that no longer ask a shard, so parts of slow servers were given up.

Change: where one host asks for all, it has 0.35 of the constant; an owner that is cut off beside its successor keeps the whole. It takes effect once a window of the budget has passed since gathers are divided, as requests count until then that other hosts sent. Which two of three servers a share is asked at follows from the shard's name and its owner's zone; where neither is sound a third one is asked, and no other host asks for that shard then.

--- a/features/forwarding_load.feature
+++ b/features/forwarding_load.feature
@@ -69,3 +69,5 @@
   Scenario: Hosts that don't agree on who is which keep the common budget
     # Guards against more extra requests than an upstream's budget allows while callers are sent on.
     Then for any number of hosts the whole is kept, also while one of them takes another one's place
+    And where one host asks for all, the whole is kept while another one takes its place
+    And a host takes the owner's part only once a window has passed since gathers are divided
--- a/features/gather_split.feature
+++ b/features/gather_split.feature
@@ -71,6 +71,26 @@
     # has the least coverage, and a gather ends by its deadline.
     Then gathers of any hosts and any order of 300 events keep these promises
 
+  Scenario: Hosts that ask for the same shard ask the same servers
+    # One host is lost, and another one asks again: together they must not ask more servers than the
+    # route allows. Near ones to the owner are among them.
+    Given 3 servers in 3 zones of each of 40 shards, known in any order
+    Then hosts agree on 2 servers of each, one of them in the zone of the owner
+    And with 2 servers of each shard left they need not agree
+
+  Scenario Outline: Which servers a share is asked for at
+    # Those agreed on go first; where they are out of order a part is better had than agreed on, and
+    # no other host asks for it then.
+    Given a share of a shard with 3 servers, of which "a" and "b" are agreed on
+    When <out> are out of order
+    Then the share asks "<first>" first, and <may> be asked for by another host
+
+    Examples:
+      | out     | first | may     |
+      | none    | a or b | may    |
+      | a       | b     | may     |
+      | a and b | c     | may not |
+
   Scenario Outline: A share that makes no sense is refused before anything runs
     Then a request for a share with <mistake> is refused naming "<field>"
 
@@ -83,7 +103,6 @@
       | a shard twice               | shards    |
       | a shard of no route         | shards    |
       | more shards than the route  | shards    |
-      | servers for fewer shards    | servers   |
 
   Scenario Outline: Parts that don't fit what was asked for are not merged
     Then an answer with <mistake> is refused naming "<field>"
--- a/features/steps/gather_split_steps.py
+++ b/features/steps/gather_split_steps.py
@@ -12,7 +12,7 @@
 
 from alderhatch.clock import ManualClock
 from alderhatch.core.forwarding.caller_hosts import HostRecord
-from alderhatch.core.forwarding.forward_run import RunTimes
+from alderhatch.core.forwarding.forward_run import ForwardRun, PartRules, RunTimes
 from alderhatch.core.forwarding.gather_plan import GatherPlan, HostShare, plan_gather
 from alderhatch.core.forwarding.outcome import Failed, Gathered
 from alderhatch.core.forwarding.parts_bundle import PartsBundle
@@ -20,6 +20,7 @@
 from alderhatch.core.forwarding.server_record import ServerRecord
 from alderhatch.core.forwarding.shard_owners import ShardOwners
 from alderhatch.core.forwarding.split_run import AskHere, AskHost, Drop, Finish, SplitRun
+from alderhatch.core.forwarding.target_table import TargetTable
 from alderhatch.core.forwarding.top_k import RECORD_BYTES, merge_top_k
 from alderhatch.entry.connection_pool import ConnectionPool
 from alderhatch.errors import AlderhatchError
@@ -386,10 +387,72 @@
         assert len(names) + outcome.missing == total
 
 
+# Servers that hosts agree on
+
+
+def table_of(records, name="zone-0"):
+    table = TargetTable(name, TERMS, POLICY, Random(1))
+    table.update(records, 0.0)
+    return table
+
+
+@given("3 servers in 3 zones of each of 40 shards, known in any order")
+def step_servers(context):
+    context.records = [
+        ServerRecord(f"i-{name}-{zone}", name, "127.0.0.1", 80, f"zone-{zone}", 2, False)
+        for name in SHARDS[:40]
+        for zone in range(3)
+    ]
+
+
+@then("hosts agree on 2 servers of each, one of them in the zone of the owner")
+def step_agree(context):
+    tables = [table_of(context.records), table_of(context.records[::-1], "zone-1")]
+    others = set()
+    for name in SHARDS[:40]:
+        for zone in range(3):
+            first, second = (table.agreed_servers(name, 2, f"zone-{zone}") for table in tables)
+            assert first == second and len(first) == 2
+            assert f"i-{name}-{zone}" in first
+            others |= {server_id[-1] for server_id in first if server_id[-1] != str(zone)}
+    assert others == {"0", "1", "2"}
+
+
+@then("with 2 servers of each shard left they need not agree")
+def step_need_not(context):
+    left = [one for one in context.records if one.zone != "zone-2"]
+    assert table_of(left).agreed_servers(SHARDS[0], 2, "zone-0") is None
+
+
+@given('a share of a shard with 3 servers, of which "a" and "b" are agreed on')
+def step_share(context):
+    records = [
+        ServerRecord(name, "shard", "127.0.0.1", 80, "zone-0", 2, False) for name in ("a", "b", "c")
+    ]
+    context.servers = table_of(records)
+    context.servers.set_max_connections({"shard": 60})
+
+
+@when("{out} are out of order")
+def step_out(context, out):
+    for name in [] if out == "none" else out.split(" and "):
+        context.servers.upstream("shard").targets[name].eject(0.0)
+
+
+@then('the share asks "{first}" first, and {may} be asked for by another host')
+def step_first(context, first, may):
+    rules = PartRules({"shard": frozenset("ab")}, False, DUE)
+    times = RunTimes(0.0, DEADLINE, DEADLINE)
+    run = ForwardRun(scatter_route(["shard"]), ("shard",), times, context.servers, rules)
+    (send,) = run.start(0.0)
+    assert send.target.server_id in first.split(" or ")
+    assert run.shards["shard"].is_spent == (may == "may not")
+
+
 # Messages
 
 KNOWN = ["a", "b", "c"]
-ASKED = PartsRequest(1, "GET", "/all/1", [], b"", 800.0, 50.0, ["a", "b"], [[], ["i-1"]], False)
+ASKED = PartsRequest(1, "GET", "/all/1", [], b"", 800.0, 50.0, ["a", "b"], False)
 ANSWER = PartsNews(1, [0, 1], [b"x", b"y"], b"r" * 32, [])
 
 
@@ -401,11 +464,10 @@
         "no time left": ASKED._replace(time_left=0.0),
         "a time that is no number": ASKED._replace(time_left=nan),
         "a due time that is no number": ASKED._replace(due_in=nan),
-        "no shard": ASKED._replace(shards=[], servers=[]),
+        "no shard": ASKED._replace(shards=[]),
         "a shard twice": ASKED._replace(shards=["a", "a"]),
         "a shard of no route": ASKED._replace(shards=["a", "z"]),
-        "more shards than the route": ASKED._replace(shards=["a", "b", "c", "d"], servers=[[]] * 4),
-        "servers for fewer shards": ASKED._replace(servers=[[]]),
+        "more shards than the route": ASKED._replace(shards=["a", "b", "c", "d"]),
     }[mistake]
     try:
         check_parts_request(spoilt, KNOWN)
--- a/src/alderhatch/core/forwarding/extra_budget.py
+++ b/src/alderhatch/core/forwarding/extra_budget.py
@@ -17,6 +17,14 @@
 OTHERS_PART = 0.2
 """The part for all others. The rest is for moments in which hosts don't agree on who is which."""
 
+OWNER_PART = 0.35
+"""The part for the host that asks an upstream for all; one that is cut off may go on as the owner
+beside its successor."""
+REST_PART = 0.05
+"""The part for the other hosts that callers are sent to, should the owner be lost."""
+STANDBYS_PART = 0.05
+"""The part for all that callers are not sent to, where one host asks for all."""
+
 
 class BudgetTerms(NamedTuple):
     """How many extra requests all hosts together may send to one upstream."""
@@ -56,6 +64,25 @@
     return min(OTHERS_PART / others, (NAMED_PART + OTHERS_PART) * evenly)
 
 
+def owned_part(alive: int, named: int, is_named: bool, is_owner: bool) -> float:
+    """Return which part of the constant one host may use where one host asks an upstream for all.
+
+    Divided among all that callers are sent to, five sixths of it would be with hosts that have no
+    use for it, and the parts of late servers were not asked for again.
+
+    Args:
+        alive: The most hosts that there were lately.
+        named: How many of them callers were sent to lately.
+        is_named: Whether the host is one of these.
+        is_owner: Whether it is the one that asks.
+    """
+    if is_owner:
+        return OWNER_PART
+    if is_named:
+        return REST_PART / max(1, named - 1)
+    return STANDBYS_PART / max(1, alive - named)
+
+
 class _SlidingCount:
     """Counts events of a sliding window, with the sum at hand.
 
--- a/src/alderhatch/core/forwarding/forward_run.py
+++ b/src/alderhatch/core/forwarding/forward_run.py
@@ -56,9 +56,9 @@
     """What binds a run that asks only for a share of a gather."""
 
     servers: Mapping[str, Container[str]]
-    """For shards with more servers than a request may run on, those that may be asked: another host
-    that has to ask for the same shard keeps to the same ones. A hedge that finds none of them sound
-    may go elsewhere, and the shard is then asked for by no other host."""
+    """For shards with more servers than a request may run on, those that hosts have agreed on, so
+    that one that asks after another one asks the same. Where none of these is sound a request may
+    go elsewhere; no other host asks for that shard then."""
     is_repeat: bool
     """Whether another host may have asked for the same shards."""
     due: Millis
@@ -121,6 +121,11 @@
         self._due = times.answer_by if rules is None else rules.due
         self._least = 0 if rules is not None else least_parts(len(upstreams), coverage)
 
+    @property
+    def due(self) -> Millis:
+        """When the answer should leave; of a share, that of the whole gather."""
+        return self._due
+
     @property
     def trace(self) -> list[Decision]:
         """What was decided so far, oldest first."""
@@ -255,31 +260,40 @@
         shard.out[attempt] = Sent(target, now)
         shard.sends += 1
         shard.may_have_run.add(target.server_id)
+        self._note_spent(shard, target)
         self._shard_of[attempt] = shard
         self._table.sent(target, attempt, now)
         self._effects.append(Send(attempt, target, shard.upstream))
         return True
 
+    def _note_spent(self, shard: ShardState, target: Target) -> None:
+        only = self._rules.servers.get(shard.upstream) if self._rules is not None else None
+        shard.is_spent = shard.is_spent or (only is not None and target.server_id not in only)
+
     def _choose(self, shard: ShardState, now: Millis, kind: DecisionKind) -> Target | None:
         table = self._table
         refused = {name for name, at in shard.refused_by.items() if now - at < REFUSED_PAUSE}
-        only = self._rules.servers.get(shard.upstream) if self._rules is not None else None
+        excluded = shard.may_have_run | refused
+        target = self._choose_agreed(shard, excluded, now)
         if kind is DecisionKind.HEDGE:
-            excluded = shard.may_have_run | refused
-            target = table.choose_sound(shard.upstream, excluded, now, only)
-            if target is None and only is not None and not self._is_repeat:
-                target = table.choose_sound(shard.upstream, excluded, now)
-                shard.is_spent = target is not None
-            return target
-        target = None
-        if len(shard.may_have_run) < self.route.max_servers:
-            target = table.choose(shard.upstream, shard.may_have_run | refused, now, only)
+            return target or table.choose_sound(shard.upstream, excluded, now)
+        if target is None and len(shard.may_have_run) < self.route.max_servers:
+            target = table.choose(shard.upstream, excluded, now)
         if target is None and shard.may_have_run and not shard.out:
             # Nobody else can be asked, or no further server may run it. A server that has failed it
             # once may do better now.
             target = table.choose(shard.upstream, refused, now, only=shard.may_have_run)
         return target
 
+    def _choose_agreed(
+        self, shard: ShardState, excluded: Container[str], now: Millis
+    ) -> Target | None:
+        """Return a sound server of those that hosts have agreed on, if they have."""
+        only = self._rules.servers.get(shard.upstream) if self._rules is not None else None
+        if only is None or len(shard.may_have_run) >= self.route.max_servers:
+            return None
+        return self._table.choose_sound(shard.upstream, excluded, now, only)
+
     def _look_again(self, shard: ShardState, now: Millis) -> None:
         if shard.out:
             return
--- a/src/alderhatch/core/forwarding/shard_owners.py
+++ b/src/alderhatch/core/forwarding/shard_owners.py
@@ -32,7 +32,8 @@
         """Worked out so far, by shard."""
         self._owned_from: dict[str, Millis] = {}
         self._taken_at: Millis = 0.0
-        self._is_divided = False
+        self.divided_since: Millis | None = None
+        """Since when hosts ask for large gathers together; None if they don't."""
         self.hosts: dict[str, HostRecord] = {}
         """The hosts that own shards, by name."""
 
@@ -60,9 +61,13 @@
     def _divide(self, now: Millis) -> None:
         mine = [shard for shard, owner in self._owners.items() if owner == self._me]
         self._owners = {}
-        self._is_divided = len(self.hosts) >= MIN_HOSTS and any(
+        is_divided = len(self.hosts) >= MIN_HOSTS and any(
             len(shards) >= MIN_PARTS for shards in self._gathers
         )
+        if not is_divided:
+            self.divided_since = None
+        elif self.divided_since is None:
+            self.divided_since = now
         for shards in self._gathers if self.hosts else ():
             self._divide_gather(shards)
         self._owned_from = {
@@ -96,7 +101,7 @@
 
     def divides(self, shard: str) -> bool:
         """Return whether a shard is of a gather that hosts ask for together."""
-        return self._is_divided and shard in self._owners
+        return self.divided_since is not None and shard in self._owners
 
     def owned_from(self, shard: str) -> Millis | None:
         """Return since when this host owns a shard; None if another one does."""
--- a/src/alderhatch/core/forwarding/target_table.py
+++ b/src/alderhatch/core/forwarding/target_table.py
@@ -9,6 +9,7 @@
 from ...clock import Millis
 from ..entry_events import AttemptFault, LoadReport
 from ..latency_histogram import LatencyHistogram
+from ..owners import rendezvous
 from ..policy import Policy
 from ..replica_choice import choose_replica
 from ..shard_map import Server
@@ -59,6 +60,9 @@
         """The numbers that the choice is tuned by."""
         self._rng = rng
         self._constant_part = 1.0
+        self._owned_parts: dict[bool, float] = {}
+        """The part of the constant of upstreams that one host asks for all, by whether this one
+        does."""
         self._connecting_hosts = 1
         self._evacuated: frozenset[str] = frozenset()
         """Availability zones whose servers get nothing."""
@@ -75,18 +79,23 @@
         known = self._upstreams.get(name)
         if known is None:
             known = UpstreamTargets(name, self._terms, self.policy.first_latency_ms)
-            known.is_owned = self._owners is not None and self._owners.divides(name)
+            self._take_owner(known)
             self._upstreams[name] = known
         return known
 
-    def set_part(self, constant_part: float, connecting: int) -> None:
+    def set_part(
+        self, constant_part: float, connecting: int, owned_parts: dict[bool, float] | None = None
+    ) -> None:
         """Take which part of budgets and connections is this host's.
 
         Args:
             constant_part: Of the constant of each upstream's budget.
+            owned_parts: The same for upstreams that one host asks for all, by whether this one
+                does; None for no difference.
             connecting: How many hosts hold connections to all servers.
         """
         self._constant_part = constant_part
+        self._owned_parts = owned_parts or {}
         self._connecting_hosts = max(1, connecting)
         for upstream in self._upstreams.values():
             self._share_out(upstream)
@@ -115,10 +124,16 @@
         """Take who owns which upstream."""
         self._owners = owners
         for upstream in self._upstreams.values():
-            upstream.is_owned = owners.divides(upstream.name)
+            self._take_owner(upstream)
             for target in upstream.targets.values():
                 target.cold.owned_from = owners.owned_from(upstream.name)
 
+    def _take_owner(self, upstream: UpstreamTargets) -> None:
+        if self._owners is not None:
+            is_owned = self._owners.divides(upstream.name)
+            upstream.owned_from = self._owners.divided_since if is_owned else None
+            upstream.is_owned_here = self._owners.owned_from(upstream.name) is not None
+
     def _take_cold_terms(self, upstream: UpstreamTargets, target: Target) -> None:
         target.cold_span = upstream.cold_span
         target.cold.allowed = upstream.cold_allowed
@@ -260,32 +275,25 @@
             return None
         return target
 
-    def servers_for(self, name: str, count: int, zone: str, now: Millis) -> tuple[str, ...]:
-        """Return the ids of the servers that may be asked if only so many may run a request.
+    def agreed_servers(self, name: str, count: int, zone: str) -> frozenset[str] | None:
+        """Return the servers that hosts ask which ask for the same shard one after the other.
+
+        Every host works out the same from the same list of servers.
 
         Args:
             name: The upstream.
-            count: How many.
-            zone: The availability zone of the host that asks first.
-            now: The time.
+            count: How many of them may run a request.
+            zone: The availability zone of the host that owns the shard.
 
         Returns:
-            The ids; none if there are no more servers than that.
+            Their ids; None if there are no more servers than that.
         """
-        targets = self.upstream(name).targets.values()
+        targets = self.upstream(name).targets
         if len(targets) <= count:
-            return ()
-        ranked = sorted(
-            (
-                one.barred(now),
-                one.doubtful(now),
-                one.zone != zone,
-                self._rng.random(),
-                one.server_id,
-            )
-            for one in targets
-        )
-        return tuple(server_id for *_, server_id in ranked[:count])
+            return None
+        near = {server_id for server_id, one in targets.items() if one.zone == zone}
+        ranked = sorted(rendezvous(name, sorted(targets)), key=lambda one: one not in near)
+        return frozenset(ranked[:count])
 
     def choose(
         self,
@@ -313,7 +321,8 @@
         # A part that comes a little later is as good, as long as it is in when the answer is due;
         # what crosses between zones is the largest part of a request's cost.
         policy = self.policy
-        factor = policy.owner_near_factor if upstream.is_owned else policy.near_factor
+        is_owned = upstream.owned_from is not None
+        factor = policy.owner_near_factor if is_owned else policy.near_factor
         near_enough = factor * upstream.latencies.median
         for among in (moving, targets):
             found = choose_replica(
@@ -331,10 +340,14 @@
 
     # Budgets
 
-    @property
-    def budget_share(self) -> BudgetShare:
-        """What this host may use of each upstream's budget."""
-        return BudgetShare(self._terms.ratio, self._terms.constant * self._constant_part)
+    def budget_share(self, name: str, now: Millis) -> BudgetShare:
+        """Return what this host may use of an upstream's budget."""
+        upstream = self.upstream(name)
+        part = self._constant_part
+        if upstream.owned_from is not None and now >= upstream.owned_from + self._terms.window:
+            # Until then, requests count that other hosts sent before one host asked for all.
+            part = self._owned_parts.get(upstream.is_owned_here, part)
+        return BudgetShare(self._terms.ratio, self._terms.constant * part)
 
     def count_first(self, name: str, now: Millis) -> None:
         """Count a request that goes to an upstream."""
@@ -342,11 +355,11 @@
 
     def spend(self, name: str, now: Millis) -> bool:
         """Take one extra request to an upstream out of the budget; False if there is none."""
-        return self.upstream(name).budget.spend(self.budget_share, now)
+        return self.upstream(name).budget.spend(self.budget_share(name, now), now)
 
     def budget_level(self, name: str, now: Millis) -> float:
         """Return how much of an upstream's budget is left, between 0 and 1."""
-        return self.upstream(name).budget.level(self.budget_share, now)
+        return self.upstream(name).budget.level(self.budget_share(name, now), now)
 
     # What was seen
 
--- a/src/alderhatch/core/forwarding/upstream_targets.py
+++ b/src/alderhatch/core/forwarding/upstream_targets.py
@@ -23,8 +23,11 @@
         """How long its servers are cold after a start."""
         self.cold_allowed: int | None = None
         """What the owner may send to a cold server in a second; None for no limit."""
-        self.is_owned = False
-        """Whether one host asks it for all, which then sees how each of its servers does."""
+        self.owned_from: Millis | None = None
+        """Since when one host asks it for all, and sees how each of its servers does; None if all
+        do."""
+        self.is_owned_here = False
+        """Whether this is that host."""
         self.targets: dict[str, Target] = {}
         self.latencies = LatencyHistogram(first_latency)
         self.budget = ExtraBudget(terms.window)
--- a/src/alderhatch/node/gather_messages.py
+++ b/src/alderhatch/node/gather_messages.py
@@ -26,8 +26,6 @@
     due_in: Millis
     """When the answer should leave, from now on; may be negative for one that is late."""
     shards: list[str]
-    servers: list[list[str]]
-    """For each of these shards the ids of the servers that may be asked; none for any."""
     is_repeat: bool
     """Whether another host may have asked for them before."""
 
@@ -70,8 +68,6 @@
         raise _refused(ErrorKind.BAD_REQUEST, "due_in", "not a number")
     if not req.shards or len(set(req.shards)) != len(req.shards):
         raise _refused(ErrorKind.BAD_REQUEST, "shards", "different shards are wanted")
-    if len(req.servers) != len(req.shards):
-        raise _refused(ErrorKind.BAD_REQUEST, "servers", "one entry for each shard is wanted")
     unknown = set(req.shards).difference(known)
     if unknown:
         # The two hosts are at different configurations, which passes within a moment.
--- a/src/alderhatch/node/gather_server.py
+++ b/src/alderhatch/node/gather_server.py
@@ -18,6 +18,7 @@
 from .node_state import NodeState
 from .parts_collector import PartsCollector
 from .request_log import RequestEnd, RequestLog
+from .split_gather import agreed_servers
 
 Say = Callable[[PartsNews], None]
 
@@ -82,9 +83,8 @@
             message = f"target: no gather for host {req.host!r} and path {http.path!r}"
             raise AlderhatchError(Failure(ErrorKind.NO_CONFIGURATION, message, "target"))
         check_parts_request(asked, route.destination.shards)
-        servers = dict(zip(asked.shards, asked.servers, strict=True))
-        chosen = {name: ids for name, ids in servers.items() if ids}
-        rules = PartRules(chosen, asked.is_repeat, arrived + asked.due_in - HOP)
+        servers = agreed_servers(self._state, route, asked.shards)
+        rules = PartRules(servers, asked.is_repeat, arrived + asked.due_in - HOP)
         deadline = arrived + min(asked.time_left, route.timeout)
         # Which parts are left out is for the first host to decide, which sees all of them.
         times = RunTimes(arrived, deadline, deadline)
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -15,7 +15,7 @@
 from ..core.forwarding.caller_hosts import HostRecord, choose_caller_hosts
 from ..core.forwarding.cold_allowance import ColdTerms
 from ..core.forwarding.crash_tally import FORGET_AFTER, QUARANTINE
-from ..core.forwarding.extra_budget import BudgetTerms, constant_part
+from ..core.forwarding.extra_budget import BudgetTerms, constant_part, owned_part
 from ..core.forwarding.host_reach import HostReach
 from ..core.forwarding.route import AllShards, CallerLimits, TierConfiguration
 from ..core.forwarding.route_table import RouteTable
@@ -363,6 +363,7 @@
         is_named = self.name in self._named
         # A host that stands by makes do with one connection to a server, opened when it is needed.
         part = constant_part(most, len(self._named), is_named)
-        self.table.set_part(part, len(self._named) if is_named else most)
+        owned = {one: owned_part(most, len(self._named), is_named, one) for one in (False, True)}
+        self.table.set_part(part, len(self._named) if is_named else most, owned)
         self._pool.keeps_warm = self._keeps_warm if is_named else lambda upstream: False
         self._pool.set_shares(self.table.shares())
--- a/src/alderhatch/node/request_log.py
+++ b/src/alderhatch/node/request_log.py
@@ -139,7 +139,7 @@
             "outcome": end.outcome,
             "coverage": round(end.coverage, 4),
             "span_ms": round(end.span, 1),
-            "due_ms": round(run.times.answer_by - run.times.arrived, 1),
+            "due_ms": round(run.due - run.times.arrived, 1),
             "left_ms": round(run.times.deadline - run.times.arrived),
             "hedges": run.hedges,
             "retries": run.retries,
--- a/src/alderhatch/node/split_gather.py
+++ b/src/alderhatch/node/split_gather.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import trio
 
@@ -93,8 +93,6 @@
         self._route = route
         self._most_records = destination.top_k
         self._times = times
-        self._servers: dict[str, tuple[str, ...]] = {}
-        """For each shard of another host the servers that may be asked, if not all may."""
         self.split = SplitRun(
             plan, least_parts(len(route.upstreams), destination.min_coverage), times
         )
@@ -141,7 +139,9 @@
 
     def _share(self, shards: tuple[str, ...], is_repeat: bool) -> ForwardRun:
         times = RunTimes(self._times.arrived, self._times.deadline, self._times.deadline)
-        rules = PartRules(self._servers, is_repeat, self._times.answer_by)
+        # As one share may be lost and asked for again, all keep to what its owner would ask.
+        servers = agreed_servers(self._state, self._route, shards) if is_repeat else {}
+        rules = PartRules(servers, is_repeat, self._times.answer_by)
         return ForwardRun(self._route, shards, times, self._state.table, rules)
 
     async def _ask_here(
@@ -207,12 +207,6 @@
     def _message(self, share: HostShare) -> PartsRequest:
         now = self._clock.now()
         http = self._req.http
-        table = self._state.table
-        most = self._route.max_servers
-        servers = [table.servers_for(name, most, share.host.zone, now) for name in share.shards]
-        self._servers.update(
-            {name: ids for name, ids in zip(share.shards, servers, strict=True) if ids}
-        )
         return PartsRequest(
             0,
             http.method,
@@ -222,6 +216,20 @@
             self._times.deadline - now,
             self._times.answer_by - now,
             list(share.shards),
-            [list(ids) for ids in servers],
             False,
         )
+
+
+def agreed_servers(
+    state: NodeState, route: Route, shards: Iterable[str]
+) -> dict[str, frozenset[str]]:
+    """Return which servers of shards are asked, for those with more than a request may run on."""
+    owners = state.owners
+    agreed: dict[str, frozenset[str]] = {}
+    for shard in shards:
+        owner = owners.hosts.get(owners.owner(shard) or "")
+        zone = owner.zone if owner is not None else ""
+        servers = state.table.agreed_servers(shard, route.max_servers, zone)
+        if servers is not None:
+            agreed[shard] = servers
+    return agreed
