--- a/features/steps/forwarding_run_steps.py
+++ b/features/steps/forwarding_run_steps.py
@@ -6,9 +6,9 @@
 
 from alderhatch.core.entry_events import AttemptFault
 from alderhatch.core.forwarding.extra_budget import BudgetTerms
-from alderhatch.core.forwarding.forward_run import least_parts
 from alderhatch.core.forwarding.outcome import Answered, Failed, NotRun
 from alderhatch.core.forwarding.own_time import OwnTime
+from alderhatch.core.forwarding.run_terms import least_parts
 from features.support.forward_model import TERMS, ForwardModel, scatter_route, single_route
 
 SHARDS = [f"shard{number:02}" for number in range(20)]
--- a/features/steps/gather_split_steps.py
+++ b/features/steps/gather_split_steps.py
@@ -12,11 +12,12 @@
 
 from alderhatch.clock import ManualClock
 from alderhatch.core.forwarding.caller_hosts import HostRecord
-from alderhatch.core.forwarding.forward_run import ForwardRun, PartRules, RunTimes
+from alderhatch.core.forwarding.forward_run import ForwardRun
 from alderhatch.core.forwarding.gather_plan import GatherPlan, HostShare, plan_gather
 from alderhatch.core.forwarding.outcome import Failed, Gathered
 from alderhatch.core.forwarding.parts_bundle import PartsBundle
 from alderhatch.core.forwarding.route import AllShards
+from alderhatch.core.forwarding.run_terms import PartRules, RunTimes
 from alderhatch.core.forwarding.server_record import ServerRecord
 from alderhatch.core.forwarding.shard_owners import ShardOwners
 from alderhatch.core.forwarding.split_run import AskHere, AskHost, Drop, Finish, SplitRun
--- a/features/support/forward_model.py
+++ b/features/support/forward_model.py
@@ -9,8 +9,9 @@
 from alderhatch.core.entry_events import AttemptFault, LoadReport
 from alderhatch.core.forwarding.effects import Cancel, Finish, Send
 from alderhatch.core.forwarding.extra_budget import BudgetTerms
-from alderhatch.core.forwarding.forward_run import ForwardRun, RunTimes
+from alderhatch.core.forwarding.forward_run import ForwardRun
 from alderhatch.core.forwarding.route import AllShards, OneUpstream, Route
+from alderhatch.core.forwarding.run_terms import RunTimes
 from alderhatch.core.forwarding.server_record import ServerRecord
 from alderhatch.core.forwarding.target_table import TargetTable
 from alderhatch.node.forward_runner import LOSER_GRACE
--- a/src/alderhatch/core/forwarding/forward_run.py
+++ b/src/alderhatch/core/forwarding/forward_run.py
@@ -2,34 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Mapping
+from collections.abc import Container
 from itertools import count
-from typing import NamedTuple
 
 from ...clock import Millis
 from ..entry_events import NOT_RUN_FAULTS, AttemptFault
 from .decision import Decision, DecisionKind
 from .effects import Cancel, Effect, Finish, Send
+from .hedge_timer import HedgeTimer
 from .outcome import Answered, Failed, FailureReason, NotRun, Outcome
 from .route import AllShards, Route
+from .run_terms import PartRules, RunTimes, least_parts
 from .run_trace import RunTrace
 from .shard_state import Sent, ShardState
 from .target import Target
 from .target_table import TargetTable
 
 FOREVER: Millis = float("inf")
-EARLIEST_HEDGE_QUANTILE = 0.75
-"""With the whole budget left, a part that is later than this share of the route's answers is asked
-for again elsewhere."""
-LATEST_HEDGE_QUANTILE = 0.97
-"""The same with the budget nearly used up. In between the delay follows the budget, so that it
-lasts: the rarer the hedges, the more surely each of them meets a server that stands still."""
-ENOUGH_SAMPLES = 40
-GUESS_FACTOR = 2.0
-"""Before there are enough samples, a part is late after this multiple of the usual latency."""
-MIN_HEDGE_DELAY: Millis = 8.0
-IN_TIME_FACTOR = 2.5
-"""How many usual latencies before the answer is due a part of a split gather is asked for again."""
 MAX_SENDS = 4
 """Requests for one shard, refused ones included; more would only add to an overload."""
 LOOK_AGAIN: Millis = 25.0
@@ -42,29 +31,6 @@
 DEFAULT_RETRY_AFTER: Millis = 250.0
 
 
-class RunTimes(NamedTuple):
-    """The points in time that a request is bound by."""
-
-    arrived: Millis
-    answer_by: Millis
-    """When an answer has to leave to have its full value."""
-    deadline: Millis
-    """When the caller has to have its final answer."""
-
-
-class PartRules(NamedTuple):
-    """What binds a run that asks only for a share of a gather."""
-
-    servers: Mapping[str, Container[str]]
-    """For shards with more servers than a request may run on, those that hosts have agreed on, so
-    that one that asks after another one asks the same. Where none of these is sound a request may
-    go elsewhere; no other host asks for that shard then."""
-    is_repeat: bool
-    """Whether another host may have asked for the same shards."""
-    due: Millis
-    """When the answer of the whole gather should leave."""
-
-
 _attempts = count(1)
 
 
@@ -117,6 +83,7 @@
         destination = route.destination
         coverage = destination.min_coverage if isinstance(destination, AllShards) else 1.0
         self._rules = rules
+        self._hedge_timer = HedgeTimer(route.name, table, None if rules is None else rules.due)
         self._is_repeat = rules is not None and rules.is_repeat
         self._due = times.answer_by if rules is None else rules.due
         self._least = 0 if rules is not None else least_parts(len(upstreams), coverage)
@@ -332,30 +299,9 @@
             return FOREVER
         if shard.hedge_at is None:
             (sent,) = shard.out.values()
-            usual = sent.at + self.hedge_delay(shard.upstream, sent.at)
-            shard.hedge_at = self._in_time(shard.upstream, usual, sent.at)
+            shard.hedge_at = self._hedge_timer.hedge_at(shard.upstream, sent.at)
         return shard.hedge_at
 
-    def _in_time(self, upstream: str, usual: Millis, sent_at: Millis) -> Millis:
-        """Return when to ask another server so that its answer still comes before it is due.
-
-        While many servers are slow, all but the quickest answers take as long as theirs: a part
-        that is asked for again only after that is of no use.
-        """
-        if self._rules is None:
-            return usual
-        last = self._due - IN_TIME_FACTOR * self._table.upstream(upstream).latencies.median
-        return usual if last <= sent_at + MIN_HEDGE_DELAY else min(usual, last)
-
-    def hedge_delay(self, upstream: str, now: Millis) -> Millis:
-        """Return how long an answer is awaited before another server is asked as well."""
-        latencies = self._table.route_latencies(self.route.name)
-        if latencies.samples < ENOUGH_SAMPLES:
-            return GUESS_FACTOR * self._table.upstream(upstream).latencies.median
-        span = LATEST_HEDGE_QUANTILE - EARLIEST_HEDGE_QUANTILE
-        level = self._table.budget_level(upstream, now)
-        return max(MIN_HEDGE_DELAY, latencies.quantile(LATEST_HEDGE_QUANTILE - span * level))
-
     def _hedge(self, shard: ShardState, now: Millis) -> None:
         if self._send(shard, now, DecisionKind.HEDGE):
             self.hedges += 1
@@ -418,11 +364,3 @@
         effects = self._effects
         self._effects = []
         return effects
-
-
-def least_parts(shards: int, min_coverage: float) -> int:
-    """Return the fewest shards whose share of all is no less than the coverage; at least one."""
-    least = int(min_coverage * shards)
-    while least < shards and least / shards < min_coverage:
-        least += 1
-    return max(1, least)
--- a/src/alderhatch/core/forwarding/split_run.py
+++ b/src/alderhatch/core/forwarding/split_run.py
@@ -6,10 +6,10 @@
 from typing import NamedTuple, TypeAlias
 
 from ...clock import Millis
-from .forward_run import RunTimes
 from .gather_plan import GatherPlan, HostShare
 from .outcome import Failed, FailureReason, Gathered, Outcome
 from .parts_bundle import PartsBundle
+from .run_terms import RunTimes
 
 FIRST_WORD = 0.25
 """After this part of the time until the answer is due a host tells what it has, if only nothing."""
--- a/src/alderhatch/node/caller_side.py
+++ b/src/alderhatch/node/caller_side.py
@@ -9,10 +9,11 @@
 
 from ..clock import SECOND, LoopClock, Millis
 from ..core.forwarding.crash_tally import QUARANTINE
-from ..core.forwarding.forward_run import ForwardRun, RunTimes
+from ..core.forwarding.forward_run import ForwardRun
 from ..core.forwarding.outcome import Outcome
 from ..core.forwarding.own_time import OwnTime
 from ..core.forwarding.route import AllShards, OneUpstream, Route, SplitUpstreams
+from ..core.forwarding.run_terms import RunTimes
 from ..core.forwarding.split import SplitCounter
 from ..errors import AlderhatchError, ErrorKind, Failure
 from ..http.messages import HttpRequest, HttpResponse
--- a/src/alderhatch/node/gather_server.py
+++ b/src/alderhatch/node/gather_server.py
@@ -5,9 +5,10 @@
 from collections.abc import Callable
 
 from ..clock import LoopClock, Millis
-from ..core.forwarding.forward_run import ForwardRun, PartRules, RunTimes
+from ..core.forwarding.forward_run import ForwardRun
 from ..core.forwarding.parts_bundle import PartsBundle
 from ..core.forwarding.route import AllShards
+from ..core.forwarding.run_terms import PartRules, RunTimes
 from ..core.forwarding.split_run import FIRST_WORD, HOP
 from ..errors import AlderhatchError, ErrorKind, Failure
 from ..http.messages import HttpRequest
--- a/src/alderhatch/node/split_gather.py
+++ b/src/alderhatch/node/split_gather.py
@@ -7,11 +7,12 @@
 import trio
 
 from ..clock import SECOND, LoopClock, Millis
-from ..core.forwarding.forward_run import ForwardRun, PartRules, RunTimes, least_parts
+from ..core.forwarding.forward_run import ForwardRun
 from ..core.forwarding.gather_plan import GatherPlan, HostShare, plan_gather
 from ..core.forwarding.outcome import Outcome
 from ..core.forwarding.parts_bundle import PartsBundle
 from ..core.forwarding.route import AllShards, Route
+from ..core.forwarding.run_terms import PartRules, RunTimes, least_parts
 from ..core.forwarding.split_run import (
     AskHere,
     AskHost,
