A silent host's share is asked for by the first host as well; lines of shares within a rate of their own

The log: from second 30 on, when a strong host lost its disk, gathers ended as failed at half of the time that they had. A host that had said nothing until then was dropped, its parts were asked for again out of a budget of two in ten seconds, and the gather could no longer be had.

Change: the first host asks for the parts of a silent host as well; whoever brings parts first is taken alone, so that no record is in an answer twice. A silent host is passed over for a second. The other owners have a fifth of the constant. The last moment of a hedge follows from the latencies of the route, not of the upstream. Shares of other hosts have log lines of their own, five a second at most, and explain-request shows them, and requests that were handed over, which it left out.

Tests: rows of gather_split (a silent host that comes late, is lost, or nothing is had here), forwarding_load (times of hedges), log_output.

--- a/features/forwarding_load.feature
+++ b/features/forwarding_load.feature
@@ -71,3 +71,17 @@
     Then for any number of hosts the whole is kept, also while one of them takes another one's place
     And where one host asks for all, the whole is kept while another one takes its place
     And a host takes the owner's part only once a window has passed since gathers are divided
+
+  Scenario Outline: Parts of a split gather are asked for again while their answers can still come in time
+    # A seventh of the servers is slow, so that nearly all quantiles of the latencies are theirs. Asked
+    # for again only after those, the parts come after the answer is due.
+    Given a route whose parts take <usual> ms, and <slow> ms at one in 5 servers
+    When a share is sent that is due after <due> ms, with <left> of the budget left
+    Then another server is asked between <first> and <last> ms
+
+    Examples:
+      | usual | slow | due | left | first | last |
+      | 18    | 120  | 110 | 0.2  | 20    | 70   |
+      | 6     | 40   | 47  | 0.2  | 8     | 34   |
+      | 6     | 40   | 5   | 0.2  | 30    | 60   |
+      | 18    | 18   | 110 | 1.0  | 8     | 40   |
--- a/features/gather_split.feature
+++ b/features/gather_split.feature
@@ -54,6 +54,10 @@
       | brings parts of others           | gets             | 9 of 9       | 15   | 3     |
       | brings a part twice              | gets             | 9 of 9       | 15   | 2     |
       | says nothing and brings all late | gets             | 9 of 9       | 55   | 3     |
+      | says nothing and brings all late | never gets       | 9 of 9       | 70   | 3     |
+      | says nothing and brings all late | gives up         | 9 of 9       | 70   | 3     |
+      | says nothing                     | gives up         | timeout      | 1000 | 3     |
+      | says nothing and is lost         | gives up         | failed       | 71   | 6     |
 
   Scenario Outline: A gather that can't be had isn't begun
     # Asked for by many hosts, nobody could say that nothing ran; one host alone can, at once.
--- a/features/log_output.feature
+++ b/features/log_output.feature
@@ -61,3 +61,8 @@
       | every server refuses it             | refused   | fault     | shed                                   |
       | shards never answer                 | timeout   | send      |                                        |
       | the connection breaks on its way    | failed    | given_up  | it may have run, and must not run twice |
+
+  Scenario: A gather of several hosts is explained by the lines of all that took part
+    # Whoever looks for a short or late answer finds the share that lacks, and the host that lost it.
+    Given the logs of a gather of which one host lost its share and another one lacked parts
+    Then the history of the gather has the lines of all three hosts
--- a/features/steps/gather_split_steps.py
+++ b/features/steps/gather_split_steps.py
@@ -20,7 +20,7 @@
 from alderhatch.core.forwarding.run_terms import PartRules, RunTimes
 from alderhatch.core.forwarding.server_record import ServerRecord
 from alderhatch.core.forwarding.shard_owners import ShardOwners
-from alderhatch.core.forwarding.split_run import AskHere, AskHost, Drop, Finish, SplitRun
+from alderhatch.core.forwarding.split_run import AskHere, AskHost, Drop, Finish, Silent, SplitRun
 from alderhatch.core.forwarding.target_table import TargetTable
 from alderhatch.core.forwarding.top_k import RECORD_BYTES, merge_top_k
 from alderhatch.entry.connection_pool import ConnectionPool
@@ -145,6 +145,7 @@
         self.outcome = None
         self.ended_at = None
         self.gets_here = True
+        self.gives_up_here = False
         self.trouble = {}
 
     def at(self, when, event, *args):
@@ -160,11 +161,13 @@
                     if not is_own:
                         self.asked_here += shards
                         self.repeats.append(is_repeat)
+                    if not is_own and self.gives_up_here:
+                        self.at(self.now + 1.0, self.end, number)
                     if is_own or self.gets_here:
                         span = 10.0 if is_own else 5.0
                         self.at(self.now + span, self.parts, number, shards)
                         self.at(self.now + span, self.end, number)
-                case Drop():
+                case Drop() | Silent():
                     pass
                 case Finish(outcome):
                     self.outcome = outcome
@@ -232,6 +235,9 @@
     def late(number, shards):
         model.at(70.0, model.parts, number, shards)
 
+    def late_lost(number, shards):
+        model.at(70.0, model.lost, number, True)
+
     def of_others(number, shards):
         model.at(10.0, model.parts, number, ("0-a", "0-b"))
 
@@ -259,12 +265,14 @@
         "brings parts of others": of_others,
         "brings a part twice": twice,
         "says nothing and brings all late": late,
+        "says nothing and is lost": late_lost,
     }[trouble]
 
 
 @when("this host {here} what it then asks for itself")
 def step_here(context, here):
     context.model.gets_here = here == "gets"
+    context.model.gives_up_here = here == "gives up"
     context.model.play()
 
 
--- a/features/steps/log_output_steps.py
+++ b/features/steps/log_output_steps.py
@@ -5,6 +5,7 @@
 import os
 from types import SimpleNamespace
 
+import orjson
 import trio
 import trio.testing
 from behave import given, then, when
@@ -271,3 +272,36 @@
     assert any(
         one["step"] == step and one.get("why", "") == why for one in fields["steps"]
     ), fields["steps"]
+
+
+@given("the logs of a gather of which one host lost its share and another one lacked parts")
+def step_gather_logs(context):
+    events = (
+        ("entry-1", LogEvent.SHARE_LOST),
+        ("entry-2", LogEvent.SHARE_ENDED),
+        ("entry-1", LogEvent.REQUEST_ENDED),
+        ("entry-3", LogEvent.REQUEST_HANDED_OVER),
+    )
+    context.texts = [
+        orjson.dumps(
+            {
+                "time": f"2026-03-12 07:18:3{second},000",
+                "host": host,
+                "number": event.number,
+                "event": event.name.lower(),
+                "fields": {"request": "r-1"},
+            }
+        ).decode()
+        for second, (host, event) in enumerate(events)
+    ]
+
+
+@then("the history of the gather has the lines of all three hosts")
+def step_gather_history(context):
+    found = [(line.host, line.event) for line in history_of("r-1", context.texts)]
+    assert found == [
+        ("entry-1", "share_lost"),
+        ("entry-2", "share_ended"),
+        ("entry-1", "request_ended"),
+        ("entry-3", "request_handed_over"),
+    ], found
--- a/src/alderhatch/core/forwarding/extra_budget.py
+++ b/src/alderhatch/core/forwarding/extra_budget.py
@@ -20,8 +20,9 @@
 OWNER_PART = 0.35
 """The part for the host that asks an upstream for all; one that is cut off may go on as the owner
 beside its successor."""
-REST_PART = 0.05
-"""The part for the other hosts that callers are sent to, should the owner be lost."""
+REST_PART = 0.2
+"""The part for the other hosts that callers are sent to: what a lost owner had under way they ask
+for again."""
 STANDBYS_PART = 0.05
 """The part for all that callers are not sent to, where one host asks for all."""
 
--- a/src/alderhatch/core/forwarding/hedge_timer.py
+++ b/src/alderhatch/core/forwarding/hedge_timer.py
@@ -42,13 +42,19 @@
         usual = sent_at + self._delay(upstream, sent_at)
         if self._due is None:
             return usual
-        last = self._due - IN_TIME_FACTOR * self._table.upstream(upstream).latencies.median
+        last = self._due - IN_TIME_FACTOR * self._usual_latency(upstream)
         return usual if last <= sent_at + MIN_HEDGE_DELAY else min(usual, last)
 
+    def _usual_latency(self, upstream: str) -> Millis:
+        latencies = self._table.route_latencies(self._route)
+        if latencies.samples < ENOUGH_SAMPLES:
+            return self._table.upstream(upstream).latencies.median
+        return latencies.median
+
     def _delay(self, upstream: str, now: Millis) -> Millis:
         latencies = self._table.route_latencies(self._route)
         if latencies.samples < ENOUGH_SAMPLES:
-            return GUESS_FACTOR * self._table.upstream(upstream).latencies.median
+            return GUESS_FACTOR * self._usual_latency(upstream)
         span = LATEST_HEDGE_QUANTILE - EARLIEST_HEDGE_QUANTILE
         level = self._table.budget_level(upstream, now)
         return max(MIN_HEDGE_DELAY, latencies.quantile(LATEST_HEDGE_QUANTILE - span * level))
--- a/src/alderhatch/core/forwarding/split_run.py
+++ b/src/alderhatch/core/forwarding/split_run.py
@@ -43,13 +43,19 @@
     number: int
 
 
+class Silent(NamedTuple):
+    """A host has said nothing for so long that it should be passed over for a while."""
+
+    number: int
+
+
 class Finish(NamedTuple):
     """The gather is over."""
 
     outcome: Outcome
 
 
-Effect: TypeAlias = AskHost | AskHere | Drop | Finish
+Effect: TypeAlias = AskHost | AskHere | Drop | Silent | Finish
 
 
 @dataclass(slots=True)
@@ -62,14 +68,16 @@
     """Those that no other host may ask for."""
     heard: bool = False
     ended: bool = False
+    rival: int | None = None
+    """The other share with the same shards, if this host and a silent one both ask for them."""
 
 
 class SplitRun:
     """Decides when a gather over several hosts is good enough, and what a lost host means.
 
-    What a host did not bring is asked for by the first host itself. From then on nothing of the
-    other one is taken, as its next word may hold records of parts that came another way: they
-    would be in the answer twice.
+    What a lost host did not bring is asked for by the first host itself; of a host that is silent,
+    the first host asks as well, and whoever brings parts first is taken alone. Taken from both,
+    records of one part would be in the answer twice.
 
     Args:
         plan: Who asks for which shards.
@@ -118,6 +126,7 @@
         share.heard = True
         share.spent.update(bundle.spent)
         if bundle.shards:
+            self._drop_rival(share)
             share.missing.difference_update(bundle.shards)
             self._bundles.append(bundle)
             self._count(len(bundle.shards), now)
@@ -147,8 +156,8 @@
         if now >= self._patient_until:
             for number, share in enumerate(list(self._shares)):
                 if self._is_awaited(share):
-                    self._effects.append(Drop(number))
-                    self._replace(share, True)
+                    self._effects.append(Silent(number))
+                    self._challenge(number, share)
         return self._settle(now)
 
     @property
@@ -162,7 +171,8 @@
         return due
 
     def _is_awaited(self, share: _Share) -> bool:
-        return share.is_remote and not share.heard and not share.ended
+        is_silent = share.is_remote and not share.heard
+        return is_silent and not share.ended and share.rival is None
 
     def _add(self, shards: tuple[str, ...], is_remote: bool) -> int:
         self._shares.append(_Share(set(shards), is_remote))
@@ -171,12 +181,29 @@
     def _ask_here(self, shards: tuple[str, ...], is_repeat: bool) -> None:
         self._effects.append(AskHere(self._add(shards, False), shards, is_repeat))
 
+    def _challenge(self, number: int, share: _Share) -> None:
+        """Ask here as well for what a silent host was asked for."""
+        self._ask_here(tuple(sorted(share.missing)), True)
+        share.rival = len(self._shares) - 1
+        self._shares[share.rival].rival = number
+
+    def _drop_rival(self, share: _Share) -> None:
+        if share.rival is None:
+            return
+        rival = self._shares[share.rival]
+        if not rival.ended:
+            rival.ended = True
+            self._effects.append(Drop(share.rival))
+
+    def _has_rival(self, share: _Share) -> bool:
+        return share.rival is not None and not self._shares[share.rival].ended
+
     def _replace(self, share: _Share, may_have_run: bool) -> None:
         if share.ended or self.finished:
             return
         share.ended = True
         left = tuple(sorted(share.missing - share.spent))
-        if left and share.is_remote:
+        if left and share.is_remote and not self._has_rival(share):
             self._ask_here(left, may_have_run)
 
     def _count(self, parts: int, now: Millis) -> None:
@@ -186,7 +213,7 @@
             self._was_due_in_time = now < self.times.answer_by
 
     def _settle(self, now: Millis) -> list[Effect]:
-        waiting = sum(len(share.missing) for share in self._shares if not share.ended)
+        waiting = len(set().union(*(one.missing for one in self._shares if not one.ended)))
         late = now >= self.times.answer_by
         if self._parts_in >= self._least and (not waiting or late):
             self.left_parts_out = bool(waiting) and self._was_due_in_time
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -148,6 +148,11 @@
     HAND_OVER_LINK_LOST = EventRow(
         1077, logging.WARNING, "The link to a node that serves callers is gone; see why."
     )
+    SHARE_ENDED = EventRow(
+        1081,
+        logging.INFO,
+        "A share of another node's gather ended without all of its parts; coverage is its own.",
+    )
     SHARE_LOST = EventRow(
         1080,
         logging.WARNING,
--- a/src/alderhatch/node/request_log.py
+++ b/src/alderhatch/node/request_log.py
@@ -21,6 +21,9 @@
 """For requests that did not go well. A line has some 2 KB, so the worst second stays under 100 KB
 and 3 % of a small host's processor."""
 BURST = 60.0
+SHARE_LINES_PER_SECOND = 5.0
+"""For shares of other hosts' gathers, so that they leave room for this host's own requests."""
+SHARE_BURST = 15.0
 MAX_CHANGES = 20
 """Changes of belief of servers a second that have a line of their own; the others are counted."""
 MAX_STEPS = 24
@@ -61,6 +64,7 @@
         self._state = state
         self._clock = LoopClock()
         self._lines = TokenBucket(BURST, 0.0)
+        self._share_lines = TokenBucket(SHARE_BURST, 0.0)
         self._since_sample = 0
         self._handed_since_sample = 0
         self._folded = 0
@@ -84,8 +88,14 @@
 
     def share_ended(self, req: CallerRequest, run: ForwardRun, end: RequestEnd) -> None:
         """Take a share of another host's gather; that host has the line of the whole."""
-        if end.outcome != "complete":
-            self.ended(req, run, end)
+        if end.outcome == "complete":
+            return
+        now = self._clock.now()
+        if self._share_lines.take(SHARE_LINES_PER_SECOND, SHARE_BURST, now) > 0.0:
+            self._folded += 1
+            return
+        fields = self._fields(req, run, end) | {"steps": _steps(run)}
+        log_event(LogEvent.SHARE_ENDED, None, **fields)
 
     def cancelled(self, req: CallerRequest, run: ForwardRun, span: Millis) -> None:
         """Take a request whose caller has gone; its work at servers is cancelled."""
--- a/src/alderhatch/node/split_gather.py
+++ b/src/alderhatch/node/split_gather.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 import trio
 
@@ -19,6 +19,7 @@
     Drop,
     Effect,
     Finish,
+    Silent,
     SplitRun,
 )
 from ..errors import AlderhatchError, Ran
@@ -99,6 +100,7 @@
         )
         self.own = self._share(plan.own, False)
         """The run of this host's own share."""
+        self._plan = plan
         self._own_number = len(plan.others) if plan.own else None
         self.again: list[ForwardRun] = []
         """Runs for what other hosts did not bring."""
@@ -128,6 +130,8 @@
                     nursery.start_soon(self._ask_host, number, share, nursery)
                 case AskHere(number, shards, is_repeat):
                     nursery.start_soon(self._ask_here, number, shards, is_repeat, nursery)
+                case Silent(number):
+                    self._log_lost(number, "it has said nothing for too long")
                 case Drop(number):
                     if number in self._scopes:
                         self._scopes[number].cancel()
@@ -168,7 +172,6 @@
     # At other hosts
 
     async def _ask_host(self, number: int, share: HostShare, nursery: trio.Nursery) -> None:
-        lost = self._lost_handler(number, share, nursery)
 
         def take(news: PartsNews) -> None:
             bundle = bundle_of(news, share.shards, self._most_records)
@@ -178,32 +181,32 @@
             try:
                 await self._gathers.links.ask_parts(share.host, self._message(share), take)
             except HandOverLostError as exc:
-                lost("the way to it is gone", exc.was_sent)
+                self._lost(number, "the way to it is gone", exc.was_sent, nursery)
                 return
             except ValueError as exc:
-                lost(f"its answer does not fit: {exc}", True)
+                self._lost(number, f"its answer does not fit: {exc}", True, nursery)
                 return
             except AlderhatchError as exc:
-                lost(exc.failure.message, exc.failure.answer.ran is not Ran.NOT_RUN)
+                may_have_run = exc.failure.answer.ran is not Ran.NOT_RUN
+                self._lost(number, exc.failure.message, may_have_run, nursery)
                 return
             self._carry_out(self.split.on_end(number, self._clock.now()), nursery)
 
-    def _lost_handler(
-        self, number: int, share: HostShare, nursery: trio.Nursery
-    ) -> Callable[[str, bool], None]:
-        def lost(why: str, may_have_run: bool) -> None:
-            now = self._clock.now()
-            self._gathers.links.avoid(share.host.name, now)
-            log_event(
-                LogEvent.SHARE_LOST,
-                request=self._req.request_id,
-                host=share.host.name,
-                shards=len(share.shards),
-                why=why,
-            )
-            self._carry_out(self.split.on_lost(number, may_have_run, now), nursery)
-
-        return lost
+    def _lost(self, number: int, why: str, may_have_run: bool, nursery: trio.Nursery) -> None:
+        self._log_lost(number, why)
+        now = self._clock.now()
+        self._carry_out(self.split.on_lost(number, may_have_run, now), nursery)
+
+    def _log_lost(self, number: int, why: str) -> None:
+        share = self._plan.others[number]
+        self._gathers.links.avoid(share.host.name, self._clock.now())
+        log_event(
+            LogEvent.SHARE_LOST,
+            request=self._req.request_id,
+            host=share.host.name,
+            shards=len(share.shards),
+            why=why,
+        )
 
     def _message(self, share: HostShare) -> PartsRequest:
         now = self._clock.now()
--- a/src/alderhatch/request_history.py
+++ b/src/alderhatch/request_history.py
@@ -12,11 +12,21 @@
 BEFORE = timedelta(seconds=5)
 """What a process came to believe this long before a request may have decided its fate."""
 TIME_FORMAT = "%Y-%m-%d %H:%M:%S,%f"
-REQUEST_EVENTS = frozenset((LogEvent.REQUEST_ENDED.number,))
+REQUEST_EVENTS = frozenset(
+    event.number
+    for event in (
+        LogEvent.REQUEST_ENDED,
+        LogEvent.REQUEST_HANDED_OVER,
+        LogEvent.SHARE_ENDED,
+        LogEvent.SHARE_LOST,
+    )
+)
 BELIEF_EVENTS = frozenset(
     event.number
     for event in (
         LogEvent.CONFIGURATION_ADOPTED,
+        LogEvent.EVACUATIONS_ADOPTED,
+        LogEvent.STANDING_CHANGED,
         LogEvent.LEADER_FOUND,
         LogEvent.LEADER_LOST,
         LogEvent.SERVER_LIST_LOST,
