A share goes to a server that hosts have not agreed on only once the first host has heard of it

Cause, found by reading: the first host asks beside a silent host at the two servers that both have agreed on. A share that was slow rather than lost could at the same time hedge to a third one, and one that was asked again fell back to any server: one try of a caller on three servers where its route allows two.

Change: a share keeps to the agreed servers until its first word has gone out, and one that is asked again always does. Servers that leave are not agreed on. The message for a share no longer says whether it is a repeat, which it never was.

Tests: rows of gather_split for shares that were heard of and that were not.

--- a/features/gather_split.feature
+++ b/features/gather_split.feature
@@ -80,20 +80,23 @@
     # route allows. Near ones to the owner are among them.
     Given 3 servers in 3 zones of each of 40 shards, known in any order
     Then hosts agree on 2 servers of each, one of them in the zone of the owner
-    And with 2 servers of each shard left they need not agree
+    And with 2 servers of each shard left, or one of 3 leaving, they need not agree
 
   Scenario Outline: Which servers a share is asked for at
-    # Those agreed on go first; where they are out of order a part is better had than agreed on, and
-    # no other host asks for it then.
+    # Those agreed on go first. A part is better had than agreed on, but only once the first host has
+    # heard of the share: it may ask for the same shards before, and together they would ask three.
     Given a share of a shard with 3 servers, of which "a" and "b" are agreed on
-    When <out> are out of order
-    Then the share asks "<first>" first, and <may> be asked for by another host
+    When of its servers <out> are <how>
+    Then a share that is <heard> asks "<first>" first, and <may> be asked for by another host
 
     Examples:
-      | out     | first | may     |
-      | none    | a or b | may    |
-      | a       | b     | may     |
-      | a and b | c     | may not |
+      | out     | how          | heard    | first  | may     |
+      | none    | out of order | heard of | a or b | may     |
+      | a       | out of order | heard of | b      | may     |
+      | a and b | out of order | heard of | c      | may not |
+      | a and b | out of order | unheard  | a or b | may     |
+      | a and b | leaving      | heard of | c      | may not |
+      | a and b | leaving      | unheard  | none   | may     |
 
   Scenario Outline: A share that makes no sense is refused before anything runs
     Then a request for a share with <mistake> is refused naming "<field>"
--- a/features/steps/gather_split_steps.py
+++ b/features/steps/gather_split_steps.py
@@ -427,9 +427,11 @@
     assert others == {"0", "1", "2"}
 
 
-@then("with 2 servers of each shard left they need not agree")
+@then("with 2 servers of each shard left, or one of 3 leaving, they need not agree")
 def step_need_not(context):
     left = [one for one in context.records if one.zone != "zone-2"]
+    leaving = [one._replace(draining=one.zone == "zone-2") for one in context.records]
+    assert table_of(leaving).agreed_servers(SHARDS[0], 2, "zone-0") is None
     assert table_of(left).agreed_servers(SHARDS[0], 2, "zone-0") is None
 
 
@@ -442,18 +444,25 @@
     context.servers.set_max_connections({"shard": 60})
 
 
-@when("{out} are out of order")
-def step_out(context, out):
+@when("of its servers {out} are {how}")
+def step_out(context, out, how):
+    is_barred = how == "leaving"
     for name in [] if out == "none" else out.split(" and "):
-        context.servers.upstream("shard").targets[name].eject(0.0)
+        target = context.servers.upstream("shard").targets[name]
+        target.saw_draining(0.0) if is_barred else target.eject(0.0)
 
 
-@then('the share asks "{first}" first, and {may} be asked for by another host')
-def step_first(context, first, may):
+@then('a share that is {is_heard} asks "{first}" first, and {may} be asked for by another host')
+def step_first(context, is_heard, first, may):
     rules = PartRules({"shard": frozenset("ab")}, False, DUE)
     times = RunTimes(0.0, DEADLINE, DEADLINE)
     run = ForwardRun(scatter_route(["shard"]), ("shard",), times, context.servers, rules)
-    (send,) = run.start(0.0)
+    run.may_leave_agreed = is_heard == "heard of"
+    effects = run.start(0.0)
+    if first == "none":
+        assert not effects and not run.shards["shard"].is_spent
+        return
+    (send,) = effects
     assert send.target.server_id in first.split(" or ")
     assert run.shards["shard"].is_spent == (may == "may not")
 
@@ -461,7 +470,7 @@
 # Messages
 
 KNOWN = ["a", "b", "c"]
-ASKED = PartsRequest(1, "GET", "/all/1", [], b"", 800.0, 50.0, ["a", "b"], False)
+ASKED = PartsRequest(1, "GET", "/all/1", [], b"", 800.0, 50.0, ["a", "b"])
 ANSWER = PartsNews(1, [0, 1], [b"x", b"y"], b"r" * 32, [])
 
 
--- a/src/alderhatch/core/forwarding/forward_run.py
+++ b/src/alderhatch/core/forwarding/forward_run.py
@@ -65,6 +65,9 @@
         """Requests sent beside one that is still out."""
         self.retries = 0
         """Requests sent after one that came to nothing."""
+        self.may_leave_agreed = False
+        """Whether it may go to servers that hosts have not agreed on, as the first host has heard
+        of it and won't ask beside it."""
         self.left_parts_out = False
         """Whether the answer left without parts that might still have come, as it was due."""
         self._was_due_in_time = False
@@ -233,34 +236,32 @@
         self._effects.append(Send(attempt, target, shard.upstream))
         return True
 
+    def _agreed(self, shard: ShardState) -> Container[str] | None:
+        return self._rules.servers.get(shard.upstream) if self._rules is not None else None
+
     def _note_spent(self, shard: ShardState, target: Target) -> None:
-        only = self._rules.servers.get(shard.upstream) if self._rules is not None else None
-        shard.is_spent = shard.is_spent or (only is not None and target.server_id not in only)
+        agreed = self._agreed(shard)
+        shard.is_spent = shard.is_spent or (agreed is not None and target.server_id not in agreed)
 
     def _choose(self, shard: ShardState, now: Millis, kind: DecisionKind) -> Target | None:
         table = self._table
         refused = {name for name, at in shard.refused_by.items() if now - at < REFUSED_PAUSE}
         excluded = shard.may_have_run | refused
-        target = self._choose_agreed(shard, excluded, now)
-        if kind is DecisionKind.HEDGE:
-            return target or table.choose_sound(shard.upstream, excluded, now)
-        if target is None and len(shard.may_have_run) < self.route.max_servers:
-            target = table.choose(shard.upstream, excluded, now)
+        agreed = self._agreed(shard)
+        only = None if self.may_leave_agreed and not self._is_repeat else agreed
+        target = None
+        if len(shard.may_have_run) < self.route.max_servers:
+            target = table.choose_sound(shard.upstream, excluded, now, agreed)
+            if target is None and kind is DecisionKind.HEDGE:
+                return table.choose_sound(shard.upstream, excluded, now, only)
+            if target is None:
+                target = table.choose(shard.upstream, excluded, now, only)
         if target is None and shard.may_have_run and not shard.out:
             # Nobody else can be asked, or no further server may run it. A server that has failed it
             # once may do better now.
             target = table.choose(shard.upstream, refused, now, only=shard.may_have_run)
         return target
 
-    def _choose_agreed(
-        self, shard: ShardState, excluded: Container[str], now: Millis
-    ) -> Target | None:
-        """Return a sound server of those that hosts have agreed on, if they have."""
-        only = self._rules.servers.get(shard.upstream) if self._rules is not None else None
-        if only is None or len(shard.may_have_run) >= self.route.max_servers:
-            return None
-        return self._table.choose_sound(shard.upstream, excluded, now, only)
-
     def _look_again(self, shard: ShardState, now: Millis) -> None:
         if shard.out:
             return
--- a/src/alderhatch/core/forwarding/target_table.py
+++ b/src/alderhatch/core/forwarding/target_table.py
@@ -286,9 +286,10 @@
             zone: The availability zone of the host that owns the shard.
 
         Returns:
-            Their ids; None if there are no more servers than that.
+            Their ids; None if there are no more servers than that which stay.
         """
-        targets = self.upstream(name).targets
+        listed = self.upstream(name).targets
+        targets = {server_id: one for server_id, one in listed.items() if not one.leaving}
         if len(targets) <= count:
             return None
         near = {server_id for server_id, one in targets.items() if one.zone == zone}
--- a/src/alderhatch/node/gather_messages.py
+++ b/src/alderhatch/node/gather_messages.py
@@ -26,8 +26,6 @@
     due_in: Millis
     """When the answer should leave, from now on; may be negative for one that is late."""
     shards: list[str]
-    is_repeat: bool
-    """Whether another host may have asked for them before."""
 
 
 class PartsNews(NamedTuple):
--- a/src/alderhatch/node/gather_server.py
+++ b/src/alderhatch/node/gather_server.py
@@ -85,7 +85,7 @@
             raise AlderhatchError(Failure(ErrorKind.NO_CONFIGURATION, message, "target"))
         check_parts_request(asked, route.destination.shards)
         servers = agreed_servers(self._state, route, asked.shards)
-        rules = PartRules(servers, asked.is_repeat, arrived + asked.due_in - HOP)
+        rules = PartRules(servers, False, arrived + asked.due_in - HOP)
         deadline = arrived + min(asked.time_left, route.timeout)
         # Which parts are left out is for the first host to decide, which sees all of them.
         times = RunTimes(arrived, deadline, deadline)
--- a/src/alderhatch/node/hand_over_server.py
+++ b/src/alderhatch/node/hand_over_server.py
@@ -1,4 +1,4 @@
-"""Answers requests of callers that hosts which stand by hand over."""
+"""Answers other hosts: requests of callers that they hand over, and shares of their gathers."""
 
 from __future__ import annotations
 
--- a/src/alderhatch/node/split_gather.py
+++ b/src/alderhatch/node/split_gather.py
@@ -172,7 +172,6 @@
     # At other hosts
 
     async def _ask_host(self, number: int, share: HostShare, nursery: trio.Nursery) -> None:
-
         def take(news: PartsNews) -> None:
             bundle = bundle_of(news, share.shards, self._most_records)
             self._carry_out(self.split.on_parts(number, bundle, self._clock.now()), nursery)
@@ -220,7 +219,6 @@
             self._times.deadline - now,
             self._times.answer_by - now,
             list(share.shards),
-            False,
         )
 
 
