The scenario of a lost host that gathers for others counts queries, not seconds

Traced with the numbers in the assertion, beside eight busy processes: 5, 8 and 7 queries where more than 10 had been asked within fixed spans of time.

--- a/features/steps/platform_gather_steps.py
+++ b/features/steps/platform_gather_steps.py
@@ -1,7 +1,6 @@
 from __future__ import annotations
 
 import signal
-import time
 
 from behave import given, then, when
 
@@ -81,17 +80,16 @@
     tier = context.platform
     context.answers = []
 
-    def ask_for(span):
-        end = time.monotonic() + span
-        while time.monotonic() < end:
+    def ask(times):
+        for _ in range(times):
             request_id = fresh_id()
             context.answers.append((tier.ask(0, "/paths/7", request_id), request_id))
 
-    ask_for(0.3)
+    ask(4)
     tier.processes[1].send_signal(signal.SIGSTOP)
-    ask_for(0.5)
+    ask(6)
     tier.kill(1)
-    ask_for(0.5)
+    ask(6)
 
 
 @then("every query was answered whole, or left out parts only while the host stood still")
@@ -100,5 +98,5 @@
         assert answer is not None and answer.status == 200, answer
         if whole(answer):
             check(answer, request_id)
-    assert len(context.answers) > 10
-    assert whole(context.answers[0][0]) and whole(context.answers[-1][0])
+    for answer, _ in (*context.answers[:4], context.answers[-1]):
+        assert whole(answer), (answer.status, answer.headers)
