--- a/features/gather_split.feature
+++ b/features/gather_split.feature
@@ -128,3 +128,10 @@
   Scenario: Records of merged parts are those of all parts
     # Merged at two hosts one after the other, equal records must all count, and none be lost.
     Then merging any parts in any bundles gives the greatest records of all
+
+  Scenario: Nothing more is asked for once a gather is over
+    # The host that brings the last part may be lost at the same moment. What was asked for then would
+    # run on a third server after the caller has its answer.
+    Given a gather of 9 parts over 3 hosts
+    When a host that brought 2 of its 3 parts is lost after the answer is due
+    Then the gather ends, and nobody is asked for the third part
--- a/features/steps/gather_split_steps.py
+++ b/features/steps/gather_split_steps.py
@@ -40,6 +40,7 @@
 
 SHARDS = [f"shard-{number:03}" for number in range(135)]
 DUE = 100.0
+SPLIT = POLICY._replace(split_parts=40)
 DEADLINE = 1000.0
 
 
@@ -306,7 +307,7 @@
 def step_before(context, gone):
     clock = ManualClock(1000.0)
     pool = ConnectionPool(0, spares=False)
-    state = NodeState("host-0", "zone-0", None, pool, TERMS, POLICY, clock, Random(1))
+    state = NodeState("host-0", "zone-0", None, pool, TERMS, SPLIT, clock, Random(1))
     shards = SHARDS[:90]
     state.table.update(
         (ServerRecord(f"i-{name}", name, "127.0.0.1", 80, "zone-0", 2, False) for name in shards),
@@ -550,3 +551,21 @@
         return b"sealed" if name == SEAL else None
 
     return SimpleNamespace(body=body, header=header)
+
+
+@when("a host that brought 2 of its 3 parts is lost after the answer is due")
+def step_lost_late(context):
+    run = context.model.run
+    context.effects = run.start(0.0)
+    for number, shards in ((2, ("0-a", "0-b", "0-c")), (0, ("1-a", "1-b")), (1, ("2-a", "2-b"))):
+        run.on_parts(number, PartsBundle(shards, shards, b""), 50.0)
+    last = PartsBundle(("2-c",), (b"s",), b"")
+    run.on_parts(1, last, DUE - 1.0)
+    context.effects = run.on_lost(0, True, DUE + 1.0)
+
+
+@then("the gather ends, and nobody is asked for the third part")
+def step_nobody(context):
+    assert context.model.run.finished
+    assert not [one for one in context.effects if isinstance(one, AskHere | AskHost)]
+    assert [one for one in context.effects if isinstance(one, Finish)]
--- a/features/steps/platform_gather_steps.py
+++ b/features/steps/platform_gather_steps.py
@@ -14,6 +14,7 @@
 @given("a platform tier that serves 50 shards")
 def step_tier(context):
     tier = context.platform = PlatformTier(context)
+    tier.policy = "split_parts=40"
     for name in MANY:
         tier.add_servers(name)
     tier.add_servers("kitchen", 3)
--- a/features/support/platform_tier.py
+++ b/features/support/platform_tier.py
@@ -120,6 +120,8 @@
         self.processes = {}
         self.version = 0
         self.first_start = True
+        self.policy = ""
+        """Numbers of the policy that differ from the platform's."""
 
     def _free_ports(self):
         """The metrics are on the port behind that for links, which must be none of the others."""
@@ -187,7 +189,10 @@
         for index in indexes or range(len(self.addresses)):
             self.settings_path(index).write_text(self.settings(index))
             log = (self.folder / f"node-{index}.log").open("a")
-            env = os.environ | {"ALDERHATCH_SETTINGS": str(self.settings_path(index))}
+            env = os.environ | {
+                "ALDERHATCH_SETTINGS": str(self.settings_path(index)),
+                "ALDERHATCH_POLICY": self.policy,
+            }
             command = [sys.executable, "-m", "alderhatch.platform"]
             self.processes[index] = subprocess.Popen(command, env=env, stdout=log, stderr=log)
             log.close()
--- a/src/alderhatch/core/forwarding/gather_plan.py
+++ b/src/alderhatch/core/forwarding/gather_plan.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from .caller_hosts import HostRecord
-from .shard_owners import MIN_HOSTS, MIN_PARTS, ShardOwners
+from .shard_owners import ShardOwners
 
 
 class HostShare(NamedTuple):
@@ -41,7 +41,7 @@
     Returns:
         The division, or None if the host does better alone.
     """
-    if len(shards) < MIN_PARTS or len(owners.hosts) < MIN_HOSTS:
+    if not owners.splits(len(shards)):
         return None
     own: list[str] = []
     others: dict[str, list[str]] = {}
--- a/src/alderhatch/core/forwarding/shard_owners.py
+++ b/src/alderhatch/core/forwarding/shard_owners.py
@@ -23,10 +23,12 @@
 
     Args:
         me: This host's name.
+        split_parts: Gathers of so many parts and more are asked for by several hosts; 0 for none.
     """
 
-    def __init__(self, me: str) -> None:
+    def __init__(self, me: str, split_parts: int = MIN_PARTS) -> None:
         self._me = me
+        self._split_parts = split_parts
         self._gathers: tuple[tuple[str, ...], ...] = ()
         self._owners: dict[str, str] = {}
         """Worked out so far, by shard."""
@@ -61,9 +63,7 @@
     def _divide(self, now: Millis) -> None:
         mine = [shard for shard, owner in self._owners.items() if owner == self._me]
         self._owners = {}
-        is_divided = len(self.hosts) >= MIN_HOSTS and any(
-            len(shards) >= MIN_PARTS for shards in self._gathers
-        )
+        is_divided = any(self.splits(len(shards)) for shards in self._gathers)
         if not is_divided:
             self.divided_since = None
         elif self.divided_since is None:
@@ -99,6 +99,10 @@
             self._owners[shard] = known
         return known
 
+    def splits(self, parts: int) -> bool:
+        """Return whether a gather of so many parts is asked for by several hosts."""
+        return 0 < self._split_parts <= parts and len(self.hosts) >= MIN_HOSTS
+
     def divides(self, shard: str) -> bool:
         """Return whether a shard is of a gather that hosts ask for together."""
         return self.divided_since is not None and shard in self._owners
--- a/src/alderhatch/core/forwarding/split_run.py
+++ b/src/alderhatch/core/forwarding/split_run.py
@@ -244,4 +244,6 @@
     def _flush(self) -> list[Effect]:
         effects = self._effects
         self._effects = []
+        if self.finished:
+            return [one for one in effects if not isinstance(one, AskHost | AskHere)]
         return effects
--- a/src/alderhatch/core/policy.py
+++ b/src/alderhatch/core/policy.py
@@ -21,6 +21,8 @@
     within this multiple of the upstream's median latency, however quick the others are."""
     owner_near_factor: float = 0.0
     """The same where one host asks an upstream for all others."""
+    split_parts: int = 0
+    """Gathers of so many parts and more are asked for by several hosts; 0 for none."""
     trouble_cost_ms: Millis = 60.0
     """What a forwarded request that comes to nothing costs in time and in budget for retries."""
     first_latency_ms: Millis = 5.0
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -66,6 +66,9 @@
         If cancelled, what is out at servers may still end within the grace of attempts that lost:
         the connections of a gather that has all it needs would be closed in mid-answer otherwise.
         """
+        # A share may be dropped before its task has begun; begun all the same, it would send all of
+        # its requests before it notices, at servers that others have asked already.
+        await trio.lowlevel.checkpoint_if_cancelled()
         flight = _Flight(self, req, run)
         try:
             await flight.fly()
--- a/src/alderhatch/node/gather_server.py
+++ b/src/alderhatch/node/gather_server.py
@@ -84,7 +84,7 @@
             message = f"target: no gather for host {req.host!r} and path {http.path!r}"
             raise AlderhatchError(Failure(ErrorKind.NO_CONFIGURATION, message, "target"))
         check_parts_request(asked, route.destination.shards)
-        servers = agreed_servers(self._state, route, asked.shards)
+        servers = agreed_servers(self._state, route, asked.shards, self._state.zone)
         rules = PartRules(servers, False, arrived + asked.due_in - HOP)
         deadline = arrived + min(asked.time_left, route.timeout)
         # Which parts are left out is for the first host to decide, which sees all of them.
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -20,7 +20,7 @@
 from ..core.forwarding.route import AllShards, CallerLimits, TierConfiguration
 from ..core.forwarding.route_table import RouteTable
 from ..core.forwarding.server_record import ServerRecord
-from ..core.forwarding.shard_owners import MIN_PARTS, ShardOwners
+from ..core.forwarding.shard_owners import ShardOwners
 from ..core.forwarding.target import Target
 from ..core.forwarding.target_table import TargetTable
 from ..core.policy import Policy
@@ -104,7 +104,7 @@
         """How much processor time those should have together, in seconds a second."""
         self._reach = HostReach()
         """What this host found out by itself since the leader's last word."""
-        self.owners = ShardOwners(name)
+        self.owners = ShardOwners(name, policy.split_parts)
         """Which of those hosts owns a shard."""
         self._named: dict[str, Millis] = {}
         """When each host was last among those that callers are sent to."""
@@ -116,7 +116,6 @@
         """Whether this host hands requests over, by the leader's word."""
         self.wants_servers = False
         """Whether it needs the list of servers although it stands by."""
-        self._gathers_many = False
         self._seen_version = 0
         self._wanted: frozenset[str] = frozenset()
         self._host_counts: list[tuple[Millis, int]] = []
@@ -136,7 +135,6 @@
         gathers = (one.upstreams for one in cfg.routes if isinstance(one.destination, AllShards))
         if self.owners.take_gathers(gathers, self._clock.now()):
             self.table.set_owners(self.owners)
-        self._gathers_many = any(len(route.upstreams) >= MIN_PARTS for route in cfg.routes)
         self.table.keep_routes({route.name for route in cfg.routes})
         self._choose_caller_hosts()
         self._connect()
@@ -146,7 +144,7 @@
     @property
     def gathers_many(self) -> bool:
         """Whether any route gathers so many parts that several hosts ask for them."""
-        return self._gathers_many
+        return self.owners.divided_since is not None
 
     @property
     def seen_version(self) -> int:
--- a/src/alderhatch/node/split_gather.py
+++ b/src/alderhatch/node/split_gather.py
@@ -96,12 +96,12 @@
         self._route = route
         self._most_records = destination.top_k
         self._times = times
+        self._plan = plan
         self.split = SplitRun(
             plan, least_parts(len(route.upstreams), destination.min_coverage), times
         )
         self.own = self._share(plan.own, False)
         """The run of this host's own share."""
-        self._plan = plan
         self._own_number = len(plan.others) if plan.own else None
         self.again: list[ForwardRun] = []
         """Runs for what other hosts did not bring."""
@@ -145,8 +145,11 @@
 
     def _share(self, shards: tuple[str, ...], is_repeat: bool) -> ForwardRun:
         times = RunTimes(self._times.arrived, self._times.deadline, self._times.deadline)
-        # As one share may be lost and asked for again, all keep to what its owner would ask.
-        servers = agreed_servers(self._state, self._route, shards) if is_repeat else {}
+        servers: dict[str, frozenset[str]] = {}
+        # Who owns a shard may have changed since, so the zone is that of the host that was asked.
+        for share in self._plan.others if is_repeat else ():
+            again = set(shards).intersection(share.shards)
+            servers |= agreed_servers(self._state, self._route, again, share.host.zone)
         rules = PartRules(servers, is_repeat, self._times.answer_by)
         return ForwardRun(self._route, shards, times, self._state.table, rules)
 
@@ -224,14 +227,18 @@
 
 
 def agreed_servers(
-    state: NodeState, route: Route, shards: Iterable[str]
+    state: NodeState, route: Route, shards: Iterable[str], zone: str
 ) -> dict[str, frozenset[str]]:
-    """Return which servers of shards are asked, for those with more than a request may run on."""
-    owners = state.owners
+    """Return which servers of shards are asked, for those with more than a request may run on.
+
+    Args:
+        state: Knows the servers.
+        route: The route.
+        shards: The shards.
+        zone: The availability zone of the host that was asked for them first.
+    """
     agreed: dict[str, frozenset[str]] = {}
     for shard in shards:
-        owner = owners.hosts.get(owners.owner(shard) or "")
-        zone = owner.zone if owner is not None else ""
         servers = state.table.agreed_servers(shard, route.max_servers, zone)
         if servers is not None:
             agreed[shard] = servers
