One end for requests and gathers, one way to the grown log, one pair of names for links

Change: CallerSide._end, ConfigurationDesk._grown_log, and Request and Reply in gather_messages. A time that is no number is looked for by isnan. No behaviour changes, no test changed.

--- a/src/alderhatch/node/caller_side.py
+++ b/src/alderhatch/node/caller_side.py
@@ -155,33 +155,29 @@
         times = self._times(route, req, arrived)
         gather = self._gathers.begin(req, route, times)
         if gather is not None:
-            return await self._gather(gather, route, req, times)
+            return await self._gather(gather, req)
         run = ForwardRun(route, self._upstreams(route), times, self._state.table)
         with self._logged_if_cancelled(req, run):
             outcome = await self._runner.forward(req, run)
-        self._ended(req, run, outcome)
-        res = self._dialect.response(route, outcome)
-        if run.left_parts_out:
-            self._own_time(route).saw(self._clock.now() - times.answer_by)
-        return res
+        return self._end(req, run, outcome, run.left_parts_out)
 
-    async def _gather(
-        self, gather: SplitGather, route: Route, req: CallerRequest, times: RunTimes
-    ) -> HttpResponse:
+    async def _gather(self, gather: SplitGather, req: CallerRequest) -> HttpResponse:
         with self._logged_if_cancelled(req, gather.own):
             outcome = await gather.run()
-        self._ended(req, gather.own, outcome)
         for run in gather.again:
             self._metrics.count_steps(run)
-        res = self._dialect.response(route, outcome)
-        if gather.split.left_parts_out:
-            self._own_time(route).saw(self._clock.now() - times.answer_by)
-        return res
+        return self._end(req, gather.own, outcome, gather.split.left_parts_out)
 
-    def _ended(self, req: CallerRequest, run: ForwardRun, outcome: Outcome) -> None:
+    def _end(
+        self, req: CallerRequest, run: ForwardRun, outcome: Outcome, left_parts_out: bool
+    ) -> HttpResponse:
         end = end_of(outcome, self._clock.now() - run.times.arrived)
         self._metrics.count(run, end)
         self._log.ended(req, run, end)
+        res = self._dialect.response(run.route, outcome)
+        if left_parts_out:
+            self._own_time(run.route).saw(self._clock.now() - run.due)
+        return res
 
     @contextmanager
     def _logged_if_cancelled(self, req: CallerRequest, run: ForwardRun) -> Iterator[None]:
--- a/src/alderhatch/node/configuration_desk.py
+++ b/src/alderhatch/node/configuration_desk.py
@@ -70,8 +70,7 @@
             AlderhatchError: If this host doesn't lead, or it is not known whether enough disks
                 hold the change.
         """
-        log = self._leading().leading_log()
-        self._check_grown(log)
+        log = self._grown_log()
         began = self._clock.now()
         result = await log.propose(encode_command(pack(version, document)))
         in_force = result if isinstance(result, int) else self._register.stored.version
@@ -102,10 +101,8 @@
             AlderhatchError: If this host doesn't lead, or it is not known whether enough disks
                 hold the order.
         """
-        log = self._leading().leading_log()
-        self._check_grown(log)
         began = self._clock.now()
-        await log.propose(encode_evacuation(zone, evacuate))
+        await self._grown_log().propose(encode_evacuation(zone, evacuate))
         zones = self._register.evacuations.zones
         span = self._clock.now() - began
         log_event(
@@ -117,13 +114,14 @@
         )
         return zones
 
-    def _check_grown(self, log: LogNode) -> None:
-        """Refuse a change while the log has too few members for what may be lost.
+    def _grown_log(self) -> LogNode:
+        """Return the log if this host leads it and it has the members for what may be lost.
 
         The log is founded by one host and the others join it one by one. A change committed in
         between would be on fewer disks than may be lost at once; and with two members the loss of
         one would stop all further changes, although the tier is to bear it.
         """
+        log = self._leading().leading_log()
         membership = log.membership
         now = self._clock.now()
         if self._first_asked is None:
@@ -133,6 +131,7 @@
         if membership.majority < self._copies or few:
             message = f"the log has only {len(membership.voters)} of {self._wanted} members yet"
             raise AlderhatchError(Failure(ErrorKind.NO_LEADER, message, None, 300))
+        return log
 
     async def read(self) -> StoredConfiguration:
         """Return the newest accepted configuration.
--- a/src/alderhatch/node/gather_messages.py
+++ b/src/alderhatch/node/gather_messages.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import Any, NamedTuple
+from math import isnan
+from typing import Any, NamedTuple, TypeAlias
 
 from ..clock import Millis
 from ..core.forwarding.parts_bundle import PartsBundle
 from ..core.forwarding.top_k import RECORD_BYTES
 from ..errors import AlderhatchError, ErrorKind, Failure
-from .hand_over_messages import Field
+from .hand_over_messages import Field, HandedAnswer, HandedRefusal, HandedRequest
 
 
 class PartsRequest(NamedTuple):
@@ -48,6 +49,10 @@
 
 
 GATHER_MESSAGE_TYPES: tuple[type[Any], ...] = (PartsRequest, PartsNews, PartsEnd)
+Request: TypeAlias = HandedRequest | PartsRequest
+"""What one host asks of another one."""
+Reply: TypeAlias = HandedAnswer | HandedRefusal | PartsEnd
+"""What ends such a request."""
 
 
 def check_parts_request(req: PartsRequest, known: Iterable[str]) -> None:
@@ -62,7 +67,7 @@
     """
     if not req.time_left > 0:
         raise _refused(ErrorKind.DEADLINE_TOO_SHORT, "time_left", "no time is left")
-    if req.due_in != req.due_in:
+    if isnan(req.due_in):
         raise _refused(ErrorKind.BAD_REQUEST, "due_in", "not a number")
     if not req.shards or len(set(req.shards)) != len(req.shards):
         raise _refused(ErrorKind.BAD_REQUEST, "shards", "different shards are wanted")
--- a/src/alderhatch/node/hand_over_link.py
+++ b/src/alderhatch/node/hand_over_link.py
@@ -13,7 +13,7 @@
 from ..link import Link, LinkClosedError, Peer, open_link
 from ..log import log_event
 from ..log_events import LogEvent
-from .gather_messages import PartsEnd, PartsNews, PartsRequest
+from .gather_messages import PartsEnd, PartsNews, Reply, Request
 from .hand_over_messages import (
     HAND_OVER_ROLE,
     MAX_IN_FLIGHT,
@@ -21,11 +21,8 @@
     HandedAnswer,
     HandedCancel,
     HandedRefusal,
-    HandedRequest,
 )
 
-Request: TypeAlias = HandedRequest | PartsRequest
-Reply: TypeAlias = HandedAnswer | HandedRefusal | PartsEnd
 TakeNews: TypeAlias = Callable[[PartsNews], None]
 OPEN_TIMEOUT: Millis = 500.0
 SILENCE: Millis = 1000.0
--- a/src/alderhatch/node/hand_over_server.py
+++ b/src/alderhatch/node/hand_over_server.py
@@ -14,7 +14,7 @@
 from ..link import Link, LinkClosedError
 from ..log import log_event
 from ..log_events import LogEvent
-from .gather_messages import PartsEnd, PartsNews, PartsRequest
+from .gather_messages import PartsEnd, PartsNews, PartsRequest, Reply, Request
 from .hand_over_messages import (
     ALIVE_EVERY,
     MAX_HANDED_BYTES,
@@ -28,8 +28,6 @@
     to_http,
 )
 
-Request: TypeAlias = HandedRequest | PartsRequest
-Reply: TypeAlias = HandedAnswer | HandedRefusal | PartsEnd
 Answerer: TypeAlias = Callable[[HttpRequest, Millis | None, int], Awaitable[HttpResponse]]
 """Takes a request, how long its caller waits, and the least version to serve it by."""
 PartsAnswerer: TypeAlias = Callable[
