Lines and metrics that tell why answers of a route leave late

Now: unread_ms and in_flight in the lines of requests, processor in node_started, the metrics alderhatch_node_overdue_total by route and alderhatch_node_unread_seconds. The wait is an upper bound: LoopDelay, an instrument of the loop, knows since when the events of its latest poll may have been pending. No decision uses it.

--- a/bench/forward.py
+++ b/bench/forward.py
@@ -106,7 +106,7 @@
         ]
         dialect = PlatformDialect()
         self.runner = ForwardRunner(self.pool, self.state, dialect)
-        log = RequestLog(self.state)
+        log = RequestLog(self.state, lambda: 1)
         metrics = NodeMetrics(cast(Node, SimpleNamespace(cfg=SimpleNamespace(name="bench"))))
         others = HandOverClient(self.state, Codec(*HAND_OVER_MESSAGE_TYPES), b"", Random(1))
         gathers = SplitGathers(self.state, PartsCollector(self.runner, dialect), others)
--- a/features/steps/log_output_steps.py
+++ b/features/steps/log_output_steps.py
@@ -155,7 +155,7 @@
 
 
 def request_of(number):
-    return SimpleNamespace(request_id=f"r{number}")
+    return SimpleNamespace(request_id=f"r{number}", http=SimpleNamespace(unread_time=0.0))
 
 
 @given("a request log")
@@ -175,7 +175,7 @@
 
 def write_log(context, action):
     async def main():
-        log = RequestLog(context.state)
+        log = RequestLog(context.state, lambda: 1)
         action(log)
         log.flush()
 
--- a/src/alderhatch/http/messages.py
+++ b/src/alderhatch/http/messages.py
@@ -35,6 +35,8 @@
     """Whether the connection has carried an earlier request."""
     round_trip: Millis = 0.0
     """Round-trip time to the client, as measured by the kernel; 0 if unknown."""
+    unread_time: Millis = 0.0
+    """How long its first bytes waited at most until this process read them; 0 if unknown."""
 
 
 class HttpResponse(NamedTuple):
--- a/src/alderhatch/http/server.py
+++ b/src/alderhatch/http/server.py
@@ -15,6 +15,7 @@
 from ..errors import AlderhatchError, ErrorKind, Failure
 from ..log import log_event
 from ..log_events import LogEvent
+from ..loop_delay import LoopDelay
 from .messages import HttpLimits, HttpRequest, HttpResponse, failure_response
 
 Handler: TypeAlias = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -29,9 +30,14 @@
 
 
 class ServeState:
-    """Open connections and requests in progress of a server, and whether it is stopping."""
+    """Open connections and requests in progress of a server, and whether it is stopping.
 
-    def __init__(self) -> None:
+    Args:
+        loop_delay: Measures how long requests wait unread; None to leave that unknown.
+    """
+
+    def __init__(self, loop_delay: LoopDelay | None = None) -> None:
+        self.loop_delay = loop_delay
         self.connections = 0
         self.exchanges = 0
         """Requests in progress: received completely, and the response not yet sent completely."""
@@ -100,6 +106,7 @@
         self._pipelined = b""
         self._answered_count = 0
         self._round_trip = measure_round_trip(stream)
+        self._unread_time: Millis = 0.0
 
     async def run(self) -> None:
         while True:
@@ -152,15 +159,23 @@
         return None
 
     async def _await_first_bytes(self) -> bool:
+        self._unread_time = 0.0
         if self._http.trailing_data[0]:
             return True
-        data = self._pipelined or await self._stream.receive_some(READ_BYTES)
+        data = self._pipelined
         self._pipelined = b""
+        if not data:
+            data = await self._stream.receive_some(READ_BYTES)
+            self._unread_time = self._measure_unread_time()
         if not data:
             return False
         self._http.receive_data(data)
         return True
 
+    def _measure_unread_time(self) -> Millis:
+        loop_delay = self._state.loop_delay
+        return 0.0 if loop_delay is None else loop_delay.unread_time(self._answered_count == 0)
+
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
             try:
@@ -203,7 +218,8 @@
                 message = f"request body is larger than {self._limits.body_bytes} bytes"
                 raise _request_error(ErrorKind.TOO_LARGE, message)
             chunks.append(bytes(event.data))
-        return _to_request(head, b"".join(chunks), self._answered_count > 0, self._round_trip)
+        req = _to_request(head, b"".join(chunks), self._answered_count > 0, self._round_trip)
+        return req._replace(unread_time=self._unread_time)
 
     async def _handle(self, req: HttpRequest) -> HttpResponse | None:
         """Run the handler; return None if the client disconnected meanwhile."""
--- a/src/alderhatch/metric_catalogue.py
+++ b/src/alderhatch/metric_catalogue.py
@@ -81,6 +81,19 @@
         "Time from the last byte of a request until its answer is ready, for answered requests.",
         ("route",),
     )
+    NODE_OVERDUE = MetricRow(
+        "alderhatch_node_overdue_total",
+        MetricKind.COUNTER,
+        Unit.ONE,
+        "Answers that left too late for the target latency of their route.",
+        ("route",),
+    )
+    NODE_UNREAD_TIME = MetricRow(
+        "alderhatch_node_unread_seconds",
+        MetricKind.HISTOGRAM,
+        Unit.SECONDS,
+        "Longest time that a request may have waited before the busy node read it.",
+    )
     NODE_COVERAGE = MetricRow(
         "alderhatch_node_coverage",
         MetricKind.HISTOGRAM,
--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -176,7 +176,7 @@
         self, req: CallerRequest, run: ForwardRun, outcome: Outcome, omitted_late_parts: bool
     ) -> HttpResponse:
         end = to_request_end(outcome, self._clock.now() - run.times.arrived)
-        self._metrics.count_request(run, end)
+        self._metrics.count_request(run, end, req.http.unread_time)
         self._log.log_end(req, run, end)
         res = self._dialect.response(run.route, outcome)
         if omitted_late_parts:
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -21,6 +21,7 @@
 from ..log import log_event
 from ..log_events import LogEvent
 from ..log_output import BoundedLogHandler
+from ..loop_delay import LoopDelay
 from ..stop_signal import STOP_SIGNALS, wait_for_stop
 from .bootstrap import BOOTSTRAP_ROLE, BootstrapCoordinator, bootstrap_cluster
 from .caller_handler import CallerHandler
@@ -123,7 +124,8 @@
         """Addresses at which the tier is looked for; a change of the settings replaces them."""
         self._bootstrap_host: Place | None = None
         self._stopping = False
-        self._serve_state = ServeState()
+        self._loop_delay = LoopDelay()
+        self._serve_state = ServeState(self._loop_delay)
         self._register = ConfigurationRegister(self._on_directives_changed)
         self.member = self._make_member()
         """This host's member of the replicated log; None without a data folder."""
@@ -147,7 +149,7 @@
         self.log_output = log_output
         """Bounded log output, if used."""
         self.metrics = NodeMetrics(self)
-        self._request_log = RequestLog(self.state)
+        self._request_log = RequestLog(self.state, lambda: self.requests_in_flight)
         self._hand_over_client = HandOverClient(self.state, self._codec, cfg.secret, self._rng)
         collector = PartsCollector(self._runner, dialect)
         self._gather_server = GatherServer(
@@ -276,6 +278,7 @@
         log_event(LogEvent.NODE_STOPPED, node=self.cfg.name)
 
     async def _serve(self, handlers: EdgeHandlers, signals: AsyncIterator[int]) -> None:
+        trio.lowlevel.add_instrument(self._loop_delay)
         async with trio.open_nursery() as nursery:
             if self.cfg.data_folder is not None:
                 checkpoint_store = CheckpointStore(self.cfg.data_folder, self.state)
@@ -301,7 +304,8 @@
             nursery.start_soon(self._client.run)
             nursery.start_soon(probe_hosts, self.state, lambda: self._client.leader is not None)
             self.callers.start_accepting()
-            log_event(LogEvent.NODE_STARTED, node=self.cfg.name, zone=self.cfg.zone)
+            cfg = self.cfg
+            log_event(LogEvent.NODE_STARTED, node=cfg.name, zone=cfg.zone, processor=cfg.processor)
             gc.collect()
             gc.freeze()
             await wait_for_stop(signals)
--- a/src/alderhatch/node/node_metrics.py
+++ b/src/alderhatch/node/node_metrics.py
@@ -7,6 +7,7 @@
 from ..clock import SECOND, LoopClock, Millis
 from ..core.forwarding.decision import DecisionKind
 from ..core.forwarding.forward_run import ForwardRun
+from ..core.forwarding.response_lead_time import MIN_LEAD_TIME
 from ..core.forwarding.route import AllShards
 from ..metric_catalogue import Metric
 from ..metrics import Metrics, MetricsPage
@@ -32,13 +33,22 @@
         self._metrics = Metrics(node.cfg.name)
         self._metrics.add_source(self._update_gauges)
 
-    def count_request(self, run: ForwardRun, end: RequestEnd) -> None:
-        """Count a request that matched a route."""
+    def count_request(self, run: ForwardRun, end: RequestEnd, unread_time: Millis) -> None:
+        """Count a request that matched a route.
+
+        Args:
+            run: Its run.
+            end: Its result.
+            unread_time: How long it may have waited until this host read it.
+        """
         metrics = self._metrics
         route = run.route.name
         metrics.inc(Metric.NODE_REQUESTS, route, end.outcome)
+        metrics.observe(Metric.NODE_UNREAD_TIME, unread_time)
         if end.coverage > 0:
             metrics.observe(Metric.NODE_DURATION, end.duration, route)
+            if run.times.arrived + end.duration > run.due + MIN_LEAD_TIME:
+                metrics.inc(Metric.NODE_OVERDUE, route)
             if isinstance(run.route.destination, AllShards):
                 metrics.observe(Metric.NODE_COVERAGE, end.coverage, route)
         self.count_decisions(run)
--- a/src/alderhatch/node/request_log.py
+++ b/src/alderhatch/node/request_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ..clock import LoopClock, Millis
@@ -59,10 +60,12 @@
 
     Args:
         state: The node's state; its age is part of each line.
+        requests_in_flight: Returns how many requests this host is answering.
     """
 
-    def __init__(self, state: NodeState) -> None:
+    def __init__(self, state: NodeState, requests_in_flight: Callable[[], int]) -> None:
         self._state = state
+        self._requests_in_flight = requests_in_flight
         self._clock = LoopClock()
         self._lines = TokenBucket(LINE_BURST, 0.0)
         self._share_lines = TokenBucket(SHARE_LINE_BURST, 0.0)
@@ -154,6 +157,8 @@
             "span_ms": round(end.duration, 1),
             "due_ms": round(run.due - run.times.arrived, 1),
             "left_ms": round(run.times.deadline - run.times.arrived),
+            "unread_ms": round(req.http.unread_time, 1),
+            "in_flight": self._requests_in_flight(),
             "hedges": run.hedges,
             "retries": run.retries,
             "configuration": self._state.stored.version,
