--- a/features/support/forward_model.py
+++ b/features/support/forward_model.py
@@ -107,6 +107,12 @@
         self.sends = 0
         self.needless_crossings = 0
         """Requests to another zone although a server of the host's own zone has the shard."""
+        self.send_cost = 0.0
+        """Processor time of a host for each request to a server, in ms of a whole core."""
+        self.answer_cost = 0.0
+        """The same for each answer."""
+        self.work_by_route = {}
+        """The mean time that a server takes for a request, where it differs by route."""
         self.results = {}
         self.runs = {}
         self._open = {}
@@ -131,9 +137,16 @@
     def request(self, route, when=None, host=0, left=None):
         """Schedule the arrival of a caller's request; return its number."""
         number = next(self._numbers)
-        self.at(self.now if when is None else when, lambda: self._arrive(number, route, host, left))
+        self.at(
+            self.now if when is None else when,
+            lambda: self._at_host(host, 0.0, lambda: self._arrive(number, route, host, left)),
+        )
         return number
 
+    def _at_host(self, host, cost, action):
+        """Run an action of a host that takes so much processor time; here it takes none."""
+        action()
+
     def _arrive(self, number, route, host, left):
         now = self.now
         deadline = now + min(route.timeout, left or route.timeout)
@@ -152,7 +165,7 @@
         run = self.runs[number]
         if not run.finished:
             due = max(run.next_wake, self.now + 0.01)
-            self.at(due, lambda: self._wake(number, host))
+            self.at(due, lambda: self._at_host(host, 0.0, lambda: self._wake(number, host)))
 
     def _wake(self, number, host):
         run = self.runs[number]
@@ -175,10 +188,21 @@
         server = self.servers[send.target.server_id]
         self._count_crossing(host, send)
         self._open[send.attempt] = send
+        self._at_host(host, self.send_cost, lambda: self._transmit(number, host, send, server))
+
+    def _transmit(self, number, host, send, server):
+        server.work = self.work_by_route.get(self.runs[number].route.name, server.work)
         taken = server.accept(self.now + NETWORK_DELAY_MS)
         if taken is not None:
             end, fault = taken
-            self.at(end + NETWORK_DELAY_MS, lambda: self._end(number, host, send, server, fault))
+            self.at(
+                end + NETWORK_DELAY_MS,
+                lambda: self._at_host(
+                    host,
+                    self.answer_cost,
+                    lambda: self._end(number, host, send, server, fault),
+                ),
+            )
 
     def _count_crossing(self, host, send):
         self.sends += 1
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -51,7 +51,8 @@
             if element["type"] == "background":
                 continue
             outcome_names = passed if element.get("status") == "passed" else failed
-            outcome_names.append(element["name"])
+            # The name of an example of an outline ends with a space.
+            outcome_names.append(element["name"].strip())
     return passed, failed
 
 
