Hosts too slow for a gather are active only while the others are saturated

Cause: the active hosts were counted up to a sum of processor time at which their utilization would be a quarter. Callers spread evenly over them, whatever their strength, and a weak host takes 85 to 125 ms for the parts of a gather over 87 or 129 shards, where a light query has 70 ms: every answer comes late, also at an idle host. Each weak host that was added made more queries late and relieved no other one much.

Change: a weak host that takes more than half of a gather's target latency for the parts alone is active only if the others are so busy that an answer there would take as long. That is the case at a utilization of 1 - (1 - 0.25) x the ratio of their processors, 0.73 here. What a gather asks for follows from the routes in force. Other weak hosts are active as before.

--- a/features/caller_hosts.feature
+++ b/features/caller_hosts.feature
@@ -21,6 +21,24 @@
       | 2      | 1.0   | 0    | 0.5   | 1     | 25          | 9      | 2             | 0           |
       | 0      | 1.0   | 0    | 0.5   | 1     | 25          | 0      | 0             | 0           |
 
+  Scenario Outline: Hosts too slow for a gather are active only while the others are saturated
+    # Guards against a kind of query that is late at most of the hosts that callers are sent to.
+    Given <strong> hosts with 1.4 cores and <weak> with 0.5 cores in 5 availability zones
+    And gathers over <shards> shards whose target latency is <target> ms
+    When servers accept 122 connections and <needed> cores are needed
+    Then callers are sent to <chosen_strong> strong and <chosen_weak> weak hosts
+
+    Examples:
+      | strong | weak | shards | target | needed | chosen_strong | chosen_weak |
+      | 5      | 195  | 129    | 70     | 10     | 5             | 0           |
+      | 5      | 195  | 129    | 147    | 10     | 5             | 0           |
+      | 5      | 195  | 129    | 70     | 20     | 5             | 0           |
+      | 5      | 195  | 129    | 70     | 21     | 5             | 28          |
+      | 5      | 195  | 20     | 147    | 10     | 5             | 6           |
+      | 2      | 195  | 129    | 70     | 1      | 2             | 0           |
+      | 1      | 195  | 129    | 70     | 1      | 1             | 1           |
+      | 0      | 195  | 129    | 70     | 1      | 0             | 30          |
+
   Scenario: A strong host that leaves is no longer active
     # It still answers the requests it has, but a caller that is sent there now would soon be sent
     # elsewhere.
--- a/features/steps/caller_hosts_steps.py
+++ b/features/steps/caller_hosts_steps.py
@@ -9,11 +9,13 @@
 from alderhatch.core.forwarding.caller_hosts import HostRecord, choose_caller_hosts
 from alderhatch.core.forwarding.host_demand import HostDemand
 from alderhatch.core.forwarding.retry_budget import BudgetLimits
+from alderhatch.core.forwarding.route_table import RouteTable
 from alderhatch.core.forwarding.server_record import ServerRecord
 from alderhatch.entry.connection_pool import ConnectionPool
 from alderhatch.node.node_state import NodeState
 from alderhatch.node.tier_messages import TierView
 from alderhatch.platform.settings import POLICY
+from features.support.forward_model import scatter_route
 
 REPORT_INTERVAL_MS = 500.0
 BUDGET_LIMITS = BudgetLimits(0.2, 60.0, 10_000.0)
@@ -38,6 +40,13 @@
     ]
 
 
+@given("gathers over {shards:d} shards whose target latency is {target:g} ms")
+def step_gathers(context, shards, target):
+    names = [f"shard-{index}" for index in range(shards)]
+    routes = RouteTable([scatter_route(names, target_latency=target)])
+    context.gather_processor = routes.gather_processor
+
+
 @when("the first strong host leaves")
 def step_leave(context):
     context.hosts[0] = context.hosts[0]._replace(serving=False)
@@ -45,7 +54,10 @@
 
 @when("servers accept {connections:d} connections and {needed:d} cores are needed")
 def step_choose(context, connections, needed):
-    context.chosen = choose_caller_hosts(context.hosts, connections, float(needed))
+    gather_processor = getattr(context, "gather_processor", 0.0)
+    context.chosen = choose_caller_hosts(
+        context.hosts, connections, float(needed), gather_processor
+    )
 
 
 @then("callers are sent to {strong:d} strong and {weak:d} weak hosts")
--- a/features/steps/host_capacity_steps.py
+++ b/features/steps/host_capacity_steps.py
@@ -16,7 +16,9 @@
 @given("{hosts:d} hosts, {strong:d} of them strong, and gathers over {shards:d} shards")
 def step_tier(context, hosts, strong, shards):
     names = [f"shard{number:03}" for number in range(shards)]
-    context.light = scatter_route(names, name="light", target_latency=70.2, timeout=1028.0)
+    context.light = scatter_route(
+        names, name="light", path_prefix="/light/", target_latency=70.2, timeout=1028.0
+    )
     context.heavy = scatter_route(names, name="heavy", target_latency=147.0)
     context.model = BusyHosts(hosts, strong, (context.light, context.heavy), names, seed=1)
     context.model.work_by_route = {"light": LIGHT_WORK_MS, "heavy": HEAVY_WORK_MS}
--- a/src/alderhatch/core/forwarding/caller_hosts.py
+++ b/src/alderhatch/core/forwarding/caller_hosts.py
@@ -6,12 +6,17 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from .host_demand import TARGET_UTILIZATION
+
 MIN_ACTIVE_HOSTS = 4
 """With fewer, the loss of one would affect over a quarter of the requests until callers learn of
 it."""
 STRONG_CPU_FRACTION = 0.75
 """A host with at least this fraction of the strongest one's processor time counts as strong.
 Between hosts that differ by less, the spread over availability zones matters more."""
+MIN_HOSTS_BESIDE_SLOW = 2
+"""With at least this many other active hosts, one that is too slow for the gathers is not needed to
+replace a lost one."""
 MIN_CONNECTIONS_PER_SERVER = 4
 """How many connections to each server a host should be able to hold: two for the requests that a
 server with two slots runs, one for a hedge, one that was closed a moment ago."""
@@ -56,7 +61,10 @@
 
 
 def choose_caller_hosts(
-    hosts: Iterable[HostRecord], connections: int, processor_needed: float = 0.0
+    hosts: Iterable[HostRecord],
+    connections: int,
+    processor_needed: float = 0.0,
+    gather_processor: float = 0.0,
 ) -> list[HostRecord]:
     """Return the active hosts, the strongest first.
 
@@ -66,26 +74,57 @@
     heard from each host once in ten seconds, most connections had timed out between two requests,
     and each query opened dozens. So requests go to few hosts and all others are on standby.
 
+    Callers spread evenly over the active hosts, whatever their strength. A weak host that is too
+    slow for a gather answers it late even when it is idle, so such hosts are active only while the
+    others are so busy that they would be no faster.
+
     Args:
         hosts: The live hosts.
         connections: How many connections each server accepts from all of them.
         processor_needed: How much processor time the active hosts should have together, in seconds
             per second.
+        gather_processor: The processor time with which a host answers any gather in time, in
+            seconds per second.
     """
     ranked = rank_hosts(host for host in hosts if host.serving)
     best_processor = max((host.processor for host in ranked), default=0.0)
+    max_hosts = connections // MIN_CONNECTIONS_PER_SERVER
     chosen: list[HostRecord] = []
     total_processor = 0.0
+    fast_processor = 0.0
     for host in ranked:
-        weak = host.processor < STRONG_CPU_FRACTION * best_processor
-        is_enough = len(chosen) >= MIN_ACTIVE_HOSTS and total_processor >= processor_needed
-        if is_enough and (weak or len(chosen) >= connections // MIN_CONNECTIONS_PER_SERVER):
+        is_weak = host.processor < STRONG_CPU_FRACTION * best_processor
+        is_slow = is_weak and host.processor < gather_processor
+        is_enough = total_processor >= processor_needed
+        if is_slow and not is_enough:
+            speed = host.processor / best_processor
+            is_enough = not _are_saturated(fast_processor, processor_needed, speed)
+        least = MIN_HOSTS_BESIDE_SLOW if is_slow else MIN_ACTIVE_HOSTS
+        is_wanted = not is_weak and len(chosen) < max_hosts
+        if is_enough and len(chosen) >= least and not is_wanted:
             break
         chosen.append(host)
         total_processor += host.processor
+        fast_processor += 0.0 if is_slow else host.processor
     return chosen
 
 
+def _are_saturated(processor: float, processor_needed: float, speed: float) -> bool:
+    """Return whether hosts are so busy that a slower host would answer as soon as they do.
+
+    The time of an answer grows with the inverse of the fraction of a host's time that is left.
+
+    Args:
+        processor: The processor time of the hosts.
+        processor_needed: The processor time with which their utilization would be
+            ``TARGET_UTILIZATION``.
+        speed: The speed of the slower host, as a fraction of theirs. Its own utilization would be
+            ``TARGET_UTILIZATION``.
+    """
+    load = processor_needed * TARGET_UTILIZATION
+    return load > processor * (1.0 - speed * (1.0 - TARGET_UTILIZATION))
+
+
 def advertised_hosts(hosts: Iterable[HostRecord], chosen: int) -> list[HostRecord]:
     """Return the hosts that all others need to know by name: the active ones and a reserve.
 
--- a/src/alderhatch/core/forwarding/host_demand.py
+++ b/src/alderhatch/core/forwarding/host_demand.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 from math import ceil
 
 from ...clock import SECOND, Millis
+from .route import AllShards, Route
 
 CPU_PER_REQUEST: Millis = 0.5
 """Processor time of one request to a server, answer included; ``bench/forward.py`` shows 0.46 ms
@@ -13,6 +15,9 @@
 TARGET_UTILIZATION = 0.25
 """The highest processor utilization of a host. A query over many shards arrives as a burst of work;
 at a quarter, three of four find the host idle."""
+MAX_PROCESSING_FRACTION = 0.5
+"""The fraction of a gather's target latency that its host may take for the parts; the rest is for
+servers, transfers and other requests."""
 BUCKET: Millis = 2 * SECOND
 """Requests are counted in buckets of this length: long enough for some ten queries."""
 PEAK_WINDOW: Millis = 30 * SECOND
@@ -23,6 +28,27 @@
 callers change rarely."""
 
 
+def processor_for_gathers(routes: Iterable[Route]) -> float:
+    """Return the processor time with which a host answers any gather in time, if it is idle.
+
+    Args:
+        routes: All routes.
+
+    Returns:
+        Seconds of processor time per second, for the most demanding route; 0 without gathers.
+    """
+    return max(
+        (
+            len(route.destination.shards)
+            * CPU_PER_REQUEST
+            / (MAX_PROCESSING_FRACTION * route.target_latency)
+            for route in routes
+            if isinstance(route.destination, AllShards)
+        ),
+        default=0.0,
+    )
+
+
 class HostDemand:
     """Counts the requests that all hosts together send to servers."""
 
--- a/src/alderhatch/core/forwarding/route_table.py
+++ b/src/alderhatch/core/forwarding/route_table.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from .host_demand import processor_for_gathers
 from .route import Route
 
 
@@ -20,6 +21,8 @@
 
     def __init__(self, routes: Iterable[Route]) -> None:
         self._by_prefix = {(route.host, route.path_prefix): route for route in routes}
+        self.gather_processor = processor_for_gathers(self._by_prefix.values())
+        """Processor time that a host needs to answer any gather in time, in seconds per second."""
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the first route that matches, or None.
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -348,7 +348,12 @@
             hosts: The live hosts.
             processor_needed: Processor time that the active hosts should have together.
         """
-        return choose_caller_hosts(hosts, self.table.usable_connections(), processor_needed)
+        return choose_caller_hosts(
+            hosts,
+            self.table.usable_connections(),
+            processor_needed,
+            self.routes.gather_processor,
+        )
 
     def _choose_caller_hosts(self) -> None:
         now = self._clock.now()
