Light gathers that starve once the strong hosts are saturated (red)

What callers would see: as soon as a peak makes slow hosts active, for half a minute, most callers of light queries are sent to hosts that can't answer them in time.

--- a/features/host_capacity.feature
+++ b/features/host_capacity.feature
@@ -14,3 +14,4 @@
       | 200   | 5      | 129    | 45   | 7       |
       | 90    | 6      | 135    | 45   | 7       |
       | 400   | 10     | 129    | 100  | 6       |
+      | 200   | 5      | 129    | 80   | 6       |
