A slow host hands over the gathers that it would answer late

What callers would see: while slow hosts are active, most light queries are sent to one and come late.

Cause: callers choose a host before anybody knows which route they ask for, and a host ran whatever came to it. The same held for callers of a host that is no longer active, and for standby hosts, which handed over to any active host, slow ones too.

Change: an active slow host runs the gathers that it can answer within their target latency, and hands others over to an active host that is not weak beside it. A slow host that is not active hands over all that it would not have half of the time for. If no faster host has begun a request, it runs it itself; a request that was handed over is not handed over again. One decision, core/forwarding/gather_placement.

The outcomes of a request that is handed over by an active host are new there too.

--- a/bench/forward.py
+++ b/bench/forward.py
@@ -111,7 +111,7 @@
         others = HandOverClient(self.state, Codec(*HAND_OVER_MESSAGE_TYPES), b"", Random(1))
         gathers = SplitGathers(self.state, PartsCollector(self.runner, dialect), others)
         self.callers = CallerHandler(
-            self.state, self.runner, dialect, metrics, log, others, gathers
+            self.state, self.runner, dialect, metrics, log, others, gathers, 1.0
         )
 
     async def ask(self, first: int, count: int) -> None:
--- a/features/support/busy_hosts.py
+++ b/features/support/busy_hosts.py
@@ -7,6 +7,7 @@
 
 from alderhatch.clock import SECOND, ManualClock
 from alderhatch.core.forwarding.caller_hosts import HostRecord
+from alderhatch.core.forwarding.gather_placement import faster_hosts
 from alderhatch.core.forwarding.host_demand import CPU_PER_REQUEST, HostDemand
 from alderhatch.core.forwarding.outcome import Answered
 from alderhatch.core.forwarding.retry_budget import BudgetLimits
@@ -26,6 +27,8 @@
 """The part of a request's processor time that sending takes; its answer takes the rest."""
 TRANSFER_MS = 4.0
 """Time to and from the caller, over a new connection."""
+HOP_MS = 2.0
+"""Time that a request that is handed over, or its answer, takes between the hosts."""
 LATE_CREDIT = 0.1
 
 
@@ -121,8 +124,14 @@
         self.at(at, lambda: self._ask_now(route))
 
     def _ask_now(self, route):
-        number = self.request(route, self.now, self.rng.choice(self.active))
-        self.asked_at[number] = self.now
+        first = self.rng.choice(self.active)
+        active = [self.hosts[index] for index in self.active]
+        own = self.hosts[first]
+        faster = faster_hosts(route, own.name, own.processor, active)
+        hop = HOP_MS if faster else 0.0
+        host = self.hosts.index(self.rng.choice(faster)) if faster else first
+        number = self.request(route, self.now + hop, host)
+        self.asked_at[number] = self.now - hop
 
     def credits(self, route, since):
         """Return what each request of a route earned, by the number of the request."""
--- a/src/alderhatch/core/forwarding/host_demand.py
+++ b/src/alderhatch/core/forwarding/host_demand.py
@@ -28,6 +28,13 @@
 callers change rarely."""
 
 
+def gather_cost(route: Route) -> Millis:
+    """Return the processor time of a gather over the shards of a route; 0 for other routes."""
+    if not isinstance(route.destination, AllShards):
+        return 0.0
+    return len(route.destination.shards) * CPU_PER_REQUEST
+
+
 def processor_for_gathers(routes: Iterable[Route]) -> float:
     """Return the processor time with which a host answers any gather in time, if it is idle.
 
@@ -38,13 +45,7 @@
         Seconds of processor time per second, for the most demanding route; 0 without gathers.
     """
     return max(
-        (
-            len(route.destination.shards)
-            * CPU_PER_REQUEST
-            / (MAX_PROCESSING_FRACTION * route.target_latency)
-            for route in routes
-            if isinstance(route.destination, AllShards)
-        ),
+        (gather_cost(route) / (MAX_PROCESSING_FRACTION * route.target_latency) for route in routes),
         default=0.0,
     )
 
--- a/src/alderhatch/metric_catalogue.py
+++ b/src/alderhatch/metric_catalogue.py
@@ -70,8 +70,8 @@
         "alderhatch_node_handed_over_total",
         MetricKind.COUNTER,
         Unit.ONE,
-        "Requests that this node handed over to another node while on standby; outcome is answered"
-        " or the reason of a failure.",
+        "Requests that this node handed over to another node, on standby or as it would be late;"
+        " outcome is answered or the reason of a failure.",
         ("outcome",),
     )
     NODE_DURATION = MetricRow(
--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -2,24 +2,27 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 
 import trio
 
 from ..clock import SECOND, LoopClock, Millis
+from ..core.forwarding.caller_hosts import HostRecord
 from ..core.forwarding.crash_counter import QUARANTINE_DURATION
 from ..core.forwarding.forward_run import ForwardRun
+from ..core.forwarding.gather_placement import faster_hosts
 from ..core.forwarding.outcome import Outcome
 from ..core.forwarding.response_lead_time import ResponseLeadTime
 from ..core.forwarding.route import AllShards, OneUpstream, Route, SplitUpstreams
 from ..core.forwarding.run_limits import RunTimes
 from ..core.forwarding.weighted_round_robin import WeightedRoundRobin
-from ..errors import AlderhatchError, ErrorKind, Failure
+from ..errors import AlderhatchError, ErrorKind, Failure, Resend
 from ..http.messages import HttpRequest, HttpResponse
 from .dialect import CallerRequest, Dialect
 from .forward_runner import ForwardRunner
 from .hand_over_client import HandOverClient
+from .hand_over_messages import MAX_HANDED_BYTES
 from .node_metrics import NodeMetrics
 from .node_state import NodeState
 from .request_log import RequestLog, to_request_end
@@ -55,6 +58,7 @@
         log: Logs requests.
         hand_over_client: Hands requests over to active hosts while this one is a standby host.
         gathers: Splits large gathers among hosts.
+        processor: Processor time of this host, in seconds per second.
     """
 
     def __init__(
@@ -66,8 +70,10 @@
         log: RequestLog,
         hand_over_client: HandOverClient,
         gathers: SplitGathers,
+        processor: float,
     ) -> None:
         self._state = state
+        self._processor = processor
         self._metrics = metrics
         self._log = log
         self._runner = runner
@@ -95,8 +101,9 @@
         arrived = self._clock.now()
         req = self._dialect.read_request(http)
         if self._state.hands_over:
-            return await self._hand_over(req, arrived)
-        return await self._serve(req, arrived)
+            route = self._state.routes.find(req.host, req.http.path)
+            return await self._hand_over(req, arrived, self._faster_hosts(route))
+        return await self._serve(req, arrived, may_hand_over=True)
 
     async def handle_handed_over(
         self, http: HttpRequest, time_left: Millis | None, version: int
@@ -117,7 +124,7 @@
             # Two standby hosts would hand the request back and forth.
             raise _error(ErrorKind.NOT_SERVING, "this host is a standby host as well")
         await self._wait_for_version(version)
-        return await self._serve(req, arrived)
+        return await self._serve(req, arrived, may_hand_over=False)
 
     async def _wait_for_version(self, version: int) -> None:
         """Wait for a configuration version that another host has already seen.
@@ -133,12 +140,39 @@
                 raise _error(ErrorKind.NO_CONFIGURATION, message, NO_CONFIGURATION_RETRY_AFTER)
             await state.configured.wait_for(deadline - self._clock.now())
 
-    async def _hand_over(self, req: CallerRequest, arrived: Millis) -> HttpResponse:
+    def _faster_hosts(self, route: Route | None) -> list[HostRecord]:
+        state = self._state
+        if route is None:
+            return []
+        return faster_hosts(route, state.name, self._processor, state.caller_hosts)
+
+    async def _run_at_faster_host(
+        self, req: CallerRequest, route: Route, arrived: Millis
+    ) -> HttpResponse | None:
+        """Hand over a gather that would be late here; return None if it has to run here."""
+        hosts = self._faster_hosts(route)
+        if not hosts or len(req.http.body) > MAX_HANDED_BYTES:
+            return None
         try:
-            handed = await self._hand_over_client.hand_over(req.http, req.time_left)
+            return await self._hand_over(req, arrived, hosts)
+        except AlderhatchError as exc:
+            if exc.failure.answer.resend is not Resend.OTHER_ENTRY:
+                raise
+            # No other host has begun to run it, and a late answer is better than none.
+            return None
+
+    async def _hand_over(
+        self, req: CallerRequest, arrived: Millis, hosts: Sequence[HostRecord]
+    ) -> HttpResponse:
+        """Hand a request over to one of some hosts, or to any active host if there are none."""
+        time_left = req.time_left
+        if time_left is not None:
+            time_left -= self._clock.now() - arrived
+        try:
+            handed = await self._hand_over_client.hand_over(req.http, time_left, hosts)
         except AlderhatchError as exc:
             kind = exc.failure.kind
-            if kind is ErrorKind.NOT_SERVING:
+            if kind is ErrorKind.NOT_SERVING and self._state.hands_over:
                 self._state.request_server_list()
             self._metrics.count_handed_over(kind)
             self._log.log_handed_over(req, None, kind, self._clock.now() - arrived)
@@ -147,7 +181,9 @@
         self._log.log_handed_over(req, handed.host, ANSWERED, self._clock.now() - arrived)
         return handed.response
 
-    async def _serve(self, req: CallerRequest, arrived: Millis) -> HttpResponse:
+    async def _serve(
+        self, req: CallerRequest, arrived: Millis, may_hand_over: bool
+    ) -> HttpResponse:
         try:
             await self._wait_for_start(req, arrived)
             route = self._route_of(req)
@@ -156,6 +192,10 @@
             self._metrics.count_refused(exc.failure.kind)
             self._log.log_refused(req, exc.failure.kind, exc.failure.message)
             raise
+        if may_hand_over:
+            handed = await self._run_at_faster_host(req, route, arrived)
+            if handed is not None:
+                return handed
         times = self._run_times(route, req, arrived)
         gather = self._gathers.create(req, route, times)
         if gather is not None:
--- a/src/alderhatch/node/hand_over_client.py
+++ b/src/alderhatch/node/hand_over_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from math import inf
 from random import Random
 from typing import NamedTuple
@@ -117,12 +118,18 @@
             case HandedRefusal():
                 raise AlderhatchError(_failure(reply))
 
-    async def hand_over(self, http: HttpRequest, time_left: Millis | None) -> HandedResponse:
+    async def hand_over(
+        self,
+        http: HttpRequest,
+        time_left: Millis | None,
+        hosts: Sequence[HostRecord] = (),
+    ) -> HandedResponse:
         """Have another host answer a request.
 
         Args:
             http: The request.
             time_left: How long its caller waits; None if it set no limit.
+            hosts: The hosts that may answer it; empty for all active hosts.
 
         Raises:
             AlderhatchError: If no host answers the request; the kind says whether it may have run.
@@ -131,7 +138,7 @@
             message = f"body exceeds the standby host's limit of {MAX_HANDED_BYTES} bytes"
             raise AlderhatchError(Failure(ErrorKind.TOO_LARGE, message, "body"))
         deadline = inf if time_left is None else self._clock.now() + time_left
-        run = HandOverRun(self._targets, lambda: self._state.caller_hosts, deadline)
+        run = HandOverRun(self._targets, lambda: list(hosts) or self._state.caller_hosts, deadline)
         while True:
             now = self._clock.now()
             host = run.next_host(now)
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -163,6 +163,7 @@
             self._request_log,
             self._hand_over_client,
             SplitGathers(self.state, collector, self._hand_over_client),
+            cfg.processor,
         )
         self._hand_over_server = HandOverServer(
             self.callers.handle_handed_over,
