--- a/features/caller_hosts.feature
+++ b/features/caller_hosts.feature
@@ -38,6 +38,7 @@
       | 2      | 195  | 129    | 70     | 1      | 2             | 0           |
       | 1      | 195  | 129    | 70     | 1      | 1             | 1           |
       | 0      | 195  | 129    | 70     | 1      | 0             | 30          |
+      | 5      | 195  | 129    | 0      | 10     | 5             | 0           |
 
   Scenario: A strong host that leaves is no longer active
     # It still answers the requests it has, but a caller that is sent there now would soon be sent
--- a/src/alderhatch/core/forwarding/host_demand.py
+++ b/src/alderhatch/core/forwarding/host_demand.py
@@ -18,6 +18,8 @@
 MAX_PROCESSING_FRACTION = 0.5
 """The fraction of a gather's target latency that its host may take for the parts; the rest is for
 servers, transfers and other requests."""
+MIN_TARGET_LATENCY: Millis = 1.0
+"""Stands for shorter targets; an operator may declare 0, which no host meets."""
 BUCKET: Millis = 2 * SECOND
 """Requests are counted in buckets of this length: long enough for some ten queries."""
 PEAK_WINDOW: Millis = 30 * SECOND
@@ -45,7 +47,11 @@
         Seconds of processor time per second, for the most demanding route; 0 without gathers.
     """
     return max(
-        (gather_cost(route) / (MAX_PROCESSING_FRACTION * route.target_latency) for route in routes),
+        (
+            gather_cost(route)
+            / (MAX_PROCESSING_FRACTION * max(route.target_latency, MIN_TARGET_LATENCY))
+            for route in routes
+        ),
         default=0.0,
     )
 
