One test of a weak host, one limit of what is handed over, and stale words, from a second reading

The test for a weak host stood in a fourth place (gather_placement.py, beside rank_hosts, choose_caller_hosts and ShardOwners); the limit of a body that is handed over was checked by the caller's handler beside its twin in the client; BusyHosts added servers by a copy of ForwardModel.add_upstream.

No behaviour, bound or assertion is changed.

--- a/features/support/busy_hosts.py
+++ b/features/support/busy_hosts.py
@@ -12,12 +12,11 @@
 from alderhatch.core.forwarding.outcome import Answered
 from alderhatch.core.forwarding.retry_budget import BudgetLimits
 from alderhatch.core.forwarding.route_table import RouteTable
-from alderhatch.core.forwarding.server_record import ServerRecord
 from alderhatch.core.forwarding.target_table import TargetTable
 from alderhatch.entry.connection_pool import ConnectionPool
 from alderhatch.node.node_state import NodeState
 from alderhatch.platform.settings import POLICY
-from features.support.forward_model import ForwardModel, ModelServer
+from features.support.forward_model import ForwardModel
 from features.support.tier_hosts import STRONG_HOST_PROCESSOR, WEAK_HOST_PROCESSOR
 
 BUDGET_LIMITS = BudgetLimits(0.2, 440.0, 10_000.0)
@@ -57,7 +56,8 @@
             )
             for index in range(hosts)
         ]
-        self._add_shards(shards)
+        for name in shards:
+            self.add_upstream(name, 0.0)
         self.tables = {}
         self._free_at = Counter()
         self._demand = HostDemand()
@@ -66,15 +66,6 @@
         self.asked_at = {}
         self.at(REPORT_INTERVAL_MS, self._report)
 
-    def _add_shards(self, shards):
-        for name in shards:
-            for index in range(2):
-                server_id = f"{name}-{index}"
-                self.servers[server_id] = ModelServer(server_id, 0.0, self.rng)
-                self.records.append(
-                    ServerRecord(server_id, name, "127.0.0.1", 80, f"zone-{index}", 2, False)
-                )
-
     def _make_leader(self, shards):
         state = NodeState(
             "host-0000",
--- a/src/alderhatch/core/forwarding/caller_hosts.py
+++ b/src/alderhatch/core/forwarding/caller_hosts.py
@@ -43,6 +43,11 @@
     """The port for links from other hosts, at the address for callers."""
 
 
+def is_weak(processor: float, best_processor: float) -> bool:
+    """Return whether a host is weak beside another one, by the processor time of both."""
+    return processor < STRONG_CPU_FRACTION * best_processor
+
+
 def rank_hosts(hosts: Iterable[HostRecord]) -> list[HostRecord]:
     """Return hosts in the order in which callers are sent to them, whether they serve or not.
 
@@ -54,7 +59,7 @@
     zone_counts: Counter[tuple[bool, str]] = Counter()
     ranked: list[tuple[bool, int, str, HostRecord]] = []
     for host in by_name:
-        weak = host.processor < STRONG_CPU_FRACTION * best_processor
+        weak = is_weak(host.processor, best_processor)
         zone_counts[weak, host.zone] += 1
         ranked.append((weak, zone_counts[weak, host.zone], host.name, host))
     return [host for _, _, _, host in sorted(ranked)]
@@ -93,19 +98,19 @@
     total_processor = 0.0
     fast_processor = 0.0
     for host in ranked:
-        is_weak = host.processor < STRONG_CPU_FRACTION * best_processor
-        is_slow = is_weak and host.processor < gather_processor
+        weak = is_weak(host.processor, best_processor)
+        slow = weak and host.processor < gather_processor
         is_enough = total_processor >= processor_needed
-        if is_slow and not is_enough:
+        if slow and not is_enough:
             speed = host.processor / best_processor
             is_enough = not _are_saturated(fast_processor, processor_needed, speed)
-        least = MIN_HOSTS_BESIDE_SLOW if is_slow else MIN_ACTIVE_HOSTS
-        is_wanted = not is_weak and len(chosen) < max_hosts
-        if is_enough and len(chosen) >= least and not is_wanted:
+        min_hosts = MIN_HOSTS_BESIDE_SLOW if slow else MIN_ACTIVE_HOSTS
+        may_be_surplus = not weak and len(chosen) < max_hosts
+        if is_enough and len(chosen) >= min_hosts and not may_be_surplus:
             break
         chosen.append(host)
         total_processor += host.processor
-        fast_processor += 0.0 if is_slow else host.processor
+        fast_processor += 0.0 if slow else host.processor
     return chosen
 
 
--- a/src/alderhatch/core/forwarding/gather_placement.py
+++ b/src/alderhatch/core/forwarding/gather_placement.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Sequence
 
-from .caller_hosts import STRONG_CPU_FRACTION, HostRecord
+from .caller_hosts import HostRecord, is_weak
 from .host_demand import MAX_PROCESSING_FRACTION, gather_cost
 from .route import Route
 
@@ -31,4 +31,4 @@
     allowed_fraction = 1.0 if is_active else MAX_PROCESSING_FRACTION
     if gather_cost(route) <= allowed_fraction * route.target_latency * own_processor:
         return []
-    return [host for host in active if own_processor < STRONG_CPU_FRACTION * host.processor]
+    return [host for host in active if is_weak(own_processor, host.processor)]
--- a/src/alderhatch/core/forwarding/hand_over.py
+++ b/src/alderhatch/core/forwarding/hand_over.py
@@ -1,4 +1,4 @@
-"""Chooses the host to which a standby host hands over a request, and handles its failures."""
+"""Chooses the host that a request is handed over to, and handles its failures."""
 
 from __future__ import annotations
 
--- a/src/alderhatch/core/forwarding/shard_owners.py
+++ b/src/alderhatch/core/forwarding/shard_owners.py
@@ -7,7 +7,7 @@
 
 from ...clock import Millis
 from ..owners import rendezvous
-from .caller_hosts import STRONG_CPU_FRACTION, HostRecord
+from .caller_hosts import HostRecord, is_weak
 
 MIN_SPLIT_PARTS = 40
 """Fewer parts keep one host busy for less time than a round trip to another host takes."""
@@ -47,7 +47,7 @@
         """Set the active hosts; return whether owners may have changed."""
         hosts = list(hosts)
         best = max((host.processor for host in hosts), default=0.0)
-        strong = {host.name: host for host in hosts if host.processor >= STRONG_CPU_FRACTION * best}
+        strong = {host.name: host for host in hosts if not is_weak(host.processor, best)}
         has_same_names = strong.keys() == self.hosts.keys()
         self.hosts = strong
         if has_same_names:
--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -22,7 +22,7 @@
 from .dialect import CallerRequest, Dialect
 from .forward_runner import ForwardRunner
 from .hand_over_client import HandOverClient
-from .hand_over_messages import MAX_HANDED_BYTES
+from .hand_over_messages import fits_hand_over
 from .node_metrics import NodeMetrics
 from .node_state import NodeState
 from .request_log import RequestLog, to_request_end
@@ -56,7 +56,7 @@
         dialect: Reads and writes the protocol.
         metrics: Counts requests.
         log: Logs requests.
-        hand_over_client: Hands requests over to active hosts while this one is a standby host.
+        hand_over_client: Hands requests over to active hosts, as a standby or slow host does.
         gathers: Splits large gathers among hosts.
         processor: Processor time of this host, in seconds per second.
     """
@@ -151,7 +151,7 @@
     ) -> HttpResponse | None:
         """Hand over a gather that would be late here; return None if it has to run here."""
         hosts = self._faster_hosts(route)
-        if not hosts or len(req.http.body) > MAX_HANDED_BYTES:
+        if not hosts or not fits_hand_over(req.http):
             return None
         try:
             return await self._hand_over(req, arrived, hosts)
--- a/src/alderhatch/node/hand_over_client.py
+++ b/src/alderhatch/node/hand_over_client.py
@@ -23,6 +23,7 @@
     HandedAnswer,
     HandedRefusal,
     HandedRequest,
+    fits_hand_over,
     to_fields,
 )
 from .node_state import NodeState
@@ -134,7 +135,7 @@
         Raises:
             AlderhatchError: If no host answers the request; the kind says whether it may have run.
         """
-        if len(http.body) > MAX_HANDED_BYTES:
+        if not fits_hand_over(http):
             message = f"body exceeds the standby host's limit of {MAX_HANDED_BYTES} bytes"
             raise AlderhatchError(Failure(ErrorKind.TOO_LARGE, message, "body"))
         deadline = inf if time_left is None else self._clock.now() + time_left
--- a/src/alderhatch/node/hand_over_messages.py
+++ b/src/alderhatch/node/hand_over_messages.py
@@ -84,6 +84,11 @@
 )
 
 
+def fits_hand_over(req: HttpRequest) -> bool:
+    """Return whether a request is small enough to be handed over."""
+    return len(req.body) <= MAX_HANDED_BYTES
+
+
 def to_http(method: str, target: str, fields: list[Field], body: bytes) -> HttpRequest:
     """Return the HTTP request of a message."""
     path, query = parse_target(target)
