Interfaces between the parts for organisations and hard load

The parts are built side by side, so the places where they meet come first.

Change: Organisation and its table, Route.public, TierConfiguration.organisations, identify(); three parts that so far let everything pass: ConfigurationLease, QuotaGate, ServiceTurns. The caller's handler calls them in the order identity, quota, turn, run; a request that has not run gives its token back. A configuration without organisations takes none of these steps but the turn, which does nothing yet.

--- a/bench/forward.py
+++ b/bench/forward.py
@@ -34,7 +34,9 @@
 from alderhatch.node.node_metrics import NodeMetrics
 from alderhatch.node.node_state import NodeState
 from alderhatch.node.parts_collector import PartsCollector
+from alderhatch.node.quota_gate import QuotaGate
 from alderhatch.node.request_log import RequestLog
+from alderhatch.node.service_turns import ServiceTurns
 from alderhatch.node.split_gather import SplitGathers
 from alderhatch.node.tier_messages import TierView
 from alderhatch.platform.configuration import decode_configuration
@@ -111,7 +113,16 @@
         others = HandOverClient(self.state, Codec(*HAND_OVER_MESSAGE_TYPES), b"", Random(1))
         gathers = SplitGathers(self.state, PartsCollector(self.runner, dialect), others)
         self.callers = CallerHandler(
-            self.state, self.runner, dialect, metrics, log, others, gathers, 1.0
+            self.state,
+            self.runner,
+            dialect,
+            metrics,
+            log,
+            others,
+            gathers,
+            1.0,
+            QuotaGate(),
+            ServiceTurns(),
         )
 
     async def ask(self, first: int, count: int) -> None:
--- a/features/steps/hand_over_steps.py
+++ b/features/steps/hand_over_steps.py
@@ -483,7 +483,7 @@
 
 @then('its callers are refused as "{kind}" until it has {version:d}')
 def step_refused_until(context, kind, version):
-    handler = CallerHandler(context.node_state, None, None, None, None, None, None, 1.0)
+    handler = CallerHandler(context.node_state, *[None] * 6, 1.0, None, None)
     req = SimpleNamespace(host="a", http=request())
     kinds = []
     for held in (version - 1, version):
--- a/src/alderhatch/core/forwarding/route.py
+++ b/src/alderhatch/core/forwarding/route.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple, TypeAlias
 
 from ...clock import Millis
+from .organisation import Organisation
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +63,8 @@
     """The time, from the caller's first attempt, within which an answer has its full value."""
     rank: int
     """The priority; 0 is the most urgent."""
+    public: bool = False
+    """Whether callers need no key, where the configuration declares organisations."""
 
     @property
     def upstreams(self) -> tuple[str, ...]:
@@ -103,3 +106,5 @@
     routes: tuple[Route, ...]
     upstreams: tuple[UpstreamSettings, ...]
     limits: CallerLimits
+    organisations: tuple[Organisation, ...] | None = None
+    """The organisations; None if the configuration declares none, so that callers need no key."""
--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -12,7 +12,8 @@
 from ..core.forwarding.crash_counter import QUARANTINE_DURATION
 from ..core.forwarding.forward_run import ForwardRun
 from ..core.forwarding.gather_placement import faster_hosts
-from ..core.forwarding.outcome import Outcome
+from ..core.forwarding.identity import identify
+from ..core.forwarding.outcome import NotRun, Outcome
 from ..core.forwarding.response_lead_time import ResponseLeadTime
 from ..core.forwarding.route import AllShards, OneUpstream, Route, SplitUpstreams
 from ..core.forwarding.run_limits import RunTimes
@@ -25,7 +26,9 @@
 from .hand_over_messages import fits_hand_over
 from .node_metrics import NodeMetrics
 from .node_state import NodeState
+from .quota_gate import QuotaGate
 from .request_log import RequestLog, to_request_end
+from .service_turns import ServiceTurns
 from .split_gather import SplitGather, SplitGathers
 
 NEW_CONNECTION_ROUND_TRIPS = 2.0
@@ -59,6 +62,8 @@
         hand_over_client: Hands requests over to active hosts, as a standby or slow host does.
         gathers: Splits large gathers among hosts.
         processor: Processor time of this host, in seconds per second.
+        quotas: Admits requests within the quotas of their organisations.
+        turns: Decides when a request runs.
     """
 
     def __init__(
@@ -71,9 +76,13 @@
         hand_over_client: HandOverClient,
         gathers: SplitGathers,
         processor: float,
+        quotas: QuotaGate,
+        turns: ServiceTurns,
     ) -> None:
         self._state = state
         self._processor = processor
+        self._quotas = quotas
+        self._turns = turns
         self._metrics = metrics
         self._log = log
         self._runner = runner
@@ -187,6 +196,7 @@
         try:
             await self._wait_for_start(req, arrived)
             route = self._route_of(req)
+            req = self._identify(req, route)
             self._check_quarantine(req)
         except AlderhatchError as exc:
             self._metrics.count_refused(exc.failure.kind)
@@ -197,20 +207,38 @@
             if handed is not None:
                 return handed
         times = self._run_times(route, req, arrived)
+        if req.organisation is not None:
+            await self._quotas.admit(req.organisation, times.deadline)
+        outcome: Outcome | None = None
+        try:
+            async with self._turns.turn(route, req.organisation, times):
+                outcome, res = await self._run(req, route, times)
+        finally:
+            # Without an outcome the caller has left, and servers may have run the request.
+            if isinstance(outcome, NotRun) and req.organisation is not None:
+                self._quotas.give_back(req.organisation)
+        return res
+
+    async def _run(
+        self, req: CallerRequest, route: Route, times: RunTimes
+    ) -> tuple[Outcome, HttpResponse]:
         gather = self._gathers.create(req, route, times)
         if gather is not None:
             return await self._gather(gather, req)
         run = ForwardRun(route, self._upstreams(route), times, self._state.table)
         with self._logged_if_cancelled(req, run):
             outcome = await self._runner.forward(req, run)
-        return self._finish(req, run, outcome, run.omitted_late_parts)
+        return outcome, self._finish(req, run, outcome, run.omitted_late_parts)
 
-    async def _gather(self, gather: SplitGather, req: CallerRequest) -> HttpResponse:
+    async def _gather(
+        self, gather: SplitGather, req: CallerRequest
+    ) -> tuple[Outcome, HttpResponse]:
         with self._logged_if_cancelled(req, gather.own_run):
             outcome = await gather.run()
         for run in gather.repeat_runs:
             self._metrics.count_decisions(run)
-        return self._finish(req, gather.own_run, outcome, gather.split.omitted_late_parts)
+        omitted_late_parts = gather.split.omitted_late_parts
+        return outcome, self._finish(req, gather.own_run, outcome, omitted_late_parts)
 
     def _finish(
         self, req: CallerRequest, run: ForwardRun, outcome: Outcome, omitted_late_parts: bool
@@ -245,6 +273,14 @@
             raise AlderhatchError(Failure(ErrorKind.NOT_FOUND, message))
         return route
 
+    def _identify(self, req: CallerRequest, route: Route) -> CallerRequest:
+        organisations = self._state.organisations
+        if organisations is None:
+            return req
+        if not route.public:
+            self._state.lease.check(self._clock.now())
+        return self._dialect.identified(req, identify(organisations, route, req.key))
+
     def _check_quarantine(self, req: CallerRequest) -> None:
         if self._state.is_quarantined(req.fingerprint):
             message = "this request crashed servers that ran it"
--- a/src/alderhatch/node/dialect.py
+++ b/src/alderhatch/node/dialect.py
@@ -8,6 +8,7 @@
 from ..clock import Millis
 from ..core.crash_detector import fingerprint_of_parts
 from ..core.entry_events import AttemptFault, LoadReport
+from ..core.forwarding.organisation import Organisation
 from ..core.forwarding.outcome import Outcome
 from ..core.forwarding.parts_bundle import PartsBundle
 from ..core.forwarding.route import AllShards, Route
@@ -37,6 +38,10 @@
     """How long the caller waits; None if it set no limit."""
     forwarded_fields: HeaderFields
     """Header fields that are forwarded to servers unchanged."""
+    key: str | None = None
+    """The key with which the caller identifies itself; None if it sent none."""
+    organisation: Organisation | None = None
+    """The organisation that the request belongs to, once that is decided."""
 
     @property
     def fingerprint(self) -> str:
@@ -55,6 +60,12 @@
             AlderhatchError: If the request is invalid; names the field.
         """
 
+    def identified(self, req: CallerRequest, organisation: Organisation | None) -> CallerRequest:
+        """Return the request as it is forwarded once its organisation is decided.
+
+        Servers learn the organisation from this host alone, and the key never reaches them.
+        """
+
     def server_fields(self, req: CallerRequest, server_id: str, time_left: Millis) -> HeaderFields:
         """Return the header fields of a request to a server."""
 
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -40,8 +40,10 @@
 from .node_settings import NodeSettings
 from .node_state import Decoder, NodeState
 from .parts_collector import PartsCollector
+from .quota_gate import QuotaGate
 from .request_log import RequestLog
 from .server_list import FRESH_DURATION, ServerListReader, ServerListSource
+from .service_turns import ServiceTurns
 from .split_gather import SplitGathers
 from .state_checkpoint import CheckpointStore
 from .tier_client import TierClient
@@ -164,6 +166,8 @@
             self._hand_over_client,
             SplitGathers(self.state, collector, self._hand_over_client),
             cfg.processor,
+            QuotaGate(),
+            ServiceTurns(),
         )
         self._hand_over_server = HandOverServer(
             self.callers.handle_handed_over,
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -14,8 +14,10 @@
 from ..core.entry_events import AttemptFault
 from ..core.forwarding.caller_hosts import HostRecord, choose_caller_hosts
 from ..core.forwarding.cold_start_limiter import ColdServerLimits
+from ..core.forwarding.configuration_lease import ConfigurationLease
 from ..core.forwarding.crash_counter import CRASH_RETENTION, QUARANTINE_DURATION
 from ..core.forwarding.host_reachability import HostReachability
+from ..core.forwarding.organisation import OrganisationTable
 from ..core.forwarding.retry_budget import BudgetLimits, constant_fraction, owner_constant_fraction
 from ..core.forwarding.route import AllShards, CallerLimits, TierConfiguration
 from ..core.forwarding.route_table import RouteTable
@@ -84,6 +86,10 @@
         """Crashes that were reported to the leader, with the times of the reports."""
         self.routes = RouteTable(())
         self.limits = CallerLimits()
+        self.organisations: OrganisationTable | None = None
+        """The organisations; None if the configuration declares none."""
+        self.lease = ConfigurationLease()
+        """The lease on the configuration in use."""
         self.stored: StoredConfiguration = NO_CONFIGURATION
         self.evacuations = NO_EVACUATIONS
         """The availability zones whose servers get no requests."""
@@ -131,6 +137,8 @@
         self.stored = stored
         self.routes = RouteTable(configuration.routes)
         self.limits = configuration.limits
+        declared = configuration.organisations
+        self.organisations = OrganisationTable(declared) if declared is not None else None
         self.table.set_upstreams(configuration.upstreams)
         self._routed_upstreams = frozenset(
             name for route in configuration.routes for name in route.upstreams
--- a/src/alderhatch/platform/configuration.py
+++ b/src/alderhatch/platform/configuration.py
@@ -9,6 +9,7 @@
 import orjson
 
 from ..clock import SECOND
+from ..core.forwarding.organisation import Organisation
 from ..core.forwarding.route import (
     AllShards,
     CallerLimits,
@@ -48,7 +49,11 @@
     upstream_names = {settings.name for settings in upstreams}
     routes = tuple(_route(raw_route, upstream_names) for raw_route in root.objects("routes"))
     _check_unique_routes(routes)
-    return TierConfiguration(version, routes, upstreams, _limits(root))
+    organisations = None
+    if root.has("tenants"):
+        organisations = tuple(_organisation(tenant) for tenant in root.objects("tenants"))
+        _check_unique_keys(organisations)
+    return TierConfiguration(version, routes, upstreams, _limits(root), organisations)
 
 
 class _JsonObject:
@@ -115,6 +120,7 @@
         timeout=float(timeout),
         target_latency=float(obj.number("target-latency-ms", timeout)),
         rank=obj.integer("priority", DEFAULT_PRIORITY),
+        public=obj.raw.get("public") is True,
     )
     for upstream in route.upstreams:
         if upstream not in upstream_names:
@@ -151,6 +157,20 @@
     return UpstreamSettings(obj.string("name"), connections, cold_duration, cold_rate)
 
 
+def _organisation(obj: _JsonObject) -> Organisation:
+    rank = obj.integer("priority") if obj.has("priority") else None
+    keys = obj.strings("api-keys")
+    if not all(keys):
+        raise _invalid(obj.field_path("api-keys"), "expected non-empty strings")
+    return Organisation(
+        obj.string("name"),
+        keys,
+        rank,
+        float(obj.number("rate-per-s", 0.0)),
+        float(obj.number("burst-size", 0.0)),
+    )
+
+
 def _limits(root: _JsonObject) -> CallerLimits:
     if not root.has("limits"):
         return CallerLimits()
@@ -172,5 +192,19 @@
             raise _invalid(f"routes.{index}.path-prefix", message)
 
 
+def _check_unique_keys(organisations: tuple[Organisation, ...]) -> None:
+    names: set[str] = set()
+    keys: set[str] = set()
+    for index, organisation in enumerate(organisations):
+        if organisation.name in names:
+            message = f"another organisation also has the name {organisation.name!r}"
+            raise _invalid(f"tenants.{index}.name", message)
+        names.add(organisation.name)
+        # The message must not contain the key: it ends up in logs and with whoever sent the other.
+        if not keys.isdisjoint(organisation.keys):
+            raise _invalid(f"tenants.{index}.api-keys", "another organisation also has the key")
+        keys.update(organisation.keys)
+
+
 def _invalid(field: str, message: str) -> AlderhatchError:
     return AlderhatchError(Failure(ErrorKind.BAD_REQUEST, f"{field}: {message}", field or None))
--- a/src/alderhatch/platform/dialect.py
+++ b/src/alderhatch/platform/dialect.py
@@ -7,6 +7,7 @@
 
 from ..clock import SECOND, Millis
 from ..core.entry_events import AttemptFault, LoadReport
+from ..core.forwarding.organisation import Organisation
 from ..core.forwarding.outcome import Answered, Failed, FailureReason, Gathered, NotRun, Outcome
 from ..core.forwarding.parts_bundle import PartsBundle
 from ..core.forwarding.route import AllShards, Route
@@ -39,7 +40,16 @@
                 Failure(ErrorKind.BAD_REQUEST, message, "Time-Budget-Ms")
             ) from exc
         host = req.headers.get("host", "").lower().partition(":")[0]
-        return CallerRequest(req, host, request_id, time_left, _forwarded_fields(req.fields))
+        key = req.headers.get(wire.KEY.decode("ascii"))
+        fields = _forwarded_fields(req.fields)
+        return CallerRequest(req, host, request_id, time_left, fields, key)
+
+    def identified(self, req: CallerRequest, organisation: Organisation | None) -> CallerRequest:
+        """Return the request with the node's own field for its organisation, without the key."""
+        fields = [one for one in req.forwarded_fields if one[0] not in wire.IDENTITY_FIELDS]
+        if organisation is not None:
+            fields.append((wire.ORGANISATION, organisation.name.encode("utf-8")))
+        return req._replace(forwarded_fields=fields, organisation=organisation)
 
     def server_fields(self, req: CallerRequest, server_id: str, time_left: Millis) -> HeaderFields:
         """Return the header fields of the request to a server."""
--- a/src/alderhatch/platform/wire_names.py
+++ b/src/alderhatch/platform/wire_names.py
@@ -21,6 +21,10 @@
 MISSING_SHARDS = b"missing-parts"
 """Number of shards that are missing from a merged answer."""
 ENCODING = b"content-encoding"
+KEY = b"api-key"
+"""The caller's key, where the configuration declares organisations."""
+ORGANISATION = b"tenant"
+"""Name of the organisation of a request, set by the node."""
 
 HOP_BY_HOP_FIELDS = frozenset(
     (
@@ -40,3 +44,5 @@
 """Fields that apply to a single connection or to the framing of a message on it."""
 REPLACED_FIELDS = frozenset((TIME_LEFT, EXPECTED_SERVER))
 """Fields that the node sets itself on requests to servers."""
+IDENTITY_FIELDS = frozenset((KEY, ORGANISATION))
+"""Fields about the caller's identity, which the node replaces where there are organisations."""
