Lease on the configuration, so that a key that was taken away is served nowhere past the bound

Cause: a host that is cut off, frozen or restarted from its checkpoint serves by its last configuration for as long as that lasts, and with it the keys that were taken away meanwhile.

Change: where bounds.strict-revocation is true and the configuration declares organisations, a host serves keys only while the leader has confirmed its configuration. It asks over the link to the leader (LeaseAsk, LeaseAnswer), eight times a lease; the leader answers only with the lease of the log; the lease runs from the ask by the host's own clock, and counts only with the version in use. It is checked at admission and again just before a request runs. Requests wait for the first lease as they wait for the start. Hosts ask only leaders whose role says that they answer, so that a leader of the earlier build closes no link; nothing passes without organisations or without the bound.

--- a/features/platform_edge.feature
+++ b/features/platform_edge.feature
@@ -131,6 +131,10 @@
       | bounds.grace-s           | soon      |
       | cloud-api.address        | nowhere   |
       | fault-tolerance.machines | some      |
+      | bounds.strict-revocation | maybe     |
+      | bounds.revoke-ms         | 0         |
+      | bounds.revoke-ms         | soon      |
+      | bounds.revoke-ms         | nan       |
 
   Scenario: Settings of hosts with and without a disk
     Then the platform's settings are parsed as those of a host with a disk
--- a/features/support/tier_hosts.py
+++ b/features/support/tier_hosts.py
@@ -15,10 +15,11 @@
 from alderhatch.core.forwarding.caller_hosts import choose_caller_hosts
 from alderhatch.core.forwarding.server_record import ServerRecord
 from alderhatch.link import LinkClosedError
+from alderhatch.node.lease_messages import LEASE_MESSAGE_TYPES
 from alderhatch.node.tier_messages import TIER_MESSAGE_TYPES, Join, Place, Redirect, Report
 from alderhatch.node.tier_server import TierServer
 
-CODEC = Codec(*TIER_MESSAGE_TYPES)
+CODEC = Codec(*TIER_MESSAGE_TYPES, *LEASE_MESSAGE_TYPES)
 REPORT_INTERVAL_MS = 500.0
 CONNECTIONS = 100
 """Connections that each server accepts from all hosts together."""
@@ -96,10 +97,10 @@
 
     def __init__(self, hosts, strong=5, previous_host_count=0):
         self.hosts = [Host(index, index < strong) for index in range(hosts)]
-        self.leads = True
+        self.member = SimpleNamespace(controls=list, leads=True)
         self.stored = StoredConfiguration(1, b"packed")
         self.server = TierServer(
-            SimpleNamespace(controls=list, leads=True),
+            self.member,
             lambda: TierDirectives(self.stored, NO_EVACUATIONS),
             lambda: True,
             lambda: Redirect(None, []),
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -144,6 +144,16 @@
         logging.INFO,
         "The node's state of a server changed: listed, leaving or ejected.",
     )
+    CONFIGURATION_LEASE_GAINED = EventRow(
+        1091,
+        logging.INFO,
+        "The leader confirmed the configuration in use; the node serves callers' keys.",
+    )
+    CONFIGURATION_LEASE_LOST = EventRow(
+        1092,
+        logging.WARNING,
+        "The leader has not confirmed the configuration recently; requests with keys are refused.",
+    )
     BELIEFS_NOT_KEPT = EventRow(
         1074,
         logging.WARNING,
--- a/src/alderhatch/metric_catalogue.py
+++ b/src/alderhatch/metric_catalogue.py
@@ -152,6 +152,12 @@
         Unit.SECONDS,
         "Time since the server list was last known to be current.",
     )
+    NODE_LEASE_AGE = MetricRow(
+        "alderhatch_node_configuration_lease_age_seconds",
+        MetricKind.GAUGE,
+        Unit.SECONDS,
+        "Time since the node asked for the last confirmation of its configuration that counts.",
+    )
     NODE_LEADER_SILENCE = MetricRow(
         "alderhatch_node_leader_silence_seconds",
         MetricKind.GAUGE,
--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -199,8 +199,7 @@
             req = self._identify(req, route)
             self._check_quarantine(req)
         except AlderhatchError as exc:
-            self._metrics.count_refused(exc.failure.kind)
-            self._log.log_refused(req, exc.failure.kind, exc.failure.message)
+            self._record_refusal(req, exc.failure)
             raise
         if may_hand_over:
             handed = await self._run_at_faster_host(req, route, arrived)
@@ -212,6 +211,7 @@
         outcome: Outcome | None = None
         try:
             async with self._turns.turn(route, req.organisation, times):
+                self._check_lease_before_run(req, route)
                 outcome, res = await self._run(req, route, times)
         finally:
             # Without an outcome the caller has left, and servers may have run the request.
@@ -281,6 +281,24 @@
             self._state.lease.check(self._clock.now())
         return self._dialect.identified(req, identify(organisations, route, req.key))
 
+    def _check_lease_before_run(self, req: CallerRequest, route: Route) -> None:
+        """Check the lease again, as it may have run out while the request waited for its turn.
+
+        A host that was frozen would otherwise run all requests that were waiting when it wakes.
+        """
+        if req.organisation is None or route.public:
+            return
+        try:
+            self._state.lease.check(self._clock.now())
+        except AlderhatchError as exc:
+            self._record_refusal(req, exc.failure)
+            self._quotas.give_back(req.organisation)
+            raise
+
+    def _record_refusal(self, req: CallerRequest, failure: Failure) -> None:
+        self._metrics.count_refused(failure.kind)
+        self._log.log_refused(req, failure.kind, failure.message)
+
     def _check_quarantine(self, req: CallerRequest) -> None:
         if self._state.is_quarantined(req.fingerprint):
             message = "this request crashed servers that ran it"
@@ -289,13 +307,17 @@
             )
 
     async def _wait_for_start(self, req: CallerRequest, arrived: Millis) -> None:
-        """Hold a request until the node has its configuration and the server list.
+        """Hold a request until the node has its configuration, the server list and its first lease.
 
         After a restart of all hosts this takes a second, and a caller that is refused meanwhile has
         no attempt left when the node is ready. After ``STARTUP_WINDOW`` it is unknown when the node
         will be ready, so requests no longer wait and callers can try another host.
         """
-        if self._state.is_started or arrived - self._accepting_since > STARTUP_WINDOW:
+        state = self._state
+        began = self._accepting_since
+        if state.awaits_first_lease:
+            began = max(began, state.organisations_since)
+        if not self._awaits_start(req) or arrived - began > STARTUP_WINDOW:
             return
         if self._startup_waiters >= MAX_STARTUP_WAITERS:
             return
@@ -305,10 +327,20 @@
             with trio.move_on_after(
                 min(STARTUP_WINDOW, remaining * STARTUP_WAIT_FRACTION) / SECOND
             ):
-                await self._state.started.wait()
+                await state.started.wait()
+                while self._awaits_start(req):
+                    await state.leased.wait()
         finally:
             self._startup_waiters -= 1
 
+    def _awaits_start(self, req: CallerRequest) -> bool:
+        if not self._state.is_started:
+            return True
+        if not self._state.awaits_first_lease:
+            return False
+        route = self._state.routes.find(req.host, req.http.path)
+        return route is not None and not route.public
+
     def _upstreams(self, route: Route) -> tuple[str, ...]:
         match route.destination:
             case OneUpstream(upstream):
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -14,6 +14,7 @@
 from ..control.log_messages import PEER_MESSAGE_TYPES
 from ..control.member_steps import HandOver, execute_step
 from ..core.control.configuration_register import ConfigurationRegister
+from ..core.forwarding.configuration_lease import lease_duration
 from ..entry.connection_pool import ConnectionPool
 from ..http.messages import HttpLimits, HttpRequest, HttpResponse
 from ..http.server import Handler, ServeState, serve_http
@@ -36,6 +37,8 @@
 from .hand_over_server import HandOverServer
 from .host_probe import probe_hosts
 from .leader_announcements import announce_leader
+from .lease_messages import LEASE_MESSAGE_TYPES, LEASING_ROLE
+from .lease_renewal import log_lease_changes
 from .node_metrics import NodeMetrics
 from .node_settings import NodeSettings
 from .node_state import Decoder, NodeState
@@ -60,8 +63,7 @@
 from .tier_server import HOST_ROLE, TierServer
 from .voter_reconciler import VoterReconciler
 
-CONTROL_ROLE = "control"
-LINK_MESSAGE_TYPES = (*HAND_OVER_MESSAGE_TYPES, *GATHER_MESSAGE_TYPES)
+LINK_MESSAGE_TYPES = (*HAND_OVER_MESSAGE_TYPES, *GATHER_MESSAGE_TYPES, *LEASE_MESSAGE_TYPES)
 PROGRESS_TIMEOUT: Millis = 60 * SECOND
 """Servers may compute for long without sending a byte; each request's deadline ends its wait."""
 IDLE_STOP_MARGIN: Millis = 2000.0
@@ -121,6 +123,7 @@
             self._clock,
             self._rng,
             cfg.cold,
+            lease_duration(cfg.revocation_bound),
         )
         self.seeds = cfg.seeds
         """Addresses at which the tier is looked for; a change of the settings replaces them."""
@@ -307,6 +310,7 @@
             nursery.start_soon(self._flush_logs)
             nursery.start_soon(self._server_list_reader.run)
             nursery.start_soon(self._client.run)
+            nursery.start_soon(log_lease_changes, self.state)
             nursery.start_soon(probe_hosts, self.state, lambda: self._client.leader is not None)
             self.callers.start_accepting()
             cfg = self.cfg
@@ -353,7 +357,7 @@
     async def _open_ports(self, nursery: trio.Nursery, handlers: EdgeHandlers) -> None:
         ports = self.cfg.ports
         links = await self._listen(ports.links)
-        local_peer = Peer(self.cfg.name, CONTROL_ROLE)
+        local_peer = Peer(self.cfg.name, LEASING_ROLE)
         await nursery.start(
             lambda task_status: serve_links(
                 links,
--- a/src/alderhatch/node/node_metrics.py
+++ b/src/alderhatch/node/node_metrics.py
@@ -92,6 +92,8 @@
         metrics.set(Metric.NODE_CONFIGURATION, state.stored.version)
         if state.list_fresh_at is not None:
             metrics.set(Metric.NODE_LIST_AGE, state.list_age() / SECOND)
+        if state.needs_lease and not state.awaits_first_lease:
+            metrics.set(Metric.NODE_LEASE_AGE, (now - state.lease.confirmed_at) / SECOND)
         if node.leader_last_heard_at:
             metrics.set(Metric.NODE_LEADER_SILENCE, (now - node.leader_last_heard_at) / SECOND)
         if node.member is not None:
--- a/src/alderhatch/node/node_settings.py
+++ b/src/alderhatch/node/node_settings.py
@@ -54,6 +54,9 @@
     processor: float = 1.0
     """Processor time available to this host, in seconds per second."""
     policy: Policy = Policy()
+    revocation_bound: Millis | None = None
+    """How long after the acknowledgement of a configuration a request may still be sent with a key
+    that it took away, and run at a host that is out of touch; None for no bound."""
     process_started: Millis | None = None
     """When the process started, on the loop's clock; None if that is unknown."""
 
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -17,7 +17,7 @@
 from ..core.forwarding.configuration_lease import ConfigurationLease
 from ..core.forwarding.crash_counter import CRASH_RETENTION, QUARANTINE_DURATION
 from ..core.forwarding.host_reachability import HostReachability
-from ..core.forwarding.organisation import OrganisationTable
+from ..core.forwarding.organisation import Organisation, OrganisationTable
 from ..core.forwarding.retry_budget import BudgetLimits, constant_fraction, owner_constant_fraction
 from ..core.forwarding.route import AllShards, CallerLimits, TierConfiguration
 from ..core.forwarding.route_table import RouteTable
@@ -56,6 +56,8 @@
         clock: The time source.
         rng: Breaks ties between servers.
         cold: The limits of cold servers; None for no limit.
+        lease_duration: How long a confirmation of the configuration counts; None if keys are served
+            without a lease.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         clock: Clock,
         rng: Random,
         cold: ColdServerLimits | None = None,
+        lease_duration: Millis | None = None,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -88,8 +91,12 @@
         self.limits = CallerLimits()
         self.organisations: OrganisationTable | None = None
         """The organisations; None if the configuration declares none."""
-        self.lease = ConfigurationLease()
+        self.lease = ConfigurationLease(lease_duration)
         """The lease on the configuration in use."""
+        self.organisations_since: Millis = 0.0
+        """Since when the configurations in use have declared organisations."""
+        self.leased = Signal()
+        """Notified when the lease may have been extended."""
         self.stored: StoredConfiguration = NO_CONFIGURATION
         self.evacuations = NO_EVACUATIONS
         """The availability zones whose servers get no requests."""
@@ -137,8 +144,8 @@
         self.stored = stored
         self.routes = RouteTable(configuration.routes)
         self.limits = configuration.limits
-        declared = configuration.organisations
-        self.organisations = OrganisationTable(declared) if declared is not None else None
+        self._apply_organisations(configuration.organisations)
+        self.lease.use_version(stored.version)
         self.table.set_upstreams(configuration.upstreams)
         self._routed_upstreams = frozenset(
             name for route in configuration.routes for name in route.upstreams
@@ -152,10 +159,26 @@
         self._choose_caller_hosts()
         self._update_connections()
         self.configured.notify()
+        self.leased.notify()
         log_event(
             LogEvent.CONFIGURATION_ADOPTED, version=stored.version, routes=len(configuration.routes)
         )
 
+    def _apply_organisations(self, declared: tuple[Organisation, ...] | None) -> None:
+        if self.organisations is None:
+            self.organisations_since = self._clock.now()
+        self.organisations = OrganisationTable(declared) if declared is not None else None
+
+    @property
+    def needs_lease(self) -> bool:
+        """Whether keys may be served only while this host has a lease."""
+        return self.organisations is not None and self.lease.duration is not None
+
+    @property
+    def awaits_first_lease(self) -> bool:
+        """Whether no confirmation has arrived since this host first used organisations."""
+        return self.needs_lease and self.lease.confirmed_at < self.organisations_since
+
     @property
     def has_split_gather(self) -> bool:
         """Whether any route gathers so many parts that the gather is split among hosts."""
@@ -172,6 +195,7 @@
     def record_seen_version(self, version: int) -> None:
         """Record the version that another host used to serve a caller of this host."""
         self._seen_version = max(self._seen_version, version)
+        self.lease.record_seen(version)
 
     def apply_evacuations(self, evacuations: Evacuations) -> None:
         """Stop sending requests to evacuated availability zones, and resume for all others.
--- a/src/alderhatch/node/tier_client.py
+++ b/src/alderhatch/node/tier_client.py
@@ -15,6 +15,8 @@
 from ..log_events import LogEvent
 from ..signal import Signal
 from .leader_search import LeaderSearch
+from .lease_messages import LEASING_ROLE, LeaseAnswer
+from .lease_renewal import apply_lease_answer, ask_for_leases
 from .node_state import NodeState
 from .tier_messages import (
     ConfigurationNews,
@@ -188,6 +190,8 @@
         self._apply(first)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_reports, link, nursery.cancel_scope)
+            if link.peer.role == LEASING_ROLE:
+                nursery.start_soon(ask_for_leases, self._state, link, nursery.cancel_scope)
             while True:
                 message: object = None
                 with trio.move_on_after(LEADER_SILENCE_TIMEOUT / SECOND):
@@ -197,6 +201,8 @@
                         break
                 if message is None:
                     break
+                if isinstance(message, LeaseAnswer):
+                    apply_lease_answer(self._state, message, place.name)
                 self._apply(message)
             nursery.cancel_scope.cancel()
 
--- a/src/alderhatch/node/tier_server.py
+++ b/src/alderhatch/node/tier_server.py
@@ -24,6 +24,7 @@
 from ..log_events import LogEvent
 from ..signal import Signal
 from .control_member import ControlMember
+from .lease_messages import LeaseAnswer, LeaseAsk
 from .tier_messages import (
     Introduction,
     Join,
@@ -209,18 +210,44 @@
                 message = await session.link.receive()
             except LinkClosedError:
                 return
-            if not isinstance(message, Report):
-                return
-            session.heard_at = self._clock.now()
-            session.disk = message.disk
-            self._record_crashes(message)
-            self._demand.count(message.sends, session.heard_at)
-            if message.wants_servers and session.mode is not HostMode.SERVES:
-                session.mode = HostMode.SERVES
-                self.updates_pending.notify()
-            if message.serving != session.serving:
-                session.serving = message.serving
-                self._view_due.set()
+            match message:
+                case Report():
+                    self._apply_report(message, session)
+                case LeaseAsk(number):
+                    await self._answer_lease_ask(number, session)
+                case _:
+                    return
+
+    def _apply_report(self, report: Report, session: _Session) -> None:
+        session.heard_at = self._clock.now()
+        session.disk = report.disk
+        self._record_crashes(report)
+        self._demand.count(report.sends, session.heard_at)
+        if report.wants_servers and session.mode is not HostMode.SERVES:
+            session.mode = HostMode.SERVES
+            self.updates_pending.notify()
+        if report.serving != session.serving:
+            session.serving = report.serving
+            self._view_due.set()
+
+    async def _answer_lease_ask(self, number: int, session: _Session) -> None:
+        """Confirm the newest configuration if no other host can have accepted a newer one.
+
+        The lease of the log is checked for each answer. A leader that was frozen would otherwise
+        confirm a configuration that its successor has replaced, and the host would go on serving
+        keys that were taken away. A new leader has the lease only once an entry of its own term is
+        committed, so its register has every change that was acknowledged before.
+        """
+        if number < 1:
+            field = f"{LeaseAsk.__name__}.number"
+            why = f"{field}: expected a number above 0, got {number}"
+            log_event(
+                LogEvent.LINK_MESSAGE_REFUSED, peer=session.join.place.name, why=why, field=field
+            )
+            return
+        if self.leads:
+            version = self._directives().configuration.version
+            await session.link.send(LeaseAnswer(number, version))
 
     def _record_crashes(self, report: Report) -> None:
         for fingerprint, server_id in report.crashes:
--- a/src/alderhatch/platform/settings.py
+++ b/src/alderhatch/platform/settings.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import math
 from pathlib import Path
 from typing import NamedTuple
 
-from ..clock import SECOND
+from ..clock import SECOND, Millis
 from ..core.forwarding.cold_start_limiter import ColdServerLimits
 from ..core.forwarding.retry_budget import BudgetLimits
 from ..core.policy import Policy
@@ -17,6 +18,7 @@
 """The platform provides no secret. Its network admits only its own machines."""
 METRICS_OFFSET = 1
 """Metrics use the second internal port; links between hosts use the first."""
+DEFAULT_REVOCATION_BOUND: Millis = 5000.0
 POLICY = Policy(
     first_latency_ms=20.0,
     report_age_ms=100.0,
@@ -93,6 +95,7 @@
         cold=_cold_limits(values),
         processor=values.number("limits.cpu-share", 1.0) * values.number("limits.cpu-cores", 1.0),
         policy=POLICY,
+        revocation_bound=_revocation_bound(values),
     )
     address, port = _split_address(values.text("cloud-api.address"), "cloud-api.address")
     return PlatformSettings(node, address, port)
@@ -105,6 +108,17 @@
     return ColdServerLimits(tolerance, values.number("bounds.warmup-margin", 0.0))
 
 
+def _revocation_bound(values: _SettingValues) -> Millis | None:
+    bound = values.number("bounds.revoke-ms", DEFAULT_REVOCATION_BOUND)
+    if not 0 < bound < math.inf:
+        raise _invalid_setting("bounds.revoke-ms", f"expected a number above 0, got {bound}")
+    is_strict = values.get("bounds.strict-revocation") or "false"
+    if is_strict not in ("true", "false"):
+        message = f"expected true or false, got {is_strict!r}"
+        raise _invalid_setting("bounds.strict-revocation", message)
+    return bound if is_strict == "true" else None
+
+
 def parse_seeds(text: str, link_port: int) -> tuple[Place, ...]:
     """Return the link addresses of the seed hosts.
 
