Members of the log accept each other again: only links of hosts get the role that answers asks

Cause: let a host accept every link as control-leasing. Members of the replicated log refuse a peer whose role isn't control (log_peer_refused), so no tier of more than one host got a leader: all four scenarios of platform_keys failed with "an operator's change is accepted" after 60 s.

Change: serve_links takes the roles by the role of the other end; only links of hosts that look for the leader get control-leasing. In virtual time: requests that wait for the first lease, for a turn while the lease runs out, and who holds a key after several configurations.

--- a/features/configuration_lease.feature
+++ b/features/configuration_lease.feature
@@ -125,3 +125,52 @@
       | control         | with organisations and a bound         | does not ask |
       | control-leasing | without organisations                  | does not ask |
       | control-leasing | without a bound                        | does not ask |
+
+  Scenario Outline: Requests of a host without a lease
+    # After a loss of all power each host restarts from its checkpoint, and gets its first lease a
+    # second later. Callers that are refused meanwhile have no attempt left then.
+    Given a host that has used organisations since it started, <before> ms ago
+    And its lease is <lease>
+    When a request for "<path>" with key "key-1" and 1000 ms left arrives
+    Then the request <ends> after <wait> ms
+
+    Examples:
+      | before | lease                        | path     | ends                       | wait |
+      | 0      | confirmed for the first time | /paths/1 | runs                       | 200  |
+      | 0      | never confirmed              | /paths/1 | is refused, lease_expired  | 400  |
+      | 2600   | never confirmed              | /paths/1 | is refused, lease_expired  | 0    |
+      | 0      | never confirmed              | /open/1  | runs                       | 0    |
+      | 0      | never confirmed              | /none/1  | is refused, not_found      | 0    |
+      | 6000   | lost                         | /paths/1 | is refused, lease_expired  | 0    |
+      | 6000   | lost                         | /open/1  | runs                       | 0    |
+
+  Scenario: A host uses organisations for the first time
+    # The operator declares the first organisations. The next ask takes a round trip.
+    Given a host that has used organisations since it started, 6000 ms ago
+    And its configuration declares organisations only since now
+    And its lease is confirmed for the first time
+    When a request for "/paths/1" with key "key-1" and 1000 ms left arrives
+    Then the request runs after 200 ms
+
+  Scenario: The lease runs out while a request waits for its turn
+    # A host is frozen while requests wait in its queue. Guards against running them as it wakes.
+    Given a host that has used organisations since it started, 0 ms ago
+    And its lease is confirmed for the first time
+    And its requests wait 4100 ms for their turn
+    When a request for "/paths/1" with key "key-1" and 9000 ms left arrives
+    Then the request is refused, lease_expired after 4300 ms
+    And the token of its quota is given back
+
+  Scenario Outline: Who holds a key after several configurations
+    Given the configurations "<configurations>" are committed in this order
+    Then "key-1" belongs to "<organisation>"
+
+    Examples:
+      | what                               | configurations              | organisation |
+      | taken away, the last one of north  | 1:north=key-1 2:north=      |              |
+      | given again                        | 1:north=key-1 2:north= 3:north=key-1 | north |
+      | moved                              | 1:north=key-1 2:south=key-1 | south        |
+      | an order resent after a newer one  | 1:north=key-1 2:north= 1:north=key-1 |     |
+      | an order that is overtaken         | 1:north=key-1 3:north= 2:north=key-1 |     |
+      | two operators, the same version    | 1:north=key-1 2:north= 2:north=key-1 |     |
+      | the last organisation is removed   | 1:north=key-1 2:            |              |
--- a/features/steps/configuration_lease_steps.py
+++ b/features/steps/configuration_lease_steps.py
@@ -1,30 +1,52 @@
 from __future__ import annotations
 
 import json
+from contextlib import asynccontextmanager
+from random import Random
 from types import SimpleNamespace
-from unittest.mock import patch
+from typing import NamedTuple
+from unittest.mock import AsyncMock, Mock, patch
 
 import cbor2
+import orjson
 import trio
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import settings
 from hypothesis import strategies as st
+from trio.testing import MockClock
 
+from alderhatch.clock import SECOND, LoopClock
 from alderhatch.codec import Codec
+from alderhatch.core.control.configuration_register import (
+    ConfigurationRegister,
+    encode_configuration,
+    pack_configuration,
+)
 from alderhatch.core.forwarding.configuration_lease import ConfigurationLease, lease_duration
+from alderhatch.core.forwarding.outcome import Failed, FailureReason
+from alderhatch.entry.connection_pool import ConnectionPool
 from alderhatch.errors import AlderhatchError
+from alderhatch.http.messages import HttpRequest
 from alderhatch.link import Peer, serve_links
 from alderhatch.log_events import LogEvent
 from alderhatch.node import lease_renewal, tier_server
+from alderhatch.node.caller_handler import CallerHandler
 from alderhatch.node.lease_messages import LEASE_MESSAGE_TYPES, LeaseAnswer, LeaseAsk
+from alderhatch.node.node_state import NodeState
+from alderhatch.node.quota_gate import QuotaGate
+from alderhatch.node.service_turns import ServiceTurns
 from alderhatch.node.tier_client import TierClient
 from alderhatch.node.tier_messages import TIER_MESSAGE_TYPES, Join, Place, Pulse, Report
-from alderhatch.platform.settings import parse_settings
+from alderhatch.platform.configuration import decode_configuration
+from alderhatch.platform.dialect import PlatformDialect
+from alderhatch.platform.settings import POLICY, parse_settings
 from alderhatch.signal import Signal
 from features.steps.platform_edge_steps import SETTINGS
 from features.steps.tier_size_steps import tier_after_script
+from features.support.busy_hosts import BUDGET_LIMITS
 from features.support.lease_hosts import KEYS, ORGANISATIONS, REFUSED, LeaseHosts
+from features.support.platform_tier import HOST
 
 TIMEOUT_S = 30
 SECRET = b"the secret of a tier of the tests"
@@ -312,3 +334,186 @@
 @then("it does not ask")
 def step_has_not_asked(context):
     assert context.asks == [], context.asks
+
+
+# The requests of a host
+
+
+def document_of(version, holders):
+    """Return a configuration whose organisations hold one key each, or none."""
+    route = {"host": HOST, "timeout-ms": 9000, "route-type": "safe", "service": "kitchen"}
+    names = [("paths", False), ("open", True)]
+    return orjson.dumps(
+        {
+            "version": version,
+            "services": [{"name": "kitchen"}],
+            "routes": [
+                route | {"name": name, "path-prefix": f"/{name}/", "public": public}
+                for name, public in names
+            ],
+            "tenants": [
+                {"name": name, "api-keys": [key] if key else []} for name, key in holders.items()
+            ],
+        }
+    )
+
+
+class RequestScript(NamedTuple):
+    """What happens at a host before and while a request arrives."""
+
+    before: float
+    """How long the host has accepted requests, in milliseconds."""
+    declared_late: bool = False
+    """Whether the organisations are declared only as the request arrives."""
+    lease: str = ""
+    turn_wait: float = 0.0
+    """How long the request waits for its turn, in milliseconds."""
+
+
+@given("a host that has used organisations since it started, {before:d} ms ago")
+def step_host(context, before):
+    context.script = RequestScript(before)
+
+
+@given("its configuration declares organisations only since now")
+def step_declared_late(context):
+    context.script = context.script._replace(declared_late=True)
+
+
+@given("its lease is {lease}")
+def step_host_lease(context, lease):
+    context.script = context.script._replace(lease=lease)
+
+
+@given("its requests wait {wait:d} ms for their turn")
+def step_turn(context, wait):
+    context.script = context.script._replace(turn_wait=wait)
+
+
+def make_state():
+    pool = ConnectionPool(0, spares=False)
+    return NodeState(
+        "me",
+        "zone-0",
+        decode_configuration,
+        pool,
+        BUDGET_LIMITS,
+        POLICY,
+        LoopClock(),
+        Random(1),
+        lease_duration=4000.0,
+    )
+
+
+def use(state, version, holders):
+    state.apply_configuration(pack_configuration(version, document_of(version, holders)))
+
+
+def confirm(state, version):
+    state.lease.confirm(state.lease.ask(LoopClock().now()), version)
+    state.leased.notify()
+
+
+async def prepare(state, script):
+    """Let the host start, and the time pass until the request arrives."""
+    if not script.declared_late:
+        use(state, 1, {"north": "key-1"})
+    state.started.set()
+    if script.lease == "lost":
+        confirm(state, 1)
+    await trio.sleep(script.before / SECOND)
+    use(state, 2, {"north": "key-1"})
+
+
+async def extend(state, script):
+    """Confirm the lease for the first time 200 ms after the request has arrived."""
+    await trio.sleep(0.2)
+    if script.lease == "confirmed for the first time":
+        confirm(state, 2)
+
+
+@when('a request for "{path}" with key "{key}" and {left:d} ms left arrives')
+def step_request(context, path, key, left):
+    script = context.script
+    turns = ServiceTurns()
+
+    @asynccontextmanager
+    async def turn(route, organisation, times):
+        await trio.sleep(script.turn_wait / SECOND)
+        yield
+
+    turns.turn = turn
+    context.quotas = Mock(wraps=QuotaGate())
+
+    async def main():
+        state = make_state()
+        runner = Mock(forward=AsyncMock(return_value=Failed(FailureReason.FAILED)))
+        handler = CallerHandler(
+            state,
+            runner,
+            PlatformDialect(),
+            Mock(),
+            Mock(),
+            Mock(),
+            Mock(create=Mock(return_value=None)),
+            1.0,
+            context.quotas,
+            turns,
+        )
+        handler.start_accepting()
+        await prepare(state, script)
+        fields = {"host": HOST, "attempt-id": "a1", "time-budget-ms": str(left), "api-key": key}
+        raw = [(name.encode(), value.encode()) for name, value in fields.items()]
+        http = HttpRequest("GET", path, {}, fields, b"", path, raw)
+        arrived = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(extend, state, script)
+            try:
+                await handler.handle(http)
+            except AlderhatchError as exc:
+                context.ended = f"is refused, {exc.failure.kind}"
+            else:
+                context.ended = "runs"
+            context.wait = (trio.current_time() - arrived) * SECOND
+            nursery.cancel_scope.cancel()
+        assert runner.forward.called == (context.ended == "runs")
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+@then("the request {ends} after {wait:d} ms")
+def step_request_ends(context, ends, wait):
+    assert (context.ended, round(context.wait)) == (ends, wait), (context.ended, context.wait)
+
+
+@then("the token of its quota is given back")
+def step_given_back(context):
+    assert context.quotas.admit.call_count == context.quotas.give_back.call_count == 1
+
+
+# Keys
+
+
+@given('the configurations "{configurations}" are committed in this order')
+def step_committed(context, configurations):
+    register = ConfigurationRegister(lambda: None)
+    state = trio.run(adopt_all, register, configurations.split())
+    context.organisations = state.organisations
+
+
+async def adopt_all(register, configurations):
+    state = make_state()
+    for index, text in enumerate(configurations, 1):
+        version, _, holder = text.partition(":")
+        name, _, key = holder.partition("=")
+        document = document_of(int(version), {name: key} if name else {})
+        register.apply(index, encode_configuration(pack_configuration(int(version), document)))
+        state.apply_configuration(register.stored)
+    return state
+
+
+@then('"{key}" belongs to "{organisation}"')
+@then('"{key}" belongs to ""')
+def step_belongs(context, key, organisation=""):
+    found = context.organisations.with_key(key)
+    assert (found.name if found else "") == organisation, found
--- a/features/support/platform_tier.py
+++ b/features/support/platform_tier.py
@@ -122,6 +122,10 @@
         self.first_start = True
         self.policy = ""
         """Policy settings that differ from the defaults of the platform."""
+        self.extra_settings = []
+        """Lines of the settings of all nodes, besides the usual ones."""
+        self.organisations = None
+        """The key of each organisation by name; None if the configuration declares none."""
 
     def _free_ports(self):
         """Return the ports; the metrics port follows the link port and must not be another one."""
@@ -174,6 +178,7 @@
             "bounds.retry-budget-extra=60",
             f"cloud-api.address={self.list_address}:{self.list_port}",
             "a.key.of.later=1",
+            *self.extra_settings,
         ]
         if index < self.disks:
             lines.append(f"data-dir={self.data_folder(index)}")
@@ -251,9 +256,16 @@
             "service": single,
         }
         services = [{"name": name, "max-connections": 28} for name in {*shards, single}]
-        return orjson.dumps(
-            {"version": self.version, "routes": [gather, orders], "services": services}
-        )
+        document = {"version": self.version, "routes": [gather, orders], "services": services}
+        if self.organisations is not None:
+            document["routes"].append(
+                orders | {"name": "open", "path-prefix": "/open/", "public": True}
+            )
+            document["tenants"] = [
+                {"name": name, "api-keys": [key] if key else []}
+                for name, key in self.organisations.items()
+            ]
+        return orjson.dumps(document)
 
     def operate(self, index, method, body=None, path="/-/config"):
         """Send one operator request, following up to two redirects."""
@@ -300,6 +312,8 @@
             return None
         return orjson.loads(answer.body)
 
-    def ask(self, index, path, request_id, method="GET", body=None, timeout=10.0):
+    def ask(self, index, path, request_id, method="GET", body=None, timeout=10.0, key=None):
         headers = {"Host": HOST, "Attempt-Id": request_id, "Time-Budget-Ms": "8000"}
+        if key is not None:
+            headers["Api-Key"] = key
         return call(self.addresses[index], self.ports[0], method, path, body, headers, timeout)
--- a/src/alderhatch/link.py
+++ b/src/alderhatch/link.py
@@ -8,7 +8,7 @@
 
 import hmac
 import os
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
 
@@ -25,6 +25,7 @@
 
 NONCE_BYTES = 16
 OPEN_TIMEOUT: Millis = 2 * SECOND
+NO_ROLES: Mapping[str, str] = {}
 
 
 class Peer(NamedTuple):
@@ -134,7 +135,7 @@
 
 
 async def _authenticate_client(
-    conn: ServerConnection, secret: bytes, local_peer: Peer
+    conn: ServerConnection, secret: bytes, local_peer: Peer, roles: Mapping[str, str]
 ) -> Peer | None:
     nonce = os.urandom(NONCE_BYTES)
     await conn.send(_HANDSHAKE.encode(_Challenge(nonce)))
@@ -144,8 +145,9 @@
     parts = (nonce, proof.nonce, proof.name.encode(), proof.role.encode())
     if not hmac.compare_digest(proof.mac, _mac(secret, b"client", *parts)):
         return None
-    mac = _mac(secret, b"server", *parts, local_peer.name.encode(), local_peer.role.encode())
-    await conn.send(_HANDSHAKE.encode(_Welcome(local_peer.name, local_peer.role, mac)))
+    role = roles.get(proof.role, local_peer.role)
+    mac = _mac(secret, b"server", *parts, local_peer.name.encode(), role.encode())
+    await conn.send(_HANDSHAKE.encode(_Welcome(local_peer.name, role, mac)))
     return Peer(proof.name, proof.role)
 
 
@@ -156,6 +158,7 @@
     local_peer: Peer,
     handler: Callable[[Link], Awaitable[None]],
     max_links: int = 1024,
+    roles: Mapping[str, str] = NO_ROLES,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Accept links until cancelled and call the handler for each of them.
@@ -169,6 +172,8 @@
             event.
         max_links: Maximum number of open links; further ones are refused, so that a faulty peer
             that keeps opening links can't exhaust the memory of this process.
+        roles: This end's role on links of peers with certain roles, if it isn't that of
+            ``local_peer``.
         task_status: Started when links are accepted.
     """
     open_links = 0
@@ -180,7 +185,7 @@
             return
         open_links += 1
         try:
-            await _serve_one(conn, codec, secret, local_peer, handler)
+            await _serve_one(conn, codec, secret, local_peer, roles, handler)
         finally:
             open_links -= 1
 
@@ -206,12 +211,13 @@
     codec: Codec,
     secret: bytes,
     local_peer: Peer,
+    roles: Mapping[str, str],
     handler: Callable[[Link], Awaitable[None]],
 ) -> None:
     peer: Peer | None = None
     try:
         with trio.move_on_after(OPEN_TIMEOUT / SECOND):
-            peer = await _authenticate_client(conn, secret, local_peer)
+            peer = await _authenticate_client(conn, secret, local_peer, roles)
         if peer is None:
             log_event(LogEvent.LINK_REFUSED, remote=str(conn.remote_address))
             return
--- a/src/alderhatch/node/lease_messages.py
+++ b/src/alderhatch/node/lease_messages.py
@@ -9,8 +9,9 @@
 from typing import Any, NamedTuple
 
 LEASING_ROLE = "control-leasing"
-"""Role in which a host accepts links if it answers asks while it leads. Hosts of earlier builds
-accept links as ``control`` and close a link over which they receive an ask."""
+"""Role in which a host accepts links of hosts that look for the leader, if it answers asks while
+it leads. Hosts of earlier builds accept them as ``control``, and close a link over which they
+receive an ask."""
 
 
 class LeaseAsk(NamedTuple):
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -63,6 +63,7 @@
 from .tier_server import HOST_ROLE, TierServer
 from .voter_reconciler import VoterReconciler
 
+CONTROL_ROLE = "control"
 LINK_MESSAGE_TYPES = (*HAND_OVER_MESSAGE_TYPES, *GATHER_MESSAGE_TYPES, *LEASE_MESSAGE_TYPES)
 PROGRESS_TIMEOUT: Millis = 60 * SECOND
 """Servers may compute for long without sending a byte; each request's deadline ends its wait."""
@@ -357,7 +358,7 @@
     async def _open_ports(self, nursery: trio.Nursery, handlers: EdgeHandlers) -> None:
         ports = self.cfg.ports
         links = await self._listen(ports.links)
-        local_peer = Peer(self.cfg.name, LEASING_ROLE)
+        local_peer = Peer(self.cfg.name, CONTROL_ROLE)
         await nursery.start(
             lambda task_status: serve_links(
                 links,
@@ -365,6 +366,7 @@
                 self.cfg.secret,
                 local_peer,
                 self._on_link,
+                roles={HOST_ROLE: LEASING_ROLE},
                 task_status=task_status,
             )
         )
