The connection that was idle for longest is probed first

Cause: acquire_oldest_idle rotated the wrong way and handed out the second newest of three or more idle connections. Found by reading; callers saw nothing that was traced to it. Change: rotate the oldest to the end from which connections are taken. Test: the order in which three idle connections are probed; failed before (second, first, third).

--- a/features/entry_connections.feature
+++ b/features/entry_connections.feature
@@ -81,6 +81,13 @@
       | an attempt failed a while ago       | 2     | start fail wait               | 0    | wanted     |
       | the share fell below the idle count | 1     | open take open back wait trim | 1    | not wanted |
 
+  Scenario: Health probes use the connections in turn
+    # A probe on the connection that was idle for longest shows that it still works. If one
+    # connection were probed again and again, another one could be silent without anybody noticing.
+    Given 3 idle connections to a server
+    When each probe takes the connection that was idle for longest
+    Then the connections were probed in the order in which they became idle
+
   Scenario: A server closes connections that were never used
     # Before the first request, and where requests are rare, the server closes connections as idle.
     # If the server were considered to be at its connection limit, it would get no requests for a
--- a/features/steps/entry_connections_steps.py
+++ b/features/steps/entry_connections_steps.py
@@ -218,3 +218,26 @@
     # The losing attempt of a hedge is cancelled by closing its connection; a new one is then
     # opened.
     world(context).rule["hedge"] = 0
+
+
+@given("{count:d} idle connections to a server")
+def step_idle_connections(context, count):
+    server = Server("n1", "127.0.0.1", 1, "austin-hall", 2, 30)
+    context.connections = ServerConnections("navigator", server, count)
+    context.connections.idle.extend(FakeConnection() for _ in range(count))
+
+
+@when("each probe takes the connection that was idle for longest")
+def step_probe_oldest(context):
+    conns = context.connections
+    context.idle_order = list(conns.idle)
+    context.probed = []
+    for now in range(len(conns.idle)):
+        conn = conns.acquire_oldest_idle(float(now))
+        context.probed.append(conn)
+        conns.put(conn, float(now))
+
+
+@then("the connections were probed in the order in which they became idle")
+def step_probed(context):
+    assert context.probed == context.idle_order
--- a/src/alderhatch/entry/server_connections.py
+++ b/src/alderhatch/entry/server_connections.py
@@ -80,8 +80,7 @@
 
     def acquire_oldest_idle(self, now: Millis) -> HttpConnection | None:
         """Return the live connection that was idle for longest, or None."""
-        if self.idle:
-            self.idle.rotate(1)
+        self.idle.rotate(-1)
         return self.acquire_idle(now)
 
     def put(self, conn: HttpConnection, now: Millis) -> None:
