A test of the log says which of its checks failed

Seen: 'A host with a replaced disk does not vote under its old member ID' failed once in a whole check at a load average of 27 (1124 passed, 3 failed), with no word on which of its five checks.

--- a/features/steps/log_node_steps.py
+++ b/features/steps/log_node_steps.py
@@ -247,11 +247,11 @@
 
 @then("the log acknowledges no command until that other host is back")
 def step_no_acknowledgement(context):
-    assert context.blocked
-    assert context.leases == [False, False]
-    assert context.commit_indexes[0] == 0
+    assert context.blocked, "a command was acknowledged"
+    assert context.leases == [False, False], context.leases
+    assert context.commit_indexes[0] == 0, context.commit_indexes
     for name in ("control-2", "control-3"):
-        assert context.log_states[name] == context.acknowledged
+        assert context.log_states[name] == context.acknowledged, name
 
 
 async def _join_fourth(cluster):
