Organisations are read strictly, and callers identified before anything else

Cause: the stubs took a missing list for none, a text for a boolean, names that no header field can carry, the last of two keys, and identified callers at a standby host only after their request had been handed over with its key; a quota was refused as 503.

Change: configurations are refused by field and without a key in the message. CallerIdentity finds route, lease and organisation, at a standby host too; the key is read only where organisations are declared, and removed from the request once it is identified. 429 for a quota, 401 without Retry-After. A stored configuration that this build finds invalid no longer ends the process. effective_rank() gives the priority that counts.

--- a/features/steps/hand_over_steps.py
+++ b/features/steps/hand_over_steps.py
@@ -18,7 +18,7 @@
 from alderhatch.http.messages import HttpRequest, HttpResponse
 from alderhatch.http.server import ServeState
 from alderhatch.link import LinkClosedError, Peer, open_link, serve_links
-from alderhatch.node.caller_handler import CallerHandler
+from alderhatch.node.caller_identity import CallerIdentity
 from alderhatch.node.hand_over_client import HandOverClient
 from alderhatch.node.hand_over_link import SILENCE_TIMEOUT
 from alderhatch.node.hand_over_messages import (
@@ -30,6 +30,7 @@
 )
 from alderhatch.node.hand_over_server import HandOverServer
 from alderhatch.node.tier_messages import ServerNews, Standing
+from alderhatch.platform.dialect import PlatformDialect
 from features.steps.caller_hosts_steps import node_with_servers
 from features.steps.tier_size_steps import tier_after_script
 from features.support.tier_hosts import server_list
@@ -483,13 +484,13 @@
 
 @then('its callers are refused as "{kind}" until it has {version:d}')
 def step_refused_until(context, kind, version):
-    handler = CallerHandler(context.node_state, *[None] * 6, 1.0, None, None)
+    identity = CallerIdentity(context.node_state, PlatformDialect())
     req = SimpleNamespace(host="a", http=request())
     kinds = []
     for held in (version - 1, version):
         context.node_state.stored = StoredConfiguration(held, b"")
         try:
-            handler._route_of(req)
+            identity.route_of(req)
         except AlderhatchError as exc:
             kinds.append(exc.failure.kind)
     assert kinds == [kind, ErrorKind.NOT_FOUND], kinds
--- a/src/alderhatch/core/forwarding/identity.py
+++ b/src/alderhatch/core/forwarding/identity.py
@@ -1,4 +1,4 @@
-"""Decides which organisation a request belongs to."""
+"""Decides which organisation a request belongs to, and what follows for its priority."""
 
 from __future__ import annotations
 
@@ -26,3 +26,15 @@
         state = "missing" if key is None else "unknown"
         raise AlderhatchError(Failure(ErrorKind.UNAUTHORIZED, f"the caller's key is {state}"))
     return organisation
+
+
+def effective_rank(route: Route, organisation: Organisation | None) -> int:
+    """Return the priority of a request; 0 is the most urgent.
+
+    Args:
+        route: The route of the request.
+        organisation: The organisation of the request; None if there is none.
+    """
+    if organisation is None or organisation.rank is None:
+        return route.rank
+    return organisation.rank
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -117,6 +117,11 @@
         2070, logging.INFO, "An operator's configuration is stored on enough disks."
     )
     CONFIGURATION_ADOPTED = EventRow(1060, logging.INFO, "The node uses a newer configuration.")
+    CONFIGURATION_REFUSED = EventRow(
+        1100,
+        logging.ERROR,
+        "A stored configuration is invalid for this build; the node keeps the one that it has.",
+    )
     EVACUATION_ACCEPTED = EventRow(
         2074, logging.INFO, "An operator's evacuation directive is stored on enough disks."
     )
--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -12,7 +12,6 @@
 from ..core.forwarding.crash_counter import QUARANTINE_DURATION
 from ..core.forwarding.forward_run import ForwardRun
 from ..core.forwarding.gather_placement import faster_hosts
-from ..core.forwarding.identity import identify
 from ..core.forwarding.outcome import NotRun, Outcome
 from ..core.forwarding.response_lead_time import ResponseLeadTime
 from ..core.forwarding.route import AllShards, OneUpstream, Route, SplitUpstreams
@@ -20,6 +19,7 @@
 from ..core.forwarding.weighted_round_robin import WeightedRoundRobin
 from ..errors import AlderhatchError, ErrorKind, Failure, Resend
 from ..http.messages import HttpRequest, HttpResponse
+from .caller_identity import CallerIdentity
 from .dialect import CallerRequest, Dialect
 from .forward_runner import ForwardRunner
 from .hand_over_client import HandOverClient
@@ -34,14 +34,11 @@
 NEW_CONNECTION_ROUND_TRIPS = 2.0
 """One round trip opens the connection, another carries the request and its answer."""
 REUSED_CONNECTION_ROUND_TRIPS = 1.0
-NO_CONFIGURATION_RETRY_AFTER: Millis = 300.0
 STARTUP_WINDOW: Millis = 2500.0
 """How long after its start a node is expected to become ready. When all hosts start at once, the
 election, the leader's announcement and the first updates take some 1.5 s."""
 STARTUP_WAIT_FRACTION = 0.4
 """Fraction of its remaining time that a request may wait for startup; the rest is for its run."""
-VERSION_WAIT_TIMEOUT: Millis = 300.0
-"""How long a handed over request waits for a configuration version that its sender has seen."""
 ANSWERED = "answered"
 MAX_STARTUP_WAITERS = 200
 MIN_ZONE_HOSTS = 2
@@ -87,6 +84,7 @@
         self._log = log
         self._runner = runner
         self._dialect = dialect
+        self._identity = CallerIdentity(state, dialect)
         self._hand_over_client = hand_over_client
         self._gathers = gathers
         self._clock = LoopClock()
@@ -110,7 +108,11 @@
         arrived = self._clock.now()
         req = self._dialect.read_request(http)
         if self._state.hands_over:
-            route = self._state.routes.find(req.host, req.http.path)
+            route: Route | None
+            if self._state.organisations is None:
+                route = self._state.routes.find(req.host, req.http.path)
+            else:
+                req, route = await self._identify_before_hand_over(req)
             return await self._hand_over(req, arrived, self._faster_hosts(route))
         return await self._serve(req, arrived, may_hand_over=True)
 
@@ -132,22 +134,15 @@
         if self._state.hands_over:
             # Two standby hosts would hand the request back and forth.
             raise _error(ErrorKind.NOT_SERVING, "this host is a standby host as well")
-        await self._wait_for_version(version)
+        await self._identity.wait_for_version(version)
         return await self._serve(req, arrived, may_hand_over=False)
 
-    async def _wait_for_version(self, version: int) -> None:
-        """Wait for a configuration version that another host has already seen.
-
-        Raises:
-            AlderhatchError: If the version does not arrive within ``VERSION_WAIT_TIMEOUT``.
-        """
-        state = self._state
-        deadline = self._clock.now() + VERSION_WAIT_TIMEOUT
-        while state.stored.version < version:
-            if self._clock.now() >= deadline:
-                message = f"this host has not received configuration version {version} yet"
-                raise _error(ErrorKind.NO_CONFIGURATION, message, NO_CONFIGURATION_RETRY_AFTER)
-            await state.configured.wait_for(deadline - self._clock.now())
+    async def _identify_before_hand_over(self, req: CallerRequest) -> tuple[CallerRequest, Route]:
+        """Decide the organisation of a request at a standby host, so that no key travels."""
+        with self._refusal_recorded(req):
+            await self._identity.wait_for_version(self._state.seen_version)
+            route = self._identity.route_of(req)
+            return self._identity.identify(req, route), route
 
     def _faster_hosts(self, route: Route | None) -> list[HostRecord]:
         state = self._state
@@ -193,15 +188,11 @@
     async def _serve(
         self, req: CallerRequest, arrived: Millis, may_hand_over: bool
     ) -> HttpResponse:
-        try:
+        with self._refusal_recorded(req):
             await self._wait_for_start(req, arrived)
-            route = self._route_of(req)
-            req = self._identify(req, route)
+            route = self._identity.route_of(req)
+            req = self._identity.identify(req, route)
             self._check_quarantine(req)
-        except AlderhatchError as exc:
-            self._metrics.count_refused(exc.failure.kind)
-            self._log.log_refused(req, exc.failure.kind, exc.failure.message)
-            raise
         if may_hand_over:
             handed = await self._run_at_faster_host(req, route, arrived)
             if handed is not None:
@@ -219,6 +210,15 @@
                 self._quotas.give_back(req.organisation)
         return res
 
+    @contextmanager
+    def _refusal_recorded(self, req: CallerRequest) -> Iterator[None]:
+        try:
+            yield
+        except AlderhatchError as exc:
+            self._metrics.count_refused(exc.failure.kind)
+            self._log.log_refused(req, exc.failure.kind, exc.failure.message)
+            raise
+
     async def _run(
         self, req: CallerRequest, route: Route, times: RunTimes
     ) -> tuple[Outcome, HttpResponse]:
@@ -262,25 +262,6 @@
     def _lead_time(self, route: Route) -> ResponseLeadTime:
         return self._lead_times.setdefault(route.name, ResponseLeadTime())
 
-    def _route_of(self, req: CallerRequest) -> Route:
-        # A host that answered for this one may have a version that has not arrived here yet.
-        if self._state.stored.version == 0 or self._state.stored.version < self._state.seen_version:
-            message = "this host has not received the current configuration yet"
-            raise _error(ErrorKind.NO_CONFIGURATION, message, NO_CONFIGURATION_RETRY_AFTER)
-        route = self._state.routes.find(req.host, req.http.path)
-        if route is None:
-            message = f"no route for host {req.host!r} and path {req.http.path!r}"
-            raise AlderhatchError(Failure(ErrorKind.NOT_FOUND, message))
-        return route
-
-    def _identify(self, req: CallerRequest, route: Route) -> CallerRequest:
-        organisations = self._state.organisations
-        if organisations is None:
-            return req
-        if not route.public:
-            self._state.lease.check(self._clock.now())
-        return self._dialect.identified(req, identify(organisations, route, req.key))
-
     def _check_quarantine(self, req: CallerRequest) -> None:
         if self._state.is_quarantined(req.fingerprint):
             message = "this request crashed servers that ran it"
--- a/src/alderhatch/node/dialect.py
+++ b/src/alderhatch/node/dialect.py
@@ -38,8 +38,6 @@
     """How long the caller waits; None if it set no limit."""
     forwarded_fields: HeaderFields
     """Header fields that are forwarded to servers unchanged."""
-    key: str | None = None
-    """The key with which the caller identifies itself; None if it sent none."""
     organisation: Organisation | None = None
     """The organisation that the request belongs to, once that is decided."""
 
@@ -60,10 +58,14 @@
             AlderhatchError: If the request is invalid; names the field.
         """
 
+    def key(self, req: CallerRequest) -> str | None:
+        """Return the key with which the caller identifies itself; None if it sent none."""
+
     def identified(self, req: CallerRequest, organisation: Organisation | None) -> CallerRequest:
-        """Return the request as it is forwarded once its organisation is decided.
+        """Return the request once its organisation is decided, without the caller's own fields.
 
-        Servers learn the organisation from this host alone, and the key never reaches them.
+        Servers learn the organisation from this host alone, and the key reaches neither them nor
+        other hosts.
         """
 
     def server_fields(self, req: CallerRequest, server_id: str, time_left: Millis) -> HeaderFields:
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -27,6 +27,7 @@
 from ..core.forwarding.target_table import TargetTable
 from ..core.policy import Policy
 from ..entry.connection_pool import ConnectionPool
+from ..errors import AlderhatchError
 from ..log import log_event
 from ..log_events import LogEvent
 from ..signal import Signal
@@ -133,7 +134,19 @@
         """Use a configuration if it is newer than the current one."""
         if stored.version <= self.stored.version:
             return
-        configuration = self._decode(stored.document)
+        try:
+            configuration = self._decode(stored.document)
+        except AlderhatchError as exc:
+            # A host of an earlier build may have accepted what this one finds invalid. An error
+            # here would end the process, and again at each start from its checkpoint.
+            failure = exc.failure
+            log_event(
+                LogEvent.CONFIGURATION_REFUSED,
+                version=stored.version,
+                field=failure.field,
+                why=failure.message,
+            )
+            return
         self.stored = stored
         self.routes = RouteTable(configuration.routes)
         self.limits = configuration.limits
--- a/src/alderhatch/platform/configuration.py
+++ b/src/alderhatch/platform/configuration.py
@@ -28,6 +28,11 @@
 DEFAULT_TIMEOUT_MS = 30_000
 DEFAULT_PRIORITY = 1
 DEFAULT_CONNECTIONS = 16
+ORGANISATIONS = "tenants"
+KEYS = "api-keys"
+NOT_A_FIELD_VALUE = (
+    "expected printable Latin-1 text without spaces at its ends, as a header field carries it"
+)
 
 
 def decode_configuration(document: bytes) -> TierConfiguration:
@@ -49,11 +54,7 @@
     upstream_names = {settings.name for settings in upstreams}
     routes = tuple(_route(raw_route, upstream_names) for raw_route in root.objects("routes"))
     _check_unique_routes(routes)
-    organisations = None
-    if root.has("tenants"):
-        organisations = tuple(_organisation(tenant) for tenant in root.objects("tenants"))
-        _check_unique_keys(organisations)
-    return TierConfiguration(version, routes, upstreams, _limits(root), organisations)
+    return TierConfiguration(version, routes, upstreams, _limits(root), _organisations(root))
 
 
 class _JsonObject:
@@ -84,6 +85,12 @@
             raise _invalid(self.field_path(name), "expected a number of 0 or more")
         return value
 
+    def boolean(self, name: str, default: bool) -> bool:
+        value = self.raw.get(name, default)
+        if not isinstance(value, bool):
+            raise _invalid(self.field_path(name), "expected true or false")
+        return value
+
     def integer(self, name: str, default: int | None = None) -> int:
         value = self.number(name, default)
         if value != int(value):
@@ -120,7 +127,7 @@
         timeout=float(timeout),
         target_latency=float(obj.number("target-latency-ms", timeout)),
         rank=obj.integer("priority", DEFAULT_PRIORITY),
-        public=obj.raw.get("public") is True,
+        public=obj.boolean("public", False),
     )
     for upstream in route.upstreams:
         if upstream not in upstream_names:
@@ -157,20 +164,45 @@
     return UpstreamSettings(obj.string("name"), connections, cold_duration, cold_rate)
 
 
+def _organisations(root: _JsonObject) -> tuple[Organisation, ...] | None:
+    # A null is invalid here: taken for a missing list, it would let callers without a key in.
+    if ORGANISATIONS not in root.raw:
+        return None
+    objects = root.objects(ORGANISATIONS)
+    organisations = tuple(_organisation(obj) for obj in objects)
+    _check_unique_names(objects, organisations)
+    _check_unique_keys(objects, organisations)
+    return organisations
+
+
 def _organisation(obj: _JsonObject) -> Organisation:
-    rank = obj.integer("priority") if obj.has("priority") else None
-    keys = obj.strings("api-keys")
-    if not all(keys):
-        raise _invalid(obj.field_path("api-keys"), "expected non-empty strings")
+    name = obj.string("name")
+    if not _fits_header_field(name):
+        raise _invalid(obj.field_path("name"), NOT_A_FIELD_VALUE)
     return Organisation(
-        obj.string("name"),
-        keys,
-        rank,
+        name,
+        _keys(obj),
+        obj.integer("priority") if obj.has("priority") else None,
         float(obj.number("rate-per-s", 0.0)),
         float(obj.number("burst-size", 0.0)),
     )
 
 
+def _keys(obj: _JsonObject) -> tuple[str, ...]:
+    """Return the distinct keys of an organisation; a key that is listed twice counts once."""
+    keys = obj.strings(KEYS)
+    for index, key in enumerate(keys):
+        # No message contains a key: messages end up in logs and with other operators.
+        if not key or not _fits_header_field(key):
+            raise _invalid(f"{obj.field_path(KEYS)}.{index}", NOT_A_FIELD_VALUE)
+    return tuple(dict.fromkeys(keys))
+
+
+def _fits_header_field(text: str) -> bool:
+    """Return whether a header field can carry a text unchanged."""
+    return text.isprintable() and text == text.strip() and all(ord(one) < 256 for one in text)
+
+
 def _limits(root: _JsonObject) -> CallerLimits:
     if not root.has("limits"):
         return CallerLimits()
@@ -192,18 +224,25 @@
             raise _invalid(f"routes.{index}.path-prefix", message)
 
 
-def _check_unique_keys(organisations: tuple[Organisation, ...]) -> None:
-    names: set[str] = set()
-    keys: set[str] = set()
-    for index, organisation in enumerate(organisations):
-        if organisation.name in names:
+def _check_unique_names(
+    objects: list[_JsonObject], organisations: tuple[Organisation, ...]
+) -> None:
+    known: set[str] = set()
+    for obj, organisation in zip(objects, organisations, strict=True):
+        if organisation.name in known:
             message = f"another organisation also has the name {organisation.name!r}"
-            raise _invalid(f"tenants.{index}.name", message)
-        names.add(organisation.name)
-        # The message must not contain the key: it ends up in logs and with whoever sent the other.
-        if not keys.isdisjoint(organisation.keys):
-            raise _invalid(f"tenants.{index}.api-keys", "another organisation also has the key")
-        keys.update(organisation.keys)
+            raise _invalid(obj.field_path("name"), message)
+        known.add(organisation.name)
+
+
+def _check_unique_keys(objects: list[_JsonObject], organisations: tuple[Organisation, ...]) -> None:
+    owners: dict[str, str] = {}
+    for obj, organisation in zip(objects, organisations, strict=True):
+        for key in organisation.keys:
+            if key in owners:
+                message = f"organisation {owners[key]!r} also has one of these keys"
+                raise _invalid(obj.field_path(KEYS), message)
+            owners[key] = organisation.name
 
 
 def _invalid(field: str, message: str) -> AlderhatchError:
--- a/src/alderhatch/platform/dialect.py
+++ b/src/alderhatch/platform/dialect.py
@@ -40,16 +40,28 @@
                 Failure(ErrorKind.BAD_REQUEST, message, "Time-Budget-Ms")
             ) from exc
         host = req.headers.get("host", "").lower().partition(":")[0]
-        key = req.headers.get(wire.KEY.decode("ascii"))
-        fields = _forwarded_fields(req.fields)
-        return CallerRequest(req, host, request_id, time_left, fields, key)
+        return CallerRequest(req, host, request_id, time_left, _forwarded_fields(req.fields))
+
+    def key(self, req: CallerRequest) -> str | None:
+        """Return the key of the caller; a key that is sent twice is read as a list of both."""
+        keys = [value for name, value in req.http.fields if name == wire.KEY]
+        return b", ".join(keys).decode("latin-1") if keys else None
 
     def identified(self, req: CallerRequest, organisation: Organisation | None) -> CallerRequest:
         """Return the request with the node's own field for its organisation, without the key."""
-        fields = [one for one in req.forwarded_fields if one[0] not in wire.IDENTITY_FIELDS]
+        http = req.http
+        http = http._replace(
+            fields=_without_identity(http.fields),
+            headers={
+                name: value
+                for name, value in http.headers.items()
+                if name.encode("latin-1") not in wire.IDENTITY_FIELDS
+            },
+        )
+        fields = _without_identity(req.forwarded_fields)
         if organisation is not None:
-            fields.append((wire.ORGANISATION, organisation.name.encode("utf-8")))
-        return req._replace(forwarded_fields=fields, organisation=organisation)
+            fields.append((wire.ORGANISATION, organisation.name.encode("latin-1")))
+        return req._replace(http=http, forwarded_fields=fields, organisation=organisation)
 
     def server_fields(self, req: CallerRequest, server_id: str, time_left: Millis) -> HeaderFields:
         """Return the header fields of the request to a server."""
@@ -140,6 +152,10 @@
     ]
 
 
+def _without_identity(fields: HeaderFields) -> list[tuple[bytes, bytes]]:
+    return [field for field in fields if field[0] not in wire.IDENTITY_FIELDS]
+
+
 def _merged_response(
     destination: AllShards, bundles: Sequence[PartsBundle], missing: int
 ) -> HttpResponse:
--- a/src/alderhatch/platform/edge.py
+++ b/src/alderhatch/platform/edge.py
@@ -37,13 +37,7 @@
         try:
             return await self._node.callers.handle(req)
         except AlderhatchError as exc:
-            failure = exc.failure
-            # A quarantined request is answered with 503. The platform would interpret a 422 as the
-            # denial of a request that its configuration allows.
-            is_quarantined = failure.kind is ErrorKind.QUARANTINED
-            if is_quarantined or failure.answer.status in (429, 503):
-                return refusal_response(503, failure.kind, failure.retry_after_ms or RETRY_AFTER_MS)
-            return failure_response(failure)
+            return caller_failure_response(exc.failure)
 
     async def handle_addresses(self, req: HttpRequest) -> HttpResponse:
         """Return the addresses that a caller should send requests to."""
@@ -120,5 +114,17 @@
         return refusal_response(503, exc.failure.kind, RETRY_AFTER_MS)
 
 
+def caller_failure_response(failure: Failure) -> HttpResponse:
+    """Return the response to a caller's request that failed before it ran."""
+    status = failure.answer.status
+    if failure.kind is ErrorKind.QUARANTINED:
+        # The platform would interpret a 422 as the denial of a request that its configuration
+        # allows.
+        status = 503
+    if status in (429, 503):
+        return refusal_response(status, failure.kind, failure.retry_after_ms or RETRY_AFTER_MS)
+    return failure_response(failure)
+
+
 def _not_found(req: HttpRequest) -> HttpResponse:
     return failure_response(Failure(ErrorKind.NOT_FOUND, f"no resource at {req.method} {req.path}"))
