Hand-overs and shares of gathers carry the decided identity, and it is checked again

Cause: a request that was handed over, or a share of a gather, carried its caller's key and its own organisation field to the other host, which identified nobody (shares) or anew. A key that was taken away ran on as long as any host was behind, and in requests that waited for their turn; a request whose turn was refused or whose caller left while it waited kept its token.

Change: IdentifiedRequest and IdentifiedPartsRequest, sent only where organisations are declared, carry organisation, digest of the key and configuration version instead of the key. The host that asks servers waits for that version and confirms the organisation and its lease; the first host does so again before it repeats a share, every host after a turn. A share refused as unauthorized is not repeated and its host not avoided. Invalid decisions are refused by field and logged. Tokens are given back whenever the run has not begun.

--- a/features/steps/hand_over_steps.py
+++ b/features/steps/hand_over_steps.py
@@ -170,6 +170,7 @@
 
     def __init__(self):
         self.requests = []
+        self.identities = []
         self.times_left = []
         self.cancelled = trio.Event()
         self.request_started = trio.Event()
@@ -179,10 +180,11 @@
         self.links = []
         self.is_silent = False
 
-    async def answer(self, http, time_left, version):
+    async def answer(self, http, time_left, version, identity):
         if version > VERSION:
             raise AlderhatchError(Failure(ErrorKind.NO_CONFIGURATION, "not yet"))
         self.requests.append(http)
+        self.identities.append(identity)
         self.times_left.append(time_left)
         self.request_started.set()
         try:
--- a/features/steps/host_capacity_steps.py
+++ b/features/steps/host_capacity_steps.py
@@ -112,8 +112,9 @@
     def __init__(self):
         self.failure = None
 
-    async def hand_over(self, http, time_left, hosts):
+    async def hand_over(self, http, time_left, hosts, identity):
         assert [host.name for host in hosts] == ["fast"], hosts
+        assert identity is None, identity
         if self.failure is not None:
             raise AlderhatchError(Failure(self.failure, "test"))
         return HandedResponse("fast", THEIR_ANSWER)
@@ -180,7 +181,7 @@
 @when("another host has handed the gather over to it")
 def step_handed_to_it(context):
     handler = context.handler
-    record_end(context, lambda: handler.handle_handed_over(gather_request(), 900.0, VERSION))
+    record_end(context, lambda: handler.handle_handed_over(gather_request(), 900.0, VERSION, None))
 
 
 @then('its caller gets "{outcome}", and the slow host has run it {times:d} times')
--- a/features/steps/organisations_steps.py
+++ b/features/steps/organisations_steps.py
@@ -118,7 +118,7 @@
 
 @then("only the route that says so is public")
 def step_public(context):
-    assert [route.public for route in context.cfg.routes] == [False, True]
+    assert [route.name for route in context.cfg.routes if route.public] == ["public"]
 
 
 @then("an empty list of organisations is not the same as none")
--- a/features/support/identified_hosts.py
+++ b/features/support/identified_hosts.py
@@ -10,7 +10,7 @@
 import trio
 from trio.testing import MockClock
 
-from alderhatch.clock import ManualClock
+from alderhatch.clock import SECOND, ManualClock
 from alderhatch.core.control.configuration_register import pack_configuration
 from alderhatch.core.forwarding.outcome import FailureReason, NotRun
 from alderhatch.entry.connection_pool import ConnectionPool
@@ -27,6 +27,7 @@
 from features.support.forward_model import BUDGET_LIMITS
 
 HOST = "fleet.example"
+SHARDS = [f"shard-{number}" for number in range(6)]
 ORGANISATIONS = [
     {"name": "north", "api-keys": ["north-key", "north-second"], "priority": 0},
     {"name": "south", "api-keys": ["south-key", "clé"]},
@@ -34,13 +35,21 @@
 
 
 def document(version, organisations, **root):
-    """Return a configuration with a public and a private route; None for no organisations."""
+    """Return a configuration with three routes, of which one is public.
+
+    Args:
+        version: Its version.
+        organisations: The organisations; None to declare none.
+        **root: Fields that are changed at the top level.
+    """
     route = {"host": HOST, "service": "kitchen", "timeout-ms": 2000, "max-attempts": 2}
     routes = [
         route | {"name": "private", "path-prefix": "/private/", "priority": 2},
         route | {"name": "public", "path-prefix": "/public/", "public": True},
+        route | {"name": "gather", "path-prefix": "/gather/", "gather": SHARDS, "top-k": 4},
     ]
-    cfg = {"version": version, "routes": routes, "services": [{"name": "kitchen"}]}
+    services = [{"name": name} for name in ("kitchen", *SHARDS)]
+    cfg = {"version": version, "routes": routes, "services": services}
     if organisations is not None:
         cfg["tenants"] = organisations
     return orjson.dumps(cfg | root)
@@ -65,6 +74,20 @@
         return NotRun(FailureReason.NO_SERVER, 250.0)
 
 
+class RecordedCollector:
+    """Records the header fields and the shards of shares of gathers; no part ever arrives."""
+
+    def __init__(self, duration=0.0):
+        self.duration = duration
+        self.sent = []
+        self.shards = []
+
+    async def collect(self, req, run, report_times, on_parts):
+        self.sent.append(PlatformDialect().server_fields(req, "i-1", 1000.0))
+        self.shards.append(tuple(run.shards))
+        await trio.sleep(self.duration / SECOND)
+
+
 class RecordedHandOvers:
     """Records the requests that are handed over to other hosts."""
 
@@ -76,6 +99,16 @@
         return HandedResponse("other", HttpResponse(200, b"their answer"))
 
 
+class RecordedQuotas(QuotaGate):
+    """Admits all requests, and counts the tokens that are given back."""
+
+    def __init__(self):
+        self.given_back = 0
+
+    def give_back(self, organisation):
+        self.given_back += 1
+
+
 class FixedLease:
     """A lease that is valid or has run out."""
 
@@ -101,6 +134,8 @@
         self.state.lease = FixedLease()
         self.servers = RecordedServers()
         self.hand_overs = RecordedHandOvers()
+        self.quotas = RecordedQuotas()
+        self.turns = ServiceTurns()
         self.log = Mock()
         self.metrics = Mock()
         self.handler = CallerHandler(
@@ -112,8 +147,8 @@
             self.hand_overs,
             SimpleNamespace(create=lambda req, route, times: None),
             1.0,
-            QuotaGate(),
-            ServiceTurns(),
+            self.quotas,
+            self.turns,
         )
 
     def configure(self, version, organisations, **root):
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -122,6 +122,11 @@
         logging.ERROR,
         "A stored configuration is invalid for this build; the node keeps the one that it has.",
     )
+    IDENTITY_REFUSED = EventRow(
+        1101,
+        logging.WARNING,
+        "A request was refused as its key is missing, unknown or no longer valid; see why.",
+    )
     EVACUATION_ACCEPTED = EventRow(
         2074, logging.INFO, "An operator's evacuation directive is stored on enough disks."
     )
--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -12,6 +12,7 @@
 from ..core.forwarding.crash_counter import QUARANTINE_DURATION
 from ..core.forwarding.forward_run import ForwardRun
 from ..core.forwarding.gather_placement import faster_hosts
+from ..core.forwarding.identity import Identity
 from ..core.forwarding.outcome import NotRun, Outcome
 from ..core.forwarding.response_lead_time import ResponseLeadTime
 from ..core.forwarding.route import AllShards, OneUpstream, Route, SplitUpstreams
@@ -19,7 +20,7 @@
 from ..core.forwarding.weighted_round_robin import WeightedRoundRobin
 from ..errors import AlderhatchError, ErrorKind, Failure, Resend
 from ..http.messages import HttpRequest, HttpResponse
-from .caller_identity import CallerIdentity
+from .caller_identity import CallerIdentity, check_still_identified
 from .dialect import CallerRequest, Dialect
 from .forward_runner import ForwardRunner
 from .hand_over_client import HandOverClient
@@ -117,7 +118,7 @@
         return await self._serve(req, arrived, may_hand_over=True)
 
     async def handle_handed_over(
-        self, http: HttpRequest, time_left: Millis | None, version: int
+        self, http: HttpRequest, time_left: Millis | None, version: int, identity: Identity | None
     ) -> HttpResponse:
         """Answer a request that another host has handed over.
 
@@ -125,16 +126,18 @@
             http: The request as that host received it.
             time_left: How long the caller still waits; None if it set no limit.
             version: The oldest configuration version that may serve the request.
+            identity: What that host has decided about the caller; None if it has decided nothing.
 
         Raises:
             AlderhatchError: If the request is refused before it runs.
         """
         arrived = self._clock.now()
-        req = self._dialect.read_request(http)._replace(time_left=time_left)
+        req = self._dialect.read_request(http)._replace(time_left=time_left, identity=identity)
         if self._state.hands_over:
             # Two standby hosts would hand the request back and forth.
             raise _error(ErrorKind.NOT_SERVING, "this host is a standby host as well")
-        await self._identity.wait_for_version(version)
+        oldest = version if identity is None else max(version, identity.version)
+        await self._identity.wait_for_version(oldest)
         return await self._serve(req, arrived, may_hand_over=False)
 
     async def _identify_before_hand_over(self, req: CallerRequest) -> tuple[CallerRequest, Route]:
@@ -173,7 +176,9 @@
         if time_left is not None:
             time_left -= self._clock.now() - arrived
         try:
-            handed = await self._hand_over_client.hand_over(req.http, time_left, hosts)
+            handed = await self._hand_over_client.hand_over(
+                req.http, time_left, hosts, req.identity
+            )
         except AlderhatchError as exc:
             kind = exc.failure.kind
             if kind is ErrorKind.NOT_SERVING and self._state.hands_over:
@@ -197,16 +202,24 @@
             handed = await self._run_at_faster_host(req, route, arrived)
             if handed is not None:
                 return handed
-        times = self._run_times(route, req, arrived)
+        with self._refusal_recorded(req):
+            return await self._admit_and_run(req, route, self._run_times(route, req, arrived))
+
+    async def _admit_and_run(
+        self, req: CallerRequest, route: Route, times: RunTimes
+    ) -> HttpResponse:
         if req.organisation is not None:
             await self._quotas.admit(req.organisation, times.deadline)
-        outcome: Outcome | None = None
+        may_have_run = False
         try:
             async with self._turns.turn(route, req.organisation, times):
+                # The key may have been taken away while the request waited.
+                check_still_identified(self._state, req, route, self._clock.now())
+                may_have_run = True
                 outcome, res = await self._run(req, route, times)
+                may_have_run = not isinstance(outcome, NotRun)
         finally:
-            # Without an outcome the caller has left, and servers may have run the request.
-            if isinstance(outcome, NotRun) and req.organisation is not None:
+            if req.organisation is not None and not may_have_run:
                 self._quotas.give_back(req.organisation)
         return res
 
--- a/src/alderhatch/node/caller_identity.py
+++ b/src/alderhatch/node/caller_identity.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from ..clock import LoopClock, Millis
-from ..core.forwarding.identity import identify
+from ..core.forwarding.identity import Identity, confirm, identify
+from ..core.forwarding.organisation import Organisation, OrganisationTable
 from ..core.forwarding.route import Route
 from ..errors import AlderhatchError, ErrorKind, Failure
 from .dialect import CallerRequest, Dialect
@@ -48,17 +49,32 @@
     def identify(self, req: CallerRequest, route: Route) -> CallerRequest:
         """Return a request with its organisation, where the configuration declares organisations.
 
+        A decision of another host that came with the request is checked; else the key decides.
+
         Raises:
             AlderhatchError: With kind ``unauthorized`` if the caller's key is missing or unknown,
                 or ``lease_expired`` if this host may no longer serve keys.
         """
         state = self._state
         if state.organisations is None:
-            return req
+            return req._replace(identity=None)
         if not route.public:
             state.lease.check(self._clock.now())
-        organisation = identify(state.organisations, route, self._dialect.key(req))
-        return self._dialect.identified(req, organisation)
+        organisation, digest = self._decide(state.organisations, req, route)
+        name = organisation.name if organisation is not None else None
+        identity = Identity(name, digest, state.stored.version)
+        return self._dialect.identified(req, organisation)._replace(identity=identity)
+
+    def _decide(
+        self, organisations: OrganisationTable, req: CallerRequest, route: Route
+    ) -> tuple[Organisation | None, bytes | None]:
+        """Return the organisation of a request and the digest of the key that shows it."""
+        if req.identity is not None:
+            organisation = confirm(organisations, route, req.identity)
+            return organisation, req.identity.key_digest if organisation is not None else None
+        key = self._dialect.key(req)
+        organisation = identify(organisations, route, key)
+        return organisation, organisations.digest(key) if key is not None else None
 
     async def wait_for_version(self, version: int) -> None:
         """Wait for a configuration version that another host has already used.
@@ -75,6 +91,23 @@
             await state.configured.wait_for(deadline - self._clock.now())
 
 
+def check_still_identified(state: NodeState, req: CallerRequest, route: Route, now: Millis) -> None:
+    """Check that a request which is already in progress may be sent to further servers.
+
+    Raises:
+        AlderhatchError: With kind ``unauthorized`` if its organisation no longer holds the key, or
+            ``lease_expired`` if this host may no longer serve keys.
+    """
+    if state.organisations is None or req.identity is None:
+        return
+    if not route.public:
+        state.lease.check(now)
+    organisation = confirm(state.organisations, route, req.identity)
+    if (organisation.name if organisation is not None else None) != req.identity.organisation:
+        message = f"organisation {req.identity.organisation!r} no longer holds the caller's key"
+        raise AlderhatchError(Failure(ErrorKind.UNAUTHORIZED, message))
+
+
 def _no_configuration(message: str) -> AlderhatchError:
     kind = ErrorKind.NO_CONFIGURATION
     return AlderhatchError(Failure(kind, message, None, NO_CONFIGURATION_RETRY_AFTER))
--- a/src/alderhatch/node/dialect.py
+++ b/src/alderhatch/node/dialect.py
@@ -8,6 +8,7 @@
 from ..clock import Millis
 from ..core.crash_detector import fingerprint_of_parts
 from ..core.entry_events import AttemptFault, LoadReport
+from ..core.forwarding.identity import Identity
 from ..core.forwarding.organisation import Organisation
 from ..core.forwarding.outcome import Outcome
 from ..core.forwarding.parts_bundle import PartsBundle
@@ -40,6 +41,8 @@
     """Header fields that are forwarded to servers unchanged."""
     organisation: Organisation | None = None
     """The organisation that the request belongs to, once that is decided."""
+    identity: Identity | None = None
+    """What was decided about its caller; None where the configuration declares no organisations."""
 
     @property
     def fingerprint(self) -> str:
--- a/src/alderhatch/node/gather_messages.py
+++ b/src/alderhatch/node/gather_messages.py
@@ -10,7 +10,7 @@
 from ..core.forwarding.parts_bundle import PartsBundle
 from ..core.forwarding.top_k import RECORD_BYTES
 from ..errors import AlderhatchError, ErrorKind, Failure
-from .hand_over_messages import Field, HandedAnswer, HandedRefusal, HandedRequest
+from .hand_over_messages import Field, HandedAnswer, HandedRefusal
 
 
 class PartsRequest(NamedTuple):
@@ -49,8 +49,6 @@
 
 
 GATHER_MESSAGE_TYPES: tuple[type[Any], ...] = (PartsRequest, PartsNews, PartsEnd)
-Request: TypeAlias = HandedRequest | PartsRequest
-"""A request from one host to another."""
 Reply: TypeAlias = HandedAnswer | HandedRefusal | PartsEnd
 """The final message for a request."""
 
--- a/src/alderhatch/node/gather_server.py
+++ b/src/alderhatch/node/gather_server.py
@@ -6,13 +6,14 @@
 
 from ..clock import LoopClock, Millis
 from ..core.forwarding.forward_run import ForwardRun
+from ..core.forwarding.identity import Identity
 from ..core.forwarding.parts_bundle import PartsBundle
-from ..core.forwarding.route import AllShards
+from ..core.forwarding.route import AllShards, Route
 from ..core.forwarding.run_limits import RunTimes, ShareRules
 from ..core.forwarding.split_run import FIRST_REPORT_FRACTION, HOP_LATENCY
 from ..errors import AlderhatchError, ErrorKind, Failure
-from ..http.messages import HttpRequest
-from .dialect import Dialect
+from .caller_identity import CallerIdentity
+from .dialect import CallerRequest, Dialect
 from .gather_messages import PartsEnd, PartsNews, PartsRequest, check_parts_request
 from .hand_over_messages import to_http
 from .node_metrics import NodeMetrics
@@ -48,13 +49,17 @@
         self._dialect = dialect
         self._metrics = metrics
         self._log = log
+        self._identity = CallerIdentity(state, dialect)
         self._clock = LoopClock()
 
-    async def answer(self, parts_req: PartsRequest, send_parts: SendParts) -> PartsEnd:
+    async def answer(
+        self, parts_req: PartsRequest, identity: Identity | None, send_parts: SendParts
+    ) -> PartsEnd:
         """Query the shards of a share and send the parts as they arrive.
 
         Args:
             parts_req: The other host's request.
+            identity: What that host has decided about the caller; None if it has decided nothing.
             send_parts: Sends a message with parts to that host.
 
         Raises:
@@ -62,8 +67,14 @@
         """
         arrived = self._clock.now()
         http = to_http(parts_req.method, parts_req.target, parts_req.fields, parts_req.body)
-        run = self._create_run(parts_req, http, arrived)
-        req = self._dialect.read_request(http)._replace(time_left=parts_req.time_left)
+        req = self._dialect.read_request(http)
+        req = req._replace(time_left=parts_req.time_left, identity=identity)
+        if identity is not None:
+            await self._identity.wait_for_version(identity.version)
+        route, shards = self._gather_of(req)
+        check_parts_request(parts_req, shards)
+        req = self._identity.identify(req, route)
+        run = self._create_run(parts_req, route, arrived)
         positions = {shard: position for position, shard in enumerate(parts_req.shards)}
 
         def on_parts(bundle: PartsBundle) -> None:
@@ -84,18 +95,18 @@
             self._log.log_share_end(req, run, self._request_end(run, arrived))
         return PartsEnd(parts_req.number)
 
-    def _create_run(
-        self, parts_req: PartsRequest, http: HttpRequest, arrived: Millis
-    ) -> ForwardRun:
+    def _gather_of(self, req: CallerRequest) -> tuple[Route, tuple[str, ...]]:
+        """Return the route of a gather, and the shards that it has at this host."""
         if self._state.hands_over:
             message = "this host is a standby host and queries no servers"
             raise AlderhatchError(Failure(ErrorKind.NOT_SERVING, message))
-        req = self._dialect.read_request(http)
-        route = self._state.routes.find(req.host, http.path)
+        route = self._state.routes.find(req.host, req.http.path)
         if route is None or not isinstance(route.destination, AllShards):
-            message = f"target: no gather route for host {req.host!r} and path {http.path!r}"
+            message = f"target: no gather route for host {req.host!r} and path {req.http.path!r}"
             raise AlderhatchError(Failure(ErrorKind.NO_CONFIGURATION, message, "target"))
-        check_parts_request(parts_req, route.destination.shards)
+        return route, route.destination.shards
+
+    def _create_run(self, parts_req: PartsRequest, route: Route, arrived: Millis) -> ForwardRun:
         servers = agreed_servers(self._state, route, parts_req.shards, self._state.zone)
         rules = ShareRules(servers, False, arrived + parts_req.due_in - HOP_LATENCY)
         deadline = arrived + min(parts_req.time_left, route.timeout)
--- a/src/alderhatch/node/hand_over_client.py
+++ b/src/alderhatch/node/hand_over_client.py
@@ -13,6 +13,7 @@
 from ..codec import Codec
 from ..core.forwarding.caller_hosts import HostRecord
 from ..core.forwarding.hand_over import AVOID_DURATION, HandOverRun, HandOverTargets
+from ..core.forwarding.identity import Identity
 from ..errors import AlderhatchError, ErrorKind, Failure
 from ..http.messages import HttpRequest, HttpResponse
 from ..loop_tasks import LoopTasks
@@ -26,6 +27,7 @@
     fits_hand_over,
     to_fields,
 )
+from .identity_messages import with_identity
 from .node_state import NodeState
 
 OWNER_LINK_INTERVAL: Millis = 500.0
@@ -96,7 +98,11 @@
         self._targets.avoid(name, now, duration)
 
     async def request_parts(
-        self, host: HostRecord, req: PartsRequest, on_parts: PartsNewsHandler
+        self,
+        host: HostRecord,
+        req: PartsRequest,
+        on_parts: PartsNewsHandler,
+        identity: Identity | None = None,
     ) -> PartsEnd:
         """Have another host query its share of a gather.
 
@@ -104,13 +110,14 @@
             host: The other host.
             req: The request for the share.
             on_parts: Handles parts as they arrive; raises ``ValueError`` for an invalid message.
+            identity: What was decided about the caller; None without organisations.
 
         Raises:
             HandOverLostError: If the link to the host is lost or cannot be opened.
             ValueError: If a message of the host is invalid.
             AlderhatchError: If the host refused the request.
         """
-        reply = await self._link_to(host).call(req, on_parts)
+        reply = await self._link_to(host).call(with_identity(req, identity), on_parts)
         match reply:
             case PartsEnd():
                 return reply
@@ -124,6 +131,7 @@
         http: HttpRequest,
         time_left: Millis | None,
         hosts: Sequence[HostRecord] = (),
+        identity: Identity | None = None,
     ) -> HandedResponse:
         """Have another host answer a request.
 
@@ -131,6 +139,7 @@
             http: The request.
             time_left: How long its caller waits; None if it set no limit.
             hosts: The hosts that may answer it; empty for all active hosts.
+            identity: What was decided about the caller; None without organisations.
 
         Raises:
             AlderhatchError: If no host answers the request; the kind says whether it may have run.
@@ -144,7 +153,8 @@
             now = self._clock.now()
             host = run.next_host(now)
             try:
-                reply = await self._link_to(host).call(self._to_message(http, deadline - now))
+                req = with_identity(self._to_message(http, deadline - now), identity)
+                reply = await self._link_to(host).call(req)
             except HandOverLostError as exc:
                 run.handle_loss(host, exc.was_sent, self._clock.now())
                 continue
--- a/src/alderhatch/node/hand_over_link.py
+++ b/src/alderhatch/node/hand_over_link.py
@@ -13,7 +13,7 @@
 from ..link import Link, LinkClosedError, Peer, open_link
 from ..log import log_event
 from ..log_events import LogEvent
-from .gather_messages import PartsEnd, PartsNews, Reply, Request
+from .gather_messages import PartsEnd, PartsNews, Reply
 from .hand_over_messages import (
     HAND_OVER_ROLE,
     MAX_IN_FLIGHT,
@@ -22,6 +22,7 @@
     HandedCancel,
     HandedRefusal,
 )
+from .identity_messages import Request
 
 PartsNewsHandler: TypeAlias = Callable[[PartsNews], None]
 OPEN_TIMEOUT: Millis = 500.0
--- a/src/alderhatch/node/hand_over_server.py
+++ b/src/alderhatch/node/hand_over_server.py
@@ -8,13 +8,14 @@
 import trio
 
 from ..clock import SECOND, Millis
+from ..core.forwarding.identity import Identity
 from ..errors import AlderhatchError, ErrorKind, Failure
 from ..http.messages import HttpRequest, HttpResponse
 from ..http.server import ServeState
 from ..link import Link, LinkClosedError
 from ..log import log_event
 from ..log_events import LogEvent
-from .gather_messages import PartsEnd, PartsNews, PartsRequest, Reply, Request
+from .gather_messages import PartsEnd, PartsNews, PartsRequest, Reply
 from .hand_over_messages import (
     ALIVE_INTERVAL,
     MAX_HANDED_BYTES,
@@ -27,13 +28,18 @@
     to_fields,
     to_http,
 )
+from .identity_messages import PlainRequest, Request, check_identity, split_identity
 
-RequestAnswerer: TypeAlias = Callable[[HttpRequest, Millis | None, int], Awaitable[HttpResponse]]
-"""Takes a request, how long its caller waits, and the oldest version that may serve it."""
+RequestAnswerer: TypeAlias = Callable[
+    [HttpRequest, Millis | None, int, Identity | None], Awaitable[HttpResponse]
+]
+"""Takes a request, how long its caller waits, the oldest version that may serve it, and what the
+other host has decided about its caller."""
 PartsAnswerer: TypeAlias = Callable[
-    [PartsRequest, Callable[[PartsNews], None]], Awaitable[PartsEnd]
+    [PartsRequest, Identity | None, Callable[[PartsNews], None]], Awaitable[PartsEnd]
 ]
-"""Takes a request for parts and the function that sends parts as they arrive."""
+"""Takes a request for parts, what the other host has decided about its caller, and the function
+that sends parts as they arrive."""
 
 
 class HandOverServer:
@@ -62,13 +68,14 @@
         """Answer one host until its link closes, then cancel its requests in progress."""
         await _Session(link, self).run()
 
-    async def answer(self, req: Request, send_parts: Callable[[PartsNews], None]) -> Reply:
+    async def answer(self, message: Request, send_parts: Callable[[PartsNews], None]) -> Reply:
         """Answer a handed over request, or query a share and send its parts."""
+        req, identity = split_identity(message)
         self._serve_state.exchanges += 1
         try:
             if isinstance(req, PartsRequest):
-                return await self._answer_parts(req, send_parts)
-            return await self._answer_handed(req)
+                return await self._answer_parts(req, identity, send_parts)
+            return await self._answer_handed(req, identity)
         except AlderhatchError as exc:
             return _refusal(req, exc.failure)
         except Exception as exc:
@@ -77,10 +84,10 @@
         finally:
             self._serve_state.exchanges -= 1
 
-    async def _answer_handed(self, req: HandedRequest) -> Reply:
+    async def _answer_handed(self, req: HandedRequest, identity: Identity | None) -> Reply:
         http = to_http(req.method, req.target, req.fields, req.body)
         http = http._replace(on_used_connection=req.on_used_connection, round_trip=req.round_trip)
-        res = await self._answer(http, req.time_left, req.version)
+        res = await self._answer(http, req.time_left, req.version, identity)
         if len(res.body) > MAX_HANDED_BYTES:
             message = f"the response body exceeds {MAX_HANDED_BYTES} bytes"
             return _refusal(req, Failure(ErrorKind.UPSTREAM_FAILED, message))
@@ -90,16 +97,32 @@
             req.number, res.status, res.content_type, fields, res.body, self._version()
         )
 
-    def refuse(self, req: Request, in_flight: int) -> HandedRefusal | None:
-        """Return the refusal of a request, or None if it may start."""
+    def refuse(self, message: Request, in_flight: int, peer: str) -> HandedRefusal | None:
+        """Return the refusal of a request, or None if it may start.
+
+        Args:
+            message: The request.
+            in_flight: How many requests of the same link are in progress.
+            peer: The name of the host that sent it.
+        """
+        req, identity = split_identity(message)
         if self._serve_state.refusing:
             return _refusal(req, Failure(ErrorKind.STOPPING, "this host is stopping"))
         if in_flight >= MAX_IN_FLIGHT:
-            message = f"{in_flight} requests are already in progress on this link"
-            return _refusal(req, Failure(ErrorKind.OVERLOADED, message))
+            why = f"{in_flight} requests are already in progress on this link"
+            return _refusal(req, Failure(ErrorKind.OVERLOADED, why))
         if req.time_left is not None and req.time_left <= 0:
-            message = "time_left: must be greater than 0"
-            return _refusal(req, Failure(ErrorKind.DEADLINE_TOO_SHORT, message, "time_left"))
+            why = "time_left: must be greater than 0"
+            return _refusal(req, Failure(ErrorKind.DEADLINE_TOO_SHORT, why, "time_left"))
+        try:
+            if identity is not None:
+                check_identity(identity)
+        except AlderhatchError as exc:
+            failure = exc.failure
+            log_event(
+                LogEvent.LINK_MESSAGE_REFUSED, peer=peer, field=failure.field, why=failure.message
+            )
+            return _refusal(req, failure)
         return None
 
 
@@ -126,19 +149,22 @@
 
     async def _handle(self, message: object, nursery: trio.Nursery) -> None:
         match message:
-            case HandedRequest(number) | PartsRequest(number):
-                refusal = self._server.refuse(message, len(self._scopes))
-                if refusal is not None:
-                    await self._reply_sender.send(refusal)
-                elif number not in self._scopes:
-                    self._scopes[number] = trio.CancelScope()
-                    nursery.start_soon(self._run, message)
             case HandedCancel(number):
                 if number in self._scopes:
                     self._scopes[number].cancel()
+            case _ if isinstance(message, Request):
+                await self._start(message, nursery)
             case _:
                 raise LinkClosedError("the other host sent a message that is not a request")
 
+    async def _start(self, message: Request, nursery: trio.Nursery) -> None:
+        refusal = self._server.refuse(message, len(self._scopes), self._link.peer.name)
+        if refusal is not None:
+            await self._reply_sender.send(refusal)
+        elif message.number not in self._scopes:
+            self._scopes[message.number] = trio.CancelScope()
+            nursery.start_soon(self._run, message)
+
     async def _run(self, req: Request) -> None:
         try:
             with self._scopes[req.number]:
@@ -170,7 +196,7 @@
                 await self._reply_sender.send(Alive())
 
 
-def _refusal(req: Request, failure: Failure) -> HandedRefusal:
+def _refusal(req: PlainRequest, failure: Failure) -> HandedRefusal:
     return HandedRefusal(
         req.number, failure.kind, failure.message, failure.field, failure.retry_after_ms
     )
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -35,6 +35,7 @@
 from .hand_over_messages import HAND_OVER_MESSAGE_TYPES, HAND_OVER_ROLE
 from .hand_over_server import HandOverServer
 from .host_probe import probe_hosts
+from .identity_messages import IDENTITY_MESSAGE_TYPES
 from .leader_announcements import announce_leader
 from .node_metrics import NodeMetrics
 from .node_settings import NodeSettings
@@ -61,7 +62,11 @@
 from .voter_reconciler import VoterReconciler
 
 CONTROL_ROLE = "control"
-LINK_MESSAGE_TYPES = (*HAND_OVER_MESSAGE_TYPES, *GATHER_MESSAGE_TYPES)
+LINK_MESSAGE_TYPES = (
+    *HAND_OVER_MESSAGE_TYPES,
+    *GATHER_MESSAGE_TYPES,
+    *IDENTITY_MESSAGE_TYPES,
+)
 PROGRESS_TIMEOUT: Millis = 60 * SECOND
 """Servers may compute for long without sending a byte; each request's deadline ends its wait."""
 IDLE_STOP_MARGIN: Millis = 2000.0
--- a/src/alderhatch/node/split_gather.py
+++ b/src/alderhatch/node/split_gather.py
@@ -23,9 +23,10 @@
     QueryLocally,
     SplitRun,
 )
-from ..errors import AlderhatchError, RunStatus
+from ..errors import AlderhatchError, ErrorKind, Failure, RunStatus
 from ..log import log_event
 from ..log_events import LogEvent
+from .caller_identity import check_still_identified
 from .dialect import CallerRequest
 from .gather_messages import PartsNews, PartsRequest, to_parts_bundle
 from .hand_over_client import HandOverClient
@@ -160,6 +161,11 @@
     ) -> None:
         run = self.own_run
         if number != self._own_share_number:
+            try:
+                check_still_identified(self._state, self._req, self._route, self._clock.now())
+            except AlderhatchError as exc:
+                self._on_identity_refused(number, self._state.name, exc.failure, nursery)
+                return
             run = self._share_run(shards, is_repeat)
             self.repeat_runs.append(run)
 
@@ -185,7 +191,7 @@
         with self._scope(number):
             try:
                 await self._gathers.links.request_parts(
-                    share.host, self._to_message(share), handle_parts
+                    share.host, self._to_message(share), handle_parts, self._req.identity
                 )
             except HandOverLostError as exc:
                 self._on_host_lost(number, "link to the host lost", exc.was_sent, nursery)
@@ -194,11 +200,27 @@
                 self._on_host_lost(number, f"invalid message from the host: {exc}", True, nursery)
                 return
             except AlderhatchError as exc:
+                if exc.failure.kind is ErrorKind.UNAUTHORIZED:
+                    self._on_identity_refused(number, share.host.name, exc.failure, nursery)
+                    return
                 may_have_run = exc.failure.answer.ran is not RunStatus.NOT_RUN
                 self._on_host_lost(number, exc.failure.message, may_have_run, nursery)
                 return
             self._apply(self.split.on_end(number, self._clock.now()), nursery)
 
+    def _on_identity_refused(
+        self, number: int, host: str, failure: Failure, nursery: trio.Nursery
+    ) -> None:
+        """End a share without its parts: no server may be asked for them any more."""
+        log_event(
+            LogEvent.IDENTITY_REFUSED,
+            request=self._req.request_id,
+            host=host,
+            outcome=failure.kind,
+            why=failure.message,
+        )
+        self._apply(self.split.on_end(number, self._clock.now()), nursery)
+
     def _on_host_lost(
         self, number: int, why: str, may_have_run: bool, nursery: trio.Nursery
     ) -> None:
