--- a/features/support/identified_hosts.py
+++ b/features/support/identified_hosts.py
@@ -12,6 +12,7 @@
 
 from alderhatch.clock import SECOND, ManualClock
 from alderhatch.core.control.configuration_register import pack_configuration
+from alderhatch.core.forwarding.configuration_lease import ConfigurationLease
 from alderhatch.core.forwarding.outcome import FailureReason, NotRun
 from alderhatch.entry.connection_pool import ConnectionPool
 from alderhatch.errors import AlderhatchError, ErrorKind, Failure
@@ -109,10 +110,11 @@
         self.given_back += 1
 
 
-class FixedLease:
+class FixedLease(ConfigurationLease):
     """A lease that is valid or has run out."""
 
     def __init__(self):
+        super().__init__()
         self.is_valid = True
 
     def check(self, now):
--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -283,13 +283,17 @@
             )
 
     async def _wait_for_start(self, req: CallerRequest, arrived: Millis) -> None:
-        """Hold a request until the node has its configuration and the server list.
+        """Hold a request until the node has its configuration, the server list and its first lease.
 
         After a restart of all hosts this takes a second, and a caller that is refused meanwhile has
         no attempt left when the node is ready. After ``STARTUP_WINDOW`` it is unknown when the node
         will be ready, so requests no longer wait and callers can try another host.
         """
-        if self._state.is_started or arrived - self._accepting_since > STARTUP_WINDOW:
+        state = self._state
+        began = self._accepting_since
+        if state.awaits_first_lease:
+            began = max(began, state.organisations_since)
+        if not self._awaits_start(req) or arrived - began > STARTUP_WINDOW:
             return
         if self._startup_waiters >= MAX_STARTUP_WAITERS:
             return
@@ -299,10 +303,20 @@
             with trio.move_on_after(
                 min(STARTUP_WINDOW, remaining * STARTUP_WAIT_FRACTION) / SECOND
             ):
-                await self._state.started.wait()
+                await state.started.wait()
+                while self._awaits_start(req):
+                    await state.leased.wait()
         finally:
             self._startup_waiters -= 1
 
+    def _awaits_start(self, req: CallerRequest) -> bool:
+        if not self._state.is_started:
+            return True
+        if not self._state.awaits_first_lease:
+            return False
+        route = self._state.routes.find(req.host, req.http.path)
+        return route is not None and not route.public
+
     def _upstreams(self, route: Route) -> tuple[str, ...]:
         match route.destination:
             case OneUpstream(upstream):
