Refused keys and the requests of organisations are seen, and real nodes are tested with keys

Cause: a refused key had the same log line as any refusal, so a caller that repeats could use up the lines of all others; nobody could see what one organisation asks for and gets; refusals by quota or turn were in no line and no metric. Names with a quotation mark spoilt the metrics page.

Label values are escaped.

--- a/features/support/platform_tier.py
+++ b/features/support/platform_tier.py
@@ -58,6 +58,8 @@
         self.port = 0
         self.delay = 0.0
         self.runs = []
+        self.fields = []
+        """The header fields of each request that ran, in the order of ``runs``."""
         self.cancelled = 0
         self.state = "ready"
         self.proxy = None
@@ -73,6 +75,7 @@
             return HttpResponse(421, b"", headers=(("Instance-Id", self.server_id),))
         request_id = req.headers["attempt-id"]
         self.runs.append(request_id)
+        self.fields.append(list(req.fields))
         try:
             await trio.sleep(self.delay)
         except trio.Cancelled:
@@ -231,7 +234,8 @@
 
     # Requests
 
-    def configuration(self, shards, single="kitchen"):
+    def configuration(self, shards, single="kitchen", organisations=None):
+        """Return the next version; with organisations, it also has a public route ``/open/``."""
         self.version += 3
         route = {"host": HOST, "timeout-ms": 8000, "target-latency-ms": 4000, "max-attempts": 2}
         gather = route | {
@@ -251,9 +255,11 @@
             "service": single,
         }
         services = [{"name": name, "max-connections": 28} for name in {*shards, single}]
-        return orjson.dumps(
-            {"version": self.version, "routes": [gather, orders], "services": services}
-        )
+        cfg = {"version": self.version, "routes": [gather, orders], "services": services}
+        if organisations is not None:
+            cfg["tenants"] = organisations
+            cfg["routes"].append(orders | {"name": "open", "path-prefix": "/open/", "public": True})
+        return orjson.dumps(cfg)
 
     def operate(self, index, method, body=None, path="/-/config"):
         """Send one operator request, following up to two redirects."""
@@ -300,6 +306,8 @@
             return None
         return orjson.loads(answer.body)
 
-    def ask(self, index, path, request_id, method="GET", body=None, timeout=10.0):
+    def ask(self, index, path, request_id, method="GET", body=None, timeout=10.0, **more):
+        """Send a caller's request; ``more`` has further header fields, with _ in place of -."""
         headers = {"Host": HOST, "Attempt-Id": request_id, "Time-Budget-Ms": "8000"}
+        headers |= {name.replace("_", "-"): value for name, value in more.items()}
         return call(self.addresses[index], self.ports[0], method, path, body, headers, timeout)
--- a/src/alderhatch/metric_catalogue.py
+++ b/src/alderhatch/metric_catalogue.py
@@ -66,6 +66,15 @@
         "Requests of callers; outcome is complete, partial or the reason of a refusal or failure.",
         ("route", "outcome"),
     )
+    NODE_ORGANISATION_REQUESTS = MetricRow(
+        "alderhatch_node_organisation_requests_total",
+        MetricKind.COUNTER,
+        Unit.ONE,
+        "Requests by organisation, at the host that ran or refused them; outcome is complete, "
+        "partial or the reason. The sum over outcomes is what was asked for. Organisations that "
+        "send little are counted together as other.",
+        ("organisation", "outcome"),
+    )
     NODE_HANDED_OVER = MetricRow(
         "alderhatch_node_handed_over_total",
         MetricKind.COUNTER,
--- a/src/alderhatch/metrics.py
+++ b/src/alderhatch/metrics.py
@@ -91,7 +91,7 @@
         series[key] = value
 
     def clear(self, metric: Metric) -> None:
-        """Remove all label combinations of a gauge, before the current ones are set."""
+        """Remove all label combinations of a metric, before the current ones are set."""
         self._values[metric].clear()
 
     def observe(self, metric: Metric, value: float, *labels: str) -> None:
@@ -189,4 +189,10 @@
 
 
 def _label_dict(metric: Metric, labels: tuple[str, ...]) -> dict[str, str]:
-    return dict(zip(metric.value.labels, labels, strict=True))
+    return dict(zip(metric.value.labels, map(_escaped, labels), strict=True))
+
+
+def _escaped(value: str) -> str:
+    # The renderer writes values as they are. A quotation mark in a name that an operator has chosen
+    # would make the whole page unreadable.
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -28,7 +28,7 @@
 from .node_metrics import NodeMetrics
 from .node_state import NodeState
 from .quota_gate import QuotaGate
-from .request_log import RequestLog, to_request_end
+from .request_log import CALLER_GONE, RequestLog, to_request_end
 from .service_turns import ServiceTurns
 from .split_gather import SplitGather, SplitGathers
 
@@ -203,7 +203,12 @@
             if handed is not None:
                 return handed
         with self._refusal_recorded(req):
-            return await self._admit_and_run(req, route, self._run_times(route, req, arrived))
+            times = self._run_times(route, req, arrived)
+            try:
+                return await self._admit_and_run(req, route, times)
+            except trio.Cancelled:
+                self._count_organisation(req, CALLER_GONE)
+                raise
 
     async def _admit_and_run(
         self, req: CallerRequest, route: Route, times: RunTimes
@@ -229,9 +234,14 @@
             yield
         except AlderhatchError as exc:
             self._metrics.count_refused(exc.failure.kind)
+            self._count_organisation(req, exc.failure.kind)
             self._log.log_refused(req, exc.failure.kind, exc.failure.message)
             raise
 
+    def _count_organisation(self, req: CallerRequest, outcome: str) -> None:
+        if req.organisation is not None:
+            self._metrics.count_organisation(req.organisation.name, outcome)
+
     async def _run(
         self, req: CallerRequest, route: Route, times: RunTimes
     ) -> tuple[Outcome, HttpResponse]:
@@ -258,6 +268,7 @@
     ) -> HttpResponse:
         end = to_request_end(outcome, self._clock.now() - run.times.arrived)
         self._metrics.count_request(run, end, req.http.unread_time)
+        self._count_organisation(req, end.outcome)
         self._log.log_end(req, run, end)
         res = self._dialect.response(run.route, outcome)
         if omitted_late_parts:
--- a/src/alderhatch/node/node_metrics.py
+++ b/src/alderhatch/node/node_metrics.py
@@ -7,10 +7,11 @@
 from ..clock import SECOND, LoopClock, Millis
 from ..core.forwarding.decision import DecisionKind
 from ..core.forwarding.forward_run import ForwardRun
+from ..core.forwarding.organisation_usage import OrganisationUsage
 from ..core.forwarding.response_lead_time import MIN_LEAD_TIME
 from ..core.forwarding.route import AllShards
 from ..metric_catalogue import Metric
-from ..metrics import Metrics, MetricsPage
+from ..metrics import OTHER_LABEL, Metrics, MetricsPage
 from .request_log import RequestEnd
 
 if TYPE_CHECKING:
@@ -32,6 +33,7 @@
         self._clock = LoopClock()
         self._metrics = Metrics(node.cfg.name)
         self._metrics.add_source(self._update_gauges)
+        self._usage = OrganisationUsage()
 
     def count_request(self, run: ForwardRun, end: RequestEnd, unread_time: Millis) -> None:
         """Count a request that matched a route.
@@ -68,6 +70,10 @@
         """Count a request that was refused before it ran."""
         self._metrics.inc(Metric.NODE_REQUESTS, "", kind)
 
+    def count_organisation(self, organisation: str, outcome: str) -> None:
+        """Count a request of an organisation by its outcome."""
+        self._usage.count(organisation, outcome)
+
     def count_handed_over(self, outcome: str) -> None:
         """Count a request that was handed over to another host."""
         self._metrics.inc(Metric.NODE_HANDED_OVER, outcome)
@@ -94,12 +100,21 @@
             metrics.set(Metric.NODE_LIST_AGE, state.list_age() / SECOND)
         if node.leader_last_heard_at:
             metrics.set(Metric.NODE_LEADER_SILENCE, (now - node.leader_last_heard_at) / SECOND)
+        self._update_usage(now)
         if node.member is not None:
             self._update_log_gauges(node.member)
         if node.log_output is not None:
             metrics.set(Metric.NODE_LOG_LINES_DROPPED, node.log_output.dropped)
             metrics.set(Metric.NODE_LOG_BYTES, node.log_output.written_bytes)
 
+    def _update_usage(self, now: Millis) -> None:
+        metrics = self._metrics
+        self._usage.choose_largest(now)
+        metrics.clear(Metric.NODE_ORGANISATION_REQUESTS)
+        for name, outcomes in (*self._usage.by_name.items(), (OTHER_LABEL, self._usage.others)):
+            for outcome, count in outcomes.items():
+                metrics.inc(Metric.NODE_ORGANISATION_REQUESTS, name, outcome, by=count)
+
     def _update_log_gauges(self, member: ControlMember) -> None:
         metrics = self._metrics
         metrics.set(Metric.NODE_LOG_LEADERLESS, member.leaderless_time / SECOND)
--- a/src/alderhatch/node/request_log.py
+++ b/src/alderhatch/node/request_log.py
@@ -10,6 +10,7 @@
 from ..core.forwarding.forward_run import ForwardRun
 from ..core.forwarding.outcome import Answered, Failed, Gathered, NotRun, Outcome
 from ..core.token_bucket import TokenBucket
+from ..errors import ErrorKind
 from ..log import log_event
 from ..log_events import LogEvent
 from .dialect import CallerRequest
@@ -26,6 +27,11 @@
 """Separate limit for shares of other hosts' gathers, so that they do not displace the lines of
 this host's own requests."""
 SHARE_LINE_BURST = 15.0
+CALLER_KINDS = (ErrorKind.UNAUTHORIZED, ErrorKind.CALLER_LIMIT)
+"""Refusals that a caller brings about itself, and may repeat at any rate."""
+CALLER_LINES_PER_SECOND = 2.0
+"""Separate limit for these refusals, so that they do not displace the lines of other requests."""
+CALLER_LINE_BURST = 10.0
 MAX_STATE_CHANGE_LINES = 20
 """Server state changes that get their own line in each flush; the others are counted."""
 MAX_DECISIONS = 24
@@ -69,6 +75,7 @@
         self._clock = LoopClock()
         self._lines = TokenBucket(LINE_BURST, 0.0)
         self._share_lines = TokenBucket(SHARE_LINE_BURST, 0.0)
+        self._caller_lines = TokenBucket(CALLER_LINE_BURST, 0.0)
         self._since_sample = 0
         self._handed_over_since_sample = 0
         self._suppressed = 0
@@ -107,10 +114,20 @@
 
     def log_refused(self, req: CallerRequest, kind: str, message: str) -> None:
         """Log a request that was refused before it ran."""
-        if self._take_token():
-            log_event(LogEvent.REQUEST_ENDED, request=req.request_id, outcome=kind, why=message)
+        if kind in CALLER_KINDS:
+            now = self._clock.now()
+            has_token = (
+                self._caller_lines.take(CALLER_LINES_PER_SECOND, CALLER_LINE_BURST, now) <= 0.0
+            )
         else:
+            has_token = self._take_token()
+        if not has_token:
             self._suppressed += 1
+            return
+        is_unidentified = kind == ErrorKind.UNAUTHORIZED
+        event = LogEvent.IDENTITY_REFUSED if is_unidentified else LogEvent.REQUEST_ENDED
+        fields = {"request": req.request_id, "outcome": kind, "why": message}
+        log_event(event, None, **fields, **_organisation_field(req))
 
     def log_handed_over(
         self, req: CallerRequest, host: str | None, outcome: str, duration: Millis
@@ -164,7 +181,11 @@
             "configuration": self._state.stored.version,
             "list_age_ms": round(age) if age != float("inf") else None,
             "hosts": self._state.live_host_count,
-        }
+        } | _organisation_field(req)
+
+
+def _organisation_field(req: CallerRequest) -> dict[str, object]:
+    return {} if req.organisation is None else {"organisation": req.organisation.name}
 
 
 def _steps(run: ForwardRun) -> list[dict[str, object]]:
