Standby hosts notice the loss of all active hosts within a second and stand in for them

Cause: in a tier with standby hosts only the leader says which hosts are active. When all active hosts lose power, the leader is among them; hosts waited 1.6 s and one more, probed the active hosts alone, could not tell their loss from their own isolation, and named the lost hosts for four to five seconds. The reserve of the view had the server list all the while.

Stand-ins open connections for requests only. Tiers without standby hosts keep their rule.

--- a/features/platform_standby.feature
+++ b/features/platform_standby.feature
@@ -16,3 +16,11 @@
     Given a platform tier of 3 hosts with a disk and 23 without, all of which are ready
     When the leading host of the platform tier is killed
     Then each remaining host eventually answers a query
+
+  Scenario: All active hosts are killed at once
+    # Guards against callers that are sent to killed hosts, and against standby hosts that hand
+    # requests over to them, while most hosts of the tier run and no leader is left to tell them.
+    Given a platform tier of 3 hosts with a disk and 23 without, all of which are ready
+    When all hosts that callers are sent to are killed at once
+    Then no remaining host advertises a killed one
+    And each remaining host eventually answers a query
--- a/features/steps/platform_standby_steps.py
+++ b/features/steps/platform_standby_steps.py
@@ -90,3 +90,28 @@
     tier = context.platform
     for index in tier.running():
         until(lambda index=index: answers_query(tier, index, "/paths/7"), f"node {index} answers")
+
+
+@when("all hosts that callers are sent to are killed at once")
+def step_kill_active(context):
+    tier = context.platform
+    until(lambda: standby_hosts(tier), "a standby host")
+    addresses = node_steps.advertised_hosts(tier, tier.running()[-1])
+    indexes = {f"{address}:{tier.ports[0]}": one for one, address in enumerate(tier.addresses)}
+    context.killed = addresses
+    tier.kill(*(indexes[address] for address in addresses))
+
+
+@then("no remaining host advertises a killed one")
+def step_killed_not_advertised(context):
+    tier = context.platform
+    for index in tier.running():
+        until(
+            lambda index=index: advertises_only_running(context, index),
+            f"node {index} advertises only hosts that run",
+        )
+
+
+def advertises_only_running(context, index):
+    advertised = node_steps.advertised_hosts(context.platform, index)
+    return bool(advertised) and not advertised & context.killed
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -170,6 +170,11 @@
         logging.WARNING,
         "Another node did not return its share of a gather; this node queries it; see why.",
     )
+    ACTIVE_HOSTS_CHANGED = EventRow(
+        1082,
+        logging.INFO,
+        "The hosts that callers are sent to changed, as this node knows them; see why.",
+    )
     STANDING_CHANGED = EventRow(
         1078, logging.INFO, "The leader made the node active or standby; see stands_by."
     )
--- a/src/alderhatch/metric_catalogue.py
+++ b/src/alderhatch/metric_catalogue.py
@@ -140,6 +140,19 @@
         Unit.ONE,
         "Live hosts of the tier according to the last update from the leader.",
     )
+    NODE_ACTIVE_HOSTS = MetricRow(
+        "alderhatch_node_active_hosts",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "Hosts that callers are sent to, as this node knows them.",
+    )
+    NODE_ACTIVE_HOST_CHANGES = MetricRow(
+        "alderhatch_node_active_host_changes",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "Changes of the hosts that callers are sent to since the start, by cause.",
+        ("cause",),
+    )
     NODE_CONFIGURATION = MetricRow(
         "alderhatch_node_configuration",
         MetricKind.GAUGE,
--- a/src/alderhatch/node/hand_over_client.py
+++ b/src/alderhatch/node/hand_over_client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from math import inf
 from random import Random
 from typing import NamedTuple
@@ -52,12 +52,22 @@
         codec: Encodes the messages between hosts.
         secret: The shared secret of the hosts.
         rng: Spreads the requests over hosts.
+        check_hosts: Waits until it is known whether the active hosts can be reached; None if that
+            is always known.
     """
 
-    def __init__(self, state: NodeState, codec: Codec, secret: bytes, rng: Random) -> None:
+    def __init__(
+        self,
+        state: NodeState,
+        codec: Codec,
+        secret: bytes,
+        rng: Random,
+        check_hosts: Callable[[], Awaitable[None]] | None = None,
+    ) -> None:
         self._state = state
         self._codec = codec
         self._secret = secret
+        self._check_hosts = check_hosts
         self._targets = HandOverTargets(state.name, state.zone, rng)
         self._clock = LoopClock()
         self._tasks = LoopTasks()
@@ -139,7 +149,9 @@
             message = f"body exceeds the standby host's limit of {MAX_HANDED_BYTES} bytes"
             raise AlderhatchError(Failure(ErrorKind.TOO_LARGE, message, "body"))
         deadline = inf if time_left is None else self._clock.now() + time_left
-        run = HandOverRun(self._targets, lambda: list(hosts) or self._state.caller_hosts, deadline)
+        if self._check_hosts is not None:
+            await self._check_hosts()
+        run = HandOverRun(self._targets, lambda: self._candidates(hosts), deadline)
         while True:
             now = self._clock.now()
             host = run.next_host(now)
@@ -156,6 +168,15 @@
                 continue
             run.handle_refusal(host, _failure(reply), self._clock.now())
 
+    def _candidates(self, hosts: Sequence[HostRecord]) -> list[HostRecord]:
+        """Return the hosts that may answer now, without those that are known to be lost."""
+        state = self._state
+        if not hosts:
+            return state.caller_hosts
+        reachable = [host for host in hosts if host.name not in state.unreachable_hosts]
+        # A host that knows servers would rather run the request than give it to another slow one.
+        return reachable or (state.caller_hosts if state.hands_over else [])
+
     def _to_message(self, http: HttpRequest, remaining: Millis) -> HandedRequest:
         return HandedRequest(
             0,
--- a/src/alderhatch/node/host_probe.py
+++ b/src/alderhatch/node/host_probe.py
@@ -2,57 +2,154 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeAlias
 
 import trio
 
 from ..clock import SECOND, LoopClock, Millis
 from ..core.forwarding.caller_hosts import HostRecord
+from ..core.forwarding.probe_schedule import PROBE_INTERVAL, LeaderContact, ProbeSchedule
 from ..log import log_event
 from ..log_events import LogEvent
 from .leader_search import ANSWER_TIMEOUT
 from .node_state import NodeState
-from .tier_client import LEADER_SILENCE_TIMEOUT
 
-PROBE_INTERVAL: Millis = 1 * SECOND
-"""Callers cache an address list for seconds, so a lost host need not be detected sooner."""
+RESERVE_CHECK_INTERVAL: Millis = 100.0
+"""How often a host that may have to stand in for active ones checks that the leader is heard."""
+STANDBY_ANSWER_TIMEOUT: Millis = 250.0
+"""For probes in a tier with standby hosts, whose callers wait for them. A host that runs accepts a
+connection within some milliseconds, as its kernel does that."""
 
+Reach: TypeAlias = Callable[[HostRecord], Awaitable[None]]
+"""Returns once a host has accepted a connection.
 
-async def probe_hosts(state: NodeState, has_leader: Callable[[], bool]) -> None:
-    """Probe hosts periodically as long as there is no leader; runs until cancelled.
+Raises:
+    OSError: If it refused the connection.
+"""
+
+
+async def connect_once(host: HostRecord) -> None:
+    """Open a connection to a host's port for callers and close it again."""
+    address, _, port = host.caller_address.rpartition(":")
+    stream = await trio.open_tcp_stream(address, int(port))
+    await stream.aclose()
+
+
+class HostProber:
+    """Probes hosts while no leader is heard, periodically or when somebody needs to know.
 
     Args:
         state: Selects the hosts to probe and records the results.
-        has_leader: Returns whether this host follows a leader now.
+        leader: Returns what this host knows of its leader now.
+        reach: Connects to a host.
     """
-    clock = LoopClock()
-    last_followed_at = clock.now()
-    while True:
-        await trio.sleep(PROBE_INTERVAL / SECOND)
-        if has_leader():
-            last_followed_at = clock.now()
-        elif clock.now() - last_followed_at >= LEADER_SILENCE_TIMEOUT:
-            await _probe_all(state)
-
-
-async def _probe_all(state: NodeState) -> None:
-    before = state.unreachable_hosts
-    reached: dict[str, bool] = {}
-    async with trio.open_nursery() as nursery:
-        for host in state.hosts_to_probe():
-            nursery.start_soon(_probe_host, host, reached)
-    state.record_host_probes(reached)
-    if state.unreachable_hosts != before:
-        log_event(LogEvent.HOSTS_OUT_OF_REACH, hosts=sorted(state.unreachable_hosts))
-
-
-async def _probe_host(host: HostRecord, reached: dict[str, bool]) -> None:
-    reached[host.name] = False
-    address, _, port = host.caller_address.rpartition(":")
-    with trio.move_on_after(ANSWER_TIMEOUT / SECOND):
-        try:
-            stream = await trio.open_tcp_stream(address, int(port))
-        except OSError:
-            return
-        reached[host.name] = True
-        await stream.aclose()
+
+    def __init__(
+        self,
+        state: NodeState,
+        leader: Callable[[], LeaderContact],
+        reach: Reach = connect_once,
+    ) -> None:
+        self._state = state
+        self._leader = leader
+        self._reach = reach
+        self._clock = LoopClock()
+        self._schedule = ProbeSchedule(0.0)
+        self._round: _ProbeRound | None = None
+        """The probes in progress."""
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self) -> None:
+        """Probe periodically until cancelled."""
+        self._schedule = ProbeSchedule(self._clock.now())
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            while True:
+                state = self._state
+                # Of hundreds of standby hosts only those that callers ask probe at once. If all
+                # did, the active hosts would accept hundreds of connections with each change of
+                # the leader.
+                is_quick = state.has_standby_hosts and state.is_advertised
+                await trio.sleep((RESERVE_CHECK_INTERVAL if is_quick else PROBE_INTERVAL) / SECOND)
+                self._probe_if_due(is_quick)
+
+    async def check_all(self) -> None:
+        """Wait until it is known which hosts can be reached.
+
+        Returns at once while a leader is heard, or if hosts were probed a short time ago.
+        """
+        probes = self._current_round()
+        if probes is not None:
+            await probes.ended.wait()
+
+    async def check_any(self) -> None:
+        """Wait, at most as long, until it is known whether any active host can be reached."""
+        probes = self._current_round()
+        if probes is not None:
+            await probes.decided.wait()
+
+    def _current_round(self) -> _ProbeRound | None:
+        if self._nursery is not None and self._state.has_standby_hosts:
+            self._probe_if_due(True)
+        return self._round
+
+    def _probe_if_due(self, is_quick: bool) -> None:
+        now = self._clock.now()
+        if not self._schedule.is_leader_silent(self._leader(), is_quick, now):
+            if self._schedule.take_restored_word():
+                self._state.forget_host_probes()
+        elif self._round is None and self._schedule.is_due(now):
+            assert self._nursery is not None
+            self._schedule.record_probe(now)
+            self._round = _ProbeRound(self._state, self._reach)
+            self._nursery.start_soon(self._run_round, self._round, is_quick)
+
+    async def _run_round(self, probes: _ProbeRound, is_quick: bool) -> None:
+        await probes.run()
+        self._round = None
+        # A leader that was heard meanwhile knows more than these probes.
+        if self._schedule.is_leader_silent(self._leader(), is_quick, self._clock.now()):
+            self._record(probes.reached)
+        probes.decided.set()
+        probes.ended.set()
+
+    def _record(self, reached: dict[str, bool]) -> None:
+        before = self._state.unreachable_hosts
+        self._state.record_host_probes(reached)
+        if self._state.unreachable_hosts != before:
+            log_event(LogEvent.HOSTS_OUT_OF_REACH, hosts=sorted(self._state.unreachable_hosts))
+
+
+class _ProbeRound:
+    """One probe of each host."""
+
+    def __init__(self, state: NodeState, reach: Reach) -> None:
+        self._reach = reach
+        self.reached: dict[str, bool] = {}
+        """Whether each host was reached, by name."""
+        self.decided = trio.Event()
+        """Set once an active host was reached, or all probes have ended."""
+        self.ended = trio.Event()
+        """Set once the results are recorded."""
+        self._hosts = state.hosts_to_probe()
+        self._active = {host.name for host in state.caller_hosts}
+        has_standby = state.has_standby_hosts
+        self._timeout = STANDBY_ANSWER_TIMEOUT if has_standby else ANSWER_TIMEOUT
+
+    async def run(self) -> None:
+        """Probe all hosts at the same time."""
+        async with trio.open_nursery() as nursery:
+            for host in self._hosts:
+                nursery.start_soon(self._probe, host)
+
+    async def _probe(self, host: HostRecord) -> None:
+        self.reached[host.name] = False
+        with trio.move_on_after(self._timeout / SECOND):
+            try:
+                await self._reach(host)
+            except OSError:
+                return
+            self.reached[host.name] = True
+            if host.name in self._active:
+                self.decided.set()
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -34,7 +34,7 @@
 from .hand_over_client import HandOverClient
 from .hand_over_messages import HAND_OVER_MESSAGE_TYPES, HAND_OVER_ROLE
 from .hand_over_server import HandOverServer
-from .host_probe import probe_hosts
+from .host_probe import HostProber
 from .leader_announcements import announce_leader
 from .node_metrics import NodeMetrics
 from .node_settings import NodeSettings
@@ -146,13 +146,16 @@
         self._client = TierClient(
             self._join, self._report, self._known_places, self.state, self._codec, cfg.secret
         )
+        self._prober = HostProber(self.state, self._client.contact)
         self._runner = ForwardRunner(self._pool, self.state, dialect)
         self._bootstrap_coordinator = BootstrapCoordinator()
         self.log_output = log_output
         """Bounded log output, if used."""
         self.metrics = NodeMetrics(self)
         self._request_log = RequestLog(self.state, lambda: self.requests_in_flight)
-        self._hand_over_client = HandOverClient(self.state, self._codec, cfg.secret, self._rng)
+        self._hand_over_client = HandOverClient(
+            self.state, self._codec, cfg.secret, self._rng, self._prober.check_any
+        )
         collector = PartsCollector(self._runner, dialect)
         self._gather_server = GatherServer(
             self.state, collector, dialect, self.metrics, self._request_log
@@ -215,6 +218,11 @@
         """Number of requests being answered."""
         return self._serve_state.exchanges
 
+    async def addresses(self, zone: str) -> list[str]:
+        """Return the ``address:port`` of the hosts that a caller in a zone should use."""
+        await self._prober.check_all()
+        return self.callers.addresses(zone)
+
     @property
     def leader_last_heard_at(self) -> Millis:
         """When a message of the leader was last received; 0 if never."""
@@ -307,7 +315,7 @@
             nursery.start_soon(self._flush_logs)
             nursery.start_soon(self._server_list_reader.run)
             nursery.start_soon(self._client.run)
-            nursery.start_soon(probe_hosts, self.state, lambda: self._client.leader is not None)
+            nursery.start_soon(self._prober.run)
             self.callers.start_accepting()
             cfg = self.cfg
             log_event(LogEvent.NODE_STARTED, node=cfg.name, zone=cfg.zone, processor=cfg.processor)
--- a/src/alderhatch/node/node_metrics.py
+++ b/src/alderhatch/node/node_metrics.py
@@ -89,6 +89,9 @@
             metrics.set(Metric.NODE_SERVERS, count, name)
         metrics.set(Metric.NODE_RUNNING, node.requests_in_flight)
         metrics.set(Metric.NODE_HOSTS, state.live_host_count)
+        metrics.set(Metric.NODE_ACTIVE_HOSTS, len(state.caller_hosts))
+        for cause, count in state.active_host_changes.items():
+            metrics.set(Metric.NODE_ACTIVE_HOST_CHANGES, count, cause)
         metrics.set(Metric.NODE_CONFIGURATION, state.stored.version)
         if state.list_fresh_at is not None:
             metrics.set(Metric.NODE_LIST_AGE, state.list_age() / SECOND)
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from random import Random
 
@@ -12,7 +13,8 @@
 from ..core.control.evacuations import NO_EVACUATIONS, Evacuations
 from ..core.crash_detector import CrashDetector
 from ..core.entry_events import AttemptFault
-from ..core.forwarding.caller_hosts import HostRecord, choose_caller_hosts
+from ..core.forwarding.active_hosts_cause import ActiveHostsCause
+from ..core.forwarding.caller_hosts import HostRecord, choose_caller_hosts, rank_hosts
 from ..core.forwarding.cold_start_limiter import ColdServerLimits
 from ..core.forwarding.configuration_lease import ConfigurationLease
 from ..core.forwarding.crash_counter import CRASH_RETENTION, QUARANTINE_DURATION
@@ -38,6 +40,9 @@
 HOST_COUNT_RETENTION: Millis = 30 * SECOND
 """Budgets and connections are divided by the highest number of hosts seen within this time. A host
 that is cut off from the leader goes on using its share, so the others must not use it as well."""
+RESERVES_PROBED = 4
+"""How many hosts behind the active ones are probed with these in a tier with standby hosts. If one
+of them answers, a host that reaches no active host knows that it is not cut off itself."""
 
 Decoder = Callable[[bytes], TierConfiguration]
 """Decodes an operator's configuration; raises ``AlderhatchError`` if it is invalid."""
@@ -115,6 +120,13 @@
         """Which of the active hosts owns a shard."""
         self._active_at: dict[str, Millis] = {}
         """When each host was last active, by name."""
+        self._is_chosen = False
+        """Whether this host is active by the leader's choice, and not only because active hosts
+        can't be reached."""
+        self._chosen_at: Millis | None = None
+        """When this host was last active by the leader's choice; None if that is long ago."""
+        self.active_host_changes: Counter[ActiveHostsCause] = Counter()
+        """How often the active hosts changed, by cause."""
         self.controls: list[Place] = []
         """Members of the replicated log, from the leader's last view."""
         self.started = trio.Event()
@@ -149,7 +161,7 @@
         if self.owners.set_gathers(gathers, self._clock.now()):
             self.table.set_owners(self.owners)
         self.table.retain_routes({route.name for route in configuration.routes})
-        self._choose_caller_hosts()
+        self._choose_caller_hosts(ActiveHostsCause.CONFIGURATION)
         self._update_connections()
         self.configured.notify()
         log_event(
@@ -328,7 +340,7 @@
         now = self._clock.now()
         counts = [(at, count) for at, count in self._host_counts if now - at < HOST_COUNT_RETENTION]
         self._host_counts = [*counts, (now, max_hosts)]
-        self._choose_caller_hosts()
+        self._choose_caller_hosts(ActiveHostsCause.LEADER)
         self._start_if_known()
         self._update_shares()
 
@@ -338,17 +350,41 @@
         return self._reachability.unreachable
 
     def hosts_to_probe(self) -> list[HostRecord]:
-        """Return the other hosts to probe: the active ones and those that were unreachable."""
-        active = self.choose(self._reachability.reachable(self.hosts), self.processor_needed)
+        """Return the other hosts to probe.
+
+        These are the active ones, in a tier with standby hosts a few that would replace them, and
+        those that were unreachable.
+        """
+        reachable = self._reachability.reachable(self.hosts)
+        active = self.choose(reachable, self.processor_needed)
+        others = [host for host in rank_hosts(reachable) if host not in active]
+        reserve = others[:RESERVES_PROBED] if self.has_standby_hosts else []
         lost = [host for host in self.hosts if host.name in self._reachability.unreachable]
-        return [host for host in (*active, *lost) if host.name != self.name]
+        return [host for host in (*active, *reserve, *lost) if host.name != self.name]
 
     def record_host_probes(self, reached: Mapping[str, bool]) -> None:
         """Record which hosts were reached by the probes, by name."""
         self._reachability.record_probes(reached)
-        self._choose_caller_hosts()
+        self._choose_caller_hosts(ActiveHostsCause.PROBES)
         self._update_shares()
 
+    def forget_host_probes(self) -> None:
+        """Return to the leader's last view, as the leader is heard again."""
+        if self._reachability.unreachable:
+            self._reachability = HostReachability()
+            self._choose_caller_hosts(ActiveHostsCause.LEADER)
+            self._update_shares()
+
+    @property
+    def has_standby_hosts(self) -> bool:
+        """Whether the tier has hosts that query no servers."""
+        return self.view is not None and self.view.has_standby_hosts
+
+    @property
+    def is_advertised(self) -> bool:
+        """Whether this host is one of the active ones or of those that would replace them."""
+        return self.view is not None and self.view.lists(self.name)
+
     def choose(self, hosts: Iterable[HostRecord], processor_needed: float) -> list[HostRecord]:
         """Return the active hosts.
 
@@ -363,7 +399,7 @@
             self.routes.gather_processor,
         )
 
-    def _choose_caller_hosts(self) -> None:
+    def _choose_caller_hosts(self, cause: ActiveHostsCause) -> None:
         now = self._clock.now()
         before = self.caller_hosts
         self.caller_hosts = self.choose(
@@ -376,6 +412,38 @@
         self._active_at = {
             name: at for name, at in self._active_at.items() if now - at < HOST_COUNT_RETENTION
         }
+        self._update_chosen(now)
+        if {host.name for host in before} != {host.name for host in self.caller_hosts}:
+            self._record_active_hosts_change(cause)
+
+    def _update_chosen(self, now: Millis) -> None:
+        is_active = self._is_in(self.caller_hosts)
+        is_alternative = self.has_standby_hosts and bool(self._reachability.unreachable)
+        was_chosen = self._is_chosen
+        self._is_chosen = is_active and (
+            not is_alternative or self._is_in(self.choose(self.hosts, self.processor_needed))
+        )
+        if was_chosen or self._is_chosen:
+            self._chosen_at = now
+        elif self._chosen_at is not None and now - self._chosen_at >= HOST_COUNT_RETENTION:
+            self._chosen_at = None
+
+    @property
+    def stands_in(self) -> bool:
+        """Whether this host is active only because active hosts can't be reached."""
+        return not self._is_chosen and self._is_in(self.caller_hosts)
+
+    def _is_in(self, hosts: Iterable[HostRecord]) -> bool:
+        return any(host.name == self.name for host in hosts)
+
+    def _record_active_hosts_change(self, cause: ActiveHostsCause) -> None:
+        self.active_host_changes[cause] += 1
+        log_event(
+            LogEvent.ACTIVE_HOSTS_CHANGED,
+            hosts=[host.name for host in self.caller_hosts],
+            why=cause,
+            stands_in=self.stands_in,
+        )
 
     def _keeps_connections_warm(self, upstream: str) -> bool:
         """Return whether connections to an upstream are opened ahead of requests.
@@ -397,7 +465,9 @@
         self.table.set_host_share(
             fraction, len(self._active_at) if was_active else max_hosts, owned
         )
-        self._pool.keeps_warm = (
-            self._keeps_connections_warm if was_active else lambda upstream: False
-        )
+        # The hosts that stand in for lost ones all begin at the same moment. If each opened a
+        # connection to every server, the servers would be busy with that when requests arrive, and
+        # the lost hosts may be back before it ends. They open connections for requests only.
+        is_warm = was_active and self._chosen_at is not None
+        self._pool.keeps_warm = self._keeps_connections_warm if is_warm else lambda upstream: False
         self._pool.set_shares(self.table.connection_shares())
--- a/src/alderhatch/node/tier_client.py
+++ b/src/alderhatch/node/tier_client.py
@@ -10,6 +10,7 @@
 from ..clock import SECOND, LoopClock, Millis
 from ..codec import Codec
 from ..core.control.configuration_register import StoredConfiguration
+from ..core.forwarding.probe_schedule import LEADER_SILENCE_TIMEOUT, LeaderContact
 from ..link import Link, LinkClosedError, Peer, open_link
 from ..log import log_event
 from ..log_events import LogEvent
@@ -33,8 +34,6 @@
 from .tier_server import HOST_ROLE
 
 REPORT_INTERVAL: Millis = 500.0
-LEADER_SILENCE_TIMEOUT: Millis = 1600.0
-"""A leader that sends nothing for three pulses is lost or unreachable."""
 DIAL_STAGGER: Millis = 60.0
 """How long to wait for a host's answer before the next host is queried as well; opening a link
 takes some 10 ms."""
@@ -85,6 +84,10 @@
         self.report_changed = Signal()
         """Notify it when the report has changed and should be sent at once."""
 
+    def contact(self) -> LeaderContact:
+        """Return whether a leader is followed, and when one was last heard."""
+        return LeaderContact(self.leader is not None, self.last_heard_at)
+
     async def run(self) -> None:
         """Find and follow leaders until cancelled."""
         while True:
--- a/src/alderhatch/node/tier_messages.py
+++ b/src/alderhatch/node/tier_messages.py
@@ -97,10 +97,18 @@
     alive: int = 0
     """The number of live hosts, rounded up; never less than the number of ``hosts``."""
 
+    @property
+    def has_standby_hosts(self) -> bool:
+        """Whether there are hosts that query no servers."""
+        return self.alive > max(MIN_ADVERTISED_HOSTS, len(self.hosts))
+
+    def lists(self, name: str) -> bool:
+        """Return whether a host is in the view."""
+        return any(host.name == name for host in self.hosts)
+
     def is_active_host(self, name: str) -> bool:
         """Return whether a host queries servers: it is in the view, or the tier is small."""
-        is_small = self.alive <= max(MIN_ADVERTISED_HOSTS, len(self.hosts))
-        return is_small or any(host.name == name for host in self.hosts)
+        return not self.has_standby_hosts or self.lists(name)
 
 
 class ConfigurationNews(NamedTuple):
--- a/src/alderhatch/node/tier_server.py
+++ b/src/alderhatch/node/tier_server.py
@@ -18,6 +18,7 @@
 )
 from ..core.forwarding.crash_counter import CrashCounter
 from ..core.forwarding.host_demand import HostDemand
+from ..core.forwarding.probe_schedule import PULSE_INTERVAL
 from ..core.forwarding.server_record import ServerRecord
 from ..link import Link, LinkClosedError
 from ..log import log_event
@@ -45,8 +46,6 @@
 """How long a new leader sends no view while hosts are still joining. Until then the hosts use the
 last leader's view. A first view with only the quickest hosts would send all callers to those."""
 WATCH_INTERVAL: Millis = 200.0
-PULSE_INTERVAL: Millis = 500.0
-"""How often the leader sends a keep-alive while it has no updates."""
 SESSION_TIMEOUT: Millis = 1600.0
 """A host that has not reported for this time counts as lost; three reports fit into it."""
 CONFIGURATION_INTERVAL: Millis = 150.0
--- a/src/alderhatch/platform/edge.py
+++ b/src/alderhatch/platform/edge.py
@@ -49,7 +49,7 @@
         """Return the addresses that a caller should send requests to."""
         if req.path != ADDRESSES_PATH:
             return _not_found(req)
-        addresses_found = self._node.callers.addresses(req.query.get("zone", ""))
+        addresses_found = await self._node.addresses(req.query.get("zone", ""))
         if not addresses_found:
             return refusal_response(503, "no host is serving requests yet", RETRY_AFTER_MS)
         return json_response(200, {"addrs": addresses_found, "ttl_s": ADDRESSES_TTL_S})
