--- a/features/steps/platform_keys_steps.py
+++ b/features/steps/platform_keys_steps.py
@@ -10,7 +10,6 @@
     fresh_id,
     in_background,
     runs_of,
-    step_configure,
     wait_for_leader,
 )
 from features.support.platform_tier import PlatformTier
@@ -25,17 +24,22 @@
     tier = context.platform = PlatformTier(context, disks=3, diskless=0)
     context.bound = bound
     tier.extra_settings = ["bounds.strict-revocation=true", f"bounds.revoke-ms={bound}"]
-    tier.organisations = {"north": "key-north", "south": "key-south"}
     for name in SHARDS:
         tier.add_servers(name)
     tier.add_servers("kitchen", 3)
     tier.start()
-    step_configure(context)
+    configure(tier, {"north": "key-north", "south": "key-south"})
     wait_until_served(tier, "key-north")
 
 
+def configure(tier, keys):
+    """Send a configuration whose organisations hold one key each, or none."""
+    organisations = [{"name": name, "api-keys": [key] if key else []} for name, key in keys.items()]
+    tier.put(tier.configuration(SHARDS, organisations=organisations))
+
+
 def status_with(tier, index, key, path="/paths/7"):
-    answer = tier.ask(index, path, fresh_id(), key=key)
+    answer = tier.ask(index, path, fresh_id(), api_key=key)
     return answer.status if answer is not None else None
 
 
@@ -56,9 +60,8 @@
     frozen_process = tier.processes.pop(context.frozen)
     context.frozen_process = frozen_process
     frozen_process.send_signal(signal.SIGSTOP)
-    tier.organisations["north"] = ""
     # Operators reach only the other hosts, which first elect another leader if need be.
-    step_configure(context)
+    configure(tier, {"north": "", "south": "key-south"})
 
 
 @when("the bound passes, and requests with both keys arrive at the frozen host")
@@ -71,7 +74,7 @@
             number = fresh_id()
             thread, answers = in_background(
                 lambda number=number, key=key: tier.ask(
-                    context.frozen, "/orders/7", number, "POST", b"towels", 30.0, key
+                    context.frozen, "/orders/7", number, "POST", b"towels", 30.0, api_key=key
                 )
             )
             waiting.append((number, thread, answers))
@@ -121,7 +124,7 @@
     tier = context.platform
     until(lambda: status_with(tier, 0, "key-north") is not None, "node 0 answers")
     number = fresh_id()
-    answer = tier.ask(0, "/orders/7", number, "POST", b"towels", key="key-north")
+    answer = tier.ask(0, "/orders/7", number, "POST", b"towels", api_key="key-north")
     assert answer.status == 503 and float(answer.headers["retry-after"]) > 0, answer
     assert runs_of(tier, number) == 0
 
--- a/features/support/platform_tier.py
+++ b/features/support/platform_tier.py
@@ -58,6 +58,8 @@
         self.port = 0
         self.delay = 0.0
         self.runs = []
+        self.fields = []
+        """The header fields of each request that ran, in the order of ``runs``."""
         self.cancelled = 0
         self.state = "ready"
         self.proxy = None
@@ -73,6 +75,7 @@
             return HttpResponse(421, b"", headers=(("Instance-Id", self.server_id),))
         request_id = req.headers["attempt-id"]
         self.runs.append(request_id)
+        self.fields.append(list(req.fields))
         try:
             await trio.sleep(self.delay)
         except trio.Cancelled:
@@ -124,8 +127,6 @@
         """Policy settings that differ from the defaults of the platform."""
         self.extra_settings = []
         """Lines of the settings of all nodes, besides the usual ones."""
-        self.organisations = None
-        """The key of each organisation by name; None if the configuration declares none."""
 
     def _free_ports(self):
         """Return the ports; the metrics port follows the link port and must not be another one."""
@@ -236,7 +237,8 @@
 
     # Requests
 
-    def configuration(self, shards, single="kitchen"):
+    def configuration(self, shards, single="kitchen", organisations=None):
+        """Return the next version; with organisations, it also has a public route ``/open/``."""
         self.version += 3
         route = {"host": HOST, "timeout-ms": 8000, "target-latency-ms": 4000, "max-attempts": 2}
         gather = route | {
@@ -256,16 +258,11 @@
             "service": single,
         }
         services = [{"name": name, "max-connections": 28} for name in {*shards, single}]
-        document = {"version": self.version, "routes": [gather, orders], "services": services}
-        if self.organisations is not None:
-            document["routes"].append(
-                orders | {"name": "open", "path-prefix": "/open/", "public": True}
-            )
-            document["tenants"] = [
-                {"name": name, "api-keys": [key] if key else []}
-                for name, key in self.organisations.items()
-            ]
-        return orjson.dumps(document)
+        cfg = {"version": self.version, "routes": [gather, orders], "services": services}
+        if organisations is not None:
+            cfg["tenants"] = organisations
+            cfg["routes"].append(orders | {"name": "open", "path-prefix": "/open/", "public": True})
+        return orjson.dumps(cfg)
 
     def operate(self, index, method, body=None, path="/-/config"):
         """Send one operator request, following up to two redirects."""
@@ -312,8 +309,8 @@
             return None
         return orjson.loads(answer.body)
 
-    def ask(self, index, path, request_id, method="GET", body=None, timeout=10.0, key=None):
+    def ask(self, index, path, request_id, method="GET", body=None, timeout=10.0, **more):
+        """Send a caller's request; ``more`` has further header fields, with _ in place of -."""
         headers = {"Host": HOST, "Attempt-Id": request_id, "Time-Budget-Ms": "8000"}
-        if key is not None:
-            headers["Api-Key"] = key
+        headers |= {name.replace("_", "-"): value for name, value in more.items()}
         return call(self.addresses[index], self.ports[0], method, path, body, headers, timeout)
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -117,6 +117,16 @@
         2070, logging.INFO, "An operator's configuration is stored on enough disks."
     )
     CONFIGURATION_ADOPTED = EventRow(1060, logging.INFO, "The node uses a newer configuration.")
+    CONFIGURATION_REFUSED = EventRow(
+        1100,
+        logging.ERROR,
+        "A stored configuration is invalid for this build; the node keeps the one that it has.",
+    )
+    IDENTITY_REFUSED = EventRow(
+        1101,
+        logging.WARNING,
+        "A request was refused as its key is missing, unknown or no longer valid; see why.",
+    )
     EVACUATION_ACCEPTED = EventRow(
         2074, logging.INFO, "An operator's evacuation directive is stored on enough disks."
     )
@@ -180,6 +190,11 @@
         logging.WARNING,
         "Another node did not return its share of a gather; this node queries it; see why.",
     )
+    ACTIVE_HOSTS_CHANGED = EventRow(
+        1082,
+        logging.INFO,
+        "The hosts that callers are sent to changed, as this node knows them; see why.",
+    )
     STANDING_CHANGED = EventRow(
         1078, logging.INFO, "The leader made the node active or standby; see stands_by."
     )
--- a/src/alderhatch/metric_catalogue.py
+++ b/src/alderhatch/metric_catalogue.py
@@ -66,6 +66,15 @@
         "Requests of callers; outcome is complete, partial or the reason of a refusal or failure.",
         ("route", "outcome"),
     )
+    NODE_ORGANISATION_REQUESTS = MetricRow(
+        "alderhatch_node_organisation_requests_total",
+        MetricKind.COUNTER,
+        Unit.ONE,
+        "Requests by organisation, at the host that ran or refused them; outcome is complete, "
+        "partial or the reason. The sum over outcomes is what was asked for. Organisations that "
+        "send little are counted together as other.",
+        ("organisation", "outcome"),
+    )
     NODE_HANDED_OVER = MetricRow(
         "alderhatch_node_handed_over_total",
         MetricKind.COUNTER,
@@ -140,6 +149,19 @@
         Unit.ONE,
         "Live hosts of the tier according to the last update from the leader.",
     )
+    NODE_ACTIVE_HOSTS = MetricRow(
+        "alderhatch_node_active_hosts",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "Hosts that callers are sent to, as this node knows them.",
+    )
+    NODE_ACTIVE_HOST_CHANGES = MetricRow(
+        "alderhatch_node_active_host_changes",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "Changes of the hosts that callers are sent to since the start, by cause.",
+        ("cause",),
+    )
     NODE_CONFIGURATION = MetricRow(
         "alderhatch_node_configuration",
         MetricKind.GAUGE,
--- a/src/alderhatch/node/hand_over_client.py
+++ b/src/alderhatch/node/hand_over_client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from math import inf
 from random import Random
 from typing import NamedTuple
@@ -13,6 +13,7 @@
 from ..codec import Codec
 from ..core.forwarding.caller_hosts import HostRecord
 from ..core.forwarding.hand_over import AVOID_DURATION, HandOverRun, HandOverTargets
+from ..core.forwarding.identity import Identity
 from ..errors import AlderhatchError, ErrorKind, Failure
 from ..http.messages import HttpRequest, HttpResponse
 from ..loop_tasks import LoopTasks
@@ -26,6 +27,7 @@
     fits_hand_over,
     to_fields,
 )
+from .identity_messages import with_identity
 from .node_state import NodeState
 
 OWNER_LINK_INTERVAL: Millis = 500.0
@@ -52,12 +54,22 @@
         codec: Encodes the messages between hosts.
         secret: The shared secret of the hosts.
         rng: Spreads the requests over hosts.
+        check_hosts: Waits until it is known whether the active hosts can be reached; None if that
+            is always known.
     """
 
-    def __init__(self, state: NodeState, codec: Codec, secret: bytes, rng: Random) -> None:
+    def __init__(
+        self,
+        state: NodeState,
+        codec: Codec,
+        secret: bytes,
+        rng: Random,
+        check_hosts: Callable[[], Awaitable[None]] | None = None,
+    ) -> None:
         self._state = state
         self._codec = codec
         self._secret = secret
+        self._check_hosts = check_hosts
         self._targets = HandOverTargets(state.name, state.zone, rng)
         self._clock = LoopClock()
         self._tasks = LoopTasks()
@@ -96,7 +108,11 @@
         self._targets.avoid(name, now, duration)
 
     async def request_parts(
-        self, host: HostRecord, req: PartsRequest, on_parts: PartsNewsHandler
+        self,
+        host: HostRecord,
+        req: PartsRequest,
+        on_parts: PartsNewsHandler,
+        identity: Identity | None = None,
     ) -> PartsEnd:
         """Have another host query its share of a gather.
 
@@ -104,13 +120,14 @@
             host: The other host.
             req: The request for the share.
             on_parts: Handles parts as they arrive; raises ``ValueError`` for an invalid message.
+            identity: What was decided about the caller; None without organisations.
 
         Raises:
             HandOverLostError: If the link to the host is lost or cannot be opened.
             ValueError: If a message of the host is invalid.
             AlderhatchError: If the host refused the request.
         """
-        reply = await self._link_to(host).call(req, on_parts)
+        reply = await self._link_to(host).call(with_identity(req, identity), on_parts)
         match reply:
             case PartsEnd():
                 return reply
@@ -124,6 +141,7 @@
         http: HttpRequest,
         time_left: Millis | None,
         hosts: Sequence[HostRecord] = (),
+        identity: Identity | None = None,
     ) -> HandedResponse:
         """Have another host answer a request.
 
@@ -131,6 +149,7 @@
             http: The request.
             time_left: How long its caller waits; None if it set no limit.
             hosts: The hosts that may answer it; empty for all active hosts.
+            identity: What was decided about the caller; None without organisations.
 
         Raises:
             AlderhatchError: If no host answers the request; the kind says whether it may have run.
@@ -139,12 +158,15 @@
             message = f"body exceeds the standby host's limit of {MAX_HANDED_BYTES} bytes"
             raise AlderhatchError(Failure(ErrorKind.TOO_LARGE, message, "body"))
         deadline = inf if time_left is None else self._clock.now() + time_left
-        run = HandOverRun(self._targets, lambda: list(hosts) or self._state.caller_hosts, deadline)
+        if self._check_hosts is not None:
+            await self._check_hosts()
+        run = HandOverRun(self._targets, lambda: self._candidates(hosts), deadline)
         while True:
             now = self._clock.now()
             host = run.next_host(now)
             try:
-                reply = await self._link_to(host).call(self._to_message(http, deadline - now))
+                req = with_identity(self._to_message(http, deadline - now), identity)
+                reply = await self._link_to(host).call(req)
             except HandOverLostError as exc:
                 run.handle_loss(host, exc.was_sent, self._clock.now())
                 continue
@@ -156,6 +178,15 @@
                 continue
             run.handle_refusal(host, _failure(reply), self._clock.now())
 
+    def _candidates(self, hosts: Sequence[HostRecord]) -> list[HostRecord]:
+        """Return the hosts that may answer now, without those that are known to be lost."""
+        state = self._state
+        if not hosts:
+            return state.caller_hosts
+        reachable = [host for host in hosts if host.name not in state.unreachable_hosts]
+        # A host that knows servers would rather run the request than give it to another slow one.
+        return reachable or (state.caller_hosts if state.hands_over else [])
+
     def _to_message(self, http: HttpRequest, remaining: Millis) -> HandedRequest:
         return HandedRequest(
             0,
