--- a/features/support/platform_tier.py
+++ b/features/support/platform_tier.py
@@ -125,6 +125,8 @@
         self.first_start = True
         self.policy = ""
         """Policy settings that differ from the defaults of the platform."""
+        self.extra_settings = []
+        """Lines of the settings of all nodes, besides the usual ones."""
 
     def _free_ports(self):
         """Return the ports; the metrics port follows the link port and must not be another one."""
@@ -177,6 +179,7 @@
             "bounds.retry-budget-extra=60",
             f"cloud-api.address={self.list_address}:{self.list_port}",
             "a.key.of.later=1",
+            *self.extra_settings,
         ]
         if index < self.disks:
             lines.append(f"data-dir={self.data_folder(index)}")
