After a restart connections that requests wait for come first, parts are not asked for twice because of the host's own

queue, and seeds without power are dialled again after 150 ms

Change: OpenQueue, ConnectionWaits, a timeout of its own for the connection of a leader search.

--- a/src/alderhatch/core/forwarding/forward_run.py
+++ b/src/alderhatch/core/forwarding/forward_run.py
@@ -122,6 +122,17 @@
         self._finish(self._answer())
         return self._take_effects()
 
+    def on_connected(self, attempt: int, now: Millis) -> None:
+        """Handle an attempt that got its connection only now, as this host opens many."""
+        sent = self._find_attempt(attempt)
+        shard = self._shard_of.get(attempt)
+        if sent is None or shard is None:
+            return
+        self._table.record_connected(sent.target, attempt, now)
+        shard.in_flight[attempt] = sent._replace(at=now)
+        # The next timer event is early, which does no harm.
+        shard.hedge_at = None
+
     def on_answer(self, attempt: int, answer: object, now: Millis) -> list[Effect]:
         """Handle a successful answer of a server."""
         sent = self._find_attempt(attempt)
@@ -307,6 +318,10 @@
         return shard.hedge_at
 
     def _hedge(self, shard: ShardState, now: Millis) -> None:
+        (attempt,) = shard.in_flight
+        if self._table.connection_waits.is_excused(attempt, now):
+            shard.hedge_at = now + SERVER_RECHECK_INTERVAL
+            return
         if self._send(shard, now, DecisionKind.HEDGE):
             self.hedges += 1
             return
--- a/src/alderhatch/core/forwarding/target_table.py
+++ b/src/alderhatch/core/forwarding/target_table.py
@@ -14,6 +14,7 @@
 from ..replica_choice import choose_replica
 from ..shard_map import Server
 from .cold_start_limiter import ColdServerLimits
+from .connection_waits import ConnectionWaits
 from .retry_budget import BudgetLimits, BudgetShare
 from .route import UpstreamSettings
 from .server_record import ServerRecord
@@ -71,6 +72,8 @@
         self._upstreams: dict[str, UpstreamTargets] = {}
         self._route_latencies: dict[str, LatencyHistogram] = {}
         self._changes: deque[ServerStateChange] = deque(maxlen=MAX_CHANGES)
+        self.connection_waits = ConnectionWaits()
+        """The requests that wait for a connection to their server."""
 
     # Membership
 
@@ -398,6 +401,11 @@
         target.cold.count_request(now)
         target.outstanding[attempt] = now
 
+    def record_connected(self, target: Target, attempt: int, now: Millis) -> None:
+        """Record that a request got its connection only now, through no fault of its server."""
+        if attempt in target.outstanding:
+            target.outstanding[attempt] = now
+
     def take_sends(self) -> int:
         """Return how many requests were sent since the last call."""
         sends = self._sends
--- a/src/alderhatch/entry/connection_pool.py
+++ b/src/alderhatch/entry/connection_pool.py
@@ -11,10 +11,10 @@
 from ..http.client import open_http
 from ..http.connection import HttpConnection
 from ..http.exchange import ExchangeFault, HttpExchangeError
+from .open_queue import OpenQueue
 from .server_connections import ServerConnections, Waiter
 
 DEFAULT_SHARE = 2
-MAX_CONCURRENT_OPENS = 16
 CONNECT_TIMEOUT: Millis = 2000.0
 SWEEP_INTERVAL: Millis = 100.0
 SURPLUS_IDLE_TIME: Millis = 3 * SECOND
@@ -56,7 +56,7 @@
         self._sweeps = 0
         self._shares: Mapping[str, int] | None = None
         self._servers: dict[str, ServerConnections] = {}
-        self._open_limiter = trio.CapacityLimiter(MAX_CONCURRENT_OPENS)
+        self._open_queue: OpenQueue[ServerConnections] = OpenQueue()
         self._nursery: trio.Nursery | None = None
         self.opened_count = 0
         """The number of connections opened so far."""
@@ -235,18 +235,37 @@
         self._open_if_needed(conns)
 
     def _open_if_needed(self, conns: ServerConnections) -> None:
+        if self._is_open_needed(conns):
+            self._open_queue.add(conns, bool(conns.waiting))
+            self._begin_opens()
+
+    def _is_open_needed(self, conns: ServerConnections) -> bool:
         if self._nursery is None or not conns.should_open(self._clock.now()):
-            return
-        if not conns.waiting and not self.keeps_warm(conns.upstream):
-            return
-        conns.opening = True
-        self._nursery.start_soon(self._open, conns)
+            return False
+        return bool(conns.waiting) or self.keeps_warm(conns.upstream)
+
+    def _begin_opens(self) -> None:
+        while self._nursery is not None:
+            conns = self._open_queue.take()
+            if conns is None:
+                return
+            # It may have been given up, or have got a connection back, while it was queued.
+            if self._is_open_needed(conns):
+                conns.opening = True
+                self._open_queue.begin()
+                self._nursery.start_soon(self._open, conns)
 
     async def _open(self, conns: ServerConnections) -> None:
+        try:
+            await self._open_one(conns)
+        finally:
+            self._open_queue.end()
+            self._begin_opens()
+
+    async def _open_one(self, conns: ServerConnections) -> None:
         server = conns.server
         try:
-            async with self._open_limiter:
-                conn = await open_http(server.address, server.port, CONNECT_TIMEOUT)
+            conn = await open_http(server.address, server.port, CONNECT_TIMEOUT)
         except HttpExchangeError as exc:
             conns.opening = False
             conns.record_open_failure(exc, self._clock.now())
--- a/src/alderhatch/link.py
+++ b/src/alderhatch/link.py
@@ -224,7 +224,12 @@
 
 @asynccontextmanager
 async def open_link(
-    host: str, port: int, codec: Codec, secret: bytes, local_peer: Peer
+    host: str,
+    port: int,
+    codec: Codec,
+    secret: bytes,
+    local_peer: Peer,
+    connect_timeout: Millis = OPEN_TIMEOUT,
 ) -> AsyncIterator[Link]:
     """Open a link to another alderhatch process for the duration of an ``async with`` block.
 
@@ -234,6 +239,8 @@
         codec: Codec of the protocol.
         secret: Shared secret of both ends.
         local_peer: Name and role of this end.
+        connect_timeout: How long the connection may take to open. The kernel of a host that runs
+            accepts it at once, also while the process is busy.
 
     Yields:
         The open link.
@@ -244,8 +251,11 @@
     address = f"{host}:{port}"
     opened = False
     try:
+        with trio.fail_after(connect_timeout / SECOND):
+            stream = await trio.open_tcp_stream(host, port)
         async with connect(
             f"ws://{address}/",
+            stream=stream,
             compression=None,
             user_agent_header=None,
             proxy=None,
@@ -272,6 +282,8 @@
     trio.BrokenResourceError,
     trio.ClosedResourceError,
     trio.TooSlowError,
+    # The peer answered with a redirect, which can't be followed on an open connection.
+    ValueError,
 )
 
 
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -107,7 +107,7 @@
         server_id = send.target.server_id
         conn = self._pool.acquire_idle(server_id)
         if conn is None:
-            conn = await self._pool.acquire(server_id)
+            conn = await self._wait_for_connection(active, send)
         try:
             if EVACUATED_SOURCE in send.target.leaving:
                 # The evacuation may have started while the attempt waited for a connection.
@@ -116,6 +116,18 @@
         finally:
             self._pool.release(server_id, conn)
 
+    async def _wait_for_connection(self, active: _ActiveRequest, send: Send) -> HttpConnection:
+        waits = self._table.connection_waits
+        waits.begin(send.attempt, self._clock.now())
+        is_excused = False
+        try:
+            conn = await self._pool.acquire(send.target.server_id)
+        finally:
+            is_excused = waits.end(send.attempt, self._clock.now())
+        if is_excused:
+            active.run.on_connected(send.attempt, self._clock.now())
+        return conn
+
     async def _exchange_on(
         self, conn: HttpConnection, active: _ActiveRequest, server_id: str
     ) -> tuple[HttpReply, ParsedAnswer]:
--- a/src/alderhatch/node/tier_client.py
+++ b/src/alderhatch/node/tier_client.py
@@ -37,6 +37,9 @@
 DIAL_STAGGER: Millis = 60.0
 """How long to wait for a host's answer before the next host is queried as well; opening a link
 takes some 10 ms."""
+CONNECT_TIMEOUT: Millis = 150.0
+"""A host without power accepts no connection, and once it is back, the kernel repeats the attempt
+only a second after the first. A new attempt finds it sooner."""
 REDIAL_INTERVAL: Millis = 120.0
 MAX_REMEMBERED_PLACES = 32
 """Places from redirects that are queried after the members of the log and the seeds."""
@@ -144,7 +147,7 @@
         try:
             with search.begin_query(place):
                 async with open_link(
-                    place.address, place.port, self._codec, self._secret, peer
+                    place.address, place.port, self._codec, self._secret, peer, CONNECT_TIMEOUT
                 ) as link:
                     await link.send(self._join())
                     first = await link.receive()
