Standby hosts wait for their first lease too before they decide a caller's organisation

Cause: a standby host that starts decides the organisation itself and refused requests at once until its first lease. Change: it waits as a host that serves does.

--- a/features/configuration_lease.feature
+++ b/features/configuration_lease.feature
@@ -152,6 +152,14 @@
     When a request for "/paths/1" with key "key-1" and 1000 ms left arrives
     Then the request runs after 200 ms
 
+  Scenario: A standby host without a lease
+    # It decides the organisation itself, so that the key does not travel.
+    Given a host that has used organisations since it started, 0 ms ago
+    And it is a standby host
+    And its lease is confirmed for the first time
+    When a request for "/paths/1" with key "key-1" and 1000 ms left arrives
+    Then the request is handed over after 200 ms
+
   Scenario: The lease runs out while a request waits for its turn
     # A host is frozen while requests wait in its queue. Guards against running them as it wakes.
     Given a host that has used organisations since it started, 0 ms ago
--- a/features/steps/configuration_lease_steps.py
+++ b/features/steps/configuration_lease_steps.py
@@ -366,6 +366,7 @@
     declared_late: bool = False
     """Whether the organisations are declared only as the request arrives."""
     lease: str = ""
+    stands_by: bool = False
     turn_wait: float = 0.0
     """How long the request waits for its turn, in milliseconds."""
 
@@ -380,6 +381,11 @@
     context.script = context.script._replace(declared_late=True)
 
 
+@given("it is a standby host")
+def step_host_stands_by(context):
+    context.script = context.script._replace(stands_by=True)
+
+
 @given("its lease is {lease}")
 def step_host_lease(context, lease):
     context.script = context.script._replace(lease=lease)
@@ -419,6 +425,7 @@
     if not script.declared_late:
         use(state, 1, {"north": "key-1"})
     state.started.set()
+    state.stands_by = script.stands_by
     if script.lease == "lost":
         confirm(state, 1)
     await trio.sleep(script.before / SECOND)
@@ -448,13 +455,14 @@
     async def main():
         state = make_state()
         runner = Mock(forward=AsyncMock(return_value=Failed(FailureReason.FAILED)))
+        hand_over_client = Mock(hand_over=AsyncMock())
         handler = CallerHandler(
             state,
             runner,
             PlatformDialect(),
             Mock(),
             Mock(),
-            Mock(),
+            hand_over_client,
             Mock(create=Mock(return_value=None)),
             1.0,
             context.quotas,
@@ -473,10 +481,11 @@
             except AlderhatchError as exc:
                 context.ended = f"is refused, {exc.failure.kind}"
             else:
-                context.ended = "runs"
+                context.ended = "runs" if runner.forward.called else "is handed over"
             context.wait = (trio.current_time() - arrived) * SECOND
             nursery.cancel_scope.cancel()
         assert runner.forward.called == (context.ended == "runs")
+        assert hand_over_client.hand_over.called == (context.ended == "is handed over")
 
     trio.run(main, clock=MockClock(autojump_threshold=0))
 
--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -113,7 +113,7 @@
             if self._state.organisations is None:
                 route = self._state.routes.find(req.host, req.http.path)
             else:
-                req, route = await self._identify_before_hand_over(req)
+                req, route = await self._identify_before_hand_over(req, arrived)
             return await self._hand_over(req, arrived, self._faster_hosts(route))
         return await self._serve(req, arrived, may_hand_over=True)
 
@@ -140,9 +140,12 @@
         await self._identity.wait_for_version(oldest)
         return await self._serve(req, arrived, may_hand_over=False)
 
-    async def _identify_before_hand_over(self, req: CallerRequest) -> tuple[CallerRequest, Route]:
+    async def _identify_before_hand_over(
+        self, req: CallerRequest, arrived: Millis
+    ) -> tuple[CallerRequest, Route]:
         """Decide the organisation of a request at a standby host, so that no key travels."""
         with self._refusal_recorded(req):
+            await self._wait_for_start(req, arrived)
             await self._identity.wait_for_version(self._state.seen_version)
             route = self._identity.route_of(req)
             return self._identity.identify(req, route), route
