--- a/features/link.feature
+++ b/features/link.feature
@@ -4,6 +4,11 @@
     When a peer opens a link with the right secret
     Then its message comes back and both ends know each other's name
 
+  Scenario: An end has another role for peers of a certain role
+    # Hosts see by the role which messages the other end understands, while others refuse a new one.
+    When peers with the roles "host" and "control" open links to an end that is "control-leasing" to hosts
+    Then they see the roles "control-leasing" and "control"
+
   Scenario: A peer without the secret gets no link
     # An attacker or a host of another deployment opens a link. Without authentication it would get
     # leases and rules without any sign for the operator.
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from functools import partial
 from typing import NamedTuple
 
 import trio
@@ -65,3 +66,36 @@
 def step_refused(context):
     assert context.refused is not None
     assert context.seen_peers == [] and context.reply is None
+
+
+async def _roles_seen(client_roles, host_role):
+    """Return the role of the accepting end as peers of certain roles see it."""
+    seen = []
+
+    async def handler(link: Link) -> None:
+        await link.receive()
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        me = Peer("node-1", "control")
+        serve = partial(serve_links, roles={"host": host_role})
+        await nursery.start(serve, listeners, Codec(Note), SECRET, me, handler)
+        for role in client_roles:
+            peer = Peer("node-2", role)
+            async with open_link("127.0.0.1", port, Codec(Note), SECRET, peer) as link:
+                seen.append(link.peer.role)
+        nursery.cancel_scope.cancel()
+    return seen
+
+
+@when(
+    'peers with the roles "{first}" and "{second}" open links to an end that is "{role}" to hosts'
+)
+def step_open_with_roles(context, first, second, role):
+    context.roles = trio.run(_roles_seen, (first, second), role)
+
+
+@then('they see the roles "{first}" and "{second}"')
+def step_roles(context, first, second):
+    assert context.roles == [first, second], context.roles
