The forward bench compares a configuration with organisations in the same run

Change: each round runs with and without 3,000 organisations, in turn; the ratio is the median of the rounds, 15 of them.

--- a/bench/forward.py
+++ b/bench/forward.py
@@ -1,7 +1,9 @@
 """What a forwarded request over all shards costs a node: processor time for each shard.
 
 The node's own parts (route, choice of servers, connections, exchanges, checks, merge) answer one
-request after the other against servers in another process that answer at once.
+request after the other against servers in another process that answer at once. The same requests
+are answered without organisations, and with some thousand of them and a key, round by round in
+turn.
 """
 
 from __future__ import annotations
@@ -46,14 +48,18 @@
 from ._processes import read_line, started
 
 SHARDS = 90
-ROUNDS = 7
+ROUNDS = 15
 QUERIES = 60
 """In each round; one after the other."""
 WARM_UP = 20
 PATH = "/all/"
+ORGANISATIONS = 3000
+KEY = "key-1234-b"
+MAX_RATIO = 1.03
+"""The goal: what the processor time with organisations may be of that without."""
 
 
-def _document(shards: list[str]) -> bytes:
+def _document(shards: list[str], organisations: int) -> bytes:
     route = {
         "name": "all",
         "host": "bench.example",
@@ -75,25 +81,39 @@
         "idle-timeout-ms": 15_000,
     }
     services = [{"name": name} | service for name in shards]
-    return orjson.dumps({"version": 1, "routes": [route], "services": services, "limits": limits})
+    root = {"version": 1, "routes": [route], "services": services, "limits": limits}
+    if organisations:
+        root["tenants"] = [
+            {"name": f"organisation-{index}", "api-keys": [f"key-{index}-a", f"key-{index}-b"]}
+            for index in range(organisations)
+        ]
+    return orjson.dumps(root)
 
 
-def _request(number: int) -> HttpRequest:
+def _request(number: int, key: str | None) -> HttpRequest:
     fields = [
         (b"host", b"bench.example"),
         (b"attempt-id", b"%016x" % number),
         (b"time-budget-ms", b"2000"),
         (b"user-agent", b"bench"),
     ]
+    if key is not None:
+        fields.append((b"api-key", key.encode("ascii")))
     headers = {name.decode(): value.decode() for name, value in fields}
     target = f"{PATH}{number}"
     return HttpRequest("GET", target, {}, headers, b"", target, fields, True, 1.0)
 
 
 class Side:
-    """The parts of a node that answer callers, with servers on loopback."""
+    """The parts of a node that answer callers, with servers on loopback.
+
+    Args:
+        ports: The ports of the servers, one for each shard.
+        organisations: The number of organisations; 0 for a configuration without any.
+    """
 
-    def __init__(self, ports: list[int]) -> None:
+    def __init__(self, ports: list[int], organisations: int = 0) -> None:
+        self._key = KEY if organisations else None
         clock = LoopClock()
         terms = BudgetLimits(0.2, 200.0, 10_000.0)
         self.pool = ConnectionPool(0, spares=False)
@@ -101,7 +121,7 @@
             "node", "zone", decode_configuration, self.pool, terms, POLICY, clock, Random(1)
         )
         shards = [f"shard-{index}" for index in range(len(ports))]
-        self.state.apply_configuration(pack_configuration(1, _document(shards)))
+        self.state.apply_configuration(pack_configuration(1, _document(shards, organisations)))
         self.records = [
             ServerRecord(f"i-{index}", shards[index], "127.0.0.1", port, "zone", 2, False)
             for index, port in enumerate(ports)
@@ -132,7 +152,7 @@
             RuntimeError: If one is not answered whole.
         """
         for number in range(first, first + count):
-            res = await self.callers.handle(_request(number))
+            res = await self.callers.handle(_request(number, self._key))
             if res.status != 200 or (b"missing-parts", b"0") not in _lower(res.fields):
                 raise RuntimeError(f"not a whole answer: {res!r}"[:300])
 
@@ -141,29 +161,47 @@
     return [(name.lower(), value) for name, value in fields]
 
 
+async def _start(side: Side, nursery: trio.Nursery) -> None:
+    await nursery.start(side.pool.run)
+    await nursery.start(side.runner.run)
+    side.state.apply_view(TierView([HostRecord("node", "zone", "127.0.0.1:1", True, 1.0)], [], 0.0))
+    side.state.apply_servers(side.records, ())
+    while side.pool.connection_count < len(side.records):
+        await trio.sleep(0.01)
+    await side.ask(0, WARM_UP)
+
+
+async def _cost(side: Side, first: int) -> float:
+    """Return the processor time of a round, in microseconds for each shard request."""
+    began = time.process_time()
+    await side.ask(first, QUERIES)
+    return (time.process_time() - began) / QUERIES / len(side.records) * 1e6
+
+
 async def _measure(ports: list[int], profile: cProfile.Profile | None) -> None:
-    side = Side(ports)
+    plain, identified = Side(ports), Side(ports, ORGANISATIONS)
     async with trio.open_nursery() as nursery:
-        await nursery.start(side.pool.run)
-        await nursery.start(side.runner.run)
-        side.state.apply_view(
-            TierView([HostRecord("node", "zone", "127.0.0.1:1", True, 1.0)], [], 0.0)
-        )
-        side.state.apply_servers(side.records, ())
-        while side.pool.connection_count < len(ports):
-            await trio.sleep(0.01)
-        await side.ask(0, WARM_UP)
-        costs = []
+        await _start(plain, nursery)
+        await _start(identified, nursery)
+        costs: dict[Side, list[float]] = {plain: [], identified: []}
         for index in range(ROUNDS):
             if profile is not None:
                 profile.enable()
-            began = time.process_time()
-            await side.ask((index + 1) * 1000, QUERIES)
-            costs.append((time.process_time() - began) / QUERIES / len(ports) * 1e6)
+            # Each side begins every second round, as the second one finds warmer caches.
+            for side in (plain, identified) if index % 2 else (identified, plain):
+                costs[side].append(await _cost(side, (index + 1) * 1000))
             if profile is not None:
                 profile.disable()
-            print(f"round {index + 1}: {costs[-1]:.0f} us a shard request", flush=True)
-        print(f"median {statistics.median(costs):.0f} us a shard request, {len(ports)} shards")
+            plain_cost, identified_cost = costs[plain][-1], costs[identified][-1]
+            print(f"round {index + 1}: {plain_cost:.0f} us a shard request", end="")
+            print(f", {identified_cost:.0f} with organisations", flush=True)
+        median = statistics.median(costs[plain])
+        # Of each round, as the processor's speed changes from one to the next.
+        ratio = statistics.median(
+            one / other for one, other in zip(costs[identified], costs[plain], strict=True)
+        )
+        print(f"median {median:.0f} us a shard request, {len(ports)} shards")
+        print(f"with {ORGANISATIONS} organisations {ratio:.3f} of it; goal: at most {MAX_RATIO}")
         nursery.cancel_scope.cancel()
 
 
