--- a/features/identity_between_hosts.feature
+++ b/features/identity_between_hosts.feature
@@ -54,6 +54,7 @@
     When another host decided "north" for "north-key" by configuration 5, and then nothing changes
     And it hands over a request with "Api-Key: south-key; Tenant: south"
     Then the caller gets "503", and the server is told the organisation "north"
+    And the request would go on to further hosts with the same decision
 
   Scenario Outline: The decision travels over a link
     Given an active host, reached over a link
--- a/features/steps/identity_between_hosts_steps.py
+++ b/features/steps/identity_between_hosts_steps.py
@@ -124,6 +124,11 @@
     step_hands_over_fields(context, fields)
 
 
+@then("the request would go on to further hosts with the same decision")
+def step_same_decision(context):
+    assert context.host.servers.identities == [NORTH]
+
+
 # Links
 
 
--- a/features/support/identified_hosts.py
+++ b/features/support/identified_hosts.py
@@ -68,8 +68,10 @@
 
     def __init__(self):
         self.sent = []
+        self.identities = []
 
     async def forward(self, req, run):
+        self.identities.append(req.identity)
         self.sent.append(PlatformDialect().server_fields(req, "i-1", 1000.0))
         return NotRun(FailureReason.NO_SERVER, 250.0)
 
--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -109,11 +109,7 @@
         arrived = self._clock.now()
         req = self._dialect.read_request(http)
         if self._state.hands_over:
-            route: Route | None
-            if self._state.organisations is None:
-                route = self._state.routes.find(req.host, req.http.path)
-            else:
-                req, route = await self._identify_before_hand_over(req)
+            req, route = await self._identify_before_hand_over(req)
             return await self._hand_over(req, arrived, self._faster_hosts(route))
         return await self._serve(req, arrived, may_hand_over=True)
 
@@ -140,8 +136,15 @@
         await self._identity.wait_for_version(oldest)
         return await self._serve(req, arrived, may_hand_over=False)
 
-    async def _identify_before_hand_over(self, req: CallerRequest) -> tuple[CallerRequest, Route]:
-        """Decide the organisation of a request at a standby host, so that no key travels."""
+    async def _identify_before_hand_over(
+        self, req: CallerRequest
+    ) -> tuple[CallerRequest, Route | None]:
+        """Return a request as a standby host hands it over, without its key, and its route.
+
+        Without organisations the other host decides everything, also that there is no route.
+        """
+        if self._state.organisations is None:
+            return req, self._state.routes.find(req.host, req.http.path)
         with self._refusal_recorded(req):
             await self._identity.wait_for_version(self._state.seen_version)
             route = self._identity.route_of(req)
--- a/src/alderhatch/node/request_log.py
+++ b/src/alderhatch/node/request_log.py
@@ -114,14 +114,7 @@
 
     def log_refused(self, req: CallerRequest, kind: str, message: str) -> None:
         """Log a request that was refused before it ran."""
-        if kind in CALLER_KINDS:
-            now = self._clock.now()
-            has_token = (
-                self._caller_lines.take(CALLER_LINES_PER_SECOND, CALLER_LINE_BURST, now) <= 0.0
-            )
-        else:
-            has_token = self._take_token()
-        if not has_token:
+        if not (self._take_caller_token() if kind in CALLER_KINDS else self._take_token()):
             self._suppressed += 1
             return
         is_unidentified = kind == ErrorKind.UNAUTHORIZED
@@ -164,6 +157,10 @@
     def _take_token(self) -> bool:
         return self._lines.take(LINES_PER_SECOND, LINE_BURST, self._clock.now()) == 0.0
 
+    def _take_caller_token(self) -> bool:
+        now = self._clock.now()
+        return self._caller_lines.take(CALLER_LINES_PER_SECOND, CALLER_LINE_BURST, now) == 0.0
+
     def _fields(self, req: CallerRequest, run: ForwardRun, end: RequestEnd) -> dict[str, object]:
         age = self._state.list_age()
         return {
--- a/src/alderhatch/node/split_gather.py
+++ b/src/alderhatch/node/split_gather.py
@@ -109,6 +109,8 @@
         self._clock = LoopClock()
         self._scopes: dict[int, trio.CancelScope] = {}
         self._outcome: Outcome | None = None
+        self._is_identity_refused = False
+        """Whether a share was refused because of the caller's key, which is logged once."""
         self._changed = trio.Event()
 
     async def run(self) -> Outcome:
@@ -212,13 +214,15 @@
         self, number: int, host: str, failure: Failure, nursery: trio.Nursery
     ) -> None:
         """End a share without its parts: no server may be asked for them any more."""
-        log_event(
-            LogEvent.IDENTITY_REFUSED,
-            request=self._req.request_id,
-            host=host,
-            outcome=failure.kind,
-            why=failure.message,
-        )
+        if not self._is_identity_refused:
+            log_event(
+                LogEvent.IDENTITY_REFUSED,
+                request=self._req.request_id,
+                host=host,
+                outcome=failure.kind,
+                why=failure.message,
+            )
+        self._is_identity_refused = True
         self._apply(self.split.on_end(number, self._clock.now()), nursery)
 
     def _on_host_lost(
