--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -109,11 +109,7 @@
         arrived = self._clock.now()
         req = self._dialect.read_request(http)
         if self._state.hands_over:
-            route: Route | None
-            if self._state.organisations is None:
-                route = self._state.routes.find(req.host, req.http.path)
-            else:
-                req, route = await self._identify_before_hand_over(req, arrived)
+            req, route = await self._identify_before_hand_over(req, arrived)
             return await self._hand_over(req, arrived, self._faster_hosts(route))
         return await self._serve(req, arrived, may_hand_over=True)
 
@@ -142,8 +138,13 @@
 
     async def _identify_before_hand_over(
         self, req: CallerRequest, arrived: Millis
-    ) -> tuple[CallerRequest, Route]:
-        """Decide the organisation of a request at a standby host, so that no key travels."""
+    ) -> tuple[CallerRequest, Route | None]:
+        """Return a request as a standby host hands it over, without its key, and its route.
+
+        Without organisations the other host decides everything, also that there is no route.
+        """
+        if self._state.organisations is None:
+            return req, self._state.routes.find(req.host, req.http.path)
         with self._refusal_recorded(req):
             await self._wait_for_start(req, arrived)
             await self._identity.wait_for_version(self._state.seen_version)
