Parts of gathers that meet at a host are handled in an order that suits their callers

Cause: a host takes some 0.5 ms for each part of a gather, so one over 90 shards keeps its loop busy for 45 ms. Requests run at once in the order of arrival, whoever sent them; when a heavy gather (target 349 ms) and a light one (96 ms) meet, both take twice as long and the light one is late. Route.rank was read by nothing.

Change: core/forwarding/part_queue.py decides which parts go first: unanswered before answered gathers, those that can be in time before those that can't, late ones by rank, an organisation's gathers one after the other, earliest due first; a group that has waited for 150 ms gets every fifth batch. node/service_turns.py gives the turns, before a part is sent and before its answer is read, in batches of four. It takes effect where gather routes differ in rank or target, or organisations are declared. The organisation's rank is computed in service_turns.py until identity.py has it. features/support: BusyHosts can order parts; servers a shard, processor, pauses and organisations are given.

--- a/features/steps/host_capacity_steps.py
+++ b/features/steps/host_capacity_steps.py
@@ -125,7 +125,7 @@
     def __init__(self):
         self.runs = 0
 
-    async def forward(self, req, run):
+    async def forward(self, req, run, turn):
         self.runs += 1
         return NotRun(FailureReason.NO_SERVER, 250.0)
 
@@ -151,7 +151,7 @@
         SimpleNamespace(create=lambda req, route, times: None),
         0.5,
         QuotaGate(),
-        ServiceTurns(),
+        ServiceTurns(state, 0.5),
     )
 
 
--- a/features/support/busy_hosts.py
+++ b/features/support/busy_hosts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import deque
 from random import Random
 
 from alderhatch.clock import SECOND, ManualClock
@@ -10,6 +10,7 @@
 from alderhatch.core.forwarding.gather_placement import faster_hosts
 from alderhatch.core.forwarding.host_demand import CPU_PER_REQUEST, HostDemand
 from alderhatch.core.forwarding.outcome import Answered
+from alderhatch.core.forwarding.part_queue import PartQueue
 from alderhatch.core.forwarding.retry_budget import BudgetLimits
 from alderhatch.core.forwarding.route_table import RouteTable
 from alderhatch.core.forwarding.target_table import TargetTable
@@ -31,6 +32,55 @@
 LATE_CREDIT = 0.1
 
 
+class HostProcessor:
+    """The one thread of a host, which does one thing after the other.
+
+    Args:
+        model: The model that it belongs to.
+        speed: Processor time of the host, in seconds per second.
+        parts: The queue that determines the order of the parts; None for the order of arrival.
+    """
+
+    def __init__(self, model, speed, parts):
+        self.model = model
+        self.speed = speed
+        self.parts = parts
+        self.gathers = {}
+        """The gathers at this host, by the number of the request."""
+        self._jobs = deque()
+        self._is_busy = False
+
+    def add(self, cost, action):
+        self._jobs.append((cost, action))
+        self._resume()
+
+    def add_part(self, number, cost, action, is_send):
+        if self.parts is None:
+            self.add(cost, action)
+            return
+        add = self.parts.add_send if is_send else self.parts.add_answer
+        add(self.gathers[number], (cost, action))
+        self._resume()
+
+    def _resume(self):
+        if not self._is_busy:
+            self._is_busy = True
+            self._run_next()
+
+    def _run_next(self):
+        if not self._jobs and self.parts is not None:
+            self._jobs.extend(self.parts.take(self.model.now))
+        if not self._jobs:
+            self._is_busy = False
+            return
+        cost, action = self._jobs.popleft()
+        self.model.at(self.model.now + cost / self.speed, lambda: self._end(action))
+
+    def _end(self, action):
+        action()
+        self._run_next()
+
+
 class BusyHosts(ForwardModel):
     """Hosts that answer callers' gathers; which are active follows from the load that they report.
 
@@ -38,10 +88,23 @@
         hosts: How many hosts there are.
         strong: How many of them have the processor time of a strong host.
         routes: The routes, all over the same shards.
-        shards: How many shards there are, of two servers each.
+        shards: The names of the shards.
+        servers: How many servers each shard has.
+        is_ordered: Whether the hosts order the parts of gathers that meet at them.
+        processor: The processor time of a strong host, in seconds per second.
     """
 
-    def __init__(self, hosts, strong, routes, shards, seed):
+    def __init__(
+        self,
+        hosts,
+        strong,
+        routes,
+        shards,
+        seed,
+        servers=2,
+        is_ordered=False,
+        processor=STRONG_HOST_PROCESSOR,
+    ):
         super().__init__(0, seed, BUDGET_LIMITS)
         self.send_cost = SEND_FRACTION * CPU_PER_REQUEST
         self.answer_cost = CPU_PER_REQUEST - self.send_cost
@@ -52,14 +115,19 @@
                 f"zone-{index % 5}",
                 f"host-{index:04}:1",
                 True,
-                STRONG_HOST_PROCESSOR if index < strong else WEAK_HOST_PROCESSOR,
+                processor if index < strong else WEAK_HOST_PROCESSOR,
             )
             for index in range(hosts)
         ]
         for name in shards:
-            self.add_upstream(name, 0.0)
+            self.add_upstream(name, 0.0, servers)
         self.tables = {}
-        self._free_at = Counter()
+        self.organisations = {}
+        """The organisation of each request that has one, by the number of the request."""
+        self._processors = [
+            HostProcessor(self, one.processor, PartQueue(one.processor) if is_ordered else None)
+            for one in self.hosts
+        ]
         self._demand = HostDemand()
         self._leader = self._make_leader(shards)
         self.active = self._choose_active()
@@ -106,15 +174,31 @@
         return table
 
     def _at_host(self, host, cost, action):
-        begin = max(self.now, self._free_at[host])
-        self._free_at[host] = end = begin + cost / self.hosts[host].processor
-        self.at(end, action)
+        self._processors[host].add(cost, action)
+
+    def _send_at_host(self, number, host, action):
+        self._processors[host].add_part(number, self.send_cost, action, is_send=True)
+
+    def _answer_at_host(self, number, host, action):
+        self._processors[host].add_part(number, self.answer_cost, action, is_send=False)
 
-    def ask(self, route, at):
+    def _on_started(self, number, host):
+        processor = self._processors[host]
+        if processor.parts is not None:
+            run = self.runs[number]
+            organisation = self.organisations.get(number)
+            processor.gathers[number] = processor.parts.start(run, run.route.rank, organisation)
+
+    def _on_ended(self, number, host):
+        processor = self._processors[host]
+        if processor.parts is not None:
+            processor.parts.end(processor.gathers[number])
+
+    def ask(self, route, at, organisation=None):
         """Schedule a caller's request at one of the hosts that are active then."""
-        self.at(at, lambda: self._ask_now(route))
+        self.at(at, lambda: self._ask_now(route, organisation))
 
-    def _ask_now(self, route):
+    def _ask_now(self, route, organisation):
         first = self.rng.choice(self.active)
         active = [self.hosts[index] for index in self.active]
         own = self.hosts[first]
@@ -123,6 +207,7 @@
         host = self.hosts.index(self.rng.choice(faster)) if faster else first
         number = self.request(route, self.now + hop, host)
         self.asked_at[number] = self.now - hop
+        self.organisations[number] = organisation
 
     def credits(self, route, since):
         """Return what each request of a route earned, by the number of the request."""
@@ -141,11 +226,27 @@
         return coverage**2 * (1.0 if in_time else LATE_CREDIT)
 
 
-def traffic(model, shares, rate, seconds):
-    """Schedule requests of routes at so many a second, divided by the routes' shares."""
+def pauses(model, interval, length, until):
+    """Let each server pause for a while at regular intervals."""
+    for server in model.servers.values():
+        at = model.rng.uniform(0.0, interval)
+        while at < until:
+            model.at(at, lambda server=server: _pause(server, model.now + length))
+            at += interval
+
+
+def _pause(server, until):
+    server.paused_until = until
+
+
+def traffic(model, shares, rate, seconds, organisations=(None,)):
+    """Schedule requests of routes at so many a second, divided by the routes' shares.
+
+    The organisations send equal numbers of requests.
+    """
     at = 0.0
     routes = list(shares)
     while at < seconds * SECOND:
         at += model.rng.expovariate(rate / SECOND)
         (route,) = model.rng.choices(routes, [shares[one] for one in routes])
-        model.ask(route, at)
+        model.ask(route, at, model.rng.choice(organisations))
--- a/features/support/forward_model.py
+++ b/features/support/forward_model.py
@@ -147,6 +147,20 @@
         """Run an action of a host that takes so much processor time; here it takes none."""
         action()
 
+    def _send_at_host(self, number, host, action):
+        """Run an action of a host that sends a part of a request."""
+        self._at_host(host, self.send_cost, action)
+
+    def _answer_at_host(self, number, host, action):
+        """Run an action of a host that handles the answer to a part of a request."""
+        self._at_host(host, self.answer_cost, action)
+
+    def _on_started(self, number, host):
+        """Handle a request that is about to run."""
+
+    def _on_ended(self, number, host):
+        """Handle a request that has its outcome."""
+
     def _arrive(self, number, route, host, left):
         now = self.now
         deadline = now + min(route.timeout, left or route.timeout)
@@ -158,6 +172,7 @@
                 upstreams = (upstream,)
         run = ForwardRun(route, upstreams, times, self.tables[host])
         self.runs[number] = run
+        self._on_started(number, host)
         self._carry_out(number, host, run.start(now))
         self._plan(number, host)
 
@@ -183,12 +198,13 @@
                     self.at(self.now + CANCEL_GRACE_PERIOD, lambda a=attempt: self._cancel(host, a))
                 case Finish(outcome):
                     self.results[number] = (outcome, self.now)
+                    self._on_ended(number, host)
 
     def _send(self, number, host, send):
         server = self.servers[send.target.server_id]
         self._count_crossing(host, send)
         self._open[send.attempt] = send
-        self._at_host(host, self.send_cost, lambda: self._transmit(number, host, send, server))
+        self._send_at_host(number, host, lambda: self._transmit(number, host, send, server))
 
     def _transmit(self, number, host, send, server):
         server.work = self.work_by_route.get(self.runs[number].route.name, server.work)
@@ -197,10 +213,8 @@
             end, fault = taken
             self.at(
                 end + NETWORK_DELAY_MS,
-                lambda: self._at_host(
-                    host,
-                    self.answer_cost,
-                    lambda: self._end(number, host, send, server, fault),
+                lambda: self._answer_at_host(
+                    number, host, lambda: self._end(number, host, send, server, fault)
                 ),
             )
 
--- a/src/alderhatch/core/forwarding/forward_run.py
+++ b/src/alderhatch/core/forwarding/forward_run.py
@@ -97,6 +97,11 @@
         """When the answer should leave; for a share, that of the whole gather."""
         return self._due
 
+    @property
+    def missing_parts(self) -> int:
+        """How many parts it still needs for an answer with the minimum coverage."""
+        return max(0, self._min_parts - self._parts_in)
+
     @property
     def trace(self) -> list[Decision]:
         """The decisions so far, oldest first."""
--- a/src/alderhatch/core/forwarding/route_table.py
+++ b/src/alderhatch/core/forwarding/route_table.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from .host_demand import processor_for_gathers
-from .route import Route
+from .route import AllShards, Route
 
 
 class RouteTable:
@@ -23,6 +23,13 @@
         self._by_prefix = {(route.host, route.path_prefix): route for route in routes}
         self.gather_processor = processor_for_gathers(self._by_prefix.values())
         """Processor time that a host needs to answer any gather in time, in seconds per second."""
+        urgencies = {
+            (route.rank, route.target_latency)
+            for route in self._by_prefix.values()
+            if isinstance(route.destination, AllShards)
+        }
+        self.has_unequal_gathers = len(urgencies) > 1
+        """Whether gathers of two routes differ in priority or target latency."""
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the first route that matches, or None.
--- a/src/alderhatch/http/connection.py
+++ b/src/alderhatch/http/connection.py
@@ -9,7 +9,7 @@
 
 from ..clock import SECOND, Millis
 from ._request_heads import cached_head, forwarded_head, request_head
-from .direct_socket import DirectSocket
+from .direct_socket import BeforeRead, DirectSocket
 from .exchange import ExchangeFault, HttpExchangeError, HttpReply
 from .messages import HeaderFields
 
@@ -104,6 +104,7 @@
         fields: HeaderFields,
         body: bytes = b"",
         is_matching: Callable[[HttpReply], bool] = lambda _: True,
+        before_read: BeforeRead | None = None,
     ) -> HttpReply:
         """Send a request with exactly these header fields and wait for its complete response.
 
@@ -119,6 +120,8 @@
             is_matching: Returns whether a response belongs to this request. A faulty server may
                 repeat the response to an earlier request before it sends the matching one. The
                 matching one is awaited, because a non-idempotent request can't be sent again.
+            before_read: Awaited when the first bytes of the response have arrived, before they are
+                read; not for a long body.
 
         Returns:
             The matching response, or the last response if none matched.
@@ -130,7 +133,7 @@
         self._begin_exchange()
         data = self._forward_bytes(head, body)
         if len(body) <= MAX_SEQUENTIAL_SEND_BYTES:
-            reply = await self._send_and_read(data, MAX_REPLY_BODY_BYTES)
+            reply = await self._send_and_read(data, MAX_REPLY_BODY_BYTES, before_read=before_read)
         else:
             reply = await self._send_while_reading(data)
         for _ in range(MAX_STALE_REPLIES):
@@ -186,11 +189,15 @@
         self.used = True
 
     async def _send_and_read(
-        self, data: bytes, max_body: int, has_buffered_bytes: bool = False
+        self,
+        data: bytes,
+        max_body: int,
+        has_buffered_bytes: bool = False,
+        before_read: BeforeRead | None = None,
     ) -> HttpReply:
         try:
             await self._socket.send_all(data)
-            reply = await self._read_reply(max_body, has_buffered_bytes)
+            reply = await self._read_reply(max_body, has_buffered_bytes, before_read)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             fault = self._close_fault or ExchangeFault.LOST
             self.closed_by_peer = self._close_fault is None
@@ -227,13 +234,15 @@
             data += send(h11.Data(data=body)) or b""
         return data + (send(END_OF_MESSAGE) or b"")
 
-    async def _read_reply(self, max_body: int, has_buffered_bytes: bool) -> HttpReply:
+    async def _read_reply(
+        self, max_body: int, has_buffered_bytes: bool, before_read: BeforeRead | None
+    ) -> HttpReply:
         head: h11.Response | None = None
         chunks: list[bytes] = []
         size = 0
         informational_count = 0
         if not has_buffered_bytes:
-            await self._receive()
+            await self._receive(before_read)
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
@@ -260,8 +269,8 @@
         # h11's header sequence computes its items on each iteration, so it is copied to a list.
         return HttpReply(head.status_code, list(head.headers), b"".join(chunks))
 
-    async def _receive(self) -> None:
-        data = await self._socket.receive()
+    async def _receive(self, before_read: BeforeRead | None = None) -> None:
+        data = await self._socket.receive(before_read)
         self.last_progress_at = trio.current_time() * SECOND
         self.closed_by_peer = not data
         self._http.receive_data(data)
--- a/src/alderhatch/http/direct_socket.py
+++ b/src/alderhatch/http/direct_socket.py
@@ -4,11 +4,15 @@
 
 import select
 import socket
+from collections.abc import Awaitable, Callable
+from typing import TypeAlias
 
 import trio
 
 READ_BYTES = 65_536
 
+BeforeRead: TypeAlias = Callable[[], Awaitable[None]]
+
 
 class DirectSocket:
     """Sends without a checkpoint and waits for data before it reads.
@@ -54,15 +58,20 @@
         except OSError as exc:
             raise self._error(exc) from exc
 
-    async def receive(self) -> bytes:
+    async def receive(self, before_read: BeforeRead | None = None) -> bytes:
         """Wait for data and return it; empty at the end of the stream.
 
+        Args:
+            before_read: Awaited between the arrival of the data and its reading.
+
         Raises:
             trio.BrokenResourceError: If the connection failed.
             trio.ClosedResourceError: If this end closed the connection, before or during the wait.
         """
         while True:
             await trio.lowlevel.wait_readable(self._sock)
+            if before_read is not None:
+                await before_read()
             try:
                 return self._sock.recv(READ_BYTES)
             except BlockingIOError:
--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -28,7 +28,7 @@
 from .node_state import NodeState
 from .quota_gate import QuotaGate
 from .request_log import RequestLog, to_request_end
-from .service_turns import ServiceTurns
+from .service_turns import ServiceTurn, ServiceTurns
 from .split_gather import SplitGather, SplitGathers
 
 NEW_CONNECTION_ROUND_TRIPS = 2.0
@@ -211,8 +211,8 @@
             await self._quotas.admit(req.organisation, times.deadline)
         outcome: Outcome | None = None
         try:
-            async with self._turns.turn(route, req.organisation, times):
-                outcome, res = await self._run(req, route, times)
+            async with self._turns.turn(route, req.organisation, times) as turn:
+                outcome, res = await self._run(req, route, times, turn)
         finally:
             # Without an outcome the caller has left, and servers may have run the request.
             if isinstance(outcome, NotRun) and req.organisation is not None:
@@ -220,14 +220,14 @@
         return res
 
     async def _run(
-        self, req: CallerRequest, route: Route, times: RunTimes
+        self, req: CallerRequest, route: Route, times: RunTimes, turn: ServiceTurn
     ) -> tuple[Outcome, HttpResponse]:
         gather = self._gathers.create(req, route, times)
         if gather is not None:
             return await self._gather(gather, req)
         run = ForwardRun(route, self._upstreams(route), times, self._state.table)
         with self._logged_if_cancelled(req, run):
-            outcome = await self._runner.forward(req, run)
+            outcome = await self._runner.forward(req, run, turn)
         return outcome, self._finish(req, run, outcome, run.omitted_late_parts)
 
     async def _gather(
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -19,6 +19,7 @@
 from ..loop_tasks import LoopTasks
 from .dialect import CallerRequest, Dialect, ParsedAnswer
 from .node_state import NodeState
+from .service_turns import ServiceTurn
 
 CANCEL_GRACE_PERIOD: Millis = 250.0
 """How long a cancelled attempt may still run before its connection is closed.
@@ -51,9 +52,10 @@
         """Host the tasks of the attempts until cancelled."""
         await self._tasks.run(task_status)
 
-    async def forward(self, req: CallerRequest, run: ForwardRun) -> Outcome:
+    async def forward(self, req: CallerRequest, run: ForwardRun, turn: ServiceTurn) -> Outcome:
         """Run a request to its outcome; cancellation also cancels its attempts at servers."""
-        active = _ActiveRequest(self, req, run)
+        turn.begin(run)
+        active = _ActiveRequest(self, req, run, turn)
         try:
             return await active.run_to_end()
         except trio.Cancelled:
@@ -69,7 +71,7 @@
         # A share may be cancelled before its task starts. Without this checkpoint it would send all
         # of its requests before it notices, to servers that other hosts have already queried.
         await trio.lowlevel.checkpoint_if_cancelled()
-        active = _ActiveRequest(self, req, run)
+        active = _ActiveRequest(self, req, run, None)
         try:
             await active.run_to_end()
         except trio.Cancelled:
@@ -105,6 +107,8 @@
 
     async def _exchange(self, active: _ActiveRequest, send: Send) -> tuple[HttpReply, ParsedAnswer]:
         server_id = send.target.server_id
+        if active.turn is not None:
+            await active.turn.to_send()
         conn = self._pool.acquire_idle(server_id)
         if conn is None:
             conn = await self._pool.acquire(server_id)
@@ -131,6 +135,7 @@
             fields,
             req.http.body,
             lambda answer: parse(req, answer).fault is not AttemptFault.WRONG_ANSWER,
+            active.turn.to_read if active.turn is not None else None,
         )
         parsed = parse(req, reply)
         if parsed.fault is AttemptFault.WRONG_ANSWER:
@@ -143,9 +148,13 @@
 class _ActiveRequest:
     """A request in progress: its run, its attempts and its outcome."""
 
-    def __init__(self, runner: ForwardRunner, req: CallerRequest, run: ForwardRun) -> None:
+    def __init__(
+        self, runner: ForwardRunner, req: CallerRequest, run: ForwardRun, turn: ServiceTurn | None
+    ) -> None:
         self.req = req
         self.run = run
+        self.turn = turn
+        """In which its parts wait for their turns; None for a share of another host's gather."""
         self.fingerprint = req.fingerprint
         """Computed once, as a request over all shards has many attempts."""
         self._runner = runner
--- a/src/alderhatch/node/service_turns.py
+++ b/src/alderhatch/node/service_turns.py
@@ -1,22 +1,90 @@
-"""Decides when a request that was admitted starts to run at this host."""
+"""Gives the requests at this host, and the parts of gathers, their turns."""
 
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import TypeAlias
 
+import trio
+
+from ..clock import LoopClock
+from ..core.forwarding.forward_run import ForwardRun
 from ..core.forwarding.organisation import Organisation
-from ..core.forwarding.route import Route
+from ..core.forwarding.part_queue import Gather, PartQueue
+from ..core.forwarding.route import AllShards, Route
 from ..core.forwarding.run_limits import RunTimes
+from .node_state import NodeState
+
+PartGather: TypeAlias = Gather[trio.Event]
+
+
+class ServiceTurn:
+    """One request's turn; the parts of a gather wait in it for theirs.
+
+    Args:
+        turns: The turns of all requests at this host.
+        rank: The priority of the request; 0 is the most urgent.
+        organisation: The name of its organisation; None if there is none.
+    """
+
+    def __init__(self, turns: ServiceTurns, rank: int, organisation: str | None) -> None:
+        self._turns = turns
+        self._rank = rank
+        self._organisation = organisation
+        self._gather: PartGather | None = None
+
+    def begin(self, run: ForwardRun) -> None:
+        """Handle a request that begins to run."""
+        if self._turns.is_ordered and isinstance(run.route.destination, AllShards):
+            self._gather = self._turns.queue.start(run, self._rank, self._organisation)
+
+    def end(self) -> None:
+        """Handle a request that has its outcome."""
+        if self._gather is not None:
+            self._turns.queue.end(self._gather)
+
+    async def to_send(self) -> None:
+        """Wait until a part may be sent to its server."""
+        if self._gather is None:
+            return
+        sent = trio.Event()
+        self._turns.queue.add_send(self._gather, sent)
+        await self._turns.wait(self._gather, sent)
+
+    async def to_read(self) -> None:
+        """Wait until the answer to a part, which has arrived, may be read."""
+        if self._gather is None or self._turns.queue.is_free():
+            return
+        read = trio.Event()
+        self._turns.queue.add_answer(self._gather, read)
+        await self._turns.wait(self._gather, read)
 
 
 class ServiceTurns:
-    """Gives the requests at this host their turns."""
+    """Gives the requests at this host their turns.
+
+    Args:
+        state: The node's state with the routes and the organisations.
+        processor: Processor time of this host, in seconds per second.
+    """
+
+    def __init__(self, state: NodeState, processor: float) -> None:
+        self.queue: PartQueue[trio.Event] = PartQueue(processor)
+        """The parts that wait."""
+        self._state = state
+        self._added = trio.Event()
+        self._clock = LoopClock()
+
+    @property
+    def is_ordered(self) -> bool:
+        """Whether gathers can differ in their urgency."""
+        return self._state.organisations is not None or self._state.routes.has_unequal_gathers
 
     @asynccontextmanager
     async def turn(
         self, route: Route, organisation: Organisation | None, times: RunTimes
-    ) -> AsyncIterator[None]:
+    ) -> AsyncIterator[ServiceTurn]:
         """Wait for a request's turn, and run the body of the context during it.
 
         Args:
@@ -27,4 +95,37 @@
         Raises:
             AlderhatchError: With kind ``overloaded`` if the request can't be served in time.
         """
-        yield
+        name = organisation.name if organisation is not None else None
+        turn = ServiceTurn(self, _effective_rank(route, organisation), name)
+        try:
+            yield turn
+        finally:
+            turn.end()
+
+    async def wait(self, gather: PartGather, turn: trio.Event) -> None:
+        """Wait for the turn of a part; cancellation removes it from the queue."""
+        self._added.set()
+        try:
+            await turn.wait()
+        except trio.Cancelled:
+            self.queue.discard(gather, turn)
+            raise
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Give the parts their turns until cancelled."""
+        task_status.started()
+        while True:
+            # Other tasks, such as those that read a request that has arrived, run in between.
+            await trio.lowlevel.checkpoint()
+            batch = self.queue.take(self._clock.now())
+            for turn in batch:
+                turn.set()
+            if not batch:
+                self._added = trio.Event()
+                await self._added.wait()
+
+
+def _effective_rank(route: Route, organisation: Organisation | None) -> int:
+    if organisation is None or organisation.rank is None:
+        return route.rank
+    return organisation.rank
