--- a/features/steps/host_capacity_steps.py
+++ b/features/steps/host_capacity_steps.py
@@ -151,7 +151,7 @@
         SimpleNamespace(create=lambda req, route, times: None),
         0.5,
         QuotaGate(),
-        ServiceTurns(state, 0.5),
+        ServiceTurns(state, 0.5, Mock()),
     )
 
 
--- a/features/steps/service_order_steps.py
+++ b/features/steps/service_order_steps.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 from types import SimpleNamespace
+from unittest.mock import Mock
 
 import trio
 from behave import given, then, when
@@ -283,7 +284,8 @@
 
 def _service_turns(context):
     routes = RouteTable([context.light_route, context.heavy_route])
-    return ServiceTurns(SimpleNamespace(organisations=None, routes=routes), LOOP_PROCESSOR)
+    state = SimpleNamespace(organisations=None, routes=routes)
+    return ServiceTurns(state, LOOP_PROCESSOR, Mock())
 
 
 @when("its gathers send their requests or read their answers")
--- a/src/alderhatch/metric_catalogue.py
+++ b/src/alderhatch/metric_catalogue.py
@@ -88,6 +88,26 @@
         "Answers that left too late for the target latency of their route.",
         ("route",),
     )
+    NODE_PARTS_WAITING = MetricRow(
+        "alderhatch_node_parts_waiting",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "Parts of gathers that wait for their turn at the node's processor.",
+    )
+    NODE_PART_WAIT = MetricRow(
+        "alderhatch_node_part_wait_seconds",
+        MetricKind.HISTOGRAM,
+        Unit.SECONDS,
+        "How long parts of gathers waited for their turn, by the priority of their request; parts "
+        "that did not have to wait are left out.",
+        ("rank",),
+    )
+    NODE_PART_COST = MetricRow(
+        "alderhatch_node_part_turn_seconds",
+        MetricKind.GAUGE,
+        Unit.SECONDS,
+        "Mean time that the node takes for one turn of a part, as measured while parts wait.",
+    )
     NODE_UNREAD_TIME = MetricRow(
         "alderhatch_node_unread_seconds",
         MetricKind.HISTOGRAM,
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -157,7 +157,8 @@
         self._gather_server = GatherServer(
             self.state, collector, dialect, self.metrics, self._request_log
         )
-        self._turns = ServiceTurns(self.state, cfg.processor)
+        self.turns = ServiceTurns(self.state, cfg.processor, self.metrics)
+        """The turns of requests at this host."""
         self.callers = CallerHandler(
             self.state,
             self._runner,
@@ -168,7 +169,7 @@
             SplitGathers(self.state, collector, self._hand_over_client),
             cfg.processor,
             QuotaGate(),
-            self._turns,
+            self.turns,
         )
         self._hand_over_server = HandOverServer(
             self.callers.handle_handed_over,
@@ -292,7 +293,7 @@
                 nursery.start_soon(checkpoint_store.run)
             await nursery.start(self._pool.run)
             await nursery.start(self._runner.run)
-            await nursery.start(self._turns.run)
+            await nursery.start(self.turns.run)
             await nursery.start(self._hand_over_client.run)
             await self._open_ports(nursery, handlers)
             if self.member is not None:
--- a/src/alderhatch/node/node_metrics.py
+++ b/src/alderhatch/node/node_metrics.py
@@ -72,6 +72,10 @@
         """Count a request that was handed over to another host."""
         self._metrics.inc(Metric.NODE_HANDED_OVER, outcome)
 
+    def record_part_wait(self, rank: int, duration: Millis) -> None:
+        """Record how long a part of a gather waited for its turn."""
+        self._metrics.observe(Metric.NODE_PART_WAIT, duration, str(rank))
+
     def count_change(self, duration: Millis) -> None:
         """Record the duration of an operator's change, until it was committed."""
         self._metrics.observe(Metric.NODE_CHANGE_DURATION, duration)
@@ -88,6 +92,8 @@
         for name, count in state.table.count_states(now).items():
             metrics.set(Metric.NODE_SERVERS, count, name)
         metrics.set(Metric.NODE_RUNNING, node.requests_in_flight)
+        metrics.set(Metric.NODE_PARTS_WAITING, len(node.turns.queue))
+        metrics.set(Metric.NODE_PART_COST, node.turns.queue.turn_cost / SECOND)
         metrics.set(Metric.NODE_HOSTS, state.live_host_count)
         metrics.set(Metric.NODE_CONFIGURATION, state.stored.version)
         if state.list_fresh_at is not None:
--- a/src/alderhatch/node/service_turns.py
+++ b/src/alderhatch/node/service_turns.py
@@ -14,6 +14,7 @@
 from ..core.forwarding.part_queue import Gather, PartQueue
 from ..core.forwarding.route import AllShards, Route
 from ..core.forwarding.run_limits import RunTimes
+from .node_metrics import NodeMetrics
 from .node_state import NodeState
 
 PartGather: TypeAlias = Gather[trio.Event]
@@ -67,12 +68,14 @@
     Args:
         state: The node's state with the routes and the organisations.
         processor: Processor time of this host, in seconds per second.
+        metrics: Records how long parts wait.
     """
 
-    def __init__(self, state: NodeState, processor: float) -> None:
+    def __init__(self, state: NodeState, processor: float, metrics: NodeMetrics) -> None:
         self.queue: PartQueue[trio.Event] = PartQueue(processor)
         """The parts that wait."""
         self._state = state
+        self._metrics = metrics
         self._added = trio.Event()
         self._clock = LoopClock()
 
@@ -104,12 +107,14 @@
 
     async def wait(self, gather: PartGather, turn: trio.Event) -> None:
         """Wait for the turn of a part; cancellation removes it from the queue."""
+        began = self._clock.now()
         self._added.set()
         try:
             await turn.wait()
         except trio.Cancelled:
             self.queue.discard(gather, turn)
             raise
+        self._metrics.record_part_wait(gather.rank, self._clock.now() - began)
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Give the parts their turns until cancelled."""
