--- a/features/steps/configuration_lease_steps.py
+++ b/features/steps/configuration_lease_steps.py
@@ -442,7 +442,7 @@
 @when('a request for "{path}" with key "{key}" and {left:d} ms left arrives')
 def step_request(context, path, key, left):
     script = context.script
-    turns = ServiceTurns()
+    turns = Mock(spec=ServiceTurns)
 
     @asynccontextmanager
     async def turn(route, organisation, times):
--- a/features/support/identified_hosts.py
+++ b/features/support/identified_hosts.py
@@ -71,7 +71,7 @@
         self.sent = []
         self.identities = []
 
-    async def forward(self, req, run):
+    async def forward(self, req, run, turn):
         self.identities.append(req.identity)
         self.sent.append(PlatformDialect().server_fields(req, "i-1", 1000.0))
         return NotRun(FailureReason.NO_SERVER, 250.0)
@@ -139,7 +139,7 @@
         self.servers = RecordedServers()
         self.hand_overs = RecordedHandOvers()
         self.quotas = RecordedQuotas()
-        self.turns = ServiceTurns()
+        self.turns = ServiceTurns(self.state, 1.0, Mock())
         self.log = Mock()
         self.metrics = Mock()
         self.handler = CallerHandler(
--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -29,7 +29,7 @@
 from .node_state import NodeState
 from .quota_gate import QuotaGate
 from .request_log import CALLER_GONE, RequestLog, to_request_end
-from .service_turns import ServiceTurns
+from .service_turns import ServiceTurn, ServiceTurns
 from .split_gather import SplitGather, SplitGathers
 
 NEW_CONNECTION_ROUND_TRIPS = 2.0
@@ -221,11 +221,11 @@
             await self._quotas.admit(req.organisation, times.deadline)
         may_have_run = False
         try:
-            async with self._turns.turn(route, req.organisation, times):
+            async with self._turns.turn(route, req.organisation, times) as turn:
                 # The key may have been taken away while the request waited.
                 check_still_identified(self._state, req, route, self._clock.now())
                 may_have_run = True
-                outcome, res = await self._run(req, route, times)
+                outcome, res = await self._run(req, route, times, turn)
                 may_have_run = not isinstance(outcome, NotRun)
         finally:
             if req.organisation is not None and not may_have_run:
@@ -247,14 +247,14 @@
             self._metrics.count_organisation(req.organisation.name, outcome)
 
     async def _run(
-        self, req: CallerRequest, route: Route, times: RunTimes
+        self, req: CallerRequest, route: Route, times: RunTimes, turn: ServiceTurn
     ) -> tuple[Outcome, HttpResponse]:
         gather = self._gathers.create(req, route, times)
         if gather is not None:
             return await self._gather(gather, req)
         run = ForwardRun(route, self._upstreams(route), times, self._state.table)
         with self._logged_if_cancelled(req, run):
-            outcome = await self._runner.forward(req, run)
+            outcome = await self._runner.forward(req, run, turn)
         return outcome, self._finish(req, run, outcome, run.omitted_late_parts)
 
     async def _gather(
