--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -117,6 +117,16 @@
         2070, logging.INFO, "An operator's configuration is stored on enough disks."
     )
     CONFIGURATION_ADOPTED = EventRow(1060, logging.INFO, "The node uses a newer configuration.")
+    CONFIGURATION_REFUSED = EventRow(
+        1100,
+        logging.ERROR,
+        "A stored configuration is invalid for this build; the node keeps the one that it has.",
+    )
+    IDENTITY_REFUSED = EventRow(
+        1101,
+        logging.WARNING,
+        "A request was refused as its key is missing, unknown or no longer valid; see why.",
+    )
     EVACUATION_ACCEPTED = EventRow(
         2074, logging.INFO, "An operator's evacuation directive is stored on enough disks."
     )
@@ -144,6 +154,16 @@
         logging.INFO,
         "The node's state of a server changed: listed, leaving or ejected.",
     )
+    CONFIGURATION_LEASE_GAINED = EventRow(
+        1091,
+        logging.INFO,
+        "The leader confirmed the configuration in use; the node serves callers' keys.",
+    )
+    CONFIGURATION_LEASE_LOST = EventRow(
+        1092,
+        logging.WARNING,
+        "The leader has not confirmed the configuration recently; requests with keys are refused.",
+    )
     BELIEFS_NOT_KEPT = EventRow(
         1074,
         logging.WARNING,
--- a/src/alderhatch/node/dialect.py
+++ b/src/alderhatch/node/dialect.py
@@ -8,6 +8,7 @@
 from ..clock import Millis
 from ..core.crash_detector import fingerprint_of_parts
 from ..core.entry_events import AttemptFault, LoadReport
+from ..core.forwarding.identity import Identity
 from ..core.forwarding.organisation import Organisation
 from ..core.forwarding.outcome import Outcome
 from ..core.forwarding.parts_bundle import PartsBundle
@@ -38,10 +39,10 @@
     """How long the caller waits; None if it set no limit."""
     forwarded_fields: HeaderFields
     """Header fields that are forwarded to servers unchanged."""
-    key: str | None = None
-    """The key with which the caller identifies itself; None if it sent none."""
     organisation: Organisation | None = None
     """The organisation that the request belongs to, once that is decided."""
+    identity: Identity | None = None
+    """What was decided about its caller; None where the configuration declares no organisations."""
 
     @property
     def fingerprint(self) -> str:
@@ -60,10 +61,14 @@
             AlderhatchError: If the request is invalid; names the field.
         """
 
+    def key(self, req: CallerRequest) -> str | None:
+        """Return the key with which the caller identifies itself; None if it sent none."""
+
     def identified(self, req: CallerRequest, organisation: Organisation | None) -> CallerRequest:
-        """Return the request as it is forwarded once its organisation is decided.
+        """Return the request once its organisation is decided, without the caller's own fields.
 
-        Servers learn the organisation from this host alone, and the key never reaches them.
+        Servers learn the organisation from this host alone, and the key reaches neither them nor
+        other hosts.
         """
 
     def server_fields(self, req: CallerRequest, server_id: str, time_left: Millis) -> HeaderFields:
