Quotas wired: hosts charge the owners over links of their own

Cause: the decisions about quotas had no way to other hosts.

Owners come from the leader's list of hosts alone, as hosts may differ for long in what they believe active; shares of the slack are divided among the active ones.

The whole check was not run.

--- a/bench/forward.py
+++ b/bench/forward.py
@@ -22,6 +22,8 @@
 from alderhatch.codec import Codec
 from alderhatch.core.control.configuration_register import pack_configuration
 from alderhatch.core.forwarding.caller_hosts import HostRecord
+from alderhatch.core.forwarding.quota_bounds import QuotaBounds
+from alderhatch.core.forwarding.quota_host import QuotaHost
 from alderhatch.core.forwarding.retry_budget import BudgetLimits
 from alderhatch.core.forwarding.server_record import ServerRecord
 from alderhatch.entry.connection_pool import ConnectionPool
@@ -30,11 +32,15 @@
 from alderhatch.node.forward_runner import ForwardRunner
 from alderhatch.node.hand_over_client import HandOverClient
 from alderhatch.node.hand_over_messages import HAND_OVER_MESSAGE_TYPES
+from alderhatch.node.leader_contact import LeaderContact
 from alderhatch.node.node import Node
 from alderhatch.node.node_metrics import NodeMetrics
 from alderhatch.node.node_state import NodeState
 from alderhatch.node.parts_collector import PartsCollector
+from alderhatch.node.quota_client import QuotaClient
 from alderhatch.node.quota_gate import QuotaGate
+from alderhatch.node.quota_log import QuotaLog
+from alderhatch.node.quota_messages import QUOTA_MESSAGE_TYPES
 from alderhatch.node.request_log import RequestLog
 from alderhatch.node.service_turns import ServiceTurns
 from alderhatch.node.split_gather import SplitGathers
@@ -112,6 +118,14 @@
         metrics = NodeMetrics(cast(Node, SimpleNamespace(cfg=SimpleNamespace(name="bench"))))
         others = HandOverClient(self.state, Codec(*HAND_OVER_MESSAGE_TYPES), b"", Random(1))
         gathers = SplitGathers(self.state, PartsCollector(self.runner, dialect), others)
+        quotas = QuotaHost("node", QuotaBounds(), self.state.organisation, Random(1))
+        quota_gate = QuotaGate(
+            self.state,
+            quotas,
+            QuotaClient(self.state, quotas.allowances, 1, Codec(*QUOTA_MESSAGE_TYPES), b""),
+            LeaderContact(self.state.lease, lambda: 0.0),
+            QuotaLog(metrics),
+        )
         self.callers = CallerHandler(
             self.state,
             self.runner,
@@ -121,7 +135,7 @@
             others,
             gathers,
             1.0,
-            QuotaGate(),
+            quota_gate,
             ServiceTurns(),
         )
 
--- a/features/steps/host_capacity_steps.py
+++ b/features/steps/host_capacity_steps.py
@@ -17,7 +17,6 @@
 from alderhatch.http.messages import HttpRequest, HttpResponse
 from alderhatch.node.caller_handler import CallerHandler
 from alderhatch.node.hand_over_client import HandedResponse
-from alderhatch.node.quota_gate import QuotaGate
 from alderhatch.node.service_turns import ServiceTurns
 from alderhatch.node.tier_messages import TierView
 from alderhatch.platform.dialect import PlatformDialect
@@ -151,7 +150,7 @@
         context.faster,
         SimpleNamespace(create=lambda req, route, times: None),
         0.5,
-        QuotaGate(),
+        None,
         ServiceTurns(),
     )
 
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -216,7 +216,7 @@
 def step_gap(context, gap):
     pair = context.pair
     pair.now += gap
-    pair.owner.set_hosts(["a", "b"], pair.now, pair.now)
+    pair.owner.set_hosts(["a", "b"], ["a", "b"], pair.now, pair.now)
 
 
 @when("{span:d} ms pass without a leader")
@@ -251,14 +251,14 @@
     end = pair.now + span
     while pair.now < end:
         pair.now = min(end, pair.now + 100.0)
-        pair.owner.set_hosts(["a", "b"], pair.now, pair.now)
+        pair.owner.set_hosts(["a", "b"], ["a", "b"], pair.now, pair.now)
 
 
 @given('a host "{kept}" with the hosts "{names}" before its start')
 def step_kept(context, kept, names):
-    context.owners = QuotaOwners("a", NO_SLACK, 0.0)
+    context.owners = QuotaOwners("a", NO_SLACK)
     if kept == "that kept":
-        context.owners.set_hosts(names.split(), 0.0)
+        context.owners.set_active(names.split(), 0.0)
 
 
 @when('it hears the leader, which names "{names}", {touch:d} ms ago and for {span:d} ms')
@@ -266,7 +266,7 @@
     owners = context.owners
     for at in range(0, span - touch + 1, 100):
         owners.confirm(float(at), float(at))
-        owners.set_hosts(names.split(), float(at))
+        owners.set_active(names.split(), float(at))
     context.now = float(span)
 
 
@@ -303,7 +303,8 @@
 
 @given("a host that has run for {span:d} ms")
 def step_has_run(context, span):
-    context.owners = QuotaOwners("a", NO_SLACK, 1000.0)
+    context.owners = QuotaOwners("a", NO_SLACK)
+    context.owners.begin(1000.0)
     context.now = 1000.0 + span
 
 
@@ -408,9 +409,10 @@
         self.limits = {NAME: Organisation(NAME, (), None, rate, burst)}
         self.hosts = {}
         for name in ("a", "b"):
-            quotas = QuotaHost(name, SLACK, self.limits.get, 0.0, Random(1))
+            quotas = QuotaHost(name, SLACK, self.limits.get, Random(1))
+            quotas.owners.begin(0.0)
             for at in range(0, round(now) + 1, round(SECOND)):
-                quotas.set_hosts(["a", "b"], at, at)
+                quotas.set_hosts(["a", "b"], ["a", "b"], at, at)
             self.hosts[name] = quotas
         owner = self.hosts["a"].owners.owner(NAME)
         self.owner = self.hosts[owner]
@@ -570,7 +572,7 @@
     context.answers = []
     try:
         if isinstance(message, HandedBalance):
-            pair.owner.accept(message, pair.now)
+            pair.owner.accept([message], pair.now)
         else:
             context.answers = pair.owner.answer(Sender("b", 1, 1), message, pair.now)
     except ValueError as exc:
--- a/features/support/quota_tier.py
+++ b/features/support/quota_tier.py
@@ -45,8 +45,9 @@
         self.linked = set()
         self.flushing = False
         now = self.tier.now
-        self.quotas = QuotaHost(self.name, self.tier.bounds, self.limits.get, now, self.tier.rng)
-        self.quotas.set_hosts(self.view, -inf, now)
+        self.quotas = QuotaHost(self.name, self.tier.bounds, self.limits.get, self.tier.rng)
+        self.quotas.owners.begin(now)
+        self.quotas.set_hosts(self.view, self.view, -inf, now)
         self.at(now + self.tier.rng.uniform(0, TICK_MS), self.tick)
         self.at(now + self.tier.rng.uniform(0, CONFIRM_INTERVAL_MS), self.confirm)
 
@@ -94,7 +95,7 @@
     def tick_hosts(self):
         """Tell the quotas which hosts are there, and hand over what this host has lost."""
         now = self.tier.now
-        handed = self.quotas.set_hosts(self.view, self.confirmed_at, now)
+        handed = self.quotas.set_hosts(self.view, self.view, self.confirmed_at, now)
         for owner, balances in handed.items():
             peer = self.tier.hosts[owner]
             if peer.side == self.side:
@@ -102,8 +103,7 @@
 
     def on_handed(self, balances):
         """Take balances over."""
-        for balance in balances:
-            self.quotas.accept(balance, self.tier.now)
+        self.quotas.accept(balances, self.tier.now)
 
     # Requests
 
@@ -149,7 +149,7 @@
         """Send a message to each owner that can be reached."""
         self.flushing = False
         allowances = self.quotas.allowances
-        for name in allowances.owners_to_charge():
+        for name in self.quotas.owners_to_charge(self.tier.now):
             peer = self.tier.hosts[name]
             if peer.side != self.side:
                 self.lose_link(name)
--- a/src/alderhatch/core/forwarding/quota_allowance.py
+++ b/src/alderhatch/core/forwarding/quota_allowance.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Sequence
 from enum import StrEnum
+from math import inf, isfinite
 from typing import NamedTuple
 
 from ...clock import SECOND, Millis
@@ -226,6 +227,11 @@
         """Return the owners for whom there is something to send."""
         return [name for name, one in self._channels.items() if one.asks or one.changed]
 
+    def has_asks(self, owner: str) -> bool:
+        """Return whether requests wait that are in no message yet."""
+        channel = self._channels.get(owner)
+        return channel is not None and bool(channel.asks)
+
     def take_message(self, owner: str, now: Millis) -> ChargeMessage | None:
         """Return the next message to an owner; None if there is nothing to send."""
         channel = self._channel(owner)
@@ -349,6 +355,10 @@
     def apply_owners(self, now: Millis) -> None:
         """Charge the new owners for what the former ones have not confirmed."""
         for name, use in self._uses.items():
+            # The others are moved with their next request: to find thousands of owners at once
+            # would keep the loop busy.
+            if not use.unsent and not use.unanswered:
+                continue
             owner = self._owners.owner(name) or ""
             if owner != use.owner:
                 self._move(name, use, owner)
@@ -413,3 +423,11 @@
     for charge, answer in zip(charges, answers, strict=True):
         if not 0 <= answer.granted <= charge.asked:
             raise ValueError(f"granted: expected 0 to {charge.asked}, got {answer.granted}")
+        refused = charge.asked - answer.granted if answer.counted else 0
+        if len(answer.retry_after) != refused:
+            raise ValueError(f"retry_after: expected {refused} times")
+        if not all(0.0 <= time < inf for time in answer.retry_after):
+            raise ValueError("retry_after: expected numbers of 0 or more")
+        for name in ("balance", "epoch"):
+            if not isfinite(getattr(answer, name)):
+                raise ValueError(f"{name}: expected a number")
--- a/src/alderhatch/core/forwarding/quota_host.py
+++ b/src/alderhatch/core/forwarding/quota_host.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable, Sequence
 from enum import StrEnum
 from random import Random
 from typing import NamedTuple, TypeAlias
@@ -55,7 +55,6 @@
         own_name: This host's name.
         bounds: The bounds of all quotas.
         lookup: Returns the organisation with a name, as the configuration in use declares it.
-        started_at: When this process began.
         rng: Spreads the callers that return.
     """
 
@@ -64,13 +63,12 @@
         own_name: str,
         bounds: QuotaBounds,
         lookup: OrganisationLookup,
-        started_at: Millis,
         rng: Random,
     ) -> None:
         self._own_name = own_name
         self._lookup = lookup
         self._rng = rng
-        self.owners = QuotaOwners(own_name, bounds, started_at)
+        self.owners = QuotaOwners(own_name, bounds)
         """Which host owns which quota."""
         self.allowances = QuotaAllowances(self.owners, bounds)
         """What this host may run by itself, and what it tells the owners."""
@@ -132,12 +130,17 @@
             self.allowances.give_back(token)
 
     def set_hosts(
-        self, names: Iterable[str], confirmed_at: Millis, now: Millis
+        self,
+        names: Iterable[str],
+        active: Collection[str],
+        confirmed_at: Millis,
+        now: Millis,
     ) -> dict[str, list[HandedBalance]]:
-        """Set the active hosts and the time of the last confirmation that has arrived.
+        """Set the hosts, and the time of the last confirmation that has arrived.
 
         Args:
-            names: The names of the active hosts.
+            names: The hosts that may own quotas, by the leader's last list.
+            active: The active hosts.
             confirmed_at: When this host asked the leader for it; -inf if there is none.
             now: The present time.
 
@@ -145,11 +148,27 @@
             The balances to hand over, by the name of the next owner.
         """
         self.owners.confirm(confirmed_at, now)
+        self.owners.set_active(active, now)
         if not self.owners.set_hosts(names, now):
             return {}
         self.allowances.apply_owners(now)
         return self.owner.resign(now)
 
+    def owners_to_charge(self, now: Millis) -> list[str]:
+        """Return the other hosts for whom there is something to send."""
+        owners = self.allowances.owners_to_charge()
+        if self._own_name in owners:
+            self._charge_itself(now)
+        return [owner for owner in owners if owner != self._own_name]
+
+    def _charge_itself(self, now: Millis) -> None:
+        """Count what this host has run ahead of former owners' confirmations."""
+        message = self.allowances.take_message(self._own_name, now)
+        if message is not None:
+            sender = Sender(self._own_name, 0, message.number)
+            answers = [self.owner.answer(sender, charge, now) for charge in message.charges]
+            self.allowances.on_answers(self._own_name, message.number, answers, now)
+
     def answer(self, sender: Sender, charges: Iterable[Charge], now: Millis) -> list[ChargeAnswer]:
         """Count the charges of another host.
 
@@ -161,17 +180,19 @@
             _check_charge(charge)
         return [self.owner.answer(sender, charge, now) for charge in charges]
 
-    def accept(self, handed: HandedBalance, now: Millis) -> bool:
-        """Take over a balance of a former owner; return whether it can be used.
+    def accept(self, balances: Sequence[HandedBalance], now: Millis) -> None:
+        """Take over balances of a former owner, as far as this host has granted nothing yet.
 
         Raises:
             ValueError: If a field is invalid; nothing is changed then.
         """
-        if not -MAX_COUNT <= handed.tokens <= MAX_COUNT:
-            raise ValueError(f"tokens: expected a number, got {handed.tokens}")
-        if self._lookup(handed.organisation) is None:
-            raise ValueError("organisation: unknown")
-        return self.owner.accept(handed, now)
+        for handed in balances:
+            if not -MAX_COUNT <= handed.tokens <= MAX_COUNT:
+                raise ValueError(f"tokens: expected a number, got {handed.tokens}")
+            if self._lookup(handed.organisation) is None:
+                raise ValueError("organisation: unknown")
+        for handed in balances:
+            self.owner.accept(handed, now)
 
     def forget_idle(self, now: Millis) -> None:
         """Forget organisations that nobody uses."""
--- a/src/alderhatch/core/forwarding/quota_owner.py
+++ b/src/alderhatch/core/forwarding/quota_owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 from typing import NamedTuple, TypeAlias
 
 from ...clock import SECOND, Millis
@@ -19,6 +20,8 @@
 HANDED_SPAN: Millis = 1 * SECOND
 """How long a balance is kept for a host that doesn't know yet that it is the owner."""
 MAX_HANDED = 10_000
+RETURN_OFFSETS = 8
+"""In how many groups callers return that can't be served before they do."""
 
 OrganisationLookup: TypeAlias = Callable[[str], Organisation | None]
 
@@ -72,7 +75,7 @@
 
 
 class _Account:
-    __slots__ = ("ahead_at", "bucket", "epoch", "limit", "next_due_at", "seen", "used_at")
+    __slots__ = ("ahead_at", "bucket", "epoch", "limit", "next_due_at", "rounds", "seen", "used_at")
 
     def __init__(self, tokens: float, ahead_at: Millis, now: Millis) -> None:
         self.bucket = TokenBucket(tokens, now)
@@ -82,6 +85,8 @@
         """From when on hosts may run requests ahead."""
         self.next_due_at: Millis = 0.0
         """When the next refused request is told to return."""
+        self.rounds = 0
+        """How often more were refused than could be told different times to return."""
         self.used_at = now
         self.seen: dict[str, Sender] = {}
         """The last counted message of each host."""
@@ -94,13 +99,15 @@
 
         If all were told the same time, they would meet again, and all but one be refused again.
         """
-        if self.limit.rate <= 0.0:
-            return horizon
-        first_due = now + max(0.0, 1.0 - self.balance(now)) * SECOND / self.limit.rate
+        interval = SECOND / self.limit.rate if self.limit.rate > 0.0 else inf
+        first_due = now + max(0.0, 1.0 - self.balance(now)) * interval
         due = max(first_due, self.next_due_at)
         if due - now > horizon:
-            due = min(first_due, now + horizon)
-        self.next_due_at = due + SECOND / self.limit.rate
+            # More are waiting than can be served soon: they share the time that there is.
+            self.rounds += 1
+            offset = self.rounds % RETURN_OFFSETS / RETURN_OFFSETS
+            due = min(first_due, now + horizon / 2) + offset * min(interval, horizon / 2)
+        self.next_due_at = due + interval
         return due - now
 
 
--- a/src/alderhatch/core/forwarding/quota_owners.py
+++ b/src/alderhatch/core/forwarding/quota_owners.py
@@ -1,9 +1,9 @@
-"""Assigns the quota of each organisation to one active host, its owner."""
+"""Assigns the quota of each organisation to one host, its owner."""
 
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from math import inf
 from typing import NamedTuple
 
@@ -29,6 +29,11 @@
     names: tuple[str, ...]
 
 
+class _ActiveCount(NamedTuple):
+    since: Millis
+    hosts: int
+
+
 class _Ownership(NamedTuple):
     owner: str
     since: Millis
@@ -37,46 +42,62 @@
 
 
 class QuotaOwners:
-    """The owners of quotas by rendezvous hashing over the active hosts, now and recently.
+    """The owners of quotas by rendezvous hashing over the leader's list of hosts, and its leases.
 
-    Every host computes the same owners from the same hosts, without a message.
+    Every host computes the same owners from the same list, without a message. The list has to be
+    the leader's alone: an owner's lease shows that it holds the newest list, and nothing else. What
+    hosts find out by themselves, such as which of them are active, may differ for long, so that two
+    hosts would believe that they own the same quota.
 
     Args:
         own_name: This host's name.
         bounds: The bounds of all quotas.
-        started_at: When this process began.
     """
 
-    def __init__(self, own_name: str, bounds: QuotaBounds, started_at: Millis) -> None:
+    def __init__(self, own_name: str, bounds: QuotaBounds) -> None:
         self.own_name = own_name
         self._bounds = bounds
-        self._started_at = started_at
+        self._started_at = inf
         self._views: deque[_View] = deque(maxlen=MAX_VIEWS)
         self._view_count = 0
         self._ownerships: dict[str, _Ownership] = {}
         self._confirmed_at = -inf
         self._out_of_touch_until = -inf
         """When this host was last confirmed after others may have taken over what it owned."""
+        self._active_counts: deque[_ActiveCount] = deque(maxlen=MAX_VIEWS)
         self._active_since: Millis | None = None
 
     @property
     def hosts(self) -> tuple[str, ...]:
-        """The names of the active hosts."""
+        """The names of the hosts that may own quotas."""
         return self._views[-1].names if self._views else ()
 
     def set_hosts(self, names: Iterable[str], now: Millis) -> bool:
-        """Set the names of the active hosts; return whether owners may have changed."""
+        """Set the hosts that may own quotas, by the leader's last list.
+
+        Returns:
+            Whether owners may have changed.
+        """
         ordered = tuple(sorted(names))
         if ordered == self.hosts:
             return False
         self._views.append(_View(now, ordered))
         self._view_count += 1
-        if self.own_name not in ordered:
+        return True
+
+    def set_active(self, names: Collection[str], now: Millis) -> None:
+        """Set the active hosts, which run requests and share the slack."""
+        if not self._active_counts or self._active_counts[-1].hosts != len(names):
+            self._active_counts.append(_ActiveCount(now, len(names)))
+        if self.own_name not in names:
             self._active_since = None
         elif self._active_since is None:
             # What a host knows before it hears its first leader was kept from before its start.
             self._active_since = now if self._confirmed_at > -inf else -inf
-        return True
+
+    def begin(self, now: Millis) -> None:
+        """Record that this process begins to admit requests."""
+        self._started_at = now
 
     def confirm(self, confirmed_at: Millis, now: Millis) -> None:
         """Record when this host asked the leader for the last confirmation that has arrived.
@@ -93,7 +114,7 @@
             self._confirmed_at = confirmed_at
 
     def owner(self, organisation: str) -> str | None:
-        """Return the name of the owner of an organisation's quota; None if no host is active."""
+        """Return the name of the owner of an organisation's quota; None if there is none."""
         return self._ownership(organisation).owner if self.hosts else None
 
     def owned_since(self, organisation: str) -> Millis | None:
@@ -117,11 +138,12 @@
         if now - self._confirmed_at > IN_TOUCH_SPAN:
             return 0
         # Hosts that were cut off go on using a share, so the others must not use it as well.
-        recent = [view for view in self._views if now - view.since <= 2 * IN_TOUCH_SPAN]
-        before = len(self._views) - len(recent)
-        if before > 0:
-            recent.append(self._views[before - 1])
-        return max((len(view.names) for view in recent), default=0)
+        most = 0
+        for count in reversed(self._active_counts):
+            most = max(most, count.hosts)
+            if now - count.since > 2 * IN_TOUCH_SPAN:
+                break
+        return most
 
     def may_use_reserve(self, now: Millis) -> bool:
         """Return whether this process has run for long enough to use a reserve.
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -164,6 +164,20 @@
         logging.WARNING,
         "The leader has not confirmed the configuration recently; requests with keys are refused.",
     )
+    QUOTA_REFUSED = EventRow(
+        1110,
+        logging.INFO,
+        "Requests of an organisation got no token of its quota; reason is exhausted, or no_owner if"
+        " the owner could not be reached. One line for each organisation and second.",
+    )
+    QUOTA_OWNERS_CHANGED = EventRow(
+        1111,
+        logging.INFO,
+        "The hosts that own quotas changed; the balances of those that moved were handed over.",
+    )
+    QUOTA_LINK_LOST = EventRow(
+        1112, logging.WARNING, "The link to an owner of quotas is lost; it is opened again."
+    )
     BELIEFS_NOT_KEPT = EventRow(
         1074,
         logging.WARNING,
--- a/src/alderhatch/metric_catalogue.py
+++ b/src/alderhatch/metric_catalogue.py
@@ -158,6 +158,40 @@
         Unit.SECONDS,
         "Time since the node asked for the last confirmation of its configuration that counts.",
     )
+    NODE_QUOTA_TOKENS = MetricRow(
+        "alderhatch_node_quota_tokens_total",
+        MetricKind.COUNTER,
+        Unit.ONE,
+        "Requests admitted within a quota; source is own (this node is the owner), ahead (before"
+        " the owner confirmed it), asked, or reserve (without the owner).",
+        ("source",),
+    )
+    NODE_QUOTA_REFUSED = MetricRow(
+        "alderhatch_node_quota_refused_total",
+        MetricKind.COUNTER,
+        Unit.ONE,
+        "Requests refused by a quota; reason is exhausted or no_owner.",
+        ("reason",),
+    )
+    NODE_QUOTA_WAIT = MetricRow(
+        "alderhatch_node_quota_wait_seconds",
+        MetricKind.HISTOGRAM,
+        Unit.SECONDS,
+        "Time until a request of an organisation with a quota got its token.",
+        ("source",),
+    )
+    NODE_QUOTA_RESERVE = MetricRow(
+        "alderhatch_node_quota_reserve_tokens",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "Tokens that the node may use without the owners, of the organisations in memory.",
+    )
+    NODE_QUOTA_OWNED = MetricRow(
+        "alderhatch_node_quota_owned",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "Organisations whose balance this node holds as the owner of their quota.",
+    )
     NODE_LEADER_SILENCE = MetricRow(
         "alderhatch_node_leader_silence_seconds",
         MetricKind.GAUGE,
--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -208,8 +208,9 @@
     async def _admit_and_run(
         self, req: CallerRequest, route: Route, times: RunTimes
     ) -> HttpResponse:
+        token = None
         if req.organisation is not None:
-            await self._quotas.admit(req.organisation, times.deadline)
+            token = await self._quotas.admit(req.organisation, times.deadline)
         may_have_run = False
         try:
             async with self._turns.turn(route, req.organisation, times):
@@ -219,8 +220,8 @@
                 outcome, res = await self._run(req, route, times)
                 may_have_run = not isinstance(outcome, NotRun)
         finally:
-            if req.organisation is not None and not may_have_run:
-                self._quotas.give_back(req.organisation)
+            if token is not None and not may_have_run:
+                self._quotas.give_back(token)
         return res
 
     @contextmanager
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -15,6 +15,7 @@
 from ..control.member_steps import HandOver, execute_step
 from ..core.control.configuration_register import ConfigurationRegister
 from ..core.forwarding.configuration_lease import lease_duration
+from ..core.forwarding.quota_host import QuotaHost
 from ..entry.connection_pool import ConnectionPool
 from ..http.messages import HttpLimits, HttpRequest, HttpResponse
 from ..http.server import Handler, ServeState, serve_http
@@ -38,13 +39,18 @@
 from .host_probe import probe_hosts
 from .identity_messages import IDENTITY_MESSAGE_TYPES
 from .leader_announcements import announce_leader
+from .leader_contact import LeaderContact
 from .lease_messages import LEASE_MESSAGE_TYPES, LEASING_ROLE
 from .lease_renewal import log_lease_changes
 from .node_metrics import NodeMetrics
 from .node_settings import NodeSettings
 from .node_state import Decoder, NodeState
 from .parts_collector import PartsCollector
+from .quota_client import QuotaClient
 from .quota_gate import QuotaGate
+from .quota_log import QuotaLog
+from .quota_messages import QUOTA_MESSAGE_TYPES, QUOTA_ROLE
+from .quota_server import QuotaServer
 from .request_log import RequestLog
 from .server_list import FRESH_DURATION, ServerListReader, ServerListSource
 from .service_turns import ServiceTurns
@@ -69,6 +75,7 @@
     *GATHER_MESSAGE_TYPES,
     *IDENTITY_MESSAGE_TYPES,
     *LEASE_MESSAGE_TYPES,
+    *QUOTA_MESSAGE_TYPES,
 )
 PROGRESS_TIMEOUT: Millis = 60 * SECOND
 """Servers may compute for long without sending a byte; each request's deadline ends its wait."""
@@ -78,6 +85,8 @@
 """How long before its stop deadline a node cancels the requests still in progress."""
 LEADERSHIP_POLL_INTERVAL: Millis = 40.0
 """Upper bound of the delay until a new leader reads the server list; a check takes 1 µs."""
+PROCESS_NUMBER_BITS = 53
+"""Enough that two processes of a host never draw the same number."""
 LOG_FLUSH_INTERVAL: Millis = 1 * SECOND
 LISTEN_BACKLOG = 512
 """Connections waiting to be accepted; after a restart of the tier all callers connect at once."""
@@ -166,6 +175,23 @@
         self._gather_server = GatherServer(
             self.state, collector, dialect, self.metrics, self._request_log
         )
+        self.quotas = QuotaHost(cfg.name, cfg.quotas, self.state.organisation, self._rng)
+        """Decides about the quotas of organisations."""
+        self._quota_client = QuotaClient(
+            self.state,
+            self.quotas.allowances,
+            self._rng.getrandbits(PROCESS_NUMBER_BITS),
+            self._codec,
+            cfg.secret,
+        )
+        self._quota_gate = QuotaGate(
+            self.state,
+            self.quotas,
+            self._quota_client,
+            LeaderContact(self.state.lease, lambda: self._client.last_heard_at),
+            QuotaLog(self.metrics),
+        )
+        self._quota_server = QuotaServer(self.state, self.quotas, self._quota_gate.refresh)
         self.callers = CallerHandler(
             self.state,
             self._runner,
@@ -175,7 +201,7 @@
             self._hand_over_client,
             SplitGathers(self.state, collector, self._hand_over_client),
             cfg.processor,
-            QuotaGate(),
+            self._quota_gate,
             ServiceTurns(),
         )
         self._hand_over_server = HandOverServer(
@@ -301,6 +327,8 @@
             await nursery.start(self._pool.run)
             await nursery.start(self._runner.run)
             await nursery.start(self._hand_over_client.run)
+            await nursery.start(self._quota_client.run)
+            nursery.start_soon(self._quota_gate.run)
             await self._open_ports(nursery, handlers)
             if self.member is not None:
                 nursery.start_soon(self.member.run)
@@ -424,6 +452,8 @@
                 await self._server.serve(link)
             case role if role == HAND_OVER_ROLE:
                 await self._hand_over_server.serve(link)
+            case role if role == QUOTA_ROLE:
+                await self._quota_server.serve(link)
             case role if role == BOOTSTRAP_ROLE and self.cfg.first_start:
                 await self._bootstrap_coordinator.serve(link)
             case role:
--- a/src/alderhatch/node/node_metrics.py
+++ b/src/alderhatch/node/node_metrics.py
@@ -72,6 +72,15 @@
         """Count a request that was handed over to another host."""
         self._metrics.inc(Metric.NODE_HANDED_OVER, outcome)
 
+    def count_quota_token(self, source: str, waited: Millis) -> None:
+        """Count a request that was admitted within a quota after so long."""
+        self._metrics.inc(Metric.NODE_QUOTA_TOKENS, source)
+        self._metrics.observe(Metric.NODE_QUOTA_WAIT, waited, source)
+
+    def count_quota_refused(self, reason: str) -> None:
+        """Count a request that was refused by a quota."""
+        self._metrics.inc(Metric.NODE_QUOTA_REFUSED, reason)
+
     def count_change(self, duration: Millis) -> None:
         """Record the duration of an operator's change, until it was committed."""
         self._metrics.observe(Metric.NODE_CHANGE_DURATION, duration)
@@ -94,6 +103,10 @@
             metrics.set(Metric.NODE_LIST_AGE, state.list_age() / SECOND)
         if state.needs_lease and not state.awaits_first_lease:
             metrics.set(Metric.NODE_LEASE_AGE, (now - state.lease.confirmed_at) / SECOND)
+        if state.organisations is not None:
+            metrics.set(Metric.NODE_QUOTA_OWNED, len(node.quotas.owner))
+            reserve = node.quotas.allowances.reserve_tokens(state.organisation, now)
+            metrics.set(Metric.NODE_QUOTA_RESERVE, reserve)
         if node.leader_last_heard_at:
             metrics.set(Metric.NODE_LEADER_SILENCE, (now - node.leader_last_heard_at) / SECOND)
         if node.member is not None:
--- a/src/alderhatch/node/node_settings.py
+++ b/src/alderhatch/node/node_settings.py
@@ -7,6 +7,7 @@
 
 from ..clock import Millis
 from ..core.forwarding.cold_start_limiter import ColdServerLimits
+from ..core.forwarding.quota_bounds import QuotaBounds
 from ..core.forwarding.retry_budget import BudgetLimits
 from ..core.policy import Policy
 from .tier_messages import Place
@@ -57,6 +58,8 @@
     revocation_bound: Millis | None = None
     """How long after the acknowledgement of a configuration a request may still be sent with a key
     that it took away, and run at a host that is out of touch; None for no bound."""
+    quotas: QuotaBounds = QuotaBounds()
+    """By how much organisations may exceed their quotas."""
     process_started: Millis | None = None
     """When the process started, on the loop's clock; None if that is unknown."""
 
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -192,6 +192,10 @@
         """Whether no confirmation has arrived since this host first used organisations."""
         return self.needs_lease and self.lease.confirmed_at < self.organisations_since
 
+    def organisation(self, name: str) -> Organisation | None:
+        """Return the organisation with a name, as the configuration in use declares it."""
+        return self.organisations.named(name) if self.organisations is not None else None
+
     @property
     def has_split_gather(self) -> bool:
         """Whether any route gathers so many parts that the gather is split among hosts."""
--- a/src/alderhatch/platform/settings.py
+++ b/src/alderhatch/platform/settings.py
@@ -8,6 +8,7 @@
 
 from ..clock import SECOND, Millis
 from ..core.forwarding.cold_start_limiter import ColdServerLimits
+from ..core.forwarding.quota_bounds import QuotaBounds
 from ..core.forwarding.retry_budget import BudgetLimits
 from ..core.policy import Policy
 from ..errors import AlderhatchError, ErrorKind, Failure
@@ -96,6 +97,7 @@
         processor=values.number("limits.cpu-share", 1.0) * values.number("limits.cpu-cores", 1.0),
         policy=POLICY,
         revocation_bound=_revocation_bound(values),
+        quotas=_quota_bounds(values),
     )
     address, port = _split_address(values.text("cloud-api.address"), "cloud-api.address")
     return PlatformSettings(node, address, port)
@@ -119,6 +121,19 @@
     return bound if is_strict == "true" else None
 
 
+def _quota_bounds(values: _SettingValues) -> QuotaBounds:
+    window = values.number("bounds.quota-window-s", 5.0)
+    if not 0 < window < math.inf:
+        message = f"expected a number above 0, got {window}"
+        raise _invalid_setting("bounds.quota-window-s", message)
+    tolerance = values.number("bounds.quota-tolerance", 0.0)
+    margin = values.number("bounds.quota-margin", 0.0)
+    for key, value in (("bounds.quota-tolerance", tolerance), ("bounds.quota-margin", margin)):
+        if not 0 <= value < math.inf:
+            raise _invalid_setting(key, f"expected a number of 0 or more, got {value}")
+    return QuotaBounds(window * SECOND, tolerance, margin)
+
+
 def parse_seeds(text: str, link_port: int) -> tuple[Place, ...]:
     """Return the link addresses of the seed hosts.
 
