--- a/features/steps/configuration_lease_steps.py
+++ b/features/steps/configuration_lease_steps.py
@@ -25,6 +25,7 @@
 )
 from alderhatch.core.forwarding.configuration_lease import ConfigurationLease, lease_duration
 from alderhatch.core.forwarding.outcome import Failed, FailureReason
+from alderhatch.core.forwarding.quota_allowance import QuotaToken, TokenSource
 from alderhatch.entry.connection_pool import ConnectionPool
 from alderhatch.errors import AlderhatchError
 from alderhatch.http.messages import HttpRequest
@@ -450,7 +451,8 @@
         yield
 
     turns.turn = turn
-    context.quotas = Mock(wraps=QuotaGate())
+    token = QuotaToken("north", TokenSource.OWN)
+    context.quotas = Mock(spec=QuotaGate, admit=AsyncMock(return_value=token))
 
     async def main():
         state = make_state()
