The stand-in of a request in the log's tests has an organisation, as real ones

Cause: request lines name the organisation; the stand-in had no such field, so four scenarios of features/log_output.feature failed in the whole check. Nothing that they check is changed.

Measured: features/log_output.feature 14 passed.

--- a/features/steps/log_output_steps.py
+++ b/features/steps/log_output_steps.py
@@ -155,7 +155,8 @@
 
 
 def request_of(number):
-    return SimpleNamespace(request_id=f"r{number}", http=SimpleNamespace(unread_time=0.0))
+    http = SimpleNamespace(unread_time=0.0)
+    return SimpleNamespace(request_id=f"r{number}", http=http, organisation=None)
 
 
 @given("a request log")
