--- a/features/steps/platform_organisations_steps.py
+++ b/features/steps/platform_organisations_steps.py
@@ -85,13 +85,19 @@
     return names
 
 
+def log_lines(tier, request_id):
+    """Return what the hosts have logged about a request, to trace why it was not served."""
+    lines = itertools.chain.from_iterable(tier.log_text(one).splitlines() for one in tier.running())
+    return [line for line in lines if request_id in line]
+
+
 @then('a caller with a key of "north" is served at each host, on each kind of route')
 def step_north_served(context):
     tier = context.platform
     for index, path in itertools.product(tier.running(), PATHS):
         request_id = fresh_id()
         answer = tier.ask(index, path, request_id, Api_Key=NORTH_KEYS[0], Tenant="south")
-        assert answer.status == 200, (index, path, answer)
+        assert answer.status == 200, (index, path, answer, log_lines(tier, request_id))
         assert told(tier, request_id) == {("north",)}, (index, path, told(tier, request_id))
 
 
