--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -180,3 +180,11 @@
     Given a platform tier that serves 50 shards
     When a host is suspended, and then killed, while another host receives queries
     Then every query was answered completely, or omitted parts only while the host was suspended
+
+  Scenario: The steps of a start after all hosts were killed
+    # Guards against a slow restart of which nobody can tell what took long.
+    Given a platform tier that serves
+    When all hosts are killed once those with a disk have a checkpoint, and start again
+    Then every host of the platform tier becomes ready
+    And a query at each remaining host is answered at once
+    And each host has logged the steps of its start, those with a disk from their checkpoint on
--- a/features/steps/first_seconds_steps.py
+++ b/features/steps/first_seconds_steps.py
@@ -77,6 +77,7 @@
 @given("a queue of {count:d} connections that nobody waits for")
 def step_queue(context, count):
     context.queue = OpenQueue()
+    context.queue.is_starting = True
     context.servers = list(range(count))
     for server in context.servers:
         context.queue.add(server, False)
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -526,3 +526,38 @@
 @then("it continues without the checkpoint before the disk has answered")
 def step_continues(context):
     assert not context.has_answered
+
+
+@when("all hosts are killed once those with a disk have a checkpoint, and start again")
+def step_kill_with_checkpoint(context):
+    kill_all(context.platform)
+    context.platform.start()
+
+
+def start_steps(tier, index):
+    """Return the steps of a host's last start with the milliseconds since its process began."""
+    steps = {}
+    for line in tier.log_text(index).splitlines():
+        if '"start_step"' in line:
+            fields = orjson.loads(line)["fields"]
+            steps[fields["step"]] = fields["after_ms"]
+    return steps
+
+
+@then("each host has logged the steps of its start, those with a disk from their checkpoint on")
+def step_start_steps(context):
+    tier = context.platform
+    for index in tier.running():
+        steps = until(
+            lambda index=index: (
+                start_steps(tier, index)
+                if {"leader", "answer"} <= start_steps(tier, index).keys()
+                else None
+            ),
+            f"node {index} has answered and follows a leader",
+        )
+        print(f"node {index}: {steps}")
+        first = ["checkpoint"] if index < tier.disks else []
+        in_order = [steps[name] for name in [*first, "ports", "servers", "ready", "answer"]]
+        assert in_order == sorted(in_order), steps
+        assert steps["ports"] <= steps["leader"], steps
--- a/features/support/starting_host.py
+++ b/features/support/starting_host.py
@@ -4,6 +4,7 @@
 
 from collections import Counter, defaultdict, deque
 
+from alderhatch.core.forwarding.connection_waits import START_SPAN, ConnectionWaits
 from alderhatch.core.forwarding.host_demand import CPU_PER_REQUEST
 from alderhatch.entry.open_queue import OpenQueue
 from features.support.forward_model import ForwardModel
@@ -30,6 +31,8 @@
         self.opened = 0
         self._free_at = 0.0
         self._queue = OpenQueue()
+        self._queue.is_starting = True
+        self.tables[0].connection_waits = ConnectionWaits(START_SPAN)
         self._idle = Counter()
         self._opening = set()
         self._waiting = defaultdict(deque)
--- a/src/alderhatch/core/forwarding/connection_waits.py
+++ b/src/alderhatch/core/forwarding/connection_waits.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from ...clock import Millis
+from ...clock import SECOND, Millis
 
 MIN_WAITING = 16
 """With so many requests waiting at once, it is this host that is busy opening connections."""
 PROGRESS_TIMEOUT: Millis = 30.0
 """If no waiting request has got a connection for so long, the servers do not accept any."""
+START_SPAN: Millis = 3 * SECOND
+"""How long a host counts as just started."""
 MAX_WAIT: Millis = 100.0
 """A request that has waited longer is no longer excused by the others."""
 
@@ -19,9 +21,16 @@
     for each; every part is late, and none of the servers is to blame. If each part were hedged, the
     host would open twice as many connections at the moment when it can afford it least, and the
     retry budget would be used up.
+
+    Later, many connections open at once because servers have reset theirs. Then a part that waits
+    may as well be asked for at another server.
+
+    Args:
+        until: When the host no longer counts as just started.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, until: Millis = 0.0) -> None:
+        self._until = until
         self._began_at: dict[int, Millis] = {}
         """When each attempt began to wait, by its number."""
         self._progress_at: Millis = 0.0
@@ -51,6 +60,6 @@
     def is_excused(self, attempt: int, now: Millis) -> bool:
         """Return whether an attempt still waits because this host opens many connections."""
         began_at = self._began_at.get(attempt)
-        if began_at is None or not self._is_crowd:
+        if began_at is None or not self._is_crowd or began_at >= self._until:
             return False
         return now - began_at < MAX_WAIT and now - self._progress_at < PROGRESS_TIMEOUT
--- a/src/alderhatch/entry/connection_pool.py
+++ b/src/alderhatch/entry/connection_pool.py
@@ -61,6 +61,10 @@
         self.opened_count = 0
         """The number of connections opened so far."""
 
+    def set_starting(self, is_starting: bool) -> None:
+        """Set whether this host has just started and has no connections yet."""
+        self._open_queue.is_starting = is_starting
+
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Open, monitor and close connections until cancelled."""
         try:
--- a/src/alderhatch/entry/open_queue.py
+++ b/src/alderhatch/entry/open_queue.py
@@ -6,11 +6,11 @@
 from collections.abc import Hashable
 from typing import Generic, TypeVar
 
-MAX_AHEAD_OPENS = 16
-"""A connection is opened ahead of requests only while fewer than this many are being opened."""
-MAX_OPENS = 64
-"""Connections being opened at the same time. Opening is mostly waiting; a request over a hundred
-shards that has to open most of its connections would be late after a few rounds of sixteen."""
+MAX_OPENS = 16
+"""Connections being opened at the same time."""
+MAX_OPENS_AT_START = 64
+"""The same for connections that requests wait for, while a host has none. Opening is mostly
+waiting; a first request over a hundred shards would be late after a few rounds of sixteen."""
 
 T = TypeVar("T", bound=Hashable)
 
@@ -24,6 +24,8 @@
     """
 
     def __init__(self) -> None:
+        self.is_starting = False
+        """Whether the host has just started."""
         self._awaited: OrderedDict[T, None] = OrderedDict()
         self._ahead: OrderedDict[T, None] = OrderedDict()
         self._running = 0
@@ -43,9 +45,10 @@
 
     def take(self) -> T | None:
         """Return the server whose connection is opened next, or None if none may be opened now."""
-        if self._awaited and self._running < MAX_OPENS:
-            return self._awaited.popitem(last=False)[0]
-        if self._ahead and not self._awaited and self._running < MAX_AHEAD_OPENS:
+        limit = MAX_OPENS_AT_START if self.is_starting else MAX_OPENS
+        if self._awaited:
+            return self._awaited.popitem(last=False)[0] if self._running < limit else None
+        if self._ahead and self._running < MAX_OPENS:
             return self._ahead.popitem(last=False)[0]
         return None
 
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -187,6 +187,11 @@
     )
     SERVER_LIST_BACK = EventRow(1064, logging.INFO, "The server list can be read again.")
     NODE_STARTED = EventRow(1065, logging.INFO, "The node is listening.")
+    START_STEP = EventRow(
+        1083,
+        logging.INFO,
+        "A step of the node's start was taken, after_ms milliseconds after its process began.",
+    )
     NODE_STOPPED = EventRow(1066, logging.INFO, "The node has finished all requests.")
 
     LINK_REFUSED = EventRow(4000, logging.WARNING, "A peer failed the authentication of a link.")
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -14,6 +14,7 @@
 from ..control.log_messages import PEER_MESSAGE_TYPES
 from ..control.member_steps import HandOver, execute_step
 from ..core.control.configuration_register import ConfigurationRegister
+from ..core.forwarding.connection_waits import START_SPAN, ConnectionWaits
 from ..entry.connection_pool import ConnectionPool
 from ..http.messages import HttpLimits, HttpRequest, HttpResponse
 from ..http.server import Handler, ServeState, serve_http
@@ -45,6 +46,7 @@
 from .server_list import FRESH_DURATION, ServerListReader, ServerListSource
 from .service_turns import ServiceTurns
 from .split_gather import SplitGathers
+from .start_timeline import StartStep, StartTimeline
 from .state_checkpoint import CheckpointStore
 from .tier_client import TierClient
 from .tier_messages import (
@@ -292,15 +294,20 @@
 
     async def _serve(self, handlers: EdgeHandlers, signals: AsyncIterator[int]) -> None:
         trio.lowlevel.add_instrument(self._loop_delay)
+        self.state.timeline = StartTimeline(self._clock, self.cfg.process_started)
         async with trio.open_nursery() as nursery:
             if self.cfg.data_folder is not None:
                 checkpoint_store = CheckpointStore(self.cfg.data_folder, self.state)
                 await checkpoint_store.restore()
+                if self.state.stored.version > 0:
+                    self.state.record_step(StartStep.CHECKPOINT)
                 nursery.start_soon(checkpoint_store.run)
             await nursery.start(self._pool.run)
+            nursery.start_soon(self._open_first_connections)
             await nursery.start(self._runner.run)
             await nursery.start(self._hand_over_client.run)
             await self._open_ports(nursery, handlers)
+            self.state.record_step(StartStep.PORTS)
             if self.member is not None:
                 nursery.start_soon(self.member.run)
                 nursery.start_soon(self._server.run)
@@ -325,6 +332,13 @@
             await self._drain()
             nursery.cancel_scope.cancel()
 
+    async def _open_first_connections(self) -> None:
+        """Open many connections at once, and blame no server for it, while this host has none."""
+        self.state.table.connection_waits = ConnectionWaits(self._clock.now() + START_SPAN)
+        self._pool.set_starting(True)
+        await trio.sleep(START_SPAN / SECOND)
+        self._pool.set_starting(False)
+
     async def _watch_leadership(self) -> None:
         """Notify the waiting tasks when this host starts or stops leading.
 
--- a/src/alderhatch/node/node_metrics.py
+++ b/src/alderhatch/node/node_metrics.py
@@ -12,6 +12,7 @@
 from ..metric_catalogue import Metric
 from ..metrics import Metrics, MetricsPage
 from .request_log import RequestEnd
+from .start_timeline import StartStep
 
 if TYPE_CHECKING:
     from .control_member import ControlMember
@@ -46,6 +47,7 @@
         metrics.inc(Metric.NODE_REQUESTS, route, end.outcome)
         metrics.observe(Metric.NODE_UNREAD_TIME, unread_time)
         if end.coverage > 0:
+            self._node.state.record_step(StartStep.ANSWER)
             metrics.observe(Metric.NODE_DURATION, end.duration, route)
             if run.times.arrived + end.duration > run.due + MIN_LEAD_TIME:
                 metrics.inc(Metric.NODE_OVERDUE, route)
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -32,6 +32,7 @@
 from ..log import log_event
 from ..log_events import LogEvent
 from ..signal import Signal
+from .start_timeline import StartStep, StartTimeline
 from .tier_messages import CrashReport, Place, TierView
 
 MAX_CRASH_REPORTS = 20
@@ -77,6 +78,8 @@
     ) -> None:
         self.name = name
         self.zone = zone
+        self.timeline: StartTimeline | None = None
+        """Logs the steps of the start; None for no log."""
         self._decode = decode
         self._pool = pool
         self._clock = clock
@@ -206,6 +209,8 @@
             self.records.pop(server_id, None)
         for record in changed:
             self.records[record.server_id] = record
+        if self.records:
+            self.record_step(StartStep.SERVERS)
         self._update_connections()
 
     def mark_list_fresh(self) -> None:
@@ -246,10 +251,16 @@
         """Request the server list, as no host was found to hand a request over to."""
         self.wants_servers = True
 
+    def record_step(self, step: StartStep) -> None:
+        """Log a step of the start, if the start is logged."""
+        if self.timeline is not None:
+            self.timeline.record(step)
+
     def _start_if_known(self) -> None:
         has_other_host = any(host.name != self.name for host in self.caller_hosts)
         if self.stored.version > 0 and (self.records or (self.stands_by and has_other_host)):
             self.started.set()
+            self.record_step(StartStep.READY)
 
     def _update_connections(self) -> None:
         self._start_if_known()
@@ -319,6 +330,7 @@
         Leaders keep crash reports in memory only. Without this, a body that has crashed one server
         could crash two more after each change of leader.
         """
+        self.record_step(StartStep.LEADER)
         now = self._clock.now()
         recent = [crash for at, crash in self._sent_crash_reports if now - at < CRASH_RETENTION]
         self._sent_crash_reports = []
