A gather that can't be answered before its deadline is refused when it arrives

Cause: with the order of parts, a gather behind much more urgent work waits; one that can't be answered before its caller gives up took turns from others, and its caller learned of it at its deadline.

Change: PartQueue.retry_after, asked before anything is sent: the needed parts of the gathers that go before it and its own at the measured time of a turn, and its group's minimum rate, against its deadline. ForwardRunner.forward returns NotRun with the new reason overloaded, so the token of its quota goes back; Retry-After says when the work before it is done, spread by up to two. Lines and alderhatch_node_requests_total have the outcome.

Measured: tables of service_order about refusals, order and turns, host_capacity about hand-overs: passed; lint and types clean.

--- a/bench/forward.py
+++ b/bench/forward.py
@@ -122,7 +122,7 @@
             gathers,
             1.0,
             QuotaGate(),
-            ServiceTurns(self.state, 1.0, metrics),
+            ServiceTurns(self.state, 1.0, metrics, Random(1)),
         )
 
     async def ask(self, first: int, count: int) -> None:
--- a/features/service_order.feature
+++ b/features/service_order.feature
@@ -59,6 +59,22 @@
       | 90    | 90      | 2      | no organisation | 20    | 90      | 0      | no organisation | a     |
       | 50    | 90      | 1      | organisation x  | 60    | 90      | 1      | organisation x  | a     |
 
+  Scenario Outline: A gather over 90 shards that meets <count> others of rank <rank>
+    # Guards against gathers that are held until their callers give up, and against callers that gain
+    # by asking again at once or all return at the same time.
+    Given <count> gathers of rank <rank> due in <due> ms that lack <lacks> parts each
+    When one of rank <own rank> due in <own due> ms with a deadline of <deadline> ms arrives 3 times
+    Then it is <outcome>
+
+    Examples:
+      | count | rank | due  | lacks | own rank | own due | deadline | outcome                                                   |
+      | 0     | 1    | 300  | 90    | 1        | 100     | 600      | served each time                                          |
+      | 10    | 1    | 300  | 90    | 1        | 100     | 600      | served each time                                          |
+      | 40    | 1    | -100 | 90    | 1        | -90     | 600      | refused each time and told to return after 345 to 690 ms  |
+      | 40    | 1    | -100 | 90    | 0        | -90     | 600      | served each time                                          |
+      | 100   | 0    | 3000 | 90    | 2        | -90     | 600      | served each time                                          |
+      | 40    | 1    | 9000 | 90    | 1        | 100     | 600      | served each time                                          |
+
   Scenario: A gather waits behind the earlier ones of its own organisation
     # Guards against an organisation with many gathers that displaces those of the others.
     Given a gather "own-1" due in 40 ms that lacks 10 parts, of rank 1 and organisation x
--- a/features/steps/host_capacity_steps.py
+++ b/features/steps/host_capacity_steps.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from random import Random
 from types import SimpleNamespace
 from unittest.mock import Mock
 
@@ -151,7 +152,7 @@
         SimpleNamespace(create=lambda req, route, times: None),
         0.5,
         QuotaGate(),
-        ServiceTurns(state, 0.5, Mock()),
+        ServiceTurns(state, 0.5, Mock(), Random(1)),
     )
 
 
--- a/features/steps/service_order_steps.py
+++ b/features/steps/service_order_steps.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from random import Random
 from types import SimpleNamespace
 from unittest.mock import Mock
 
@@ -134,8 +135,8 @@
 class Run:
     """Stands for a gather's run."""
 
-    def __init__(self, due, missing, finished=False):
-        self.times = SimpleNamespace(answer_by=due)
+    def __init__(self, due, missing, finished=False, deadline=FAR_MS):
+        self.times = SimpleNamespace(arrived=0.0, answer_by=due, deadline=deadline)
         self.missing_parts = missing
         self.finished = finished
 
@@ -145,7 +146,7 @@
 )
 def step_gather(context, name, due, missing, rank, owner):
     if "queue" not in context:
-        context.queue = PartQueue(LOOP_PROCESSOR)
+        context.queue = PartQueue(LOOP_PROCESSOR, Random(1))
         context.gathers = {}
     organisation = None if owner == "no organisation" else owner
     context.gathers[name] = context.queue.start(Run(due, missing), rank, organisation)
@@ -182,6 +183,39 @@
     assert batches == [{name} for name in wanted], batches
 
 
+# Refusals
+
+
+@given("{count:d} gathers of rank {rank:d} due in {due:g} ms that lack {missing:d} parts each")
+def step_gathers(context, count, rank, due, missing):
+    context.queue = PartQueue(LOOP_PROCESSOR, Random(1))
+    for _ in range(count):
+        context.queue.start(Run(due, missing), rank, None)
+
+
+@when(
+    "one of rank {rank:d} due in {due:g} ms with a deadline of {deadline:g} ms arrives "
+    "{times:d} times"
+)
+def step_arrives(context, rank, due, deadline, times):
+    context.retry_after = []
+    for _ in range(times):
+        gather = context.queue.start(Run(due, 90, deadline=deadline), rank, None)
+        context.retry_after.append(context.queue.retry_after(gather, 0.0))
+        context.queue.end(gather)
+
+
+@then("it is served each time")
+def step_served(context):
+    assert set(context.retry_after) == {None}, context.retry_after
+
+
+@then("it is refused each time and told to return after {least:g} to {most:g} ms")
+def step_refused(context, least, most):
+    assert all(least <= one <= most for one in context.retry_after), context.retry_after
+    assert len(set(context.retry_after)) == len(context.retry_after)
+
+
 # Any gathers
 
 gathers = st.lists(
@@ -199,7 +233,7 @@
 
 
 def _fill(drawn, parts=None):
-    queue = PartQueue(LOOP_PROCESSOR)
+    queue = PartQueue(LOOP_PROCESSOR, Random(1))
     for due, missing, rank, organisation, finished, count in drawn:
         gather = queue.start(Run(due, missing, finished), rank, organisation)
         for number in range(parts or count):
@@ -285,7 +319,7 @@
 def _service_turns(context):
     routes = RouteTable([context.light_route, context.heavy_route])
     state = SimpleNamespace(organisations=None, routes=routes)
-    return ServiceTurns(state, LOOP_PROCESSOR, Mock())
+    return ServiceTurns(state, LOOP_PROCESSOR, Mock(), Random(1))
 
 
 @when("its gathers send their requests or read their answers")
--- a/features/support/busy_hosts.py
+++ b/features/support/busy_hosts.py
@@ -125,7 +125,9 @@
         self.organisations = {}
         """The organisation of each request that has one, by the number of the request."""
         self._processors = [
-            HostProcessor(self, one.processor, PartQueue(one.processor) if is_ordered else None)
+            HostProcessor(
+                self, one.processor, PartQueue(one.processor, self.rng) if is_ordered else None
+            )
             for one in self.hosts
         ]
         self._demand = HostDemand()
--- a/src/alderhatch/core/forwarding/outcome.py
+++ b/src/alderhatch/core/forwarding/outcome.py
@@ -19,6 +19,8 @@
     """Every server that was tried refused it."""
     FAILED = "failed"
     """Servers failed, or connections broke."""
+    OVERLOADED = "overloaded"
+    """The host had too much other work to get an answer before the caller's deadline."""
     TIMEOUT = "timeout"
     """No answer arrived in time."""
 
--- a/src/alderhatch/core/forwarding/part_queue.py
+++ b/src/alderhatch/core/forwarding/part_queue.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
+from random import Random
 from typing import Generic, NamedTuple, TypeAlias, TypeVar
 
 from ...clock import Millis
@@ -28,6 +29,10 @@
 MAX_PASSED_OVER = 4
 """How many batches in a row may pass over a group that has waited for ``MAX_WAIT``. It so keeps a
 quarter of the rate of the most urgent group, and nothing starves."""
+MIN_RETRY_AFTER: Millis = 100.0
+RETRY_SPREAD = 2.0
+"""Callers that are refused are told to return after one to this many times the time until there is
+room, so that they don't all return at once."""
 COST_WEIGHT = 0.05
 """Weight of the latest batch in the moving mean of the time of a turn."""
 
@@ -91,6 +96,11 @@
         """The number of parts that wait."""
         return len(self.sends) + len(self.answers)
 
+    @property
+    def turns_left(self) -> int:
+        """How many turns it needs for an answer with the minimum coverage."""
+        return len(self.sends) + self.run.missing_parts
+
     def can_be_in_time(self, turn_cost: Millis, now: Millis) -> bool:
         """Return whether there is time to handle the parts that the answer needs."""
         return now + self.run.missing_parts * turn_cost <= self.run.times.answer_by
@@ -109,9 +119,11 @@
 
     Args:
         processor: Processor time of the host, in seconds per second.
+        rng: Spreads the callers that are told to return later.
     """
 
-    def __init__(self, processor: float) -> None:
+    def __init__(self, processor: float, rng: Random) -> None:
+        self._rng = rng
         self.turn_cost: Millis = CPU_PER_REQUEST / TURNS_PER_PART / min(1.0, processor)
         """A moving mean of the time that the host takes for one turn."""
         self._at_work: list[Gather[Item]] = []
@@ -138,6 +150,35 @@
         self._at_work.append(gather)
         return gather
 
+    def retry_after(self, gather: Gather[Item], now: Millis) -> Millis | None:
+        """Decide whether a gather that has just started is refused, before anything is sent.
+
+        A gather that can't be answered before its caller gives up would only take turns from
+        others, and its caller would learn too late that it has to ask again.
+
+        Returns:
+            When the caller should return, if it is refused; None if the gather may run.
+        """
+        overrun = self._earliest_answer(gather, now) - gather.run.times.deadline
+        if overrun <= 0.0:
+            return None
+        return max(MIN_RETRY_AFTER, overrun) * self._rng.uniform(1.0, RETRY_SPREAD)
+
+    def _earliest_answer(self, gather: Gather[Item], now: Millis) -> Millis:
+        """Return when a gather can be answered, servers apart, as nothing else arrives."""
+        own = self._urgency(gather, now)
+        own_turns = TURNS_PER_PART * gather.run.missing_parts
+        turns = turns_in_group = own_turns
+        for other in self._at_work:
+            urgency = self._urgency(other, now)
+            if other is gather or urgency > own:
+                continue
+            turns += other.turns_left
+            if urgency.group == own.group:
+                turns_in_group += other.turns_left
+        at_minimum_rate = MAX_WAIT + turns_in_group * (MAX_PASSED_OVER + 1) * self.turn_cost
+        return now + min(turns * self.turn_cost, at_minimum_rate)
+
     def end(self, gather: Gather[Item]) -> None:
         """Remove a gather; its parts that are still in flight may wait for turns nevertheless."""
         self._at_work.remove(gather)
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -54,7 +54,9 @@
 
     async def forward(self, req: CallerRequest, run: ForwardRun, turn: ServiceTurn) -> Outcome:
         """Run a request to its outcome; cancellation also cancels its attempts at servers."""
-        turn.begin(run)
+        refusal = turn.begin(run)
+        if refusal is not None:
+            return refusal
         active = _ActiveRequest(self, req, run, turn)
         try:
             return await active.run_to_end()
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -157,7 +157,7 @@
         self._gather_server = GatherServer(
             self.state, collector, dialect, self.metrics, self._request_log
         )
-        self.turns = ServiceTurns(self.state, cfg.processor, self.metrics)
+        self.turns = ServiceTurns(self.state, cfg.processor, self.metrics, self._rng)
         """The turns of requests at this host."""
         self.callers = CallerHandler(
             self.state,
--- a/src/alderhatch/node/service_turns.py
+++ b/src/alderhatch/node/service_turns.py
@@ -4,6 +4,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from random import Random
 from typing import TypeAlias
 
 import trio
@@ -11,6 +12,7 @@
 from ..clock import LoopClock
 from ..core.forwarding.forward_run import ForwardRun
 from ..core.forwarding.organisation import Organisation
+from ..core.forwarding.outcome import FailureReason, NotRun
 from ..core.forwarding.part_queue import Gather, PartQueue
 from ..core.forwarding.route import AllShards, Route
 from ..core.forwarding.run_limits import RunTimes
@@ -35,10 +37,16 @@
         self._organisation = organisation
         self._gather: PartGather | None = None
 
-    def begin(self, run: ForwardRun) -> None:
-        """Handle a request that begins to run."""
-        if self._turns.is_ordered and isinstance(run.route.destination, AllShards):
-            self._gather = self._turns.queue.start(run, self._rank, self._organisation)
+    def begin(self, run: ForwardRun) -> NotRun | None:
+        """Handle a request that is about to run; return its outcome if it is refused."""
+        if not self._turns.is_ordered or not isinstance(run.route.destination, AllShards):
+            return None
+        queue = self._turns.queue
+        self._gather = queue.start(run, self._rank, self._organisation)
+        retry_after = queue.retry_after(self._gather, run.times.arrived)
+        if retry_after is None:
+            return None
+        return NotRun(FailureReason.OVERLOADED, retry_after)
 
     def end(self) -> None:
         """Handle a request that has its outcome."""
@@ -69,10 +77,13 @@
         state: The node's state with the routes and the organisations.
         processor: Processor time of this host, in seconds per second.
         metrics: Records how long parts wait.
+        rng: Spreads the callers that are told to return later.
     """
 
-    def __init__(self, state: NodeState, processor: float, metrics: NodeMetrics) -> None:
-        self.queue: PartQueue[trio.Event] = PartQueue(processor)
+    def __init__(
+        self, state: NodeState, processor: float, metrics: NodeMetrics, rng: Random
+    ) -> None:
+        self.queue: PartQueue[trio.Event] = PartQueue(processor, rng)
         """The parts that wait."""
         self._state = state
         self._metrics = metrics
@@ -88,15 +99,13 @@
     async def turn(
         self, route: Route, organisation: Organisation | None, times: RunTimes
     ) -> AsyncIterator[ServiceTurn]:
-        """Wait for a request's turn, and run the body of the context during it.
+        """Return a request's turn, in which it runs at once and its parts wait for theirs.
 
         Args:
             route: The route of the request.
             organisation: The organisation of the request; None if there is none.
             times: The deadlines of the request.
 
-        Raises:
-            AlderhatchError: With kind ``overloaded`` if the request can't be served in time.
         """
         name = organisation.name if organisation is not None else None
         turn = ServiceTurn(self, _effective_rank(route, organisation), name)
