--- a/bench/forward.py
+++ b/bench/forward.py
@@ -156,7 +156,7 @@
             gathers,
             1.0,
             quota_gate,
-            ServiceTurns(self.state, 1.0, metrics),
+            ServiceTurns(self.state, 1.0, metrics, Random(1)),
         )
 
     async def ask(self, first: int, count: int) -> None:
--- a/features/support/identified_hosts.py
+++ b/features/support/identified_hosts.py
@@ -143,7 +143,7 @@
         self.servers = RecordedServers()
         self.hand_overs = RecordedHandOvers()
         self.quotas = RecordedQuotas()
-        self.turns = ServiceTurns(self.state, 1.0, Mock())
+        self.turns = ServiceTurns(self.state, 1.0, Mock(), Random(1))
         self.log = Mock()
         self.metrics = Mock()
         self.handler = CallerHandler(
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -181,7 +181,7 @@
         self._gather_server = GatherServer(
             self.state, collector, dialect, self.metrics, self._request_log
         )
-        self.turns = ServiceTurns(self.state, cfg.processor, self.metrics)
+        self.turns = ServiceTurns(self.state, cfg.processor, self.metrics, self._rng)
         """The turns of requests at this host."""
         self.quotas = QuotaHost(cfg.name, cfg.quotas, self.state.organisation, self._rng)
         """Decides about the quotas of organisations."""
