--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -28,7 +28,7 @@
 from .node_metrics import NodeMetrics
 from .node_state import NodeState
 from .quota_gate import QuotaGate
-from .request_log import RequestLog, to_request_end
+from .request_log import CALLER_GONE, RequestLog, to_request_end
 from .service_turns import ServiceTurns
 from .split_gather import SplitGather, SplitGathers
 
@@ -109,11 +109,7 @@
         arrived = self._clock.now()
         req = self._dialect.read_request(http)
         if self._state.hands_over:
-            route: Route | None
-            if self._state.organisations is None:
-                route = self._state.routes.find(req.host, req.http.path)
-            else:
-                req, route = await self._identify_before_hand_over(req)
+            req, route = await self._identify_before_hand_over(req, arrived)
             return await self._hand_over(req, arrived, self._faster_hosts(route))
         return await self._serve(req, arrived, may_hand_over=True)
 
@@ -140,9 +136,17 @@
         await self._identity.wait_for_version(oldest)
         return await self._serve(req, arrived, may_hand_over=False)
 
-    async def _identify_before_hand_over(self, req: CallerRequest) -> tuple[CallerRequest, Route]:
-        """Decide the organisation of a request at a standby host, so that no key travels."""
+    async def _identify_before_hand_over(
+        self, req: CallerRequest, arrived: Millis
+    ) -> tuple[CallerRequest, Route | None]:
+        """Return a request as a standby host hands it over, without its key, and its route.
+
+        Without organisations the other host decides everything, also that there is no route.
+        """
+        if self._state.organisations is None:
+            return req, self._state.routes.find(req.host, req.http.path)
         with self._refusal_recorded(req):
+            await self._wait_for_start(req, arrived)
             await self._identity.wait_for_version(self._state.seen_version)
             route = self._identity.route_of(req)
             return self._identity.identify(req, route), route
@@ -203,7 +207,12 @@
             if handed is not None:
                 return handed
         with self._refusal_recorded(req):
-            return await self._admit_and_run(req, route, self._run_times(route, req, arrived))
+            times = self._run_times(route, req, arrived)
+            try:
+                return await self._admit_and_run(req, route, times)
+            except trio.Cancelled:
+                self._count_organisation(req, CALLER_GONE)
+                raise
 
     async def _admit_and_run(
         self, req: CallerRequest, route: Route, times: RunTimes
@@ -230,9 +239,14 @@
             yield
         except AlderhatchError as exc:
             self._metrics.count_refused(exc.failure.kind)
+            self._count_organisation(req, exc.failure.kind)
             self._log.log_refused(req, exc.failure.kind, exc.failure.message)
             raise
 
+    def _count_organisation(self, req: CallerRequest, outcome: str) -> None:
+        if req.organisation is not None:
+            self._metrics.count_organisation(req.organisation.name, outcome)
+
     async def _run(
         self, req: CallerRequest, route: Route, times: RunTimes
     ) -> tuple[Outcome, HttpResponse]:
@@ -259,6 +273,7 @@
     ) -> HttpResponse:
         end = to_request_end(outcome, self._clock.now() - run.times.arrived)
         self._metrics.count_request(run, end, req.http.unread_time)
+        self._count_organisation(req, end.outcome)
         self._log.log_end(req, run, end)
         res = self._dialect.response(run.route, outcome)
         if omitted_late_parts:
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -36,7 +36,7 @@
 from .hand_over_client import HandOverClient
 from .hand_over_messages import HAND_OVER_MESSAGE_TYPES, HAND_OVER_ROLE
 from .hand_over_server import HandOverServer
-from .host_probe import probe_hosts
+from .host_probe import HostProber
 from .identity_messages import IDENTITY_MESSAGE_TYPES
 from .leader_announcements import announce_leader
 from .leader_contact import LeaderContact
@@ -70,6 +70,7 @@
 from .tier_server import HOST_ROLE, TierServer
 from .voter_reconciler import VoterReconciler
 
+CONTROL_ROLE = "control"
 LINK_MESSAGE_TYPES = (
     *HAND_OVER_MESSAGE_TYPES,
     *GATHER_MESSAGE_TYPES,
@@ -164,13 +165,16 @@
         self._client = TierClient(
             self._join, self._report, self._known_places, self.state, self._codec, cfg.secret
         )
+        self._prober = HostProber(self.state, self._client.contact)
         self._runner = ForwardRunner(self._pool, self.state, dialect)
         self._bootstrap_coordinator = BootstrapCoordinator()
         self.log_output = log_output
         """Bounded log output, if used."""
         self.metrics = NodeMetrics(self)
         self._request_log = RequestLog(self.state, lambda: self.requests_in_flight)
-        self._hand_over_client = HandOverClient(self.state, self._codec, cfg.secret, self._rng)
+        self._hand_over_client = HandOverClient(
+            self.state, self._codec, cfg.secret, self._rng, self._prober.check_any
+        )
         collector = PartsCollector(self._runner, dialect)
         self._gather_server = GatherServer(
             self.state, collector, dialect, self.metrics, self._request_log
@@ -250,6 +254,11 @@
         """Number of requests being answered."""
         return self._serve_state.exchanges
 
+    async def addresses(self, zone: str) -> list[str]:
+        """Return the ``address:port`` of the hosts that a caller in a zone should use."""
+        await self._prober.check_all()
+        return self.callers.addresses(zone)
+
     @property
     def leader_last_heard_at(self) -> Millis:
         """When a message of the leader was last received; 0 if never."""
@@ -345,7 +354,7 @@
             nursery.start_soon(self._server_list_reader.run)
             nursery.start_soon(self._client.run)
             nursery.start_soon(log_lease_changes, self.state)
-            nursery.start_soon(probe_hosts, self.state, lambda: self._client.leader is not None)
+            nursery.start_soon(self._prober.run)
             self.callers.start_accepting()
             cfg = self.cfg
             log_event(LogEvent.NODE_STARTED, node=cfg.name, zone=cfg.zone, processor=cfg.processor)
@@ -391,7 +400,7 @@
     async def _open_ports(self, nursery: trio.Nursery, handlers: EdgeHandlers) -> None:
         ports = self.cfg.ports
         links = await self._listen(ports.links)
-        local_peer = Peer(self.cfg.name, LEASING_ROLE)
+        local_peer = Peer(self.cfg.name, CONTROL_ROLE)
         await nursery.start(
             lambda task_status: serve_links(
                 links,
@@ -399,6 +408,7 @@
                 self.cfg.secret,
                 local_peer,
                 self._on_link,
+                roles={HOST_ROLE: LEASING_ROLE},
                 task_status=task_status,
             )
         )
