--- a/features/support/platform_tier.py
+++ b/features/support/platform_tier.py
@@ -125,6 +125,8 @@
         self.first_start = True
         self.policy = ""
         """Policy settings that differ from the defaults of the platform."""
+        self.more_settings = []
+        """Further lines of each node's settings file."""
         self.extra_settings = []
         """Lines of the settings of all nodes, besides the usual ones."""
 
@@ -179,6 +181,7 @@
             "bounds.retry-budget-extra=60",
             f"cloud-api.address={self.list_address}:{self.list_port}",
             "a.key.of.later=1",
+            *self.more_settings,
             *self.extra_settings,
         ]
         if index < self.disks:
