--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -187,3 +187,30 @@
       | 5    | 0     | 4.8     |
       | 5    | 0.5   | 4.9     |
       | 0.5  | 1     | 0.5     |
+
+  Scenario Outline: Contact with the leader where no lease is needed
+    # Guards against a host that was frozen and takes the leader's old messages, which waited to be
+    # read, for new ones.
+    Given a host without a lease that heard its leader at 10000 ms
+    When it <what>, and a message of the leader arrives at <heard> ms
+    Then at <now> ms it was in touch at <confirmed> ms
+
+    Examples:
+      | what                         | heard | now   | confirmed |
+      | runs on                      | 11000 | 11000 | 10000     |
+      | is frozen for 5000 ms        | 15100 | 15100 | 9000      |
+      | is frozen for 5000 ms        | 17000 | 17100 | 16000     |
+
+  Scenario Outline: Settings of the bounds
+    When the setting "<key>" is "<value>"
+    Then the bounds of quotas are <bounds>
+
+    Examples:
+      | key                    | value | bounds                                     |
+      | another.key            | 1     | 5000 ms, 0 and 0                           |
+      | bounds.quota-window-s  | 2     | 2000 ms, 0 and 0                           |
+      | bounds.quota-tolerance | 0.1   | 5000 ms, 0.1 and 0                         |
+      | bounds.quota-margin    | 20    | 5000 ms, 0 and 20                          |
+      | bounds.quota-window-s  | 0     | refused, naming the key                    |
+      | bounds.quota-tolerance | -1    | refused, naming the key                    |
+      | bounds.quota-margin    | nan   | refused, naming the key                    |
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from alderhatch.clock import SECOND
+from alderhatch.core.forwarding.configuration_lease import ConfigurationLease
 from alderhatch.core.forwarding.organisation import Organisation
 from alderhatch.core.forwarding.quota_allowance import ASK_TIMEOUT, Ask, TokenSource
 from alderhatch.core.forwarding.quota_bounds import (
@@ -22,6 +23,9 @@
 from alderhatch.core.forwarding.quota_owner import Charge, HandedBalance, Sender
 from alderhatch.core.forwarding.quota_owners import QuotaOwners
 from alderhatch.core.token_bucket import TokenBucket
+from alderhatch.errors import AlderhatchError
+from alderhatch.node.leader_contact import LeaderContact
+from alderhatch.platform.settings import parse_settings
 from features.support.quota_tier import NAME, QuotaTier
 
 WINDOW_MS = 5 * SECOND
@@ -617,3 +621,62 @@
     for quotas in pair.hosts.values():
         counts = SimpleNamespace(owned=len(quotas.owner), used=len(quotas.allowances))
         assert counts == SimpleNamespace(owned=0, used=0), counts
+
+
+# At the node
+
+
+@given("a host without a lease that heard its leader at {heard:d} ms")
+def step_contact(context, heard):
+    context.heard = float(heard)
+    context.contact = LeaderContact(ConfigurationLease(), lambda: context.heard)
+    context.frozen = 0.0
+
+
+@when("it {what}, and a message of the leader arrives at {heard:d} ms")
+def step_contact_message(context, what, heard):
+    context.frozen = 5000.0 if "frozen" in what else 0.0
+    context.next_heard = float(heard)
+
+
+@then("at {now:d} ms it was in touch at {confirmed:d} ms")
+def step_in_touch(context, now, confirmed):
+    for at in range(10_000, now + 1, 100):
+        if not 10_000 < at <= 10_000 + context.frozen:
+            if at >= context.next_heard:
+                context.heard = context.next_heard
+            result = context.contact.confirmed_at(float(at))
+    assert result == confirmed, result
+
+
+SETTINGS = """
+node-name=a
+ip=127.0.0.1
+zone=z
+bind-addresses.front=127.0.0.1:1
+bind-addresses.directory=127.0.0.1:2
+bind-addresses.readiness=127.0.0.1:3
+bind-addresses.control=127.0.0.1:4
+internal-ports=5,6
+cloud-api.address=127.0.0.1:7
+"""
+
+
+@when('the setting "{key}" is "{value}"')
+def step_setting(context, key, value):
+    context.key = key
+    context.error = None
+    try:
+        context.bounds = parse_settings(f"{SETTINGS}{key}={value}\n").node.quotas
+    except AlderhatchError as exc:
+        context.error = exc.failure
+
+
+@then("the bounds of quotas are {window:d} ms, {tolerance:g} and {margin:g}")
+def step_bounds(context, window, tolerance, margin):
+    assert context.bounds == QuotaBounds(float(window), tolerance, margin), context.bounds
+
+
+@then("the bounds of quotas are refused, naming the key")
+def step_bounds_refused(context):
+    assert context.error is not None and context.error.field == context.key, context.error
