Fakes of the quota gate return a token, which the handler gives back

Cause: the gate returns a token to be given back, and two fakes of other parts relied on the stub, which returned nothing.

Change: the fakes return a token; the test of the lease also checks that it is this token that comes back.

--- a/features/steps/configuration_lease_steps.py
+++ b/features/steps/configuration_lease_steps.py
@@ -25,6 +25,7 @@
 )
 from alderhatch.core.forwarding.configuration_lease import ConfigurationLease, lease_duration
 from alderhatch.core.forwarding.outcome import Failed, FailureReason
+from alderhatch.core.forwarding.quota_allowance import QuotaToken, TokenSource
 from alderhatch.entry.connection_pool import ConnectionPool
 from alderhatch.errors import AlderhatchError
 from alderhatch.http.messages import HttpRequest
@@ -34,7 +35,6 @@
 from alderhatch.node.caller_handler import CallerHandler
 from alderhatch.node.lease_messages import LEASE_MESSAGE_TYPES, LeaseAnswer, LeaseAsk
 from alderhatch.node.node_state import NodeState
-from alderhatch.node.quota_gate import QuotaGate
 from alderhatch.node.service_turns import ServiceTurns
 from alderhatch.node.tier_client import TierClient
 from alderhatch.node.tier_messages import TIER_MESSAGE_TYPES, Join, Place, Pulse, Report
@@ -450,7 +450,8 @@
         yield
 
     turns.turn = turn
-    context.quotas = Mock(wraps=QuotaGate())
+    token = QuotaToken("an organisation", TokenSource.OWN)
+    context.quotas = Mock(admit=AsyncMock(return_value=token))
 
     async def main():
         state = make_state()
@@ -497,7 +498,10 @@
 
 @then("the token of its quota is given back")
 def step_given_back(context):
-    assert context.quotas.admit.call_count == context.quotas.give_back.call_count == 1
+    assert context.quotas.admit.call_count == 1
+    (token,) = context.quotas.give_back.call_args.args
+    assert token == context.quotas.admit.return_value
+    assert context.quotas.give_back.call_count == 1
 
 
 # Keys
--- a/features/support/identified_hosts.py
+++ b/features/support/identified_hosts.py
@@ -14,6 +14,7 @@
 from alderhatch.core.control.configuration_register import pack_configuration
 from alderhatch.core.forwarding.configuration_lease import ConfigurationLease
 from alderhatch.core.forwarding.outcome import FailureReason, NotRun
+from alderhatch.core.forwarding.quota_allowance import QuotaToken, TokenSource
 from alderhatch.entry.connection_pool import ConnectionPool
 from alderhatch.errors import AlderhatchError, ErrorKind, Failure
 from alderhatch.http.messages import HttpRequest, HttpResponse
@@ -108,7 +109,10 @@
     def __init__(self):
         self.given_back = 0
 
-    def give_back(self, organisation):
+    async def admit(self, organisation, deadline):
+        return QuotaToken(organisation.name, TokenSource.OWN)
+
+    def give_back(self, token):
         self.given_back += 1
 
 
