--- a/features/steps/configuration_lease_steps.py
+++ b/features/steps/configuration_lease_steps.py
@@ -35,7 +35,6 @@
 from alderhatch.node.caller_handler import CallerHandler
 from alderhatch.node.lease_messages import LEASE_MESSAGE_TYPES, LeaseAnswer, LeaseAsk
 from alderhatch.node.node_state import NodeState
-from alderhatch.node.quota_gate import QuotaGate
 from alderhatch.node.service_turns import ServiceTurns
 from alderhatch.node.tier_client import TierClient
 from alderhatch.node.tier_messages import TIER_MESSAGE_TYPES, Join, Place, Pulse, Report
@@ -499,7 +498,10 @@
 
 @then("the token of its quota is given back")
 def step_given_back(context):
-    assert context.quotas.admit.call_count == context.quotas.give_back.call_count == 1
+    assert context.quotas.admit.call_count == 1
+    (token,) = context.quotas.give_back.call_args.args
+    assert token == context.quotas.admit.return_value
+    assert context.quotas.give_back.call_count == 1
 
 
 # Keys
