A standby host keeps what its probes found, and small tiers never wait for probes

Cause: the periodic check of a host outside the view took the leader for heard until 1.6 s of silence, and threw away what a check for a caller had found 100 ms before, so each caller waited for probes anew. In a tier without standby hosts a look-up could wait for a round of probes in progress, which it did not before.

Change: the last view counts again only once the leader is heard by the measure that began the probes; look-ups wait in tiers with standby hosts alone.

--- a/features/active_hosts.feature
+++ b/features/active_hosts.feature
@@ -52,6 +52,15 @@
     And 3000 ms pass
     Then that host still names the strong hosts to its callers
 
+  Scenario: A standby host is asked again a moment later
+    # Guards against a host that forgets at its next check what it has just found out, and makes
+    # each caller wait for probes.
+    Given a tier of 71 hosts, of which the 6 strong ones are active
+    When the strong hosts lose power
+    And 800 ms pass
+    Then each running host soon names at least 4 running hosts of 3 zones to its callers, and no lost one
+    And for 700 ms after that it does so without another probe
+
   Scenario Outline: A change of the leader
     # Guards against hundreds of hosts that all connect to the active hosts while these elect.
     Given a tier of <hosts> hosts, of which the <strong> strong ones are active
--- a/features/steps/active_hosts_steps.py
+++ b/features/steps/active_hosts_steps.py
@@ -174,3 +174,18 @@
         assert max(tier.connects.values(), default=0) <= count, tier.connects
 
     run(context, check)
+
+
+@then("for {span:d} ms after that it does so without another probe")
+def step_no_other_probe(context, span):
+    async def check(tier):
+        standby = [name for name in tier.running() if not tier.states[name].is_advertised]
+        for _ in range(7):
+            await trio.sleep(span / 7 / SECOND)
+            for name in standby:
+                began = trio.current_time()
+                hosts = await tier.look_up(name)
+                assert trio.current_time() == began, name
+                assert {host.name for host in hosts} <= set(tier.running()), hosts
+
+    run(context, check)
--- a/src/alderhatch/node/host_probe.py
+++ b/src/alderhatch/node/host_probe.py
@@ -90,26 +90,34 @@
             await probes.decided.wait()
 
     def _current_round(self) -> _ProbeRound | None:
-        if self._nursery is not None and self._state.has_standby_hosts:
-            self._probe_if_due(True)
+        if self._nursery is None or not self._state.has_standby_hosts:
+            return None
+        self._probe_if_due(True)
         return self._round
 
     def _probe_if_due(self, is_quick: bool) -> None:
-        now = self._clock.now()
-        if not self._schedule.is_leader_silent(self._leader(), is_quick, now):
+        """Probe if the leader is silent: after one missed pulse if ``is_quick``, else later."""
+        if not self._is_leader_silent(self._state.has_standby_hosts):
             if self._schedule.take_restored_word():
                 self._state.forget_host_probes()
-        elif self._round is None and self._schedule.is_due(now):
+            return
+        now = self._clock.now()
+        if self._round is not None or not self._schedule.is_due(now):
+            return
+        if self._is_leader_silent(is_quick):
             assert self._nursery is not None
             self._schedule.record_probe(now)
             self._round = _ProbeRound(self._state, self._reach)
-            self._nursery.start_soon(self._run_round, self._round, is_quick)
+            self._nursery.start_soon(self._run_round, self._round)
+
+    def _is_leader_silent(self, is_quick: bool) -> bool:
+        return self._schedule.is_leader_silent(self._leader(), is_quick, self._clock.now())
 
-    async def _run_round(self, probes: _ProbeRound, is_quick: bool) -> None:
+    async def _run_round(self, probes: _ProbeRound) -> None:
         await probes.run()
         self._round = None
         # A leader that was heard meanwhile knows more than these probes.
-        if self._schedule.is_leader_silent(self._leader(), is_quick, self._clock.now()):
+        if self._is_leader_silent(self._state.has_standby_hosts):
             self._record(probes.reached)
         probes.decided.set()
         probes.ended.set()
