--- a/bench/forward.py
+++ b/bench/forward.py
@@ -34,7 +34,7 @@
 from alderhatch.node.forward_runner import ForwardRunner
 from alderhatch.node.hand_over_client import HandOverClient
 from alderhatch.node.hand_over_messages import HAND_OVER_MESSAGE_TYPES
-from alderhatch.node.leader_contact import LeaderContact
+from alderhatch.node.leader_confirmations import LeaderConfirmations
 from alderhatch.node.node import Node
 from alderhatch.node.node_metrics import NodeMetrics
 from alderhatch.node.node_state import NodeState
@@ -143,7 +143,7 @@
             self.state,
             quotas,
             QuotaClient(self.state, quotas.allowances, 1, Codec(*QUOTA_MESSAGE_TYPES), b""),
-            LeaderContact(self.state.lease, lambda: 0.0),
+            LeaderConfirmations(self.state.lease, lambda: 0.0),
             QuotaLog(metrics),
         )
         self.callers = CallerHandler(
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -24,7 +24,7 @@
 from alderhatch.core.forwarding.quota_owners import QuotaOwners
 from alderhatch.core.token_bucket import TokenBucket
 from alderhatch.errors import AlderhatchError
-from alderhatch.node.leader_contact import LeaderContact
+from alderhatch.node.leader_confirmations import LeaderConfirmations
 from alderhatch.platform.settings import parse_settings
 from features.support.quota_tier import NAME, QuotaTier
 
@@ -652,7 +652,7 @@
 @given("a host without a lease that heard its leader at {heard:d} ms")
 def step_contact(context, heard):
     context.heard = float(heard)
-    context.contact = LeaderContact(ConfigurationLease(), lambda: context.heard)
+    context.contact = LeaderConfirmations(ConfigurationLease(), lambda: context.heard)
     context.frozen = 0.0
 
 
--- a/src/alderhatch/node/leader_contact.py
+++ b/src/alderhatch/node/leader_confirmations.py
@@ -16,7 +16,7 @@
 """How long after a pause the leader's messages may still be old ones that waited to be read."""
 
 
-class LeaderContact:
+class LeaderConfirmations:
     """Tells since when at least the leader must have known of this host.
 
     The lease on the configuration tells it exactly. Where no lease is needed, the messages of the
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -40,7 +40,7 @@
 from .host_probe import HostProber
 from .identity_messages import IDENTITY_MESSAGE_TYPES
 from .leader_announcements import announce_leader
-from .leader_contact import LeaderContact
+from .leader_confirmations import LeaderConfirmations
 from .lease_messages import LEASE_MESSAGE_TYPES, LEASING_ROLE
 from .lease_renewal import log_lease_changes
 from .node_metrics import NodeMetrics
@@ -196,7 +196,7 @@
             self.state,
             self.quotas,
             self._quota_client,
-            LeaderContact(self.state.lease, lambda: self._client.last_heard_at),
+            LeaderConfirmations(self.state.lease, lambda: self._client.last_heard_at),
             QuotaLog(self.metrics),
         )
         self._quota_server = QuotaServer(self.state, self.quotas, self._quota_gate.refresh)
--- a/src/alderhatch/node/quota_gate.py
+++ b/src/alderhatch/node/quota_gate.py
@@ -12,7 +12,7 @@
 from ..errors import AlderhatchError, ErrorKind, Failure
 from ..log import log_event
 from ..log_events import LogEvent
-from .leader_contact import LeaderContact
+from .leader_confirmations import LeaderConfirmations
 from .node_state import NodeState
 from .quota_client import QuotaClient
 from .quota_log import QuotaLog
@@ -31,7 +31,7 @@
         state: The node's state, for the hosts.
         quotas: Decides.
         client: Charges the owners.
-        contact: Tells how recently the leader has confirmed this host.
+        confirmations: Tells how recently the leader has confirmed this host.
         log: Logs and counts the decisions.
     """
 
@@ -40,13 +40,13 @@
         state: NodeState,
         quotas: QuotaHost,
         client: QuotaClient,
-        contact: LeaderContact,
+        confirmations: LeaderConfirmations,
         log: QuotaLog,
     ) -> None:
         self._state = state
         self._quotas = quotas
         self._client = client
-        self._contact = contact
+        self._confirmations = confirmations
         self._log = log
         self._clock = LoopClock()
         self._hosts: list[HostRecord] = []
@@ -65,7 +65,7 @@
             updates += 1
             now = self._clock.now()
             if updates % UPDATES_PER_FLUSH == 0:
-                self._log.flush(now - self._contact.confirmed_at(now))
+                self._log.flush(now - self._confirmations.confirmed_at(now))
             if now - forgotten_at >= FORGET_INTERVAL:
                 forgotten_at = now
                 self._quotas.forget_idle(now)
@@ -83,7 +83,7 @@
             self.update()
             return
         now = self._clock.now()
-        self._quotas.owners.confirm(self._contact.confirmed_at(now), now)
+        self._quotas.owners.confirm(self._confirmations.confirmed_at(now), now)
 
     def update(self) -> None:
         """Apply the leader's last list of hosts and its last confirmation."""
@@ -93,7 +93,7 @@
         self._active_hosts = state.caller_hosts
         hosts = [host.name for host in state.hosts if host.serving]
         active = {host.name for host in state.caller_hosts}
-        confirmed_at = self._contact.confirmed_at(now)
+        confirmed_at = self._confirmations.confirmed_at(now)
         before = self._quotas.owners.hosts
         handed = self._quotas.set_hosts(hosts, active, confirmed_at, now)
         for owner, balances in handed.items():
