Quota modules say retry, allowance and slack share

What stopped a reader: HostShare stood for two things (gather plans have one too); _Use and its fields 'ahead' and 'returned' needed explaining; callers 'returned' where the field says retry, next to tokens that are returned; retry_after read like a point in time; HANDED_SPAN was described as the retention, which is TAKEOVER_DELAY; 1e9 times a count bounded an epoch; a fraction of one half had no name; apply_owners did two jobs and had an unread parameter; two branches of _resolve_asks and of _ownership said the same. The test follows the rename of host_share.

--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -17,7 +17,7 @@
 from alderhatch.core.forwarding.quota_bounds import (
     HOST_STARTS_PER_WINDOW,
     QuotaBounds,
-    host_share,
+    slack_share,
 )
 from alderhatch.core.forwarding.quota_host import QuotaHost, QuotaRefusal
 from alderhatch.core.forwarding.quota_owner import Charge, HandedBalance, Sender
@@ -315,7 +315,7 @@
     )
     def check(rate, burst, tolerance, margin, window, hosts):
         organisation = Organisation(NAME, (), None, rate, burst)
-        share = host_share(organisation, QuotaBounds(window, tolerance, margin), hosts)
+        share = slack_share(organisation, QuotaBounds(window, tolerance, margin), hosts)
         limit = rate * window / SECOND + burst
         reserve = share.reserve.burst + share.reserve.rate * window / SECOND
         total = hosts * (share.ahead + HOST_STARTS_PER_WINDOW * reserve)
--- a/src/alderhatch/core/forwarding/quota_allowance.py
+++ b/src/alderhatch/core/forwarding/quota_allowance.py
@@ -1,4 +1,4 @@
-"""A host's side of quotas: what it may run by itself, and what it tells the owners."""
+"""A host's side of quotas: what it may run by itself, and what it charges the owners."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from ...clock import SECOND, Millis
 from ..token_bucket import TokenBucket
 from .organisation import Organisation
-from .quota_bounds import NO_RESERVE, BucketLimit, QuotaBounds, host_share
+from .quota_bounds import NO_RESERVE, BucketLimit, QuotaBounds, slack_share
 from .quota_owner import Charge, ChargeAnswer, OrganisationLookup
 from .quota_owners import QuotaOwners
 
@@ -20,7 +20,7 @@
 IDLE_SPAN: Millis = 60 * SECOND
 """How long a host remembers an organisation that it doesn't use."""
 MAX_CHARGES = 500
-"""Most organisations in one message."""
+"""Most organisations in one message, so that a message stays small."""
 
 
 class TokenSource(StrEnum):
@@ -29,7 +29,7 @@
     OWN = "own"
     """This host owns the quota."""
     AHEAD = "ahead"
-    """The host ran it and charged the owner at the same time."""
+    """The host ran it before the owner confirmed its token."""
     ASKED = "asked"
     """The owner granted the token."""
     RESERVE = "reserve"
@@ -77,7 +77,7 @@
         self.answer: ChargeAnswer | None = None
         """The owner's answer; None if there is none."""
         self.retry_after: Millis | None = None
-        """When to return, if the owner refused the token."""
+        """How long the caller should wait before it retries, if the owner refused the token."""
 
     def resolve(self, answer: ChargeAnswer | None, retry_after: Millis | None = None) -> None:
         """End the wait."""
@@ -94,12 +94,12 @@
     charges: list[Charge]
 
 
-class _Use:
-    """What this host knows and has run of one organisation."""
+class _Allowance:
+    """What this host may run for one organisation, and what its owner doesn't know yet."""
 
     __slots__ = (
-        "ahead",
         "epoch",
+        "may_run_ahead",
         "owner",
         "reserve",
         "returned",
@@ -110,14 +110,18 @@
 
     def __init__(self, owner: str, now: Millis) -> None:
         self.owner = owner
-        self.ahead = False
+        self.may_run_ahead = False
+        """Whether the owner's last answer allowed it."""
         self.epoch: Millis = 0.0
+        """The epoch of the owner's last answer; 0 if there is none."""
         self.unsent = 0
         """Requests that ran ahead and are in no message yet."""
         self.unanswered = 0
         """Requests that ran ahead and are in messages without an answer."""
         self.returned = 0
+        """Tokens of the present epoch to return; they are in no message yet."""
         self.reserve: TokenBucket | None = None
+        """The bucket for requests that the owner doesn't count; None until it is first used."""
         self.used_at = now
 
 
@@ -140,7 +144,7 @@
 
 
 class QuotaAllowances:
-    """Decides which requests run without a token, and keeps count of what owners must learn.
+    """Decides which requests run without a confirmed token, and counts what to charge the owners.
 
     Args:
         owners: Which host owns which quota.
@@ -150,33 +154,33 @@
     def __init__(self, owners: QuotaOwners, bounds: QuotaBounds) -> None:
         self._owners = owners
         self._bounds = bounds
-        self._uses: dict[str, _Use] = {}
+        self._allowances: dict[str, _Allowance] = {}
         self._channels: dict[str, _Channel] = {}
         self._last_number = 0
 
     def __len__(self) -> int:
         """Return the number of organisations in memory."""
-        return len(self._uses)
+        return len(self._allowances)
 
     # Requests
 
     def run_ahead(self, organisation: Organisation, owner: str, now: Millis) -> QuotaToken | None:
         """Admit a request before the owner confirms its token, if the host may."""
-        use = self._use(organisation.name, owner, now)
-        if not use.ahead or not self._owners.may_run_ahead(now):
+        allowance = self._allowance(organisation.name, owner, now)
+        if not allowance.may_run_ahead or not self._owners.may_run_ahead(now):
             return None
-        share = host_share(organisation, self._bounds, self._owners.sharing_hosts(now))
-        if use.unsent + use.unanswered >= share.ahead:
+        share = slack_share(organisation, self._bounds, self._owners.sharing_hosts(now))
+        if allowance.unsent + allowance.unanswered >= share.ahead:
             return None
-        use.unsent += 1
+        allowance.unsent += 1
         self._channel(owner).changed[organisation.name] = None
-        return QuotaToken(organisation.name, TokenSource.AHEAD, owner, use.epoch)
+        return QuotaToken(organisation.name, TokenSource.AHEAD, owner, allowance.epoch)
 
     def ask(
         self, organisation: Organisation, owner: str, now: Millis, on_done: Callable[[], None]
     ) -> Ask:
         """Queue a request for a token."""
-        self._use(organisation.name, owner, now)
+        self._allowance(organisation.name, owner, now)
         ask = Ask(organisation.name, owner, now, on_done)
         self._channel(owner).asks.append(ask)
         return ask
@@ -186,36 +190,38 @@
         limit = self._reserve_limit(organisation, now)
         if limit == NO_RESERVE:
             return None
-        use = self._use(organisation.name, self._owners.owner(organisation.name) or "", now)
-        if use.reserve is None:
-            use.reserve = TokenBucket(limit.burst, now)
-        if use.reserve.take(limit.rate, limit.burst, now) > 0.0:
+        allowance = self._allowance(
+            organisation.name, self._owners.owner(organisation.name) or "", now
+        )
+        if allowance.reserve is None:
+            allowance.reserve = TokenBucket(limit.burst, now)
+        if allowance.reserve.take(limit.rate, limit.burst, now) > 0.0:
             return None
         return QuotaToken(organisation.name, TokenSource.RESERVE)
 
     def give_back(self, token: QuotaToken) -> None:
         """Return a token of ``run_ahead``, ``ask`` or ``use_reserve`` whose request has not run."""
-        use = self._uses.get(token.organisation)
-        if use is None:
+        allowance = self._allowances.get(token.organisation)
+        if allowance is None:
             return
         if token.source is TokenSource.RESERVE:
-            if use.reserve is not None:
-                use.reserve.credit(1.0)
-        elif use.owner == token.owner and use.epoch == token.epoch:
-            use.returned += 1
-            self._channel(use.owner).changed[token.organisation] = None
+            if allowance.reserve is not None:
+                allowance.reserve.credit(1.0)
+        elif allowance.owner == token.owner and allowance.epoch == token.epoch:
+            allowance.returned += 1
+            self._channel(allowance.owner).changed[token.organisation] = None
 
     def reserve_tokens(self, lookup: OrganisationLookup, now: Millis) -> float:
         """Return how many tokens the reserves of all organisations in memory hold together."""
         total = 0.0
-        for name, use in self._uses.items():
+        for name, allowance in self._allowances.items():
             organisation = lookup(name)
             if organisation is None:
                 continue
             limit = self._reserve_limit(organisation, now)
             tokens = limit.burst
-            if use.reserve is not None:
-                tokens = use.reserve.balance(limit.rate, limit.burst, now)
+            if allowance.reserve is not None:
+                tokens = allowance.reserve.balance(limit.rate, limit.burst, now)
             total += max(0.0, tokens)
         return total
 
@@ -255,13 +261,13 @@
         return ChargeMessage(self._last_number, charges)
 
     def _take_charge(self, name: str, owner: str, asked: int) -> Charge:
-        use = self._uses.get(name)
-        if use is None or use.owner != owner:
+        allowance = self._allowances.get(name)
+        if allowance is None or allowance.owner != owner:
             return Charge(name, 0, 0, 0.0, asked)
-        charge = Charge(name, use.unsent, use.returned, use.epoch, asked)
-        use.unanswered += use.unsent
-        use.unsent = 0
-        use.returned = 0
+        charge = Charge(name, allowance.unsent, allowance.returned, allowance.epoch, asked)
+        allowance.unanswered += allowance.unsent
+        allowance.unsent = 0
+        allowance.returned = 0
         return charge
 
     def messages_to_resend(self, owner: str) -> list[ChargeMessage]:
@@ -304,42 +310,47 @@
             return
         _check_answers(sent.charges, answers)
         del channel.unanswered[number]
-        # An answer that waited, as this host was frozen, tells of a balance that is long gone.
+        # If this host was suspended, the answer may have waited to be read, and the balance that
+        # allowed requests to run ahead may be used up.
         is_fresh = now - sent.sent_at <= ASK_TIMEOUT
         for charge, answer in zip(sent.charges, answers, strict=True):
-            use = self._uses.get(charge.organisation)
-            if use is not None and use.owner == owner:
-                self._apply(use, charge, answer, is_fresh, channel)
+            allowance = self._allowances.get(charge.organisation)
+            if allowance is not None and allowance.owner == owner:
+                self._apply(allowance, charge, answer, is_fresh, channel)
             left = self._resolve_asks(sent.asks.get(charge.organisation, ()), answer, now)
-            if left and use is not None and use.owner == owner:
-                use.returned += left
+            if left and allowance is not None and allowance.owner == owner:
+                allowance.returned += left
                 channel.changed[charge.organisation] = None
 
     def _apply(
-        self, use: _Use, charge: Charge, answer: ChargeAnswer, is_fresh: bool, channel: _Channel
+        self,
+        allowance: _Allowance,
+        charge: Charge,
+        answer: ChargeAnswer,
+        is_fresh: bool,
+        channel: _Channel,
     ) -> None:
-        use.unanswered -= charge.ran
-        use.ahead = answer.ahead and is_fresh
+        allowance.unanswered -= charge.ran
+        allowance.may_run_ahead = answer.ahead and is_fresh
         if not answer.counted:
-            use.unsent += charge.ran
-            use.returned = 0
+            allowance.unsent += charge.ran
+            allowance.returned = 0
             if charge.ran:
                 channel.changed[charge.organisation] = None
             return
-        if answer.epoch != use.epoch:
-            use.epoch = answer.epoch
-            use.returned = 0
+        if answer.epoch != allowance.epoch:
+            allowance.epoch = answer.epoch
+            allowance.returned = 0
 
     def _resolve_asks(self, asks: Sequence[Ask], answer: ChargeAnswer, now: Millis) -> int:
-        """Tell the requests that wait; return how many granted tokens nobody waits for."""
+        """Resolve the asks of a charge; return how many granted tokens no request waits for."""
         granted = answer.granted
         retry_after = list(answer.retry_after)
         for ask in asks:
             is_late = now - ask.asked_at > ASK_TIMEOUT
-            if not ask.is_waiting or is_late:
-                if ask.is_waiting:
-                    ask.resolve(None)
-            elif not answer.counted:
+            if not ask.is_waiting:
+                continue
+            if is_late or not answer.counted:
                 ask.resolve(None)
             elif granted > 0:
                 granted -= 1
@@ -350,16 +361,23 @@
 
     # Changes of owners, memory
 
-    def apply_owners(self, now: Millis) -> None:
+    def apply_owners(self) -> None:
+        """Adapt to a new list of hosts: charge the new owners, and drop hosts that have left."""
+        self._move_unconfirmed()
+        self._drop_unlisted_channels()
+
+    def _move_unconfirmed(self) -> None:
         """Charge the new owners for what the former ones have not confirmed."""
-        for name, use in self._uses.items():
-            # The others are moved with their next request: to find thousands of owners at once
-            # would keep the loop busy.
-            if not use.unsent and not use.unanswered:
+        for name, allowance in self._allowances.items():
+            # The others are moved with their next request, because computing thousands of owners
+            # at once would block the loop.
+            if not allowance.unsent and not allowance.unanswered:
                 continue
             owner = self._owners.owner(name) or ""
-            if owner != use.owner:
-                self._move(name, use, owner)
+            if owner != allowance.owner:
+                self._move(name, allowance, owner)
+
+    def _drop_unlisted_channels(self) -> None:
         known = set(self._owners.hosts)
         for owner in [name for name in self._channels if name not in known]:
             self.on_link_lost(owner)
@@ -367,30 +385,32 @@
 
     def forget_idle(self, now: Millis) -> None:
         """Forget organisations without requests for ``IDLE_SPAN``."""
-        for name, use in list(self._uses.items()):
-            is_used = use.unsent or use.unanswered or now - use.used_at < IDLE_SPAN
+        for name, allowance in list(self._allowances.items()):
+            is_used = (
+                allowance.unsent or allowance.unanswered or now - allowance.used_at < IDLE_SPAN
+            )
             if not is_used:
-                del self._uses[name]
-
-    def _use(self, name: str, owner: str, now: Millis) -> _Use:
-        use = self._uses.get(name)
-        if use is None:
-            use = self._uses[name] = _Use(owner, now)
-        elif use.owner != owner:
-            self._move(name, use, owner)
-        use.used_at = now
-        return use
-
-    def _move(self, name: str, use: _Use, owner: str) -> None:
-        if use.unanswered:
-            self._withdraw(name, use.owner)
-        use.owner = owner
-        use.ahead = False
-        use.epoch = 0.0
-        use.returned = 0
-        use.unsent += use.unanswered
-        use.unanswered = 0
-        if use.unsent and owner:
+                del self._allowances[name]
+
+    def _allowance(self, name: str, owner: str, now: Millis) -> _Allowance:
+        allowance = self._allowances.get(name)
+        if allowance is None:
+            allowance = self._allowances[name] = _Allowance(owner, now)
+        elif allowance.owner != owner:
+            self._move(name, allowance, owner)
+        allowance.used_at = now
+        return allowance
+
+    def _move(self, name: str, allowance: _Allowance, owner: str) -> None:
+        if allowance.unanswered:
+            self._withdraw(name, allowance.owner)
+        allowance.owner = owner
+        allowance.may_run_ahead = False
+        allowance.epoch = 0.0
+        allowance.returned = 0
+        allowance.unsent += allowance.unanswered
+        allowance.unanswered = 0
+        if allowance.unsent and owner:
             self._channel(owner).changed[name] = None
 
     def _withdraw(self, name: str, owner: str) -> None:
@@ -412,7 +432,7 @@
 
     def _reserve_limit(self, organisation: Organisation, now: Millis) -> BucketLimit:
         hosts = self._owners.sharing_hosts(now)
-        return host_share(organisation, self._bounds, hosts).reserve
+        return slack_share(organisation, self._bounds, hosts).reserve
 
 
 def _check_answers(charges: Sequence[Charge], answers: Sequence[ChargeAnswer]) -> None:
--- a/src/alderhatch/core/forwarding/quota_bounds.py
+++ b/src/alderhatch/core/forwarding/quota_bounds.py
@@ -11,12 +11,14 @@
 AHEAD_FRACTION = 0.5
 """The part of the slack that pays for requests which run before their tokens are confirmed."""
 AHEAD_SPAN: Millis = 100.0
-"""Tokens are confirmed well within this time, so no host needs to run more ahead than arrive in
-it."""
+"""Owners confirm tokens well within this time, so a host runs ahead at most as many requests as
+the rate admits in it."""
 HOST_STARTS_PER_WINDOW = 2
-"""How many processes of one host may use a reserve within a window: the one that runs and the one
-that replaces it. After a restart of all hosts the reserves are all that is served until owners may
-grant, so a process uses its own at once."""
+"""How many processes of one host may use a reserve within a window: the present one and the one
+before a restart. A new process may use its reserve at once, because after a restart of all hosts no
+owner grants tokens for some seconds."""
+RESERVE_BURST_FRACTION = 0.5
+"""The part of a reserve that may be used at once; the rest refills over a window."""
 
 
 class QuotaBounds(NamedTuple):
@@ -28,7 +30,9 @@
 
     window: Millis = 5 * SECOND
     tolerance: float = 0.0
+    """Excess as a fraction of ``rate * window + burst``."""
     margin: float = 0.0
+    """Excess in requests."""
 
 
 class BucketLimit(NamedTuple):
@@ -37,10 +41,11 @@
     rate: float
     """Tokens per second."""
     burst: float
+    """The most tokens that can accumulate."""
 
 
-class HostShare(NamedTuple):
-    """How many requests one host may run without a token of the owner."""
+class SlackShare(NamedTuple):
+    """How many requests one host may run without a confirmed token of the owner."""
 
     ahead: int
     """Requests whose tokens the owner hasn't confirmed yet."""
@@ -49,7 +54,7 @@
 
 
 NO_RESERVE = BucketLimit(0.0, 0.0)
-NO_SHARE = HostShare(0, NO_RESERVE)
+NO_SHARE = SlackShare(0, NO_RESERVE)
 
 
 def bucket_limit(organisation: Organisation, window: Millis) -> BucketLimit:
@@ -64,7 +69,7 @@
     return BucketLimit(rate, burst) if rate > 0.0 else BucketLimit(0.0, 0.0)
 
 
-def host_share(organisation: Organisation, bounds: QuotaBounds, hosts: int) -> HostShare:
+def slack_share(organisation: Organisation, bounds: QuotaBounds, hosts: int) -> SlackShare:
     """Divide the slack of an organisation's quota among hosts.
 
     Args:
@@ -79,6 +84,6 @@
     ahead = min(int(slack * AHEAD_FRACTION / hosts), ceil(organisation.rate * AHEAD_SPAN / SECOND))
     reserve = (slack / hosts - ahead) / HOST_STARTS_PER_WINDOW
     if reserve < 1.0:
-        return HostShare(ahead, NO_RESERVE)
-    burst = max(1.0, reserve / 2)
-    return HostShare(ahead, BucketLimit((reserve - burst) * SECOND / bounds.window, burst))
+        return SlackShare(ahead, NO_RESERVE)
+    burst = max(1.0, reserve * RESERVE_BURST_FRACTION)
+    return SlackShare(ahead, BucketLimit((reserve - burst) * SECOND / bounds.window, burst))
--- a/src/alderhatch/core/forwarding/quota_host.py
+++ b/src/alderhatch/core/forwarding/quota_host.py
@@ -1,4 +1,4 @@
-"""All decisions of one host about quotas: as the owner of some, and as a user of the others."""
+"""All decisions of one host about quotas: as the owner of some, and as a client of the others."""
 
 from __future__ import annotations
 
@@ -22,8 +22,12 @@
 from .quota_owners import QuotaOwners
 
 OWNER_RETRY: Millis = 500.0
-"""When a caller should return if the owner of its quota can't be reached; up to twice as long, so
-that callers don't all return at once."""
+"""How long a caller should wait before it retries if the owner of its quota can't be reached. Each
+caller is told a random time up to twice as long, so that they don't all retry at once."""
+MAX_COUNT = 1_000_000
+"""More than any host counts between two messages."""
+MAX_EPOCH: Millis = 1e15
+"""More than any clock shows."""
 
 
 class RefusalReason(StrEnum):
@@ -40,7 +44,9 @@
 
     reason: RefusalReason
     retry_after: Millis
+    """How long the caller should wait before it retries."""
     owner: str | None
+    """The owner of the quota; None if there is none."""
     balance: float | None = None
     """The organisation's tokens at the owner; None if unknown."""
 
@@ -55,7 +61,7 @@
         own_name: This host's name.
         bounds: The bounds of all quotas.
         lookup: Returns the organisation with a name, as the configuration in use declares it.
-        rng: Spreads the callers that return.
+        rng: Spreads the retries of callers.
     """
 
     def __init__(
@@ -71,7 +77,7 @@
         self.owners = QuotaOwners(own_name, bounds)
         """Which host owns which quota."""
         self.allowances = QuotaAllowances(self.owners, bounds)
-        """What this host may run by itself, and what it tells the owners."""
+        """What this host may run by itself, and what it charges the owners."""
         self.owner = QuotaOwner(self.owners, bounds, lookup)
         """The balances of the quotas that this host owns."""
 
@@ -102,7 +108,7 @@
         return self._exhausted(answer, answer.retry_after[0], self._own_name)
 
     def conclude(self, organisation: Organisation, ask: Ask, now: Millis) -> Verdict:
-        """Decide about a request that has waited; its token is no longer wanted afterwards."""
+        """Decide about a request that has waited; later answers to its ask have no effect."""
         ask.is_waiting = False
         owner = self.owners.owner(organisation.name)
         answer = ask.answer
@@ -151,18 +157,18 @@
         self.owners.set_active(active, now)
         if not self.owners.set_hosts(names, now):
             return {}
-        self.allowances.apply_owners(now)
+        self.allowances.apply_owners()
         return self.owner.resign(now)
 
     def owners_to_charge(self, now: Millis) -> list[str]:
-        """Return the other hosts for whom there is something to send."""
+        """Return the other hosts to charge; charges to this host itself are counted at once."""
         owners = self.allowances.owners_to_charge()
         if self._own_name in owners:
             self._charge_itself(now)
         return [owner for owner in owners if owner != self._own_name]
 
     def _charge_itself(self, now: Millis) -> None:
-        """Count what this host has run ahead of former owners' confirmations."""
+        """Count what this host ran for former owners that had not confirmed it."""
         message = self.allowances.take_message(self._own_name, now)
         if message is not None:
             sender = Sender(self._own_name, 0, message.number)
@@ -200,14 +206,10 @@
         self.allowances.forget_idle(now)
 
 
-MAX_COUNT = 1_000_000
-"""More than any host counts between two messages."""
-
-
 def _check_charge(charge: Charge) -> None:
     for name in ("ran", "returned", "asked"):
         count = getattr(charge, name)
         if not 0 <= count <= MAX_COUNT:
             raise ValueError(f"{name}: expected 0 to {MAX_COUNT}, got {count}")
-    if not -MAX_COUNT * 1e9 <= charge.epoch <= MAX_COUNT * 1e9:
+    if not -MAX_EPOCH <= charge.epoch <= MAX_EPOCH:
         raise ValueError(f"epoch: expected a number, got {charge.epoch}")
--- a/src/alderhatch/core/forwarding/quota_owner.py
+++ b/src/alderhatch/core/forwarding/quota_owner.py
@@ -13,15 +13,16 @@
 from .quota_owners import TAKEOVER_DELAY, QuotaOwners
 
 LOW_BALANCE = 0.25
-"""Below this fraction of the burst, hosts ask before they run a request, so that those which ask
-are not refused for the sake of those which don't."""
+"""Below this fraction of the burst, all hosts ask before they run a request. Otherwise requests
+that run ahead would use up the tokens, and only those that ask would be refused."""
 FORGET_DELAY: Millis = 60 * SECOND
 """How long the balance of an idle organisation stays in memory, to be handed to the next owner."""
 HANDED_SPAN: Millis = 1 * SECOND
-"""How long a balance is kept for a host that doesn't know yet that it is the owner."""
+"""How long before a host learns that it is the owner a balance may arrive and still be used."""
 MAX_HANDED = 10_000
-RETURN_OFFSETS = 8
-"""In how many groups callers return that can't be served before they do."""
+"""Most balances in memory that are not in use yet; further ones are lost."""
+RETRY_OFFSETS = 8
+"""Over how many points in time retries are spread if no token is due for them within a window."""
 
 OrganisationLookup: TypeAlias = Callable[[str], Organisation | None]
 
@@ -59,7 +60,7 @@
     granted: int = 0
     """How many of the requests that wait get a token."""
     retry_after: list[Millis] = []  # noqa: RUF012 - never changed
-    """For each of the others, when a token is due for it."""
+    """For each of the others, how long until a token is due for it."""
     balance: float = 0.0
     ahead: bool = False
     """Whether the host may run requests ahead of its next charge."""
@@ -75,7 +76,18 @@
 
 
 class _Account:
-    __slots__ = ("ahead_at", "bucket", "epoch", "limit", "next_due_at", "rounds", "seen", "used_at")
+    """The balance of one quota, and what the owner has counted and granted."""
+
+    __slots__ = (
+        "ahead_at",
+        "bucket",
+        "epoch",
+        "late_retries",
+        "limit",
+        "next_due_at",
+        "seen",
+        "used_at",
+    )
 
     def __init__(self, tokens: float, ahead_at: Millis, now: Millis) -> None:
         self.bucket = TokenBucket(tokens, now)
@@ -84,9 +96,9 @@
         self.ahead_at = ahead_at
         """From when on hosts may run requests ahead."""
         self.next_due_at: Millis = 0.0
-        """When the next refused request is told to return."""
-        self.rounds = 0
-        """How often more were refused than could be told different times to return."""
+        """When the caller of the next refused request should retry, at the earliest."""
+        self.late_retries = 0
+        """How many callers were told to retry although no token is due for them within a window."""
         self.used_at = now
         self.seen: dict[str, Sender] = {}
         """The last counted message of each host."""
@@ -94,18 +106,24 @@
     def balance(self, now: Millis) -> float:
         return self.bucket.balance(self.limit.rate, self.limit.burst, now)
 
-    def retry_after(self, now: Millis, horizon: Millis) -> Millis:
-        """Return when a refused request should return, each one later than the one before.
+    def schedule_retry(self, now: Millis, horizon: Millis) -> Millis:
+        """Reserve the next time for the retry of a refused request; return how long until then.
 
-        If all were told the same time, they would meet again, and all but one be refused again.
+        Each request gets a later time than the one before. If all were told the same time, they
+        would retry together, and all but one would be refused again.
+
+        Args:
+            now: The present time.
+            horizon: The longest time that a request is told to wait.
         """
         interval = SECOND / self.limit.rate if self.limit.rate > 0.0 else inf
         first_due = now + max(0.0, 1.0 - self.balance(now)) * interval
         due = max(first_due, self.next_due_at)
         if due - now > horizon:
-            # More are waiting than can be served soon: they share the time that there is.
-            self.rounds += 1
-            offset = self.rounds % RETURN_OFFSETS / RETURN_OFFSETS
+            # More callers wait than tokens arrive within the horizon, so their retries share what
+            # time there is, spread over at most half of it.
+            self.late_retries += 1
+            offset = self.late_retries % RETRY_OFFSETS / RETRY_OFFSETS
             due = min(first_due, now + horizon / 2) + offset * min(interval, horizon / 2)
         self.next_due_at = due + interval
         return due - now
@@ -168,7 +186,7 @@
         granted = max(0, min(charge.asked, int(account.balance(now) + ROUNDING_TOLERANCE)))
         account.bucket.debit(granted)
         retry_after = [
-            account.retry_after(now, self._bounds.window) for _ in range(charge.asked - granted)
+            account.schedule_retry(now, self._bounds.window) for _ in range(charge.asked - granted)
         ]
         balance = account.balance(now)
         is_low = balance < max(1.0, LOW_BALANCE * account.limit.burst)
@@ -204,8 +222,8 @@
         ready_at = since + TAKEOVER_DELAY
         if now < ready_at:
             return None
-        # The former owner may have granted the whole burst just before, and what it granted to
-        # itself no other host knows. So the bucket is empty when the ownership begins.
+        # The former owner may have granted the whole burst just before, and no other host knows
+        # what it granted to itself. So the bucket is empty when the ownership begins.
         tokens = min(limit.burst, (now - ready_at) * limit.rate / SECOND)
         return _Account(tokens, ready_at + self._bounds.window, now)
 
--- a/src/alderhatch/core/forwarding/quota_owners.py
+++ b/src/alderhatch/core/forwarding/quota_owners.py
@@ -18,10 +18,14 @@
 """How long a new owner waits until the lease of any former one has run out; the difference allows
 for a list of hosts that some hosts receive later than others."""
 IN_TOUCH_SPAN: Millis = 10 * SECOND
-"""How long a host that hears no leader keeps its share of the slack. A host that became active has
-none for as long: the host that it replaces may still use it."""
+"""How long a host keeps its share of the slack without a confirmation of the leader. A host that
+becomes active gets its share only after this time, as the host that it replaces may still use it.
+"""
 MAX_VIEWS = 64
+"""Most lists of hosts in memory; the owner of a quota that is first looked up later counts as
+owner since the oldest of them."""
 MAX_OWNERSHIPS = 20_000
+"""Most quotas whose owners are cached; all of them are computed again once there are more."""
 
 
 class _View(NamedTuple):
@@ -92,7 +96,8 @@
         if self.own_name not in names:
             self._active_since = None
         elif self._active_since is None:
-            # What a host knows before it hears its first leader was kept from before its start.
+            # Before the first confirmation, the active hosts are those of the checkpoint: this host
+            # was active before its restart and gets its share at once.
             self._active_since = now if self._confirmed_at > -inf else -inf
 
     def begin(self, now: Millis) -> None:
@@ -157,9 +162,10 @@
         if known is not None and known.views == self._view_count:
             return known
         oldest = self._view_count - len(self._views)
-        start = 0 if known is None else max(0, known.views - oldest)
         if known is None or known.views < oldest:
             known, start = None, 0
+        else:
+            start = known.views - oldest
         for index in range(start, len(self._views)):
             view = self._views[index]
             owner = rendezvous(organisation, view.names)[0] if view.names else ""
