Quotas go on while a frozen leader is replaced

The next leader of a frozen one is followed after 2.4 to 2.7 s, and the last confirmation before it is up to 0.5 s old: more than the owners' lease of 2.5 s and the 3 s after which they begin anew. And a host that the new leader's first lists left out of the active hosts for a moment had no share of the slack for 10 s.

Change: the owners' lease is 3.5 s, the delay of a takeover 4 s; a host keeps its share for 10 s after it was last confirmed as active, as a host that is cut off does; whoever becomes active gets one only after that time, as before.

Tests: a host that is left out for 500 ms and 9.9 s (failed before: no share), 10.2 s; no leader for 3 s at 0.95 of the quota.

Callers saw 429 while their organisations were below their limits.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -15,7 +15,7 @@
       | slack    | the owner is cut off for 8 seconds                          | 0.75  |
       | no slack | the owner is frozen for 6 seconds                           | 0.75  |
       | slack    | the owner is frozen for 6 seconds                           | 0.75  |
-      | no slack | the owner is frozen for 6 seconds, unnoticed by the leader  | 0.55  |
+      | no slack | the owner is frozen for 6 seconds, unnoticed by the leader  | 0.5   |
       | no slack | the owner is killed and starts again                        | 0.75  |
       | slack    | the owner is killed and starts again                        | 0.75  |
       | no slack | every host is killed and starts again                       | 0.8   |
@@ -26,6 +26,7 @@
       | no slack | half of the hosts are cut off for 8 seconds                 | 0.75  |
       | slack    | half of the hosts are cut off for 8 seconds                 | 0.75  |
       | no slack | there is no leader for 2 seconds                            | 0.95  |
+      | no slack | there is no leader for 3 seconds                            | 0.95  |
       | slack    | there is no leader for 9 seconds                            | 0.5   |
       | no slack | the owner leaves the active hosts and comes back            | 0.95  |
       | slack    | the owner leaves the active hosts and comes back            | 0.95  |
@@ -49,17 +50,17 @@
 
     Examples:
       | gap  | more | tokens           |
-      | 2400 | 0    | 10 tokens        |
-      | 2600 | 0    | 10 tokens        |
-      | 3100 | 0    | no right to grant |
-      | 3100 | 2900 | no right to grant |
-      | 3100 | 3000 | 0 tokens         |
-      | 3100 | 5000 | 2 tokens         |
+      | 3400 | 0    | 10 tokens        |
+      | 3600 | 0    | 10 tokens        |
+      | 4100 | 0    | no right to grant |
+      | 4100 | 3900 | no right to grant |
+      | 4100 | 4000 | 0 tokens         |
+      | 4100 | 6000 | 2 tokens         |
 
   Scenario: An owner that hears no leader grants nothing
     # Guards against two owners: the leader may have named another one.
     Given an owner with 10 tokens of a quota
-    When 2600 ms pass without a leader
+    When 3600 ms pass without a leader
     Then it has no right to grant
 
   Scenario Outline: Which hosts have a share of the slack
@@ -80,6 +81,20 @@
       | that lost    | a b c d     | 0     | 9900  | 0     |
       | that lost    | a b c d     | 0     | 10100 | 4     |
 
+  Scenario Outline: A host that is left out of the active hosts
+    # A new leader's first lists don't name all hosts. Guards against seconds without a share, in which
+    # requests below the limit are refused, and against a share that two hosts use.
+    Given a host "that kept" with the hosts "a b c d" before its start
+    When it hears the leader, which names "a b c d", 0 ms ago and for 12000 ms
+    And the leader then names "b c d" for <span> ms
+    Then it divides the slack by <hosts>
+
+    Examples:
+      | span  | hosts |
+      | 500   | 4     |
+      | 9900  | 4     |
+      | 10200 | 0     |
+
   Scenario: The shares of all hosts together are within the slack
     Given any quota, any bounds and any number of hosts
     Then what all hosts may run without a token is within the slack
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -117,6 +117,7 @@
         tier, [list(tier.hosts)[:3]], 8 * SECOND
     ),
     "there is no leader for 2 seconds": lambda tier: leaderless(tier, 2 * SECOND),
+    "there is no leader for 3 seconds": lambda tier: leaderless(tier, 3 * SECOND),
     "there is no leader for 9 seconds": lambda tier: leaderless(tier, 9 * SECOND),
     "the owner leaves the active hosts and comes back": lambda tier: leave_for(
         tier, {owner_of(tier)}, 3 * SECOND
@@ -298,6 +299,16 @@
     context.now = float(span)
 
 
+@when('the leader then names "{names}" for {span:d} ms')
+def step_hears_others(context, names, span):
+    owners = context.owners
+    end = context.now + span
+    while context.now < end:
+        context.now += 100.0
+        owners.confirm(context.now, context.now)
+        owners.set_active(names.split(), context.now)
+
+
 @then("it divides the slack by {hosts:d}")
 def step_divides(context, hosts):
     assert context.owners.sharing_hosts(context.now) == hosts
--- a/src/alderhatch/core/forwarding/quota_owners.py
+++ b/src/alderhatch/core/forwarding/quota_owners.py
@@ -11,9 +11,10 @@
 from ..owners import rendezvous
 from .quota_bounds import QuotaBounds
 
-OWNER_LEASE: Millis = 2500.0
+OWNER_LEASE: Millis = 3500.0
 """How long an owner grants tokens after it asked the leader for a confirmation that arrived. It
-outlasts the loss of a leader until the next one is found."""
+outlasts the loss of a leader until the next one is found, also of one that is frozen, which is
+noticed by its silence alone."""
 TAKEOVER_DELAY: Millis = OWNER_LEASE + 500.0
 """How long a new owner waits until the lease of any former one has run out; the difference allows
 for a list of hosts that some hosts receive later than others."""
@@ -70,6 +71,10 @@
         """When this host was last confirmed after others may have taken over what it owned."""
         self._active_counts: deque[_ActiveCount] = deque(maxlen=MAX_VIEWS)
         self._active_since: Millis | None = None
+        """Since when this host has a claim to a share, or will have one; None if it has none."""
+        self._active_confirmed_at = -inf
+        """The last confirmation while this host was active. A new leader's first lists may leave
+        hosts out for a moment; they keep their shares, which nobody else gets so soon."""
 
     @property
     def hosts(self) -> tuple[str, ...]:
@@ -93,12 +98,14 @@
         """Set the active hosts, which run requests and share the slack."""
         if not self._active_counts or self._active_counts[-1].hosts != len(names):
             self._active_counts.append(_ActiveCount(now, len(names)))
-        if self.own_name not in names:
+        if self.own_name in names:
+            if self._active_since is None:
+                # Before the first confirmation, the active hosts are those of the checkpoint: this
+                # host was active before its restart and gets its share at once.
+                self._active_since = now if self._confirmed_at > -inf else -inf
+            self._active_confirmed_at = self._confirmed_at
+        elif now - self._active_confirmed_at >= IN_TOUCH_SPAN:
             self._active_since = None
-        elif self._active_since is None:
-            # Before the first confirmation, the active hosts are those of the checkpoint: this host
-            # was active before its restart and gets its share at once.
-            self._active_since = now if self._confirmed_at > -inf else -inf
 
     def begin(self, now: Millis) -> None:
         """Record that this process begins to admit requests."""
@@ -140,7 +147,7 @@
         since = self._active_since
         if since is None or now - since < IN_TOUCH_SPAN:
             return 0
-        if now - self._confirmed_at > IN_TOUCH_SPAN:
+        if now - self._active_confirmed_at > IN_TOUCH_SPAN:
             return 0
         # Hosts that were cut off go on using a share, so the others must not use it as well.
         most = 0
