An owner for a moment passes on the quota balance that it was handed

Cause, by reading: a new leader's first lists may name other owners for a moment. A balance that was handed to such a host and not used there was lost when the ownership went back, and the organisation had no tokens for 4 s. Change: resign passes on what was handed and never used, while the host has its lease. Test: a host that owns a quota for 200 ms; it handed over nothing before.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -145,6 +145,12 @@
     Given hosts whose callers, links, processes, leader and limits change in any order
     Then no window got more requests than the quota allows, with and without slack
 
+  Scenario: An owner for a moment passes on the balance that it was handed
+    # Guards against 4 s without tokens after a list of hosts that was right a moment later.
+    Given a host that owns a quota for a moment and was handed 7 tokens of it
+    When the former owner owns the quota again
+    Then the former owner is handed 7 tokens
+
   Scenario: Callers that were refused don't all return at the same time
     # Guards against callers of which all but one are refused again.
     Given an owner of a quota of 2 requests per second and a burst of 1, which are used up
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -22,6 +22,7 @@
 from alderhatch.core.forwarding.quota_host import QuotaHost, QuotaRefusal
 from alderhatch.core.forwarding.quota_owner import Charge, HandedBalance, Sender
 from alderhatch.core.forwarding.quota_owners import QuotaOwners
+from alderhatch.core.owners import rendezvous
 from alderhatch.core.token_bucket import TokenBucket
 from alderhatch.errors import AlderhatchError
 from alderhatch.node.leader_confirmations import LeaderConfirmations
@@ -352,6 +353,29 @@
     assert context.owners.may_run_ahead(context.now) == (ahead == "may")
 
 
+@given("a host that owns a quota for a moment and was handed {tokens:d} tokens of it")
+def step_owner_for_a_moment(context, tokens):
+    limit = Organisation(NAME, (), None, 10.0, 10.0)
+    context.host = QuotaHost("b", NO_SLACK, {NAME: limit}.get, Random(1))
+    context.host.owners.begin(0.0)
+    context.host.set_hosts(["b"], ["b"], 0.0, 0.0)
+    context.host.accept([HandedBalance(NAME, float(tokens))], 10.0)
+
+
+@when("the former owner owns the quota again")
+def step_owned_again(context):
+    former = next(
+        name for name in ("a", "c", "d", "e", "f") if rendezvous(NAME, (name, "b"))[0] == name
+    )
+    context.former = former
+    context.handed = context.host.set_hosts(["b", former], ["b"], 200.0, 200.0)
+
+
+@then("the former owner is handed {tokens:d} tokens")
+def step_handed_back(context, tokens):
+    assert context.handed == {context.former: [HandedBalance(NAME, float(tokens))]}
+
+
 # Any order
 
 
--- a/src/alderhatch/core/forwarding/quota_owner.py
+++ b/src/alderhatch/core/forwarding/quota_owner.py
@@ -256,8 +256,22 @@
             if has_lease and since is None and next_owner is not None:
                 balance = HandedBalance(name, account.balance(now))
                 handed.setdefault(next_owner, []).append(balance)
+        if has_lease:
+            self._pass_on_unused(handed)
         return handed
 
+    def _pass_on_unused(self, handed: dict[str, list[HandedBalance]]) -> None:
+        """Add balances that this host was handed and never used, for the hosts that own them now.
+
+        A new leader's first lists may name other owners for a moment. Without this, a balance would
+        be lost whose organisation sent no request in that moment.
+        """
+        for name, (balance, _) in list(self._handed.items()):
+            next_owner = self._owners.owner(name)
+            if next_owner is not None and self._owners.owned_since(name) is None:
+                del self._handed[name]
+                handed.setdefault(next_owner, []).append(balance)
+
     def forget_idle(self, now: Millis) -> None:
         """Forget organisations that are idle with a full bucket, or no longer declared."""
         for name, account in list(self._accounts.items()):
