Order of parts and opening of connections: plainer names, one job each

What stopped a reader: 'turn' was never defined, and named a request, a part and a wait; to_send and to_read read like conversions; the times handed to turn() were read by nobody; _choose chose the group, kept the books and chose the gather; late requests were 'excused' in a 'crowd'; open_queue had two orders without a word on either; a first value in _wait_for_connection was never read. The steps follow the renames and the removed parameter.

--- a/features/steps/configuration_lease_steps.py
+++ b/features/steps/configuration_lease_steps.py
@@ -446,7 +446,7 @@
     turns = Mock(spec=ServiceTurns)
 
     @asynccontextmanager
-    async def turn(route, organisation, times):
+    async def turn(route, organisation):
         await trio.sleep(script.turn_wait / SECOND)
         yield
 
--- a/features/steps/identity_between_hosts_steps.py
+++ b/features/steps/identity_between_hosts_steps.py
@@ -327,7 +327,7 @@
     host = context.host
 
     @asynccontextmanager
-    async def turn(route, organisation, times):
+    async def turn(route, organisation):
         assert organisation.name == "north"
         match what:
             case "its turn is refused":
--- a/features/steps/organisation_usage_steps.py
+++ b/features/steps/organisation_usage_steps.py
@@ -110,7 +110,7 @@
         raise AlderhatchError(Failure(ErrorKind.CALLER_LIMIT, "no token"))
 
     @asynccontextmanager
-    async def turn(route, organisation, times):
+    async def turn(route, organisation):
         match what:
             case "is refused a turn":
                 raise AlderhatchError(Failure(ErrorKind.OVERLOADED, "no turn in time"))
--- a/features/steps/service_order_steps.py
+++ b/features/steps/service_order_steps.py
@@ -329,8 +329,8 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(context.turns.run)
             async with (
-                context.turns.turn(context.heavy_route, None, None) as heavy,
-                context.turns.turn(context.light_route, None, None) as light,
+                context.turns.turn(context.heavy_route, None) as heavy,
+                context.turns.turn(context.light_route, None) as light,
             ):
                 await _let_parts_pass(context, heavy, light)
             nursery.cancel_scope.cancel()
@@ -356,13 +356,18 @@
     async with trio.open_nursery() as nursery:
         if is_read:
             light.begin(_turn_run(context.light_route))
-        nursery.start_soon(parts, "heavy", heavy.to_read if is_read else heavy.to_send, heavy_scope)
+        nursery.start_soon(
+            parts, "heavy", heavy.wait_to_read if is_read else heavy.wait_to_send, heavy_scope
+        )
         for _ in range(LOOP_PASSES):
             await trio.lowlevel.checkpoint()
         if not is_read:
             light.begin(_turn_run(context.light_route))
         nursery.start_soon(
-            parts, "light", light.to_read if is_read else light.to_send, trio.CancelScope()
+            parts,
+            "light",
+            light.wait_to_read if is_read else light.wait_to_send,
+            trio.CancelScope(),
         )
         if context.what == CANCELLED:
             heavy_scope.cancel()
@@ -392,15 +397,15 @@
         # No task hands out turns, so a part that waited would wait for good.
         turns = _service_turns(context)
         async with (
-            turns.turn(context.heavy_route, None, None) as heavy,
-            turns.turn(context.light_route, None, None) as light,
+            turns.turn(context.heavy_route, None) as heavy,
+            turns.turn(context.light_route, None) as light,
         ):
             heavy.begin(_turn_run(context.heavy_route))
             if context.what == EQUAL:
                 light.begin(_turn_run(context.light_route))
             with trio.fail_after(1.0):
-                await heavy.to_read()
+                await heavy.wait_to_read()
                 if do == "send requests and read answers":
-                    await heavy.to_send()
+                    await heavy.wait_to_send()
 
     trio.run(main, clock=MockClock(autojump_threshold=0.0))
--- a/src/alderhatch/core/forwarding/connection_waits.py
+++ b/src/alderhatch/core/forwarding/connection_waits.py
@@ -1,17 +1,17 @@
-"""The requests to servers that have not been sent yet, as they wait for a connection."""
+"""Tells which requests to servers are late because their host is opening many connections."""
 
 from __future__ import annotations
 
 from ...clock import SECOND, Millis
 
 MIN_WAITING = 16
-"""With so many requests waiting at once, it is this host that is busy opening connections."""
+"""If so many requests wait at once, this host is the bottleneck and not their servers."""
 PROGRESS_TIMEOUT: Millis = 30.0
-"""If no waiting request has got a connection for so long, the servers do not accept any."""
+"""If no waiting request has got a connection for so long, the servers accept none."""
 START_SPAN: Millis = 3 * SECOND
 """How long a host counts as just started."""
 MAX_WAIT: Millis = 100.0
-"""A request that has waited longer is no longer excused by the others."""
+"""A request that has waited longer counts as delayed by its server."""
 
 
 class ConnectionWaits:
@@ -34,32 +34,32 @@
         self._began_at: dict[int, Millis] = {}
         """When each attempt began to wait, by its number."""
         self._progress_at: Millis = 0.0
-        """When one of them began to wait, until there are many, or last got a connection."""
-        self._is_crowd = False
+        """When an attempt last got a connection, or began to wait while few were waiting."""
+        self._is_crowded = False
         """Whether many have waited at the same time, and not all of them have ended."""
 
     def begin(self, attempt: int, now: Millis) -> None:
         """Record that an attempt waits for a connection."""
         self._began_at[attempt] = now
-        if not self._is_crowd:
+        if not self._is_crowded:
             self._progress_at = now
-        self._is_crowd = self._is_crowd or len(self._began_at) >= MIN_WAITING
+        self._is_crowded = self._is_crowded or len(self._began_at) >= MIN_WAITING
 
     def end(self, attempt: int, now: Millis) -> bool:
         """Record that an attempt got a connection, or none.
 
         Returns:
-            Whether it waited because of the others.
+            Whether it waited because this host opens many connections.
         """
-        is_excused = self.is_excused(attempt, now)
+        is_delayed_here = self.is_delayed_here(attempt, now)
         if self._began_at.pop(attempt, None) is not None:
             self._progress_at = now
-        self._is_crowd = self._is_crowd and bool(self._began_at)
-        return is_excused
+        self._is_crowded = self._is_crowded and bool(self._began_at)
+        return is_delayed_here
 
-    def is_excused(self, attempt: int, now: Millis) -> bool:
+    def is_delayed_here(self, attempt: int, now: Millis) -> bool:
         """Return whether an attempt still waits because this host opens many connections."""
         began_at = self._began_at.get(attempt)
-        if began_at is None or not self._is_crowd or began_at >= self._until:
+        if began_at is None or not self._is_crowded or began_at >= self._until:
             return False
         return now - began_at < MAX_WAIT and now - self._progress_at < PROGRESS_TIMEOUT
--- a/src/alderhatch/core/forwarding/forward_run.py
+++ b/src/alderhatch/core/forwarding/forward_run.py
@@ -324,7 +324,7 @@
 
     def _hedge(self, shard: ShardState, now: Millis) -> None:
         (attempt,) = shard.in_flight
-        if self._table.connection_waits.is_excused(attempt, now):
+        if self._table.connection_waits.is_delayed_here(attempt, now):
             shard.hedge_at = now + SERVER_RECHECK_INTERVAL
             return
         if self._send(shard, now, DecisionKind.HEDGE):
--- a/src/alderhatch/core/forwarding/part_queue.py
+++ b/src/alderhatch/core/forwarding/part_queue.py
@@ -1,8 +1,10 @@
-"""Decides in which order a host handles the parts of gathers that meet at it.
+"""Decides in which order a host handles the parts of concurrent gathers.
 
-Answers the load in which heavy and light gathers over the same shards meet at one host, whose loop
-then has a hundred sends and answers to handle at once. In the order of their arrival, a light
-gather would wait for all parts of a heavy one that has time to spare.
+A heavy gather can give the host's loop a hundred requests to send and answers to read at once. In
+the order of their arrival, a light gather with a short deadline would wait for all parts of a heavy
+one with a long deadline, and be late.
+
+The handling of one part, a request to send or an answer to read, is called a turn.
 """
 
 from __future__ import annotations
@@ -27,12 +29,13 @@
 answer useless: late gathers have at least twice that time until their callers give up, and servers'
 connections are kept for 250 ms after an answer that needs no more parts."""
 MAX_PASSED_OVER = 4
-"""How many batches in a row may pass over a group that has waited for ``MAX_WAIT``. It so keeps a
-quarter of the rate of the most urgent group, and nothing starves."""
+"""How many batches in a row may pass over a group that has waited for ``MAX_WAIT``. Such a group
+gets at least a quarter of the most urgent group's rate, so none starves."""
 MIN_RETRY_AFTER: Millis = 100.0
+"""The shortest wait that a refused caller is told, so that it does not retry into the same load."""
 RETRY_SPREAD = 2.0
-"""Callers that are refused are told to return after one to this many times the time until there is
-room, so that they don't all return at once."""
+"""Refused callers are told to retry after one to this many times the time until there is room, so
+that they don't all retry at once."""
 COST_WEIGHT = 0.05
 """Weight of the latest batch in the moving mean of the time of a turn."""
 
@@ -119,7 +122,7 @@
 
     Args:
         processor: Processor time of the host, in seconds per second.
-        rng: Spreads the callers that are told to return later.
+        rng: Spreads the retries of refused callers.
     """
 
     def __init__(self, processor: float, rng: Random) -> None:
@@ -157,7 +160,8 @@
         others, and its caller would learn too late that it has to ask again.
 
         Returns:
-            When the caller should return, if it is refused; None if the gather may run.
+            How long the caller should wait before it retries, if the gather is refused; None if the
+            gather may run.
         """
         overrun = self._earliest_answer(gather, now) - gather.run.times.deadline
         if overrun <= 0.0:
@@ -165,7 +169,7 @@
         return max(MIN_RETRY_AFTER, overrun) * self._rng.uniform(1.0, RETRY_SPREAD)
 
     def _earliest_answer(self, gather: Gather[Item], now: Millis) -> Millis:
-        """Return when a gather can be answered, servers apart, as nothing else arrives."""
+        """Return when a gather can be answered if servers take no time and no other one starts."""
         own = self._urgency(gather, now)
         own_turns = TURNS_PER_PART * gather.run.missing_parts
         turns = turns_in_group = own_turns
@@ -225,6 +229,7 @@
         return batch
 
     def _measure(self, now: Millis) -> None:
+        """Update the mean time of a turn by the previous batch."""
         if not self._batch_size:
             return
         cost = (now - self._batch_began) / self._batch_size
@@ -233,7 +238,12 @@
 
     def _choose(self, now: Millis) -> Gather[Item]:
         urgencies = {gather: self._urgency(gather, now) for gather in self._waiting}
-        groups = {urgency.group for urgency in urgencies.values()}
+        chosen = self._choose_group({urgency.group for urgency in urgencies.values()}, now)
+        of_group = [one for one in urgencies if urgencies[one].group == chosen]
+        return min(of_group, key=urgencies.__getitem__)
+
+    def _choose_group(self, groups: set[Group], now: Millis) -> Group:
+        """Choose the group of the next batch, and record that the others are passed over."""
         self._waits = {group: self._waits.get(group, GroupWait(now)) for group in groups}
         most_urgent = min(groups)
         chosen = self._starving_group(now) or most_urgent
@@ -241,8 +251,7 @@
             self._waits[group] = GroupWait(since, 0 if group == chosen else passed_over + 1)
         if chosen == most_urgent:
             del self._waits[chosen]
-        of_group = [one for one in urgencies if urgencies[one].group == chosen]
-        return min(of_group, key=urgencies.__getitem__)
+        return chosen
 
     def _starving_group(self, now: Millis) -> Group | None:
         starving = [group for group, wait in self._waits.items() if wait.is_starving(now)]
@@ -259,6 +268,7 @@
         )
 
     def _position(self, gather: Gather[Item]) -> int:
+        """Count the gathers of the same organisation that are due before this one."""
         if gather.organisation is None:
             return 0
         due = gather.run.times.answer_by
--- a/src/alderhatch/entry/open_queue.py
+++ b/src/alderhatch/entry/open_queue.py
@@ -7,10 +7,11 @@
 from typing import Generic, TypeVar
 
 MAX_OPENS = 16
-"""Connections being opened at the same time."""
+"""Most connections that are being opened at the same time, so that the loop stays free."""
 MAX_OPENS_AT_START = 64
-"""The same for connections that requests wait for, while a host has none. Opening is mostly
-waiting; a first request over a hundred shards would be late after a few rounds of sixteen."""
+"""The same for connections that requests wait for, on a host that has just started. Opening is
+mostly waiting; sixteen at a time, the connections of a first request over a hundred shards would be
+ready too late."""
 
 T = TypeVar("T", bound=Hashable)
 
@@ -27,8 +28,10 @@
         self.is_starting = False
         """Whether the host has just started."""
         self._awaited: OrderedDict[T, None] = OrderedDict()
-        self._ahead: OrderedDict[T, None] = OrderedDict()
-        self._running = 0
+        """Servers to which requests wait for a connection."""
+        self._unawaited: OrderedDict[T, None] = OrderedDict()
+        """Servers whose connections are opened ahead of requests."""
+        self._opening = 0
 
     def add(self, server: T, is_awaited: bool) -> None:
         """Add a server, or move it forward if requests wait for it by now.
@@ -38,24 +41,24 @@
             is_awaited: Whether a request waits for the connection.
         """
         if is_awaited:
-            self._ahead.pop(server, None)
+            self._unawaited.pop(server, None)
             self._awaited[server] = None
         elif server not in self._awaited:
-            self._ahead[server] = None
+            self._unawaited[server] = None
 
     def take(self) -> T | None:
         """Return the server whose connection is opened next, or None if none may be opened now."""
         limit = MAX_OPENS_AT_START if self.is_starting else MAX_OPENS
         if self._awaited:
-            return self._awaited.popitem(last=False)[0] if self._running < limit else None
-        if self._ahead and self._running < MAX_OPENS:
-            return self._ahead.popitem(last=False)[0]
+            return self._awaited.popitem(last=False)[0] if self._opening < limit else None
+        if self._unawaited and self._opening < MAX_OPENS:
+            return self._unawaited.popitem(last=False)[0]
         return None
 
     def begin(self) -> None:
         """Count a connection that is being opened."""
-        self._running += 1
+        self._opening += 1
 
     def end(self) -> None:
         """Count a connection as opened or failed."""
-        self._running -= 1
+        self._opening -= 1
--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -222,7 +222,7 @@
             token = await self._quotas.admit(req.organisation, times.deadline)
         may_have_run = False
         try:
-            async with self._turns.turn(route, req.organisation, times) as turn:
+            async with self._turns.turn(route, req.organisation) as turn:
                 # The key may have been taken away while the request waited.
                 check_still_identified(self._state, req, route, self._clock.now())
                 may_have_run = True
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -110,7 +110,7 @@
     async def _exchange(self, active: _ActiveRequest, send: Send) -> tuple[HttpReply, ParsedAnswer]:
         server_id = send.target.server_id
         if active.turn is not None:
-            await active.turn.to_send()
+            await active.turn.wait_to_send()
         conn = self._pool.acquire_idle(server_id)
         if conn is None:
             conn = await self._wait_for_connection(active, send)
@@ -125,12 +125,11 @@
     async def _wait_for_connection(self, active: _ActiveRequest, send: Send) -> HttpConnection:
         waits = self._table.connection_waits
         waits.begin(send.attempt, self._clock.now())
-        is_excused = False
         try:
             conn = await self._pool.acquire(send.target.server_id)
         finally:
-            is_excused = waits.end(send.attempt, self._clock.now())
-        if is_excused:
+            is_delayed_here = waits.end(send.attempt, self._clock.now())
+        if is_delayed_here:
             active.run.on_connected(send.attempt, self._clock.now())
         return conn
 
@@ -149,7 +148,7 @@
             fields,
             req.http.body,
             lambda answer: parse(req, answer).fault is not AttemptFault.WRONG_ANSWER,
-            active.turn.to_read if active.turn is not None else None,
+            active.turn.wait_to_read if active.turn is not None else None,
         )
         parsed = parse(req, reply)
         if parsed.fault is AttemptFault.WRONG_ANSWER:
--- a/src/alderhatch/node/service_turns.py
+++ b/src/alderhatch/node/service_turns.py
@@ -1,4 +1,4 @@
-"""Gives the requests at this host, and the parts of gathers, their turns."""
+"""Lets the parts of concurrent gathers at this host run in the order of a ``PartQueue``."""
 
 from __future__ import annotations
 
@@ -16,7 +16,6 @@
 from ..core.forwarding.outcome import FailureReason, NotRun
 from ..core.forwarding.part_queue import Gather, PartQueue
 from ..core.forwarding.route import AllShards, Route
-from ..core.forwarding.run_limits import RunTimes
 from .node_metrics import NodeMetrics
 from .node_state import NodeState
 
@@ -24,7 +23,7 @@
 
 
 class ServiceTurn:
-    """One request's turn; the parts of a gather wait in it for theirs.
+    """One request at this host; if it is a gather, its parts wait here for their turns.
 
     Args:
         turns: The turns of all requests at this host.
@@ -54,7 +53,7 @@
         if self._gather is not None:
             self._turns.queue.end(self._gather)
 
-    async def to_send(self) -> None:
+    async def wait_to_send(self) -> None:
         """Wait until a part may be sent to its server."""
         if self._gather is None:
             return
@@ -62,7 +61,7 @@
         self._turns.queue.add_send(self._gather, sent)
         await self._turns.wait(self._gather, sent)
 
-    async def to_read(self) -> None:
+    async def wait_to_read(self) -> None:
         """Wait until the answer to a part, which has arrived, may be read."""
         if self._gather is None or self._turns.queue.is_free():
             return
@@ -72,13 +71,13 @@
 
 
 class ServiceTurns:
-    """Gives the requests at this host their turns.
+    """Gives the parts of all gathers at this host their turns.
 
     Args:
         state: The node's state with the routes and the organisations.
         processor: Processor time of this host, in seconds per second.
         metrics: Records how long parts wait.
-        rng: Spreads the callers that are told to return later.
+        rng: Spreads the retries of refused callers.
     """
 
     def __init__(
@@ -98,15 +97,15 @@
 
     @asynccontextmanager
     async def turn(
-        self, route: Route, organisation: Organisation | None, times: RunTimes
+        self, route: Route, organisation: Organisation | None
     ) -> AsyncIterator[ServiceTurn]:
-        """Return a request's turn, in which it runs at once and its parts wait for theirs.
+        """Return the object through which a request's parts wait for their turns.
+
+        The request itself begins at once.
 
         Args:
             route: The route of the request.
             organisation: The organisation of the request; None if there is none.
-            times: The deadlines of the request.
-
         """
         name = organisation.name if organisation is not None else None
         turn = ServiceTurn(self, effective_rank(route, organisation), name)
@@ -115,14 +114,14 @@
         finally:
             turn.end()
 
-    async def wait(self, gather: PartGather, turn: trio.Event) -> None:
+    async def wait(self, gather: PartGather, part: trio.Event) -> None:
         """Wait for the turn of a part; cancellation removes it from the queue."""
         began = self._clock.now()
         self._added.set()
         try:
-            await turn.wait()
+            await part.wait()
         except trio.Cancelled:
-            self.queue.discard(gather, turn)
+            self.queue.discard(gather, part)
             raise
         self._metrics.record_part_wait(gather.rank, self._clock.now() - began)
 
@@ -133,8 +132,8 @@
             # Other tasks, such as those that read a request that has arrived, run in between.
             await trio.lowlevel.checkpoint()
             batch = self.queue.take(self._clock.now())
-            for turn in batch:
-                turn.set()
+            for part in batch:
+                part.set()
             if not batch:
                 self._added = trio.Event()
                 await self._added.wait()
