Probes, lease, identity and quota links: literal sentences in the terms of the field

What stopped a reader: a leader's 'word' that 'counts again' for its view; 'reserve' for stand-in hosts next to the reserves of quotas; hosts that are 'frozen', keys that are 'taken away', a leader that 'counts a host in'; check_any, whose wait was explained by another one's; timeouts and limits without a word on what they limit; a docstring that named one of _probe_if_due's two effects.

--- a/src/alderhatch/core/forwarding/configuration_lease.py
+++ b/src/alderhatch/core/forwarding/configuration_lease.py
@@ -1,7 +1,7 @@
 """How long a host may serve callers' keys by the configuration that it holds.
 
-A host that is cut off, frozen or behind does not learn that a key was taken away. So it serves keys
-only while the leader has confirmed recently enough that its configuration is the newest one.
+A host that is partitioned, suspended or behind does not learn that a key was revoked. So it serves
+keys only while the leader has confirmed recently enough that its configuration is the newest one.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 MAX_ASK_INTERVAL: Millis = 500.0
 """With a long lease, a host still notices within seconds that it is cut off."""
 RETRY_AFTER: Millis = 300.0
-"""Most hosts have a lease, so a caller is soon served by another one."""
+"""How long a caller should wait before it retries; short, as most other hosts have a lease."""
 
 
 def lease_duration(revocation_bound: Millis | None) -> Millis | None:
@@ -28,7 +28,7 @@
 
     Args:
         revocation_bound: How long after the acknowledgement of a configuration a request may still
-            be sent with a key that it took away, and run; None for no bound.
+            be sent to a server, and run, with a key that it revoked; None for no bound.
     """
     return None if revocation_bound is None else LEASE_FRACTION * revocation_bound
 
@@ -141,7 +141,7 @@
             return
         confirmation = _Confirmation(asked_at, version)
         if version > self._version:
-            # Keys that this version has taken away are still known here.
+            # The configuration in use still contains the keys that this version revokes.
             self._early_confirmations.append(confirmation)
             return
         self._extend(confirmation)
--- a/src/alderhatch/core/forwarding/probe_schedule.py
+++ b/src/alderhatch/core/forwarding/probe_schedule.py
@@ -11,11 +11,12 @@
 LEADER_SILENCE_TIMEOUT: Millis = 1600.0
 """A leader that sends nothing for three pulses is lost or unreachable."""
 LEADER_QUIET_LIMIT: Millis = PULSE_INTERVAL + 200.0
-"""A leader that sends nothing for so long has missed a pulse. In a tier with standby hosts that is
-enough for a probe, which costs a few connections and shows whether more than the leader is lost."""
+"""A leader that sends nothing for so long has missed a pulse; 200 ms allow for delays. In a tier
+with standby hosts this starts probes: they cost a few connections and show whether more hosts than
+the leader are lost."""
 PROBE_INTERVAL: Millis = 1 * SECOND
-"""Callers cache an address list for seconds, so a lost host need not be detected sooner once the
-first probes have been made."""
+"""The time between probes. Callers cache an address list for seconds, so detecting a further loss
+sooner would not help them."""
 
 
 class LeaderContact(NamedTuple):
@@ -28,12 +29,11 @@
 
 
 class ProbeSchedule:
-    """Tells a host when to probe the active hosts, and when its leader's word counts again.
+    """Tells a host when to probe the active hosts, and when its leader's last view holds again.
 
-    If all active hosts lose power together, the leader is among them. Nobody tells the other hosts,
-    and the addresses that they give to callers are those of lost hosts until they probe for
-    themselves: each caller loses a second with every new connection, and what reaches a standby
-    host is handed over to hosts that do not answer.
+    If all active hosts lose power together, the leader is among them, and no leader reports the
+    loss. Without probes, the other hosts would go on advertising the lost hosts to callers, whose
+    connection attempts time out, and standby hosts would hand requests over to them.
     """
 
     def __init__(self, now: Millis) -> None:
@@ -49,14 +49,14 @@
             leader: What this host knows of its leader.
             is_quick: Whether one missed pulse is enough. In a tier without standby hosts it is not:
                 all hosts know the servers, and a short silence changes nothing for callers.
-            now: The time.
+            now: The present time.
         """
         if leader.is_followed:
             self._followed_at = now
         else:
             self._lost_leader = True
-        # After its own start a host has no leader's word that could have ended. All hosts may be
-        # starting, and those that are a moment later would be taken for lost.
+        # A host that has heard no leader since its own start can't tell that one fell silent. All
+        # hosts may be starting, and those that start a moment later would be taken for lost.
         if is_quick and leader.heard_at > 0:
             return not leader.is_followed or now - leader.heard_at >= LEADER_QUIET_LIMIT
         return now - self._followed_at >= LEADER_SILENCE_TIMEOUT
@@ -69,10 +69,11 @@
         """Record that hosts are probed now."""
         self._probed_at = now
 
-    def take_restored_word(self) -> bool:
-        """Return once whether the last word of a leader that was only silent counts again.
+    def take_view_restored(self) -> bool:
+        """Return whether the leader's last view replaces the probes' results; true only once.
 
-        A new leader sends a view of its own; until then the probes are the newest.
+        It does if the leader was silent but never lost. A new leader sends a view of its own, and
+        until then the probes' results are newer.
         """
         is_restored = self._probed_at is not None and not self._lost_leader
         self._probed_at = None
--- a/src/alderhatch/node/caller_identity.py
+++ b/src/alderhatch/node/caller_identity.py
@@ -11,6 +11,7 @@
 from .node_state import NodeState
 
 NO_CONFIGURATION_RETRY_AFTER: Millis = 300.0
+"""How long a caller should wait before it retries at a host without the current configuration."""
 VERSION_WAIT_TIMEOUT: Millis = 300.0
 """How long a request waits for a configuration version that another host has already used."""
 
@@ -32,8 +33,8 @@
         """Return the route of a request.
 
         Raises:
-            AlderhatchError: With kind ``no_configuration`` if this host can't know the current
-                routes, or ``not_found`` if none of them matches.
+            AlderhatchError: With kind ``no_configuration`` if the current routes have not arrived
+                here yet, or ``not_found`` if none of them matches.
         """
         state = self._state
         # A host that answered for this one may have a version that has not arrived here yet.
--- a/src/alderhatch/node/host_probe.py
+++ b/src/alderhatch/node/host_probe.py
@@ -15,11 +15,11 @@
 from .leader_search import ANSWER_TIMEOUT
 from .node_state import NodeState
 
-RESERVE_CHECK_INTERVAL: Millis = 100.0
-"""How often a host that may have to stand in for active ones checks that the leader is heard."""
+STAND_IN_CHECK_INTERVAL: Millis = 100.0
+"""How often a host that may have to stand in for active ones checks if the leader is silent."""
 STANDBY_ANSWER_TIMEOUT: Millis = 250.0
-"""For probes in a tier with standby hosts, whose callers wait for them. A host that runs accepts a
-connection within some milliseconds, as its kernel does that."""
+"""Timeout of probes in a tier with standby hosts, where requests wait for the results. The kernel
+of a running host accepts a connection within some milliseconds."""
 
 Reach: TypeAlias = Callable[[HostRecord], Awaitable[None]]
 """Returns once a host has accepted a connection.
@@ -37,7 +37,7 @@
 
 
 class HostProber:
-    """Probes hosts while no leader is heard, periodically or when somebody needs to know.
+    """Probes hosts while the leader is silent, periodically and when a request needs the results.
 
     Args:
         state: Selects the hosts to probe and records the results.
@@ -67,11 +67,10 @@
             self._nursery = nursery
             while True:
                 state = self._state
-                # Of hundreds of standby hosts only those that callers ask probe at once. If all
-                # did, the active hosts would accept hundreds of connections with each change of
-                # the leader.
+                # Of hundreds of standby hosts only the advertised ones probe early. If all did,
+                # each change of the leader would bring hundreds of connections to active hosts.
                 is_quick = state.has_standby_hosts and state.is_advertised
-                await trio.sleep((RESERVE_CHECK_INTERVAL if is_quick else PROBE_INTERVAL) / SECOND)
+                await trio.sleep((STAND_IN_CHECK_INTERVAL if is_quick else PROBE_INTERVAL) / SECOND)
                 self._probe_if_due(is_quick)
 
     async def check_all(self) -> None:
@@ -84,7 +83,10 @@
             await probes.ended.wait()
 
     async def check_any(self) -> None:
-        """Wait, at most as long, until it is known whether any active host can be reached."""
+        """Wait until an active host is reached, or the probes of all have ended.
+
+        Returns at once under the same conditions as ``check_all``.
+        """
         probes = self._current_round()
         if probes is not None:
             await probes.decided.wait()
@@ -96,9 +98,13 @@
         return self._round
 
     def _probe_if_due(self, is_quick: bool) -> None:
-        """Probe if the leader is silent: after one missed pulse if ``is_quick``, else later."""
+        """Start probes if the leader is silent; if it is heard again, return to its last view.
+
+        Args:
+            is_quick: Whether one missed pulse counts as silence.
+        """
         if not self._is_leader_silent(self._state.has_standby_hosts):
-            if self._schedule.take_restored_word():
+            if self._schedule.take_view_restored():
                 self._state.forget_host_probes()
             return
         now = self._clock.now()
@@ -116,7 +122,7 @@
     async def _run_round(self, probes: _ProbeRound) -> None:
         await probes.run()
         self._round = None
-        # A leader that was heard meanwhile knows more than these probes.
+        # The view of a leader that was heard meanwhile is more reliable than these probes.
         if self._is_leader_silent(self._state.has_standby_hosts):
             self._record(probes.reached)
         probes.decided.set()
--- a/src/alderhatch/node/identity_messages.py
+++ b/src/alderhatch/node/identity_messages.py
@@ -1,4 +1,4 @@
-"""Requests between hosts that carry whose request it is, instead of the caller's key."""
+"""Requests between hosts that carry the caller's identity instead of its key."""
 
 from __future__ import annotations
 
--- a/src/alderhatch/node/leader_confirmations.py
+++ b/src/alderhatch/node/leader_confirmations.py
@@ -1,4 +1,4 @@
-"""How recently the leader is known to have counted this host in."""
+"""When the leader last confirmed that this host belongs to the tier."""
 
 from __future__ import annotations
 
@@ -11,16 +11,17 @@
 STEP_DOWN_TIME: Millis = 1 * SECOND
 """How long a leader that has lost its quorum may go on sending messages."""
 MAX_PAUSE: Millis = 500.0
-"""A longer time between two checks means that this process was frozen."""
+"""A longer time between two checks means that this process was suspended."""
 PAUSE_RECOVERY: Millis = 2 * SECOND
 """How long after a pause the leader's messages may still be old ones that waited to be read."""
 
 
 class LeaderConfirmations:
-    """Tells since when at least the leader must have known of this host.
+    """Tells the latest time at which the leader certainly counted this host as present.
 
-    The lease on the configuration tells it exactly. Where no lease is needed, the messages of the
-    leader have to do: their age is unknown, so they count as older than they probably are.
+    With a lease on the configuration, this is when the host asked for the last confirmation.
+    Without one, the leader's messages are used: their age is unknown, so each counts as sent
+    ``STEP_DOWN_TIME`` before it arrived.
 
     Args:
         lease: The lease on the configuration.
@@ -32,7 +33,7 @@
         self._last_heard_at = last_heard_at
         self._checked_at: Millis | None = None
         self._trusted_at = -inf
-        """From when on messages count again after a pause."""
+        """When messages count again after a pause."""
         self._confirmed_at = -inf
 
     def confirmed_at(self, now: Millis) -> Millis:
--- a/src/alderhatch/node/lease_renewal.py
+++ b/src/alderhatch/node/lease_renewal.py
@@ -1,4 +1,4 @@
-"""A host's side of its lease on the configuration: asks the leader and logs what becomes of it."""
+"""A host's side of its lease on the configuration: asks the leader and logs gains and losses."""
 
 from __future__ import annotations
 
--- a/src/alderhatch/node/quota_client.py
+++ b/src/alderhatch/node/quota_client.py
@@ -24,11 +24,13 @@
 BATCH_DELAY: Millis = 1.0
 """How long charges of requests that arrive together wait for each other."""
 OPEN_TIMEOUT: Millis = 500.0
+"""How long opening a link may take."""
 SILENCE_TIMEOUT: Millis = 1000.0
-"""An owner that answers nothing for so long is lost or frozen."""
+"""An owner that answers nothing for so long is lost or suspended."""
 IDLE_TIMEOUT: Millis = 60 * SECOND
+"""A link without messages is closed after this time."""
 REOPEN_DELAY: Millis = 200.0
-"""How long after the loss of a link no other one is opened to the same owner."""
+"""How long after the loss of a link a new one to the same owner may be opened."""
 
 
 class _QuotaLink:
@@ -57,7 +59,7 @@
         self._unanswered_since: Millis | None = None
 
     def wake(self) -> None:
-        """Send what is there to be sent."""
+        """Send all pending messages."""
         self._has_more = True
         self.changed.notify()
 
@@ -86,7 +88,7 @@
         why = "closed by the other host"
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive, link, nursery.cancel_scope)
-            # Raised in the nursery, it would come out of it as a group of errors.
+            # The nursery would turn the error into an exception group.
             with suppress(LinkClosedError):
                 why = await self._send(link)
             nursery.cancel_scope.cancel()
@@ -147,7 +149,7 @@
 
     Args:
         state: The node's state, for the addresses of the hosts.
-        allowances: What is to be sent, and what becomes of the answers.
+        allowances: Provides the charges to send, and applies the answers.
         start: Differs between the processes that run at this host one after the other.
         codec: Encodes the messages between hosts.
         secret: The secret that the hosts share.
@@ -174,7 +176,7 @@
         await self._tasks.run(task_status)
 
     def send(self, owner: str) -> None:
-        """Send what there is for an owner; its requests don't wait if it can't be reached."""
+        """Send pending charges to an owner; if it can't be reached, requests go on without it."""
         link = self._link_to(owner)
         if link is None:
             self._allowances.on_link_lost(owner)
--- a/src/alderhatch/node/quota_gate.py
+++ b/src/alderhatch/node/quota_gate.py
@@ -18,9 +18,10 @@
 from .quota_log import QuotaLog
 
 UPDATE_INTERVAL: Millis = 100.0
-"""How often the hosts and the leader's confirmations are looked at, and what owners declined is
-sent again."""
+"""How often the hosts and the leader's confirmations are applied, and charges that owners did not
+count are sent again."""
 UPDATES_PER_FLUSH = 10
+"""Refusals are logged once a second."""
 FORGET_INTERVAL: Millis = 10 * SECOND
 
 
@@ -75,8 +76,8 @@
     def refresh(self) -> None:
         """Apply the leader's last confirmation, and its last list of hosts if it has changed.
 
-        A host that grants tokens by a confirmation has to know the list that came before it, or two
-        hosts could believe that they own the same quota.
+        Before a confirmation is used, the list of hosts that the leader sent before it must be in
+        use. Otherwise two hosts could grant tokens of the same quota.
         """
         state = self._state
         if state.hosts is not self._hosts or state.caller_hosts is not self._active_hosts:
--- a/src/alderhatch/node/quota_log.py
+++ b/src/alderhatch/node/quota_log.py
@@ -13,7 +13,7 @@
 from .node_metrics import NodeMetrics
 
 MAX_LINES = 20
-"""Organisations that get their own line in each flush; the others are counted."""
+"""Most refused organisations that are logged by name in one flush; the others are only counted."""
 
 
 class _Refusals(NamedTuple):
@@ -34,11 +34,11 @@
         self._refusals: dict[tuple[str, str], _Refusals] = {}
 
     def record_admitted(self, source: TokenSource, waited: Millis) -> None:
-        """Count a request that got a token after so long."""
+        """Count a request that got a token, and record how long it waited."""
         self._metrics.count_quota_token(source, waited)
 
     def record_refused(self, organisation: Organisation, refusal: QuotaRefusal) -> None:
-        """Count a request that got none."""
+        """Count a request that got no token."""
         self._metrics.count_quota_refused(refusal.reason)
         key = (organisation.name, refusal.reason)
         before = self._refusals.get(key)
