A refusal counts the time that a request has waited; a wake during a send of quota charges is kept

Both seen by a newcomer's reading, not reproduced: the decision whether a gather can be answered before its deadline took the time of its arrival for the present one; charges that ran ahead during a send waited for up to 100 ms.

--- a/src/alderhatch/node/quota_client.py
+++ b/src/alderhatch/node/quota_client.py
@@ -113,7 +113,8 @@
             charges = self._allowances.take_message(self.host.name, self._clock.now())
             if charges is not None:
                 await self._send_message(link, QuotaCharges(self._start, *charges))
-                self._has_more = self._allowances.has_asks(self.host.name)
+                # It may have been set while the message was sent.
+                self._has_more = self._has_more or self._allowances.has_asks(self.host.name)
 
     def _wait_time(self) -> Millis:
         return IDLE_TIMEOUT if self._unanswered_since is None else SILENCE_TIMEOUT
--- a/src/alderhatch/node/service_turns.py
+++ b/src/alderhatch/node/service_turns.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from ..clock import LoopClock
+from ..clock import LoopClock, Millis
 from ..core.forwarding.forward_run import ForwardRun
 from ..core.forwarding.identity import effective_rank
 from ..core.forwarding.organisation import Organisation
@@ -43,7 +43,7 @@
             return None
         queue = self._turns.queue
         self._gather = queue.start(run, self._rank, self._organisation)
-        retry_after = queue.retry_after(self._gather, run.times.arrived)
+        retry_after = queue.retry_after(self._gather, self._turns.now())
         if retry_after is None:
             return None
         return NotRun(FailureReason.OVERLOADED, retry_after)
@@ -114,6 +114,10 @@
         finally:
             turn.end()
 
+    def now(self) -> Millis:
+        """Return the loop's time."""
+        return self._clock.now()
+
     async def wait(self, gather: PartGather, part: trio.Event) -> None:
         """Wait for the turn of a part; cancellation removes it from the queue."""
         began = self._clock.now()
