One way to log a refused message about quotas

Cause: the client and the server of quota links each worked out the field from the text of a ValueError and logged it, in the same two lines. Seen in a last reading of the whole change.

Change: log_refused_message in quota_messages.py, which both call. Event, fields and texts are the same; the test of links replaces the log where it is called now, its assertions are unchanged.

--- a/features/steps/quota_link_steps.py
+++ b/features/steps/quota_link_steps.py
@@ -21,7 +21,7 @@
 from alderhatch.errors import AlderhatchError
 from alderhatch.link import LinkClosedError, Peer, open_link, serve_links
 from alderhatch.log_events import LogEvent
-from alderhatch.node import quota_client, quota_log, quota_server
+from alderhatch.node import quota_client, quota_log, quota_messages
 from alderhatch.node.quota_client import QuotaClient
 from alderhatch.node.quota_gate import QuotaGate
 from alderhatch.node.quota_log import QuotaLog
@@ -171,7 +171,7 @@
     with (
         patch.object(link_module, "log_event", record),
         patch.object(quota_client, "log_event", record),
-        patch.object(quota_server, "log_event", record),
+        patch.object(quota_messages, "log_event", record),
         patch.object(quota_log, "log_event", record),
     ):
         trio.run(main)
--- a/src/alderhatch/node/quota_client.py
+++ b/src/alderhatch/node/quota_client.py
@@ -19,7 +19,13 @@
 from ..loop_tasks import LoopTasks
 from ..signal import Signal
 from .node_state import NodeState
-from .quota_messages import QUOTA_ROLE, HandedBalances, QuotaAnswers, QuotaCharges
+from .quota_messages import (
+    QUOTA_ROLE,
+    HandedBalances,
+    QuotaAnswers,
+    QuotaCharges,
+    log_refused_message,
+)
 
 BATCH_DELAY: Millis = 1.0
 """How long charges of requests that arrive together wait for each other."""
@@ -140,8 +146,7 @@
         except LinkClosedError:
             scope.cancel()
         except ValueError as exc:
-            field = f"{type(message).__name__}.{str(exc).partition(':')[0]}"
-            log_event(LogEvent.LINK_MESSAGE_REFUSED, peer=link.peer.name, why=str(exc), field=field)
+            log_refused_message(link.peer.name, message, exc)
             scope.cancel()
 
 
--- a/src/alderhatch/node/quota_messages.py
+++ b/src/alderhatch/node/quota_messages.py
@@ -5,6 +5,8 @@
 from typing import Any, NamedTuple
 
 from ..core.forwarding.quota_owner import Charge, ChargeAnswer, HandedBalance
+from ..log import log_event
+from ..log_events import LogEvent
 
 QUOTA_ROLE = "quota"
 
@@ -33,3 +35,15 @@
 
 
 QUOTA_MESSAGE_TYPES: tuple[type[Any], ...] = (QuotaCharges, QuotaAnswers, HandedBalances)
+
+
+def log_refused_message(peer: str, message: object, exc: ValueError) -> None:
+    """Log that a message of another host was refused.
+
+    Args:
+        peer: The name of the other host.
+        message: The message.
+        exc: Why it was refused; its text begins with the field and a colon.
+    """
+    field = f"{type(message).__name__}.{str(exc).partition(':')[0]}"
+    log_event(LogEvent.LINK_MESSAGE_REFUSED, peer=peer, why=str(exc), field=field)
--- a/src/alderhatch/node/quota_server.py
+++ b/src/alderhatch/node/quota_server.py
@@ -8,10 +8,8 @@
 from ..core.forwarding.quota_host import QuotaHost
 from ..core.forwarding.quota_owner import Sender
 from ..link import Link, LinkClosedError
-from ..log import log_event
-from ..log_events import LogEvent
 from .node_state import NodeState
-from .quota_messages import HandedBalances, QuotaAnswers, QuotaCharges
+from .quota_messages import HandedBalances, QuotaAnswers, QuotaCharges, log_refused_message
 
 
 class QuotaServer:
@@ -40,8 +38,7 @@
         except LinkClosedError:
             return
         except ValueError as exc:
-            field = f"{type(message).__name__}.{str(exc).partition(':')[0]}"
-            log_event(LogEvent.LINK_MESSAGE_REFUSED, peer=link.peer.name, why=str(exc), field=field)
+            log_refused_message(link.peer.name, message, exc)
             await link.aclose()
 
     def _answer(self, peer: str, message: object) -> QuotaAnswers | None:
