--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -137,6 +137,11 @@
         2073, logging.WARNING, "A request crashed two servers; all hosts block it for a while."
     )
     HOST_JOINED = EventRow(2071, logging.INFO, "A host connected to this leader.")
+    REQUEST_SUSPECTED = EventRow(
+        1102,
+        logging.WARNING,
+        "A request lost several servers that ran it and got no answer; it may have crashed them.",
+    )
     HOST_LOST = EventRow(2072, logging.WARNING, "This leader lost a connected host.")
     REQUEST_ENDED = EventRow(
         1070,
--- a/src/alderhatch/metric_catalogue.py
+++ b/src/alderhatch/metric_catalogue.py
@@ -137,6 +137,14 @@
         "Requests sent to servers; reason is send, hedge or retry.",
         ("reason",),
     )
+    NODE_CRASH_EVIDENCE = MetricRow(
+        "alderhatch_node_crash_evidence_total",
+        MetricKind.COUNTER,
+        Unit.ONE,
+        "Connections lost while a request ran, by what they say about the request: it was answered"
+        " elsewhere, many servers were lost at the same moment, or the server crashed.",
+        ("verdict",),
+    )
     NODE_FAULTS = MetricRow(
         "alderhatch_node_faults_total",
         MetricKind.COUNTER,
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -11,7 +11,7 @@
 from ..clock import SECOND, Clock, Millis
 from ..core.control.configuration_register import NO_CONFIGURATION, StoredConfiguration
 from ..core.control.evacuations import NO_EVACUATIONS, Evacuations
-from ..core.crash_detector import CrashDetector
+from ..core.crash_detector import CRASH_LIMIT, CrashDetector
 from ..core.entry_events import AttemptFault
 from ..core.forwarding.active_hosts_cause import ActiveHostsCause
 from ..core.forwarding.caller_hosts import HostRecord, choose_caller_hosts, rank_hosts
@@ -329,7 +329,9 @@
             case None | AttemptFault.FAILED:
                 detector.record_answer(fingerprint)
             case AttemptFault.LOST:
-                detector.record_loss(fingerprint, target.upstream, target.server_id, now)
+                lost = detector.record_loss(fingerprint, target.upstream, target.server_id, now)
+                if lost == CRASH_LIMIT:
+                    log_event(LogEvent.REQUEST_SUSPECTED, fingerprint=fingerprint, servers=lost)
             case AttemptFault.NOT_SENT:
                 # The server refuses connections, so the losses shortly before were a crash.
                 for crash in detector.confirm_crashes(target.server_id, now)[:MAX_CRASH_REPORTS]:
