--- a/features/forwarding_crash.feature
+++ b/features/forwarding_crash.feature
@@ -2,13 +2,22 @@
 
   Scenario: A request that crashed servers is refused by every host
     # A request crashes each server that runs it, and its caller sends it again to any host. Without
-    # a common counter, each host would let it crash two more servers.
+    # a common counter, each host would let it crash servers of its own.
     Given a node's state and a leader's crash counter
     When request "r1" is lost on server "s1", which then refuses connections, and the host reports
     And request "r1" is lost on server "s2", which then refuses connections, and the host reports
+    Then the host and the leader suspect "r1", and not "r2"
+    When request "r1" is lost on server "s3" in a trial, which then refuses connections, and the host reports
     Then the crash counter refuses "r1" everywhere
     And the host itself refuses "r1" and not "r2"
 
+  Scenario: A request that crashes one server at each of two hosts is a suspect at all hosts
+    # A request that must not run twice is sent to one server. Each host sees one crash.
+    Given a node's state and a leader's crash counter
+    When request "r1" is lost on server "s1", which then refuses connections, and the host reports
+    And another host reports that "r1" was lost on server "s2"
+    Then the host and the leader suspect "r1", and not "r2"
+
   Scenario Outline: Faults that are not crashes cause no quarantine
     # Servers lose answers, restart and are lost with their whole zone. A request that was refused
     # for that would be kept from its caller for ten minutes.
@@ -16,13 +25,30 @@
     When request "r1" encounters <event>
     Then the host itself refuses neither "r1" nor "r2"
     And the crash counter refuses nothing
+    And the host <verdict> "r1"
 
     Examples:
-      | event                                                 |
-      | two lost answers on servers that keep running         |
-      | a lost answer and a server that accepts no connection |
-      | two lost servers after it was answered once           |
-      | the loss of four servers at the same moment           |
+      | event                                                         | verdict          |
+      | two lost answers on servers that keep running                 | does not suspect |
+      | a lost answer and a server that accepts no connection         | does not suspect |
+      | two lost servers after which it was answered once             | does not suspect |
+      | the loss of four servers at the same moment                   | suspects         |
+      | a trial in which its server is lost with two others           | suspects         |
+      | a trial in which its connection is lost and the server is not | suspects         |
+
+  Scenario: A harmless request that shares the servers of a crashing one is not quarantined
+    # A crashing request runs at one host, and a harmless one at another host on the same servers. It
+    # is lost on each of them. Only the crashing one was lost on a server without the other.
+    Given a node's state and a leader's crash counter
+    When hosts report within 100 ms that "r1" crashed servers "s1 s2 s3", and "r2" servers "s1 s2"
+    Then the crash counter refuses "r1" everywhere
+    And the leader suspects "r2"
+
+  Scenario: A request that crashes the servers of one shard of many is a suspect there
+    # The other shards answer it, which clears it of nothing at this one.
+    Given a node's state and a leader's crash counter
+    When request "r1" is lost three times on servers of "kitchen", and "deskline" answers in between
+    Then the trial of "r1" goes to "kitchen"
 
   Scenario: Crashes far apart and old quarantines are dropped
     Given a node's state and a leader's crash counter
@@ -32,7 +58,22 @@
     # The caller is told to retry after ten minutes. Guards against a host that refuses the request
     # forever, because it saw the crashes itself or lost its leader before the quarantine ended.
     Given a node's state and a leader's crash counter
-    When request "r1" is lost on server "s1", which then refuses connections, and the host reports
-    And request "r1" is lost on server "s2", which then refuses connections, and the host reports
-    And the leader reports that "r2" is quarantined, and then stops responding
+    When the leader reports that "r1 r2" are quarantined, and then stops responding
     Then the host refuses "r1" and "r2" for 590 s and not after 602 s
+    And the host suspects "r1"
+    When a server answers "r1"
+    Then the host does not suspect "r1"
+
+  Scenario: A new leader that knows less lifts no quarantine
+    # A change of the leader must not let a request crash a server of every shard again.
+    Given a node's state and a leader's crash counter
+    When the leader reports that "r1" are quarantined, and then stops responding
+    And the leader reports that "" are quarantined, and then stops responding
+    Then the host itself refuses "r1" and not "r2"
+
+  Scenario: A quarantine survives the restart of its host
+    # All hosts lose power at once; the caller sends the request again once they are back.
+    Given a node's state and a leader's crash counter
+    When the leader reports that "r1" are quarantined, and then stops responding
+    And 100 s later the host is restarted from its checkpoint
+    Then the host refuses "r1" for 490 s and not after 502 s
--- a/features/steps/forwarding_crash_steps.py
+++ b/features/steps/forwarding_crash_steps.py
@@ -7,29 +7,57 @@
 
 from alderhatch.clock import SECOND, ManualClock
 from alderhatch.core.entry_events import AttemptFault
-from alderhatch.core.forwarding.crash_counter import CrashCounter
+from alderhatch.core.forwarding.crash_counter import DECISION_DELAY, CrashCounter
+from alderhatch.core.forwarding.crash_evidence import CONCLUDE_DELAY
 from alderhatch.node.node_state import NodeState
+from alderhatch.node.tier_messages import split_suspects
 from alderhatch.platform.settings import POLICY
 from features.support.forward_model import BUDGET_LIMITS
 
 
+def new_state(clock):
+    return NodeState("host", "zone", None, None, BUDGET_LIMITS, POLICY, clock, Random(1))
+
+
 @given("a node's state and a leader's crash counter")
-def step_beliefs(context):
+def step_state(context):
     context.clock = ManualClock()
-    context.state = NodeState(
-        "host", "zone", None, None, BUDGET_LIMITS, POLICY, context.clock, Random(1)
-    )
+    context.state = new_state(context.clock)
     context.crash_counter = CrashCounter()
 
 
-def record_attempt(context, request, server, fault):
-    target = SimpleNamespace(upstream="kitchen", server_id=server)
-    context.state.record_attempt(request, target, fault, context.clock.now())
+def record_attempt(context, request, server, fault, in_trial=False, upstream="kitchen"):
+    target = SimpleNamespace(upstream=upstream, server_id=server)
+    guard = context.state.crash_guard
+    guard.record_attempt(request, target, fault, in_trial, context.clock.now())
+
+
+def refuse_connection(context, server):
+    context.state.crash_guard.record_refused(server)
 
 
 def report(context):
-    for fingerprint, server_id in context.state.take_crash_reports():
-        context.crash_counter.report(fingerprint, server_id, context.clock.now())
+    """Report to the leader, which decides a moment later."""
+    context.clock.advance(CONCLUDE_DELAY)
+    now = context.clock.now()
+    for marked, server_id in context.state.crash_guard.take_reports():
+        quarantined, suspected = split_suspects([marked])
+        for fingerprint in quarantined:
+            context.crash_counter.report_crash(fingerprint, server_id, now)
+        for fingerprint in suspected:
+            context.crash_counter.report_loss(fingerprint, server_id, now)
+    context.clock.advance(DECISION_DELAY)
+    context.crash_counter.decide(context.clock.now())
+    context.state.crash_guard.apply_quarantine(context.crash_counter.refused(context.clock.now()))
+    context.state.crash_guard.apply_suspects(context.crash_counter.suspects(context.clock.now()))
+
+
+def crash(context, request, server, in_trial):
+    record_attempt(context, request, server, AttemptFault.LOST, in_trial)
+    context.clock.advance(400.0)
+    refuse_connection(context, server)
+    report(context)
+    context.clock.advance(1 * SECOND)
 
 
 @when(
@@ -37,37 +65,129 @@
     "and the host reports"
 )
 def step_crash(context, request, server):
-    record_attempt(context, request, server, AttemptFault.LOST)
-    context.clock.advance(400.0)
-    record_attempt(context, "other", server, AttemptFault.NOT_SENT)
+    crash(context, request, server, False)
+
+
+@when(
+    'request "{request}" is lost on server "{server}" in a trial, which then refuses connections, '
+    "and the host reports"
+)
+def step_crash_in_trial(context, request, server):
+    crash(context, request, server, True)
+
+
+@when('another host reports that "{request}" was lost on server "{server}"')
+def step_other_host(context, request, server):
+    context.crash_counter.report_loss(request, server, context.clock.now())
     report(context)
-    context.clock.advance(1 * SECOND)
 
 
 @when('request "r1" encounters {event}')
 def step_event(context, event):
+    guard = context.state.crash_guard
     match event:
         case "two lost answers on servers that keep running":
-            record_attempt(context, "r1", "s1", AttemptFault.LOST)
-            record_attempt(context, "r1", "s2", AttemptFault.LOST)
+            for server in ("s1", "s2"):
+                record_attempt(context, "r1", server, AttemptFault.LOST)
+                context.clock.advance(1.0)
+                guard.record_accepted(server, context.clock.now())
         case "a lost answer and a server that accepts no connection":
             record_attempt(context, "r1", "s1", AttemptFault.LOST)
-            record_attempt(context, "r2", "s2", AttemptFault.NOT_SENT)
-        case "two lost servers after it was answered once":
-            record_attempt(context, "r1", "s3", None)
+            refuse_connection(context, "s2")
+        case "two lost servers after which it was answered once":
             for server in ("s1", "s2"):
                 record_attempt(context, "r1", server, AttemptFault.LOST)
-                record_attempt(context, "r2", server, AttemptFault.NOT_SENT)
+                refuse_connection(context, server)
+            context.clock.advance(1.0)
+            record_attempt(context, "r1", "s3", None)
         case "the loss of four servers at the same moment":
             for server in ("s1", "s2", "s3", "s4"):
                 record_attempt(context, "r1", server, AttemptFault.LOST)
             for server in ("s1", "s2", "s3", "s4"):
-                record_attempt(context, "r2", server, AttemptFault.NOT_SENT)
+                refuse_connection(context, server)
+        case "a trial in which its server is lost with two others":
+            lose_without_trial(context, "s1", "s2")
+            record_attempt(context, "r1", "s3", AttemptFault.LOST, in_trial=True)
+            for server in ("s3", "s4", "s5"):
+                refuse_connection(context, server)
+        case "a trial in which its connection is lost and the server is not":
+            lose_without_trial(context, "s1", "s2")
+            record_attempt(context, "r1", "s3", AttemptFault.LOST, in_trial=True)
+            context.clock.advance(1.0)
+            guard.record_accepted("s3", context.clock.now())
         case _:
             raise AssertionError(event)
     report(context)
 
 
+def lose_without_trial(context, *servers):
+    for server in servers:
+        record_attempt(context, "r1", server, AttemptFault.LOST)
+        refuse_connection(context, server)
+    context.clock.advance(1 * SECOND)
+
+
+@when(
+    'hosts report within 100 ms that "{first}" crashed servers "{servers}", '
+    'and "{second}" servers "{shared}"'
+)
+def step_shared(context, first, servers, second, shared):
+    counter = context.crash_counter
+    for server in shared.split():
+        counter.report_crash(second, server, context.clock.now())
+    context.clock.advance(100.0)
+    for server in servers.split():
+        counter.report_crash(first, server, context.clock.now())
+    for _ in range(4):
+        context.clock.advance(DECISION_DELAY / 2)
+        counter.decide(context.clock.now())
+
+
+@when(
+    'request "{request}" is lost three times on servers of "{upstream}", and "{other}" answers '
+    "in between"
+)
+def step_one_shard(context, request, upstream, other):
+    for server in ("s1", "s2", "s3"):
+        record_attempt(context, request, server, AttemptFault.LOST, upstream=upstream)
+        refuse_connection(context, server)
+        context.clock.advance(4 * SECOND)
+        record_attempt(context, request, "o1", None, upstream=other)
+
+
+@then('the trial of "{request}" goes to "{upstream}"')
+def step_trial_upstream(context, request, upstream):
+    assert context.state.crash_guard.suspicion(request).upstream == upstream
+
+
+@when('a server answers "{request}"')
+def step_answered(context, request):
+    record_attempt(context, request, "s9", None)
+
+
+@then('the host and the leader suspect "{request}", and not "{other}"')
+def step_suspected(context, request, other):
+    assert context.crash_counter.suspects(context.clock.now()) == [request]
+    assert context.state.crash_guard.suspicion(request) is not None
+    assert context.state.crash_guard.suspicion(other) is None
+    assert not context.state.crash_guard.is_quarantined(request)
+
+
+@then('the leader suspects "{request}"')
+def step_leader_suspects(context, request):
+    assert context.crash_counter.suspects(context.clock.now()) == [request]
+
+
+@then('the host suspects "{request}"')
+def step_host_suspects(context, request):
+    assert context.state.crash_guard.suspicion(request) is not None
+
+
+@then('the host does not suspect "{request}"')
+def step_host_does_not_suspect(context, request):
+    assert context.state.crash_guard.suspicion(request) is None
+
+
 @then('the crash counter refuses "{request}" everywhere')
 def step_refused_everywhere(context, request):
     assert context.crash_counter.refused(context.clock.now()) == [request]
@@ -78,38 +198,59 @@
     assert context.crash_counter.refused(context.clock.now()) == []
 
 
-@then('the host itself refuses "r1" and not "r2"')
-def step_host_refuses(context):
-    assert context.state.is_quarantined("r1")
-    assert not context.state.is_quarantined("r2")
+@then('the host itself refuses "{request}" and not "{other}"')
+def step_host_refuses(context, request, other):
+    assert context.state.crash_guard.is_quarantined(request)
+    assert not context.state.crash_guard.is_quarantined(other)
 
 
 @then('the host itself refuses neither "r1" nor "r2"')
 def step_host_refuses_none(context):
-    assert not context.state.is_quarantined("r1")
-    assert not context.state.is_quarantined("r2")
+    assert not context.state.crash_guard.is_quarantined("r1")
+    assert not context.state.crash_guard.is_quarantined("r2")
 
 
 @then("two crashes 61 s apart cause no quarantine, and a quarantine ends after 600 s")
 def step_forgotten(context):
-    crash_counter = context.crash_counter
-    assert not crash_counter.report("r1", "s1", 0.0)
-    assert not crash_counter.report("r1", "s2", 61 * SECOND)
-    assert crash_counter.report("r1", "s3", 62 * SECOND)
-    assert crash_counter.refused(661 * SECOND) == ["r1"]
-    assert crash_counter.refused(662 * SECOND) == []
+    counter = context.crash_counter
+    counter.report_crash("r1", "s1", 0.0)
+    assert counter.decide(SECOND) == []
+    counter.report_crash("r1", "s2", 61 * SECOND)
+    assert counter.decide(61.5 * SECOND) == []
+    counter.report_crash("r1", "s3", 62 * SECOND)
+    assert counter.decide(62.5 * SECOND) == ["r1"]
+    assert counter.refused(662 * SECOND) == ["r1"]
+    assert counter.refused(662.5 * SECOND) == []
 
 
-@when('the leader reports that "{request}" is quarantined, and then stops responding')
-def step_told(context, request):
-    context.state.apply_quarantine([request])
+@when('the leader reports that "{requests}" are quarantined, and then stops responding')
+@when('the leader reports that "" are quarantined, and then stops responding')
+def step_told(context, requests=""):
+    context.state.crash_guard.apply_quarantine(requests.split())
+
+
+@when("{seconds:d} s later the host is restarted from its checkpoint")
+def step_restarted(context, seconds):
+    context.clock.advance(seconds * SECOND)
+    kept = context.state.crash_guard.quarantines()
+    context.state = new_state(context.clock)
+    context.state.crash_guard.restore_quarantines(kept)
 
 
 @then('the host refuses "{first}" and "{second}" for {held:d} s and not after {over:d} s')
 def step_lifted(context, first, second, held, over):
+    check_lifted(context, (first, second), held, over)
+
+
+@then('the host refuses "{request}" for {held:d} s and not after {over:d} s')
+def step_lifted_one(context, request, held, over):
+    check_lifted(context, (request,), held, over)
+
+
+def check_lifted(context, requests, held, over):
+    guard = context.state.crash_guard
     start = context.clock.now()
     context.clock.advance(held * SECOND)
-    assert context.state.is_quarantined(first) and context.state.is_quarantined(second)
+    assert all(guard.is_quarantined(request) for request in requests)
     context.clock.advance(start + over * SECOND - context.clock.now())
-    assert not context.state.is_quarantined(first)
-    assert not context.state.is_quarantined(second)
+    assert not any(guard.is_quarantined(request) for request in requests)
--- a/features/steps/gather_split_steps.py
+++ b/features/steps/gather_split_steps.py
@@ -334,7 +334,9 @@
 @then("it {does} a gather that needs 86 of them")
 def step_splits(context, does):
     times = RunTimes(1000.0, 1100.0, 2000.0)
-    gather = context.gathers.create(SimpleNamespace(http=None), context.route, times)
+    gather = context.gathers.create(
+        SimpleNamespace(http=None, fingerprint="gather"), context.route, times
+    )
     assert (gather is not None) == (does == "splits")
 
 
--- a/features/steps/late_crash_steps.py
+++ b/features/steps/late_crash_steps.py
@@ -5,7 +5,8 @@
 from alderhatch.clock import SECOND
 from alderhatch.core.crash_detector import CrashDetector
 from alderhatch.core.entry_events import AttemptFault
-from alderhatch.core.forwarding.crash_counter import CRASH_RETENTION, CrashCounter
+from alderhatch.core.forwarding.crash_counter import CRASH_RETENTION, DECISION_DELAY, CrashCounter
+from alderhatch.node.tier_messages import split_suspects
 from features.steps.caller_hosts_steps import UPSTREAM, node_with_servers
 
 BODY = "a body"
@@ -44,30 +45,32 @@
 def step_reported(context):
     host = context.state = node_with_servers(context, "host-0", 28)
     (target,) = host.table.upstream(UPSTREAM).targets.values()
-    host.record_attempt(BODY, target, AttemptFault.LOST, context.clock.now())
-    host.record_attempt(BODY, target, AttemptFault.NOT_SENT, context.clock.now())
-    assert len(host.take_crash_reports()) == 1
-    assert host.take_crash_reports() == []
+    guard = host.crash_guard
+    guard.record_attempt(BODY, target, AttemptFault.LOST, False, context.clock.now())
+    guard.record_refused(target.server_id)
+    assert len(guard.take_reports()) == 1
+    assert guard.take_reports() == []
     context.crash_counter = CrashCounter()
 
 
 @when("the host follows the new leader, and another host reports the body's second crash")
 def step_second(context):
-    host = context.state
-    host.on_new_leader()
+    context.state.on_new_leader()
     now = context.clock.now()
-    for crash in host.take_crash_reports():
-        context.crash_counter.report(crash.fingerprint, crash.server_id, now)
-    context.refused = context.crash_counter.report(BODY, "another server", now)
+    for marked, server_id in context.state.crash_guard.take_reports():
+        _, suspected = split_suspects([marked])
+        for fingerprint in suspected:
+            context.crash_counter.report_loss(fingerprint, server_id, now)
+    context.crash_counter.report_crash(BODY, "another server", now)
 
 
 @then("the new leader has the body refused everywhere")
 def step_refused(context):
-    assert context.refused
+    assert context.crash_counter.decide(context.clock.now() + DECISION_DELAY) == [BODY]
 
 
 @then("a host that follows a leader 61 s after a crash reports it no more")
 def step_forgotten(context):
     context.clock.advance(CRASH_RETENTION + SECOND)
     context.state.on_new_leader()
-    assert context.state.take_crash_reports() == []
+    assert context.state.crash_guard.take_reports() == []
--- a/features/support/tier_hosts.py
+++ b/features/support/tier_hosts.py
@@ -110,6 +110,7 @@
                 hosts_to_choose, CONNECTIONS, needed
             ),
             lambda: previous_host_count,
+            tuple,
             CODEC,
         )
         self.nursery = None
--- a/src/alderhatch/core/crash_detector.py
+++ b/src/alderhatch/core/crash_detector.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from collections.abc import Iterable
-from enum import StrEnum
 from typing import TYPE_CHECKING, NamedTuple, TypeVar
 
 from xxhash import xxh3_128_hexdigest
@@ -31,17 +30,6 @@
 T = TypeVar("T")
 
 
-class LossVerdict(StrEnum):
-    """What a connection that was lost while a body ran says about the body."""
-
-    ANSWERED = "answered"
-    """Nothing, as a server has answered the body."""
-    MASS_LOSS = "mass_loss"
-    """Nothing, as many servers were lost at the same moment."""
-    CRASHED = "crashed"
-    """The body was running on a server that crashed."""
-
-
 class Crash(NamedTuple):
     """A body that was running on a server when it crashed."""
 
@@ -97,8 +85,6 @@
         self._crashes_by_body: OrderedDict[str, set[str]] = OrderedDict()
         self._blocks: OrderedDict[str, _Block] = OrderedDict()
         self._last_loss_by_server: dict[str, Millis] = {}
-        self.verdicts: Counter[LossVerdict] = Counter()
-        """How many losses were judged so."""
         self.quarantined_tier_wide: frozenset[str] = frozenset()
         """Fingerprints of bodies that control has quarantined."""
 
@@ -155,7 +141,6 @@
         if len(self._last_loss_by_server) > MAX_FINGERPRINTS:
             self._last_loss_by_server.pop(next(iter(self._last_loss_by_server)))
         if fingerprint in self._answered:
-            self.verdicts[LossVerdict.ANSWERED] += 1
             return 0
         losses = self._losses_by_server.setdefault(server_id, [])
         losses[:] = [loss for loss in losses if now - loss.at < RESTART_WINDOW_MS][
@@ -225,9 +210,7 @@
             if now - loss.at >= window or loss.fingerprint in self._answered:
                 continue
             if self._is_mass_loss(loss.at):
-                self.verdicts[LossVerdict.MASS_LOSS] += 1
                 continue
-            self.verdicts[LossVerdict.CRASHED] += 1
             crashes.append(Crash(loss.fingerprint, loss.upstream, server_id))
             servers = self._crashes_by_body.get(loss.fingerprint, set()) | {server_id}
             _put_bounded(self._crashes_by_body, loss.fingerprint, servers)
--- a/src/alderhatch/core/forwarding/crash_counter.py
+++ b/src/alderhatch/core/forwarding/crash_counter.py
@@ -1,7 +1,10 @@
-"""Decides which requests have crashed so many servers that every host refuses them."""
+"""Decides which requests every host refuses, or runs on one server at a time."""
 
 from __future__ import annotations
 
+from collections import OrderedDict
+from typing import NamedTuple
+
 from ...clock import SECOND, Millis
 from ..crash_detector import CRASH_LIMIT, MAX_FINGERPRINTS
 
@@ -9,35 +12,102 @@
 """How long such a request is refused everywhere; its caller may have stopped sending it by then."""
 CRASH_RETENTION: Millis = 60 * SECOND
 """Crashes further apart than this are not attributed to the same request."""
+DECISION_DELAY: Millis = 250.0
+"""How long after the first report of a crash the reports of other hosts are awaited."""
+MAX_LISTED = 256
+"""Limit of the requests that hosts are sent of each kind; the newest are kept."""
+
+
+class _Report(NamedTuple):
+    """One server that a request was lost on."""
+
+    at: Millis
+    is_crash: bool
+    """Whether a host holds the request to have crashed it; otherwise it is only suspected."""
 
 
 class CrashCounter:
-    """Counts at the leader the crashes that hosts report, since any host may receive a request.
+    """Combines at the leader what hosts report, since any host may receive a request.
 
-    If hosts counted separately, each would let a request crash two servers; a tier of eleven hosts
-    would lose twenty-two.
+    If hosts counted separately, each would let a request crash servers of its own; a tier of eleven
+    hosts would lose eleven times as many.
     """
 
     def __init__(self) -> None:
-        self._servers: dict[str, dict[str, Millis]] = {}
-        self._quarantined_until: dict[str, Millis] = {}
-
-    def report(self, fingerprint: str, server_id: str, now: Millis) -> bool:
-        """Record one crash; return whether the request is refused everywhere from now on."""
-        servers = self._servers.pop(fingerprint, {})
-        servers = {name: at for name, at in servers.items() if now - at < CRASH_RETENTION}
-        servers[server_id] = now
-        self._servers[fingerprint] = servers
-        if len(self._servers) > MAX_FINGERPRINTS:
-            del self._servers[next(iter(self._servers))]
-        if len(servers) < CRASH_LIMIT or self._quarantined_until.get(fingerprint, 0.0) > now:
-            return False
-        self._quarantined_until[fingerprint] = now + QUARANTINE_DURATION
-        return True
+        self._reports: OrderedDict[str, dict[str, _Report]] = OrderedDict()
+        """By fingerprint and server."""
+        self._undecided: dict[str, Millis] = {}
+        """When the first crash of each request was reported that is not yet decided on."""
+        self._quarantined_until: OrderedDict[str, Millis] = OrderedDict()
+
+    def report_loss(self, fingerprint: str, server_id: str, now: Millis) -> None:
+        """Record that a request was lost on a server, which it may have crashed."""
+        servers = self._recent(fingerprint, now)
+        known = servers.get(server_id)
+        servers[server_id] = _Report(now, known is not None and known.is_crash)
+
+    def report_crash(self, fingerprint: str, server_id: str, now: Millis) -> None:
+        """Record that a request crashed a server."""
+        self._recent(fingerprint, now)[server_id] = _Report(now, True)
+        self._undecided.setdefault(fingerprint, now)
+
+    def _recent(self, fingerprint: str, now: Millis) -> dict[str, _Report]:
+        servers = self._reports.pop(fingerprint, {})
+        servers = {name: one for name, one in servers.items() if now - one.at < CRASH_RETENTION}
+        self._reports[fingerprint] = servers
+        if len(self._reports) > MAX_FINGERPRINTS:
+            self._reports.popitem(last=False)
+        return servers
+
+    def decide(self, now: Millis) -> list[str]:
+        """Quarantine the requests whose reports are complete; return those that were not yet."""
+        due = [name for name, at in self._undecided.items() if now - at >= DECISION_DELAY]
+        decided = [
+            name
+            for name in due
+            if self._quarantined_until.get(name, 0.0) <= now and self._is_decisive(name)
+        ]
+        for fingerprint in due:
+            del self._undecided[fingerprint]
+        for fingerprint in decided:
+            self._quarantined_until[fingerprint] = now + QUARANTINE_DURATION
+        return decided
+
+    @property
+    def is_deciding(self) -> bool:
+        """Whether reports of crashes are awaited or have to be decided on."""
+        return bool(self._undecided)
+
+    def _is_decisive(self, fingerprint: str) -> bool:
+        """Return whether a request crashed servers that no other request is held to have crashed.
+
+        A harmless request that ran at another host on the servers of one that crashes them was lost
+        on each of them, too, but only there.
+        """
+        servers = self._reports.get(fingerprint, {})
+        blamed_on_others = {
+            server_id
+            for other in self._undecided
+            if other != fingerprint
+            for server_id, report in self._reports.get(other, {}).items()
+            if report.is_crash
+        }
+        crashed = {server_id for server_id, report in servers.items() if report.is_crash}
+        return len(servers) >= CRASH_LIMIT and bool(crashed - blamed_on_others)
+
+    def suspects(self, now: Millis) -> list[str]:
+        """Return the fingerprints of the requests that run on one server at a time."""
+        found = [
+            name
+            for name, servers in self._reports.items()
+            if sum(now - one.at < CRASH_RETENTION for one in servers.values()) >= CRASH_LIMIT
+            and self._quarantined_until.get(name, 0.0) <= now
+        ]
+        return sorted(found[-MAX_LISTED:])
 
     def refused(self, now: Millis) -> list[str]:
         """Return the fingerprints of the requests that are refused everywhere."""
-        self._quarantined_until = {
-            name: until for name, until in self._quarantined_until.items() if until > now
-        }
-        return sorted(self._quarantined_until)
+        ended = [name for name, until in self._quarantined_until.items() if until <= now]
+        for name in ended:
+            del self._quarantined_until[name]
+        return sorted(list(self._quarantined_until)[-MAX_LISTED:])
--- a/src/alderhatch/core/forwarding/effects.py
+++ b/src/alderhatch/core/forwarding/effects.py
@@ -14,6 +14,8 @@
     attempt: int
     target: Target
     upstream: str
+    in_trial: bool = False
+    """Whether no other server gets it until this attempt ends, as it may crash servers."""
 
 
 class Cancel(NamedTuple):
--- a/src/alderhatch/core/forwarding/forward_run.py
+++ b/src/alderhatch/core/forwarding/forward_run.py
@@ -7,6 +7,7 @@
 
 from ...clock import Millis
 from ..entry_events import NOT_RUN_FAULTS, AttemptFault
+from .crash_evidence import Suspicion
 from .decision import Decision, DecisionKind
 from .effects import Cancel, Effect, Finish, Send
 from .hedge_timer import HedgeTimer
@@ -28,6 +29,9 @@
 otherwise; after twice that time a retry by the caller is more likely to succeed."""
 REFUSED_SERVER_DELAY: Millis = 30.0
 """How long this request avoids a server that refused it."""
+MIN_SHARDS_FOR_ANSWER = 8
+"""A gather over so many shards is not hedged before its first part: what delays all servers alike
+is not the fault of one. If the request crashes its servers, hedges would take the others, too."""
 DEFAULT_RETRY_AFTER: Millis = 250.0
 
 
@@ -48,6 +52,7 @@
         table: The servers.
         rules: Further rules if the run queries a share of a gather; such a run continues until no
             more parts can arrive, and has no minimum coverage.
+        suspicion: Why the request may crash servers; None if it is no suspect.
     """
 
     def __init__(
@@ -57,6 +62,7 @@
         times: RunTimes,
         table: TargetTable,
         rules: ShareRules | None = None,
+        suspicion: Suspicion | None = None,
     ) -> None:
         self.route = route
         self.times = times
@@ -71,6 +77,12 @@
         this share and won't query the same shards itself."""
         self.omitted_late_parts = False
         """Whether the answer was sent when due, without parts that might still have arrived."""
+        self.is_held = suspicion is not None
+        """Whether it runs on one server at a time, until a server has answered it."""
+        self._trial_upstream = suspicion.upstream if suspicion is not None else None
+        self._trial: int | None = None
+        """The attempt that decides whether the request crashes servers, while it is in flight."""
+        self._is_trial_lost = False
         self._reached_min_in_time = False
         """Whether the minimum coverage was reached before the answer was due."""
         self._parts_in = 0
@@ -118,10 +130,37 @@
         for shard in self.shards.values():
             if not self._is_repeat:
                 self._table.count_first(shard.upstream, now)
-            self._send(shard, now, DecisionKind.RETRY if self._is_repeat else DecisionKind.SEND)
+        if self.is_held:
+            for shard in self.shards.values():
+                shard.awaits_trial = True
+            self._send_trial(now)
+        else:
+            for shard in self.shards.values():
+                self._send(shard, now, self._first_kind)
         self._finish_if_done(now)
         return self._take_effects()
 
+    @property
+    def _first_kind(self) -> DecisionKind:
+        return DecisionKind.RETRY if self._is_repeat else DecisionKind.SEND
+
+    def hold(self) -> None:
+        """Run on one server at a time from now on, as the request was lost on several servers.
+
+        With an answer from any server it goes on: such a request is harmless on that server, and
+        others were lost for another reason.
+        """
+        if not self.finished and self._parts_in == 0:
+            self.is_held = True
+            self._next_wake = None
+
+    def release(self, now: Millis) -> list[Effect]:
+        """Run on all servers again, as the request is no suspect any more."""
+        if self.is_held and not self.finished:
+            self._release(now)
+            self._finish_if_done(now)
+        return self._take_effects()
+
     def stop(self) -> list[Effect]:
         """Send no more requests; attempts in flight may still end within their grace period."""
         self._finish(self._answer())
@@ -155,6 +194,8 @@
                 self._effects.append(Cancel(other))
         if self.finished:
             return []
+        if self.is_held:
+            self._release(now)
         self._finish_if_done(now)
         return self._take_effects()
 
@@ -180,8 +221,12 @@
         if fault in NOT_RUN_FAULTS:
             shard.refused_by[sent.target.server_id] = now
             shard.may_have_run.discard(sent.target.server_id)
+        if attempt == self._trial:
+            self._on_trial_fault(fault, now)
         if shard.open and not shard.in_flight:
             self._retry(shard, fault, now)
+        if self.is_held:
+            self._send_trial(now)
         self._finish_if_done(now)
         return self._take_effects()
 
@@ -200,6 +245,8 @@
                 self._send(shard, now, again)
             elif self._hedge_due(shard) <= now:
                 self._hedge(shard, now)
+        if self.is_held:
+            self._send_trial(now)
         self._finish_if_done(now)
         return self._take_effects()
 
@@ -229,6 +276,9 @@
         self, shard: ShardState, now: Millis, kind: DecisionKind, skip_budget: bool = False
     ) -> bool:
         """Send a request; charge a retry or hedge to the budget unless ``skip_budget`` is set."""
+        if self.is_held and (self._trial is not None or self._is_trial_lost):
+            shard.awaits_trial = not shard.in_flight
+            return False
         target = self._choose_server(shard, now, kind)
         if target is None:
             self._trace.record_decision(now, DecisionKind.NO_SERVER, shard)
@@ -252,9 +302,47 @@
         self._update_spent(shard, target)
         self._shard_of[attempt] = shard
         self._table.record_sent(target, attempt, now)
-        self._effects.append(Send(attempt, target, shard.upstream))
+        if self.is_held:
+            self._trial = attempt
+        shard.awaits_trial = False
+        self._effects.append(Send(attempt, target, shard.upstream, self.is_held))
         return True
 
+    # Trials of a request that may crash servers
+
+    def _send_trial(self, now: Millis) -> None:
+        """Send a request to the first shard that waits and has a server, unless one is in flight.
+
+        Shards that look for a server in vain go on to do so at their next timer event.
+        """
+        if self._trial is not None or self._is_trial_lost:
+            return
+        waiting = [shard for shard in self.shards.values() if shard.open and shard.awaits_trial]
+        waiting.sort(key=lambda shard: shard.upstream != self._trial_upstream)
+        for shard in waiting:
+            shard.awaits_trial = False
+            kind = DecisionKind.RETRY if shard.sends else self._first_kind
+            if self._send(shard, now, kind):
+                return
+
+    def _on_trial_fault(self, fault: AttemptFault, now: Millis) -> None:
+        self._trial = None
+        match fault:
+            case AttemptFault.FAILED:
+                # The server is still there to report the failure.
+                self._release(now)
+            case AttemptFault.LOST:
+                self._is_trial_lost = True
+
+    def _release(self, now: Millis) -> None:
+        self.is_held = False
+        self._next_wake = None
+        for shard in self.shards.values():
+            if shard.open and shard.awaits_trial:
+                shard.awaits_trial = False
+                kind = DecisionKind.RETRY if shard.sends else self._first_kind
+                self._send(shard, now, kind)
+
     def _agreed_servers(self, shard: ShardState) -> Container[str] | None:
         return self._rules.servers.get(shard.upstream) if self._rules is not None else None
 
@@ -313,7 +401,7 @@
     # Hedges
 
     def _hedge_due(self, shard: ShardState) -> Millis:
-        if not self.route.idempotent or len(shard.in_flight) != 1:
+        if self.is_held or not self.route.idempotent or len(shard.in_flight) != 1:
             return FOREVER
         if len(shard.may_have_run) >= self.route.max_servers or shard.sends >= MAX_SENDS:
             return FOREVER
@@ -324,7 +412,8 @@
 
     def _hedge(self, shard: ShardState, now: Millis) -> None:
         (attempt,) = shard.in_flight
-        if self._table.connection_waits.is_delayed_here(attempt, now):
+        waits_in_vain = self._parts_in == 0 and len(self.shards) >= MIN_SHARDS_FOR_ANSWER
+        if waits_in_vain or self._table.connection_waits.is_delayed_here(attempt, now):
             shard.hedge_at = now + SERVER_RECHECK_INTERVAL
             return
         if self._send(shard, now, DecisionKind.HEDGE):
@@ -358,9 +447,15 @@
             # long the host takes for an answer.
             self.omitted_late_parts = bool(waiting) and self._reached_min_in_time
             self._finish(self._answer())
-        elif parts + waiting < self._min_parts:
+        elif parts + waiting < self._min_parts or self._has_lost_all():
             self._finish(self._outcome_without_answer(FailureReason.FAILED))
 
+    def _has_lost_all(self) -> bool:
+        """Return whether its trial was lost, and no attempt may still be answered."""
+        if not self.is_held or not self._is_trial_lost:
+            return False
+        return not any(shard.in_flight for shard in self.shards.values())
+
     def _answer(self) -> Answered:
         parts = {name: shard.part for name, shard in self.shards.items() if shard.part is not None}
         return Answered(parts, len(self.shards) - len(parts))
--- a/src/alderhatch/core/forwarding/shard_state.py
+++ b/src/alderhatch/core/forwarding/shard_state.py
@@ -41,6 +41,8 @@
     is_spent: bool = False
     """Whether it was sent to a server that other hosts would not use, so that no other host may
     query it."""
+    awaits_trial: bool = False
+    """Whether it is sent once a trial of the request has been answered."""
     retry_at: Millis | None = None
     """When to look for a server again, if none was usable."""
 
--- a/src/alderhatch/entry/connection_pool.py
+++ b/src/alderhatch/entry/connection_pool.py
@@ -53,6 +53,10 @@
         self.keeps_warm: Callable[[str], bool] = lambda upstream: True
         """Whether a connection to each server of an upstream is opened ahead of demand; otherwise
         one is opened only when a request waits for it."""
+        self.on_refused: Callable[[str], None] = lambda server_id: None
+        """Called with a server that refused a connection, as no process listens there."""
+        self.on_accepted: Callable[[str, Millis], None] = lambda server_id, asked_at: None
+        """Called with a server that accepted a connection, and when it was opened."""
         self._sweeps = 0
         self._shares: Mapping[str, int] | None = None
         self._servers: dict[str, ServerConnections] = {}
@@ -238,6 +242,16 @@
         conns.drop(conn, now)
         self._open_if_needed(conns)
 
+    def probe(self, server_id: str) -> None:
+        """Open a connection to a server, within its share, to learn whether it has ended."""
+        conns = self._servers.get(server_id)
+        if conns is None or self._nursery is None or conns.opening:
+            return
+        if conns.counted_connections(self._clock.now()) < conns.share:
+            conns.opening = True
+            self._open_queue.begin()
+            self._nursery.start_soon(self._open, conns)
+
     def _open_if_needed(self, conns: ServerConnections) -> None:
         if self._is_open_needed(conns):
             self._open_queue.add(conns, bool(conns.waiting))
@@ -268,15 +282,19 @@
 
     async def _open_one(self, conns: ServerConnections) -> None:
         server = conns.server
+        asked_at = self._clock.now()
         try:
             conn = await open_http(server.address, server.port, CONNECT_TIMEOUT)
         except HttpExchangeError as exc:
             conns.opening = False
             conns.record_open_failure(exc, self._clock.now())
+            if exc.refused:
+                self.on_refused(server.server_id)
             return
         finally:
             conns.opening = False
         self.opened_count += 1
+        self.on_accepted(server.server_id, asked_at)
         if self._servers.get(server.server_id) is not conns:
             conn.close()
             return
--- a/src/alderhatch/http/client.py
+++ b/src/alderhatch/http/client.py
@@ -27,6 +27,12 @@
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def _is_refused(exc: Exception) -> bool:
+    cause = exc.__cause__
+    errors = cause.exceptions if isinstance(cause, BaseExceptionGroup) else (cause,)
+    return any(isinstance(error, ConnectionRefusedError) for error in errors)
+
+
 async def open_http(address: str, port: int, timeout: Millis = 2000.0) -> HttpConnection:
     """Connect to a server.
 
@@ -43,7 +49,7 @@
             stream = await trio.open_tcp_stream(address, port)
     except (OSError, trio.TooSlowError) as exc:
         message = f"no connection to {address}:{port}: {exc}"
-        raise HttpExchangeError(message, ExchangeFault.NOT_SENT) from exc
+        raise HttpExchangeError(message, ExchangeFault.NOT_SENT, _is_refused(exc)) from exc
     _enable_dead_peer_detection(stream)
     return HttpConnection(stream, f"{address}:{port}", trio.current_time() * SECOND)
 
--- a/src/alderhatch/http/exchange.py
+++ b/src/alderhatch/http/exchange.py
@@ -39,9 +39,11 @@
 class HttpExchangeError(Exception):
     """An exchange ended without a complete response; its connection can't be used again."""
 
-    def __init__(self, message: str, fault: ExchangeFault) -> None:
+    def __init__(self, message: str, fault: ExchangeFault, refused: bool = False) -> None:
         super().__init__(message)
         self.fault = fault
+        self.refused = refused
+        """Whether the server's host refused the connection, as no process listens there."""
 
     @property
     def sent(self) -> bool:
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -134,13 +134,24 @@
         1079, logging.INFO, "The node sends no requests to servers in these availability zones."
     )
     REQUEST_QUARANTINED = EventRow(
-        2073, logging.WARNING, "A request crashed two servers; all hosts block it for a while."
+        2073,
+        logging.WARNING,
+        "A request crashes the servers that run it; all hosts refuse it for a while.",
     )
     HOST_JOINED = EventRow(2071, logging.INFO, "A host connected to this leader.")
     REQUEST_SUSPECTED = EventRow(
         1102,
         logging.WARNING,
-        "A request lost several servers that ran it and got no answer; it may have crashed them.",
+        "A request lost several servers that ran it and got no answer; it may have crashed them."
+        " It runs on one server at a time until one answers it.",
+    )
+    SUSPECT_CLEARED = EventRow(
+        1103, logging.INFO, "A server answered a request that the leader had listed as a suspect."
+    )
+    TRIAL_LOST = EventRow(
+        1104,
+        logging.WARNING,
+        "A suspect ran on one server alone, which ended; the leader decides on its quarantine.",
     )
     HOST_LOST = EventRow(2072, logging.WARNING, "This leader lost a connected host.")
     REQUEST_ENDED = EventRow(
--- a/src/alderhatch/metric_catalogue.py
+++ b/src/alderhatch/metric_catalogue.py
@@ -141,10 +141,16 @@
         "alderhatch_node_crash_evidence_total",
         MetricKind.COUNTER,
         Unit.ONE,
-        "Connections lost while a request ran, by what they say about the request: it was answered"
-        " elsewhere, many servers were lost at the same moment, or the server crashed.",
+        "Connections lost while a request ran, by what they say about it: the server was alive, it"
+        " ended, it ended in a trial with others, or it ended in a trial alone.",
         ("verdict",),
     )
+    NODE_QUARANTINES = MetricRow(
+        "alderhatch_node_quarantines",
+        MetricKind.GAUGE,
+        Unit.ONE,
+        "Requests that this host refuses because they crash servers.",
+    )
     NODE_FAULTS = MetricRow(
         "alderhatch_node_faults_total",
         MetricKind.COUNTER,
--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -225,6 +225,7 @@
             async with self._turns.turn(route, req.organisation) as turn:
                 # The key may have been taken away while the request waited.
                 check_still_identified(self._state, req, route, self._clock.now())
+                self._check_quarantine(req)
                 may_have_run = True
                 outcome, res = await self._run(req, route, times, turn)
                 may_have_run = not isinstance(outcome, NotRun)
@@ -253,7 +254,10 @@
         gather = self._gathers.create(req, route, times)
         if gather is not None:
             return await self._gather(gather, req)
-        run = ForwardRun(route, self._upstreams(route), times, self._state.table)
+        suspicion = self._state.crash_guard.suspicion(req.fingerprint)
+        run = ForwardRun(
+            route, self._upstreams(route), times, self._state.table, suspicion=suspicion
+        )
         with self._logged_if_cancelled(req, run):
             outcome = await self._runner.forward(req, run, turn)
         return outcome, self._finish(req, run, outcome, run.omitted_late_parts)
@@ -292,7 +296,7 @@
         return self._lead_times.setdefault(route.name, ResponseLeadTime())
 
     def _check_quarantine(self, req: CallerRequest) -> None:
-        if self._state.is_quarantined(req.fingerprint):
+        if self._state.crash_guard.is_quarantined(req.fingerprint):
             message = "this request crashed servers that ran it"
             raise AlderhatchError(
                 Failure(ErrorKind.QUARANTINED, message, None, QUARANTINE_DURATION)
--- /dev/null
+++ b/src/alderhatch/node/crash_guard.py
@@ -0,0 +1,234 @@
+"""Protects servers from requests that crash them, with what this host and the leader know."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+
+from ..clock import SECOND, Clock, Millis
+from ..core.entry_events import AttemptFault
+from ..core.forwarding.crash_counter import CRASH_RETENTION, QUARANTINE_DURATION
+from ..core.forwarding.crash_evidence import CrashEvidence, Proof, Suspicion
+from ..core.forwarding.target import Target
+from ..log import log_event
+from ..log_events import LogEvent
+from .tier_messages import CrashReport, to_suspect
+
+MAX_CRASH_REPORTS = 20
+"""Limit of crashes in one report, so that the loss of a zone fills no report."""
+PROOF_DURATION: Millis = 5 * SECOND
+"""How long a host refuses a request by its own proof. The leader, which knows what ran on the same
+servers at other hosts, quarantines it within a second, or does not."""
+PROBATION_DURATION: Millis = 3600 * SECOND
+"""How long a request runs on one server at a time after its quarantine, until it is answered."""
+MAX_QUARANTINES = 1024
+
+
+class CrashGuard:
+    """Decides which requests this host refuses, or runs on one server at a time.
+
+    Args:
+        clock: The time source.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.probe: Callable[[str], None] = lambda server_id: None
+        """Opens a connection to a server, to learn whether it has ended."""
+        self.notify: Callable[[], None] = lambda: None
+        """Called when there is something to report to the leader at once."""
+        self.on_trial_ended: Callable[[], None] = lambda: None
+        """Called when the server of a trial has ended, which is judged a moment later."""
+        self.evidence = CrashEvidence()
+        """What this host has seen."""
+        self._quarantined_until: dict[str, Millis] = {}
+        """When each quarantine ends or ended, by fingerprint; kept for the probation after it."""
+        self._proven_until: dict[str, Millis] = {}
+        """Until when this host refuses requests by its own proof."""
+        self._told_suspects: dict[str, Millis] = {}
+        """Until when the leader's suspects count, by fingerprint; answered ones are dropped."""
+        self._listed_suspects: frozenset[str] = frozenset()
+        """The leader's last list of suspects."""
+        self._unreported: list[CrashReport] = []
+        self._reported: list[tuple[Millis, CrashReport]] = []
+        """Reports to the leader, with their times."""
+
+    # Observations
+
+    def record_attempt(
+        self,
+        fingerprint: str,
+        target: Target,
+        fault: AttemptFault | None,
+        in_trial: bool,
+        now: Millis,
+    ) -> None:
+        """Record the outcome of a request to a server.
+
+        Args:
+            fingerprint: The request.
+            target: The server.
+            fault: How the attempt failed; None if it was answered.
+            in_trial: Whether it was sent to this server alone, as a suspect.
+            now: The time.
+        """
+        match fault:
+            case None | AttemptFault.FAILED:
+                self._record_answer(fingerprint, target.upstream, now)
+            case AttemptFault.LOST:
+                self._record_loss(fingerprint, target, in_trial, now)
+            case AttemptFault.MOVED:
+                # Another server has taken the address, so this one has ended.
+                self.evidence.record_refused(target.server_id, now)
+
+    def _record_answer(self, fingerprint: str, upstream: str, now: Millis) -> None:
+        self.evidence.record_answer(fingerprint, upstream, now)
+        if self._unreported:
+            suspect = to_suspect(fingerprint)
+            self._unreported = [one for one in self._unreported if one.fingerprint != suspect]
+        if self._told_suspects.pop(fingerprint, None) is not None:
+            log_event(LogEvent.SUSPECT_CLEARED, fingerprint=fingerprint, upstream=upstream)
+        if self._quarantined_until.get(fingerprint, now) < now:
+            del self._quarantined_until[fingerprint]
+
+    def _record_loss(self, fingerprint: str, target: Target, in_trial: bool, now: Millis) -> None:
+        evidence = self.evidence
+        was_suspect = evidence.suspicion(fingerprint, now) is not None
+        is_suspect = evidence.record_loss(
+            fingerprint, target.upstream, target.server_id, in_trial, now
+        )
+        if not is_suspect and not in_trial:
+            return
+        self.probe(target.server_id)
+        if was_suspect or in_trial:
+            return
+        servers = evidence.lost_servers(fingerprint)
+        log_event(LogEvent.REQUEST_SUSPECTED, fingerprint=fingerprint, servers=servers)
+        for server_id in servers:
+            self.probe(server_id)
+            self._report(CrashReport(to_suspect(fingerprint), server_id))
+
+    def record_refused(self, server_id: str) -> None:
+        """Record that a server has refused a connection."""
+        now = self._clock.now()
+        ended = self.evidence.record_refused(server_id, now)
+        if self.evidence.has_unjudged_trials:
+            self.on_trial_ended()
+        for fingerprint in ended:
+            if self.evidence.suspicion(fingerprint, now) is None:
+                # Together with the losses at other hosts it may be one.
+                self._report(CrashReport(to_suspect(fingerprint), server_id))
+
+    def record_accepted(self, server_id: str, asked_at: Millis) -> None:
+        """Record that a server has accepted a connection that was opened at a given time."""
+        self.evidence.record_accepted(server_id, asked_at)
+
+    # Judgements
+
+    def suspicion(self, fingerprint: str) -> Suspicion | None:
+        """Return why a request runs on one server at a time, or None if it does not."""
+        now = self._clock.now()
+        own = self.evidence.suspicion(fingerprint, now)
+        if own is not None:
+            return own
+        is_told = self._told_suspects.get(fingerprint, 0.0) > now
+        ended_at = self._quarantined_until.get(fingerprint)
+        is_on_probation = ended_at is not None and ended_at <= now < ended_at + PROBATION_DURATION
+        return Suspicion() if is_told or is_on_probation else None
+
+    def is_quarantined(self, fingerprint: str) -> bool:
+        """Return whether a request is known to crash servers and must not run."""
+        now = self._clock.now()
+        self.judge_trials()
+        return (
+            self._quarantined_until.get(fingerprint, 0.0) > now
+            or self._proven_until.get(fingerprint, 0.0) > now
+        )
+
+    def judge_trials(self) -> None:
+        """Refuse the requests whose trials have shown that they crash servers."""
+        now = self._clock.now()
+        for proof in self.evidence.take_proofs(now):
+            self._apply_proof(proof, now)
+
+    def _apply_proof(self, proof: Proof, now: Millis) -> None:
+        log_event(
+            LogEvent.TRIAL_LOST,
+            fingerprint=proof.fingerprint,
+            server=proof.trial_server,
+            servers=list(proof.servers),
+        )
+        self._proven_until = {one: at for one, at in self._proven_until.items() if at > now}
+        self._proven_until[proof.fingerprint] = now + PROOF_DURATION
+        for server_id in proof.servers[-MAX_CRASH_REPORTS:]:
+            self._report(CrashReport(proof.fingerprint, server_id))
+
+    # The leader
+
+    def apply_suspects(self, fingerprints: Iterable[str]) -> None:
+        """Apply the leader's list of suspected requests."""
+        listed = frozenset(fingerprints)
+        now = self._clock.now()
+        self._told_suspects = {one: at for one, at in self._told_suspects.items() if at > now}
+        # A request that this host has seen answered meanwhile is still on the list.
+        for fingerprint in listed - self._listed_suspects:
+            self._told_suspects[fingerprint] = now + CRASH_RETENTION
+        self._listed_suspects = listed
+
+    def apply_quarantine(self, fingerprints: Iterable[str]) -> None:
+        """Apply the leader's list of quarantined requests.
+
+        Each quarantine ends after ``QUARANTINE_DURATION``, the time that callers are given. A
+        leader that does not list one does not end it, as a new leader may know less; one that still
+        lists it does not extend it.
+        """
+        until = self._clock.now() + QUARANTINE_DURATION
+        for fingerprint in fingerprints:
+            self._quarantined_until.setdefault(fingerprint, until)
+        self._drop_old_quarantines()
+
+    def _drop_old_quarantines(self) -> None:
+        now = self._clock.now()
+        kept = {
+            one: at for one, at in self._quarantined_until.items() if now < at + PROBATION_DURATION
+        }
+        self._quarantined_until = dict(list(kept.items())[-MAX_QUARANTINES:])
+
+    def quarantines(self) -> dict[str, Millis]:
+        """Return how long each request is still quarantined, by fingerprint."""
+        now = self._clock.now()
+        return {one: at - now for one, at in self._quarantined_until.items() if at > now}
+
+    def restore_quarantines(self, time_left: Mapping[str, Millis]) -> None:
+        """Refuse requests that were quarantined before this host was restarted.
+
+        Args:
+            time_left: How long each is still quarantined, by fingerprint; at most
+                ``QUARANTINE_DURATION`` counts.
+        """
+        now = self._clock.now()
+        for fingerprint, left in time_left.items():
+            if left > 0:
+                until = now + min(left, QUARANTINE_DURATION)
+                self._quarantined_until.setdefault(fingerprint, until)
+        self._drop_old_quarantines()
+
+    def _report(self, report: CrashReport) -> None:
+        self._unreported.append(report)
+        self.notify()
+
+    def take_reports(self) -> list[CrashReport]:
+        """Return what to report to the leader; each report is returned once."""
+        now = self._clock.now()
+        self.judge_trials()
+        reports = self._unreported[:MAX_CRASH_REPORTS]
+        self._unreported = self._unreported[MAX_CRASH_REPORTS:][:MAX_CRASH_REPORTS]
+        retained = [one for one in self._reported if now - one[0] < CRASH_RETENTION]
+        self._reported = [*retained, *((now, report) for report in reports)]
+        return reports
+
+    def on_new_leader(self) -> None:
+        """Queue the recent reports again for a new leader, as leaders keep them in memory only."""
+        now = self._clock.now()
+        recent = [report for at, report in self._reported if now - at < CRASH_RETENTION]
+        self._reported = []
+        self._unreported = [*recent, *self._unreported]
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -27,6 +27,9 @@
 A server that only paused finishes its answer within this time, and the connection can be reused. A
 new connection occupies a slot of the server for some milliseconds.
 """
+HOLD_RECHECK_INTERVAL: Millis = 5.0
+"""How often a request that runs on one server at a time is checked for being a suspect still: the
+servers that closed its connections may turn out to be alive."""
 MIN_TIME_LEFT: Millis = 2.0
 """With less time left, nothing is sent: the server would give up before its answer is sent."""
 
@@ -42,7 +45,7 @@
 
     def __init__(self, pool: ConnectionPool, state: NodeState, dialect: Dialect) -> None:
         self._pool = pool
-        self._state = state
+        self._guard = state.crash_guard
         self._table = state.table
         self._dialect = dialect
         self._clock = LoopClock()
@@ -80,6 +83,10 @@
             active.stop_sending()
             raise
 
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether a request may have crashed servers, and no server has answered it."""
+        return self._guard.suspicion(fingerprint) is not None
+
     def start_attempt(self, active: _ActiveRequest, send: Send) -> trio.CancelScope:
         """Start an attempt in its own task and return the scope that cancels it."""
         scope = trio.CancelScope()
@@ -100,7 +107,9 @@
             if sent_at is not None:
                 self._table.record_abandoned(send.target, sent_at, now)
             return
-        self._state.record_attempt(active.fingerprint, send.target, parsed.fault, now)
+        self._guard.record_attempt(
+            active.fingerprint, send.target, parsed.fault, send.in_trial, now
+        )
         if parsed.fault is not None:
             self._table.record_failure(send.target, parsed.fault, parsed.retry_after, now)
         elif sent_at is not None:
@@ -118,6 +127,9 @@
             if EVACUATED_SOURCE in send.target.leaving:
                 # The evacuation may have started while the attempt waited for a connection.
                 raise HttpExchangeError("the server's zone is evacuated", ExchangeFault.NOT_SENT)
+            if self._guard.is_quarantined(active.fingerprint):
+                # Another host may have shown it while the attempt waited for a connection.
+                raise HttpExchangeError("the request crashes servers", ExchangeFault.NOT_SENT)
             return await self._exchange_on(conn, active, server_id)
         finally:
             self._pool.release(server_id, conn)
@@ -183,8 +195,12 @@
         while self._outcome is None:
             self._changed = trio.Event()
             self._wake_at = self.run.next_wake
+            if self.run.is_held:
+                self._wake_at = min(self._wake_at, self._clock.now() + HOLD_RECHECK_INTERVAL)
             with trio.move_on_at(self._wake_at / SECOND):
                 await self._changed.wait()
+            if self.run.is_held and not self._runner.is_suspect(self.fingerprint):
+                self._apply(self.run.release(self._clock.now()))
             if self._outcome is None and self._clock.now() >= self.run.next_wake:
                 self._apply(self.run.on_timer(self._clock.now()))
         return self._outcome
@@ -215,6 +231,8 @@
             # Only an error that the server itself reports is forwarded to the caller. After any
             # other fault, the reply is no answer to this request.
             failure = reply if parsed.fault is AttemptFault.FAILED else None
+            if parsed.fault is AttemptFault.LOST and self._runner.is_suspect(self.fingerprint):
+                self.run.hold()
             self._apply(self.run.on_fault(attempt, parsed.fault, failure, now))
         # Waking the waiting task for each of a hundred parts would cost as much as the parts.
         if self._outcome is not None or self.run.next_wake < self._wake_at:
--- a/src/alderhatch/node/gather_server.py
+++ b/src/alderhatch/node/gather_server.py
@@ -74,7 +74,9 @@
         route, shards = self._gather_of(req)
         check_parts_request(parts_req, shards)
         req = self._identity.identify(req, route)
-        run = self._create_run(parts_req, route, arrived)
+        if self._state.crash_guard.is_quarantined(req.fingerprint):
+            return PartsEnd(parts_req.number)
+        run = self._create_run(parts_req, route, req, arrived)
         positions = {shard: position for position, shard in enumerate(parts_req.shards)}
 
         def on_parts(bundle: PartsBundle) -> None:
@@ -106,13 +108,17 @@
             raise AlderhatchError(Failure(ErrorKind.NO_CONFIGURATION, message, "target"))
         return route, route.destination.shards
 
-    def _create_run(self, parts_req: PartsRequest, route: Route, arrived: Millis) -> ForwardRun:
+    def _create_run(
+        self, parts_req: PartsRequest, route: Route, req: CallerRequest, arrived: Millis
+    ) -> ForwardRun:
         servers = agreed_servers(self._state, route, parts_req.shards, self._state.zone)
         rules = ShareRules(servers, False, arrived + parts_req.due_in - HOP_LATENCY)
         deadline = arrived + min(parts_req.time_left, route.timeout)
         # The host that splits the gather sees all parts and decides which ones to omit.
         times = RunTimes(arrived, deadline, deadline)
-        return ForwardRun(route, tuple(parts_req.shards), times, self._state.table, rules)
+        suspicion = self._state.crash_guard.suspicion(req.fingerprint)
+        shards = tuple(parts_req.shards)
+        return ForwardRun(route, shards, times, self._state.table, rules, suspicion)
 
     def _report_times(self, parts_req: PartsRequest, arrived: Millis) -> tuple[Millis, ...]:
         until_due = max(0.0, parts_req.due_in)
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -16,6 +16,7 @@
 from ..core.control.configuration_register import ConfigurationRegister
 from ..core.forwarding.configuration_lease import lease_duration
 from ..core.forwarding.connection_waits import START_SPAN, ConnectionWaits
+from ..core.forwarding.crash_evidence import CONCLUDE_DELAY
 from ..core.forwarding.quota_host import QuotaHost
 from ..entry.connection_pool import ConnectionPool
 from ..http.messages import HttpLimits, HttpRequest, HttpResponse
@@ -25,6 +26,7 @@
 from ..log_events import LogEvent
 from ..log_output import BoundedLogHandler
 from ..loop_delay import LoopDelay
+from ..signal import Signal
 from ..stop_signal import STOP_SIGNALS, wait_for_stop
 from .bootstrap import BOOTSTRAP_ROLE, BootstrapCoordinator, bootstrap_cluster
 from .caller_handler import CallerHandler
@@ -161,12 +163,20 @@
             lambda leader: self._client.add_leader_hint(leader),
             self.state.choose,
             lambda: self.state.live_host_count,
+            lambda: self.state.crash_guard.quarantines(),
             self._codec,
         )
         self._server_list_reader = ServerListReader(source, self.state, self._server, self._rng)
         self._client = TierClient(
             self._join, self._report, self._known_places, self.state, self._codec, cfg.secret
         )
+        guard = self.state.crash_guard
+        guard.probe = self._pool.probe
+        guard.notify = self._client.report_changed.notify
+        self._trial_ended = Signal()
+        guard.on_trial_ended = self._trial_ended.notify
+        self._pool.on_refused = guard.record_refused
+        self._pool.on_accepted = guard.record_accepted
         self._prober = HostProber(self.state, self._client.contact)
         self._runner = ForwardRunner(self._pool, self.state, dialect)
         self._bootstrap_coordinator = BootstrapCoordinator()
@@ -295,7 +305,7 @@
         )
 
     def _report(self) -> Report:
-        crashes = self.state.take_crash_reports()
+        crashes = self.state.crash_guard.take_reports()
         sends = self.state.table.take_sends()
         version = self.state.stored.version
         wants_servers = self.state.wants_servers
@@ -365,6 +375,7 @@
             nursery.start_soon(self._client.run)
             nursery.start_soon(log_lease_changes, self.state)
             nursery.start_soon(self._prober.run)
+            nursery.start_soon(self._judge_trials)
             self.callers.start_accepting()
             cfg = self.cfg
             log_event(LogEvent.NODE_STARTED, node=cfg.name, zone=cfg.zone, processor=cfg.processor)
@@ -381,6 +392,14 @@
         await trio.sleep(START_SPAN / SECOND)
         self._pool.set_starting(False)
 
+    async def _judge_trials(self) -> None:
+        """Report at once that a request crashes servers, and not only when it comes again."""
+        while True:
+            await self._trial_ended.wait()
+            while self.state.crash_guard.evidence.has_unjudged_trials:
+                await trio.sleep(CONCLUDE_DELAY / SECOND)
+                self.state.crash_guard.judge_trials()
+
     async def _watch_leadership(self) -> None:
         """Notify the waiting tasks when this host starts or stops leading.
 
--- a/src/alderhatch/node/node_metrics.py
+++ b/src/alderhatch/node/node_metrics.py
@@ -113,8 +113,9 @@
         metrics.set(Metric.NODE_PART_COST, node.turns.queue.turn_cost / SECOND)
         metrics.set(Metric.NODE_HOSTS, state.live_host_count)
         metrics.set(Metric.NODE_ACTIVE_HOSTS, len(state.caller_hosts))
-        for verdict, count in state.crash_detector.verdicts.items():
+        for verdict, count in state.crash_guard.evidence.verdicts.items():
             metrics.set(Metric.NODE_CRASH_EVIDENCE, count, verdict)
+        metrics.set(Metric.NODE_QUARANTINES, len(state.crash_guard.quarantines()))
         for cause, count in state.active_host_changes.items():
             metrics.set(Metric.NODE_ACTIVE_HOST_CHANGES, count, cause)
         metrics.set(Metric.NODE_CONFIGURATION, state.stored.version)
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -11,13 +11,10 @@
 from ..clock import SECOND, Clock, Millis
 from ..core.control.configuration_register import NO_CONFIGURATION, StoredConfiguration
 from ..core.control.evacuations import NO_EVACUATIONS, Evacuations
-from ..core.crash_detector import CRASH_LIMIT, CrashDetector
-from ..core.entry_events import AttemptFault
 from ..core.forwarding.active_hosts_cause import ActiveHostsCause
 from ..core.forwarding.caller_hosts import HostRecord, choose_caller_hosts, rank_hosts
 from ..core.forwarding.cold_start_limiter import ColdServerLimits
 from ..core.forwarding.configuration_lease import ConfigurationLease
-from ..core.forwarding.crash_counter import CRASH_RETENTION, QUARANTINE_DURATION
 from ..core.forwarding.host_reachability import HostReachability
 from ..core.forwarding.organisation import Organisation, OrganisationTable
 from ..core.forwarding.retry_budget import BudgetLimits, constant_fraction, owner_constant_fraction
@@ -25,7 +22,6 @@
 from ..core.forwarding.route_table import RouteTable
 from ..core.forwarding.server_record import ServerRecord
 from ..core.forwarding.shard_owners import ShardOwners
-from ..core.forwarding.target import Target
 from ..core.forwarding.target_table import TargetTable
 from ..core.policy import Policy
 from ..entry.connection_pool import ConnectionPool
@@ -33,12 +29,10 @@
 from ..log import log_event
 from ..log_events import LogEvent
 from ..signal import Signal
+from .crash_guard import CrashGuard
 from .start_timeline import StartStep, StartTimeline
-from .tier_messages import CrashReport, Place, TierView
+from .tier_messages import Place, TierView
 
-MAX_CRASH_REPORTS = 20
-"""Limit of crashes in one report. The loss of a whole zone confirms more at once, but it is not
-caused by requests."""
 HOST_COUNT_RETENTION: Millis = 30 * SECOND
 """Budgets and connections are divided by the highest number of hosts seen within this time. A host
 that is cut off from the leader goes on using its share, so the others must not use it as well."""
@@ -88,14 +82,8 @@
         self._pool = pool
         self._clock = clock
         self.table = TargetTable(zone, budget_limits, policy, rng, cold)
-        self.crash_detector = CrashDetector(QUARANTINE_DURATION)
-        """The crashes that this host observed."""
-        self._quarantined_until: dict[str, Millis] = {}
-        """When the quarantine of each request ends, by fingerprint."""
-        self.crashes: list[CrashReport] = []
-        """Crashes that are not yet reported to the leader."""
-        self._sent_crash_reports: list[tuple[Millis, CrashReport]] = []
-        """Crashes that were reported to the leader, with the times of the reports."""
+        self.crash_guard = CrashGuard(clock)
+        """Protects servers from requests that crash them."""
         self.routes = RouteTable(())
         self.limits = CallerLimits()
         self.organisations: OrganisationTable | None = None
@@ -318,66 +306,10 @@
             self._pool.update_servers(name, (), self._pool.server_ids(name))
         self._update_shares()
 
-    # Requests that crash servers
-
-    def record_attempt(
-        self, fingerprint: str, target: Target, fault: AttemptFault | None, now: Millis
-    ) -> None:
-        """Record the outcome of a request to a server."""
-        detector = self.crash_detector
-        match fault:
-            case None | AttemptFault.FAILED:
-                detector.record_answer(fingerprint)
-            case AttemptFault.LOST:
-                lost = detector.record_loss(fingerprint, target.upstream, target.server_id, now)
-                if lost == CRASH_LIMIT:
-                    log_event(LogEvent.REQUEST_SUSPECTED, fingerprint=fingerprint, servers=lost)
-            case AttemptFault.NOT_SENT:
-                # The server refuses connections, so the losses shortly before were a crash.
-                for crash in detector.confirm_crashes(target.server_id, now)[:MAX_CRASH_REPORTS]:
-                    self.crashes.append(CrashReport(crash.fingerprint, crash.server_id))
-
-    def is_quarantined(self, fingerprint: str) -> bool:
-        """Return whether a request is known to crash servers.
-
-        Two lost connections alone are no proof, as servers may also lose answers. A loss counts as
-        a crash only if the server refuses connections after it.
-        """
-        now = self._clock.now()
-        if self._quarantined_until.get(fingerprint, 0.0) > now:
-            return True
-        return self.crash_detector.is_quarantined(fingerprint, now)
-
-    def apply_quarantine(self, fingerprints: Iterable[str]) -> None:
-        """Apply the leader's list of quarantined requests.
-
-        Each quarantine ends after ``QUARANTINE_DURATION``, the time that callers are given, even if
-        no leader ends it.
-        """
-        until = self._clock.now() + QUARANTINE_DURATION
-        known = self._quarantined_until
-        self._quarantined_until = {one: known.get(one, until) for one in fingerprints}
-
-    def take_crash_reports(self) -> list[CrashReport]:
-        """Return the crashes to report; each crash is returned once."""
-        crashes = self.crashes[:MAX_CRASH_REPORTS]
-        self.crashes = []
-        now = self._clock.now()
-        retained = [one for one in self._sent_crash_reports if now - one[0] < CRASH_RETENTION]
-        self._sent_crash_reports = [*retained, *((now, crash) for crash in crashes)]
-        return crashes
-
     def on_new_leader(self) -> None:
-        """Queue the recently reported crashes again for a new leader.
-
-        Leaders keep crash reports in memory only. Without this, a body that has crashed one server
-        could crash two more after each change of leader.
-        """
+        """Prepare for a new leader."""
         self.record_step(StartStep.LEADER)
-        now = self._clock.now()
-        recent = [crash for at, crash in self._sent_crash_reports if now - at < CRASH_RETENTION]
-        self._sent_crash_reports = []
-        self.crashes = [*recent, *self.crashes]
+        self.crash_guard.on_new_leader()
 
     # The hosts
 
--- a/src/alderhatch/node/split_gather.py
+++ b/src/alderhatch/node/split_gather.py
@@ -58,6 +58,9 @@
         destination = route.destination
         if not isinstance(destination, AllShards):
             return None
+        if self.state.crash_guard.suspicion(req.fingerprint) is not None:
+            # Each host would run it on a server of its own share at the same time.
+            return None
         now = times.arrived
         plan = plan_gather(
             destination.shards,
@@ -156,7 +159,8 @@
             repeated = set(shards).intersection(share.shards)
             servers |= agreed_servers(self._state, self._route, repeated, share.host.zone)
         rules = ShareRules(servers, is_repeat, self._times.answer_by)
-        return ForwardRun(self._route, shards, times, self._state.table, rules)
+        suspicion = self._state.crash_guard.suspicion(self._req.fingerprint)
+        return ForwardRun(self._route, shards, times, self._state.table, rules, suspicion)
 
     async def _query_locally(
         self, number: int, shards: tuple[str, ...], is_repeat: bool, nursery: trio.Nursery
--- a/src/alderhatch/node/state_checkpoint.py
+++ b/src/alderhatch/node/state_checkpoint.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from ..clock import SECOND, Millis
+from ..clock import SECOND, Millis, WallClock
 from ..codec import Codec
 from ..core.control.configuration_register import StoredConfiguration
 from ..core.control.evacuations import NO_EVACUATIONS, Evacuations
@@ -28,6 +28,14 @@
 """How long a start waits for the disk; a healthy disk answers within a few milliseconds."""
 
 
+class KeptQuarantine(NamedTuple):
+    """A request that is refused because it crashes servers."""
+
+    fingerprint: str
+    ends_at: float
+    """In milliseconds since 1970 UTC; the loop's clock starts anew with the process."""
+
+
 class KeptState(NamedTuple):
     """The state that a host needs to serve requests without a leader."""
 
@@ -36,6 +44,8 @@
     view: TierView
     """The other hosts; budgets and connections are divided by their number."""
     evacuations: Evacuations = NO_EVACUATIONS
+    quarantines: tuple[KeptQuarantine, ...] = ()
+    """If they were lost with the power, such a request would take a server of every shard again."""
 
 
 CODEC = Codec(KeptState)
@@ -65,6 +75,7 @@
         self._folder = folder
         self._state = state
         self._read = read or _read
+        self._wall_clock = WallClock()
         self._checkpoint: KeptState | None = None
         self._is_writable = True
 
@@ -85,6 +96,10 @@
         if checkpoint is None:
             return
         self._checkpoint = checkpoint
+        now = self._wall_clock.now()
+        self._state.crash_guard.restore_quarantines(
+            {one.fingerprint: one.ends_at - now for one in checkpoint.quarantines}
+        )
         self._state.apply_evacuations(checkpoint.evacuations)
         self._state.apply_configuration(StoredConfiguration(*checkpoint.configuration))
         # Some hosts, among them this one, may not have been serving when the checkpoint was
@@ -100,11 +115,25 @@
             state = self._state
             if state.stored.version == 0 or state.view is None:
                 continue
-            current = KeptState(ConfigurationNews(*state.stored), state.view, state.evacuations)
+            current = KeptState(
+                ConfigurationNews(*state.stored),
+                state.view,
+                state.evacuations,
+                self._current_quarantines(),
+            )
             if current == self._checkpoint:
                 continue
             await self._save(current)
 
+    def _current_quarantines(self) -> tuple[KeptQuarantine, ...]:
+        now = self._wall_clock.now()
+        written = self._checkpoint.quarantines if self._checkpoint is not None else ()
+        known = {one.fingerprint: one for one in written}
+        return tuple(
+            known.get(fingerprint) or KeptQuarantine(fingerprint, now + left)
+            for fingerprint, left in self._state.crash_guard.quarantines().items()
+        )
+
     async def _save(self, new_state: KeptState) -> None:
         try:
             await trio.to_thread.run_sync(_write, self._folder, new_state, abandon_on_cancel=True)
--- a/src/alderhatch/node/tier_client.py
+++ b/src/alderhatch/node/tier_client.py
@@ -32,6 +32,7 @@
     ServerNews,
     Standing,
     TierView,
+    split_suspects,
 )
 from .tier_server import HOST_ROLE
 
@@ -237,7 +238,9 @@
             case Standing(stands_by):
                 self._state.apply_standing(stands_by)
             case QuarantineNews(fingerprints):
-                self._state.apply_quarantine(fingerprints)
+                quarantined, suspected = split_suspects(fingerprints)
+                self._state.crash_guard.apply_quarantine(quarantined)
+                self._state.crash_guard.apply_suspects(suspected)
             case Pulse(list_is_fresh):
                 if list_is_fresh:
                     self._state.mark_list_fresh()
--- a/src/alderhatch/node/tier_messages.py
+++ b/src/alderhatch/node/tier_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 from ..core.control.evacuations import NO_EVACUATIONS, Evacuations
@@ -47,15 +48,38 @@
     leader: Place
 
 
+SUSPECT_PREFIX = "suspect:"
+"""Marks the fingerprint of a request that is only suspected. A host of an earlier build takes it
+for the fingerprint of another request, which nobody sends."""
+
+
+def to_suspect(fingerprint: str) -> str:
+    """Return the fingerprint of a suspected request as messages contain it."""
+    return SUSPECT_PREFIX + fingerprint
+
+
+def split_suspects(fingerprints: Iterable[str]) -> tuple[list[str], list[str]]:
+    """Return the fingerprints in a message of quarantined and of suspected requests."""
+    quarantined: list[str] = []
+    suspected: list[str] = []
+    for fingerprint in fingerprints:
+        if fingerprint.startswith(SUSPECT_PREFIX):
+            suspected.append(fingerprint.removeprefix(SUSPECT_PREFIX))
+        else:
+            quarantined.append(fingerprint)
+    return quarantined, suspected
+
+
 class CrashReport(NamedTuple):
-    """A request that was running on a server when the server crashed."""
+    """A request that was running on a server when the server was lost."""
 
     fingerprint: str
+    """Marked by ``SUSPECT_PREFIX`` unless the request is held to have crashed the server."""
     server_id: str
 
 
 class QuarantineNews(NamedTuple):
-    """The fingerprints of all requests that are quarantined now."""
+    """The fingerprints of all requests that are quarantined now, and of the suspects, marked."""
 
     fingerprints: list[str]
 
--- a/src/alderhatch/node/tier_server.py
+++ b/src/alderhatch/node/tier_server.py
@@ -35,6 +35,8 @@
     Redirect,
     Report,
     TierView,
+    split_suspects,
+    to_suspect,
 )
 from .tier_updates import HostMode, SentState, TierUpdates
 from .voter_plan import DiskHost
@@ -96,6 +98,7 @@
         select_active: Returns the active hosts among some hosts, given the processor time that they
             should have together.
         previous_host_count: Returns the number of hosts in the last leader's view.
+        quarantines: Returns the fingerprints of the requests that this host itself refuses.
         codec: The codec of the tier's messages.
     """
 
@@ -109,6 +112,7 @@
         on_introduction: Callable[[Place], None],
         select_active: Callable[[Iterable[HostRecord], float], list[HostRecord]],
         previous_host_count: Callable[[], int],
+        quarantines: Callable[[], Iterable[str]],
         codec: Codec,
     ) -> None:
         self._member = member
@@ -119,6 +123,7 @@
         self._on_introduction = on_introduction
         self._select_active = select_active
         self._previous_host_count = previous_host_count
+        self._quarantines = quarantines
         self._clock = LoopClock()
         self._sessions: dict[str, _Session] = {}
         self._view_due = trio.Event()
@@ -249,15 +254,32 @@
             await session.link.send(LeaseAnswer(number, version))
 
     def _record_crashes(self, report: Report) -> None:
-        for fingerprint, server_id in report.crashes:
-            if self._crashes.report(fingerprint, server_id, self._clock.now()):
-                log_event(LogEvent.REQUEST_QUARANTINED, fingerprint=fingerprint, server=server_id)
-                self._view_due.set()
+        now = self._clock.now()
+        for marked, server_id in report.crashes:
+            quarantined, suspected = split_suspects([marked])
+            for fingerprint in quarantined:
+                self._crashes.report_crash(fingerprint, server_id, now)
+            for fingerprint in suspected:
+                self._crashes.report_loss(fingerprint, server_id, now)
+        if report.crashes:
+            self._view_due.set()
+
+    def _update_quarantined(self, now: Millis) -> bool:
+        """Update what hosts are sent about requests that crash servers; return if it changed.
+
+        A new leader has counted nothing itself; it begins with what it was told as a host.
+        """
+        for fingerprint in self._crashes.decide(now):
+            log_event(LogEvent.REQUEST_QUARANTINED, fingerprint=fingerprint)
+        refused = {*self._crashes.refused(now), *self._quarantines()}
+        suspects = [to_suspect(one) for one in self._crashes.suspects(now) if one not in refused]
+        return self._updates.set_quarantined([*sorted(refused), *suspects])
 
     async def _send_updates(self, session: _Session) -> None:
         try:
             # The host queries others as well until it knows that this one leads.
             await session.link.send(self._pulse(session))
+            self._update_quarantined(self._clock.now())
             while True:
                 updates = self._updates.updates_since(
                     session.sent_state, self._directives(), session.mode
@@ -317,17 +339,15 @@
             leading_since = leading_since or now
             if now - leading_since >= SETTLE_TIME or self._all_hosts_returned():
                 self._update_view(now)
+            if self._crashes.is_deciding:
+                self._view_due.set()
             await trio.sleep(VIEW_INTERVAL / SECOND)
 
     def _update_view(self, now: Millis) -> None:
         view = self.view()
         modes_changed = self._assign_modes({host.name for host in view.hosts}, now)
         view_changed = self._updates.set_view(view)
-        if (
-            self._updates.set_quarantined(self._crashes.refused(now))
-            or view_changed
-            or modes_changed
-        ):
+        if self._update_quarantined(now) or view_changed or modes_changed:
             self.updates_pending.notify()
 
     def _assign_modes(self, host_names: set[str], now: Millis) -> bool:
--- a/src/alderhatch/node/tier_updates.py
+++ b/src/alderhatch/node/tier_updates.py
@@ -135,6 +135,10 @@
         """
         stored, evacuations = directives
         messages: list[bytes] = []
+        if self._quarantined != sent.refused:
+            # Sent before everything that lets a host serve, as the evacuations are: a host that has
+            # just started would run a quarantined request on a server of every shard.
+            messages.append(self._quarantine_message)
         if evacuations != sent.evacuations:
             # Sent before everything that lets a host serve. A host that received it later would
             # send requests to an evacuated zone in between.
@@ -150,8 +154,6 @@
             messages.append(self._server_changes_message(sent.servers))
         if self._view is not None and self._view is not sent.view:
             messages.append(self._view_message)
-        if self._quarantined != sent.refused:
-            messages.append(self._quarantine_message)
         version = max(stored.version, sent.version)
         new_state = SentState(
             version, servers, self._view, self._quarantined, stands_by, evacuations
