Trials share no server, are compared with servers beside them, and an answer clears a suspect everywhere

A trial now goes to a server without another trial, proves nothing if all servers that ended under the request were shared with others, and the host looks at 16 other servers, its zone first, when the server of a trial is lost. An answer is reported, so that other hosts need no trial of their own.

--- a/features/crashing_gathers.feature
+++ b/features/crashing_gathers.feature
@@ -13,3 +13,20 @@
       | nothing else happens              |
       | the leader is killed at 8 s       |
       | all hosts are restarted at 8 s    |
+
+  Scenario: Harmless gathers are not refused because a zone is lost
+    # Servers of one zone of three end at the same moment, and no request has caused it. Guards
+    # against a gather that is refused, or fails, because it was lost on several of them.
+    Given a model of 5 hosts before 20 shards
+    When the servers of a zone end at 3 s, with gathers at each 25 ms to 4 s
+    Then over 0.99 of the gathers are answered, and each was answered as soon as 60 ms after others
+
+  Scenario: Hosts, leaders and servers that fail in any order don't hide a crashing gather
+    # Zones and single servers end, hosts are cut off and restarted, leaders change, and the gathers
+    # that crash servers come at any time. Guards against one that goes on, and against a harmless
+    # one that is refused.
+    Then any 30 s of a model of 4 hosts before 12 shards satisfy these rules
+      """
+      a gather that crashes its servers reaches at most 3 of them late
+      no harmless gather is refused
+      """
--- /dev/null
+++ b/features/steps/crash_model_steps.py
@@ -0,0 +1,126 @@
+from __future__ import annotations
+
+from random import Random
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from alderhatch.clock import SECOND
+from features.support.crash_model import CrashModel
+
+CRASHING = "crashing"
+END_MS = 30 * SECOND
+HARMLESS_INTERVAL_MS = 97.0
+CRASHING_INTERVAL_MS = 700.0
+TIMES = st.floats(0.0, 20 * SECOND)
+EVENTS = st.lists(
+    st.one_of(
+        st.tuples(st.just("zone"), TIMES, st.integers(0, 1)),
+        st.tuples(st.just("server"), TIMES, st.integers(0, 23)),
+        st.tuples(st.just("leader"), TIMES, st.just(0)),
+        st.tuples(st.just("restart"), TIMES, st.integers(0, 3)),
+        st.tuples(st.just("cut"), TIMES, st.integers(1, 3)),
+    ),
+    max_size=6,
+)
+
+
+@given("a model of {hosts:d} hosts before {shards:d} shards")
+def step_model(context, hosts, shards):
+    context.model = CrashModel(hosts, shards, seed=3)
+
+
+def end_zone(model, zone):
+    for record in list(model.records):
+        if record.zone == zone:
+            model.end_server(record.server_id)
+
+
+@when("the servers of a zone end at {at:d} s, with gathers at each {step:d} ms to {end:d} s")
+def step_zone_ends(context, at, step, end):
+    model = context.model
+    context.sent = {}
+
+    def send(index):
+        context.sent[model.send(f"h{index}", index % len(model.guards))] = model.now
+
+    for index in range(int(end * SECOND / step)):
+        model.at(index * step, lambda index=index: send(index))
+    context.lost_at = at * SECOND
+    model.at(context.lost_at, lambda: end_zone(model, "zone-0"))
+    model.run_until((end + 3) * SECOND)
+
+
+@then(
+    "over {share:f} of the gathers are answered, and each was answered as soon as {slack:d} ms "
+    "after others"
+)
+def step_answered(context, share, slack):
+    model = context.model
+    assert not model.refusals, model.refusals
+    served = [number for number in context.sent if model.is_served(number)]
+    assert len(served) > share * len(context.sent), len(served) / len(context.sent)
+    spans = {number: model.results[number][1] - at for number, at in context.sent.items()}
+    before = sorted(spans[one] for one in served if context.sent[one] < context.lost_at - SECOND)
+    caught = [spans[one] for one in served if -200.0 < context.sent[one] - context.lost_at <= 0.0]
+    assert max(caught) <= before[-1] + slack, (max(caught), before[-1])
+
+
+def schedule(model, event):
+    kind, at, which = event
+    match kind:
+        case "zone":
+            model.at(at, lambda: end_zone(model, f"zone-{which}"))
+        case "server":
+            model.at(at, lambda: model.end_server(model.records[which].server_id))
+        case "leader":
+            model.at(at, model.change_leader)
+        case "restart":
+            model.at(at, lambda: model.restart_host(which))
+        case "cut":
+            model.at(at, lambda: model.leader_hosts.discard(which))
+            model.at(at + 3 * SECOND, lambda: model.leader_hosts.add(which))
+
+
+def run_model(seed, events, first_at, crash_delay):
+    rng = Random(seed)
+    model = CrashModel(4, 12, seed)
+    model.is_fatal = lambda body, server_id: body == CRASHING
+    model.crash_delay_ms = (crash_delay, 2 * crash_delay)
+    for event in events:
+        schedule(model, event)
+    at = 0.0
+    while at < END_MS:
+        # The paths of harmless gathers come again, too.
+        body = f"h{rng.randrange(20)}"
+        host = rng.randrange(4)
+        model.at(at, lambda body=body, host=host: model.send(body, host))
+        at += HARMLESS_INTERVAL_MS
+    at = first_at
+    while at < END_MS:
+        host = rng.choice(sorted(model.leader_hosts))
+        model.at(at, lambda host=host: send_crashing(model, host))
+        at += CRASHING_INTERVAL_MS
+    model.run_until(END_MS)
+    return model
+
+
+def send_crashing(model, host):
+    # The bound on late arrivals holds for hosts that are in touch with the leader.
+    in_touch = sorted(model.leader_hosts)
+    model.send(CRASHING, host if host in model.leader_hosts else in_touch[0])
+
+
+@then("any 30 s of a model of 4 hosts before 12 shards satisfy these rules")
+def step_any_order(context):
+    @settings(max_examples=25, derandomize=True, deadline=None, database=None)
+    @for_all(st.integers(0, 1000), EVENTS, st.floats(0.0, 5 * SECOND), st.floats(2.0, 300.0))
+    def check(seed, events, first_at, crash_delay):
+        model = run_model(seed, events, first_at, crash_delay)
+        assert model.late_arrivals(CRASHING) <= 3, model.late_arrivals(CRASHING)
+        refused = {body for body, _ in model.refusals} - {CRASHING}
+        assert not refused, refused
+
+    check()
--- a/features/steps/forwarding_crash_steps.py
+++ b/features/steps/forwarding_crash_steps.py
@@ -10,8 +10,8 @@
 from alderhatch.core.forwarding.crash_counter import DECISION_DELAY, CrashCounter
 from alderhatch.core.forwarding.crash_evidence import CONCLUDE_DELAY
 from alderhatch.node.node_state import NodeState
-from alderhatch.node.tier_messages import split_suspects
 from alderhatch.platform.settings import POLICY
+from features.support.crash_model import deliver_reports
 from features.support.forward_model import BUDGET_LIMITS
 
 
@@ -39,13 +39,7 @@
 def report(context):
     """Report to the leader, which decides a moment later."""
     context.clock.advance(CONCLUDE_DELAY)
-    now = context.clock.now()
-    for marked, server_id in context.state.crash_guard.take_reports():
-        quarantined, suspected = split_suspects([marked])
-        for fingerprint in quarantined:
-            context.crash_counter.report_crash(fingerprint, server_id, now)
-        for fingerprint in suspected:
-            context.crash_counter.report_loss(fingerprint, server_id, now)
+    deliver_reports(context.state.crash_guard, context.crash_counter, context.clock.now())
     context.clock.advance(DECISION_DELAY)
     context.crash_counter.decide(context.clock.now())
     context.state.crash_guard.apply_quarantine(context.crash_counter.refused(context.clock.now()))
--- a/features/steps/late_crash_steps.py
+++ b/features/steps/late_crash_steps.py
@@ -6,8 +6,8 @@
 from alderhatch.core.crash_detector import CrashDetector
 from alderhatch.core.entry_events import AttemptFault
 from alderhatch.core.forwarding.crash_counter import CRASH_RETENTION, DECISION_DELAY, CrashCounter
-from alderhatch.node.tier_messages import split_suspects
 from features.steps.caller_hosts_steps import UPSTREAM, node_with_servers
+from features.support.crash_model import deliver_reports
 
 BODY = "a body"
 SERVERS = ("server-1", "server-2")
@@ -57,10 +57,7 @@
 def step_second(context):
     context.state.on_new_leader()
     now = context.clock.now()
-    for marked, server_id in context.state.crash_guard.take_reports():
-        _, suspected = split_suspects([marked])
-        for fingerprint in suspected:
-            context.crash_counter.report_loss(fingerprint, server_id, now)
+    deliver_reports(context.state.crash_guard, context.crash_counter, now)
     context.crash_counter.report_crash(BODY, "another server", now)
 
 
--- a/src/alderhatch/core/forwarding/crash_counter.py
+++ b/src/alderhatch/core/forwarding/crash_counter.py
@@ -46,6 +46,12 @@
         known = servers.get(server_id)
         servers[server_id] = _Report(now, known is not None and known.is_crash)
 
+    def report_answer(self, fingerprint: str) -> None:
+        """Record that a server answered a suspect, which clears it."""
+        servers = self._reports.get(fingerprint, {})
+        if not any(report.is_crash for report in servers.values()):
+            self._reports.pop(fingerprint, None)
+
     def report_crash(self, fingerprint: str, server_id: str, now: Millis) -> None:
         """Record that a request crashed a server."""
         self._recent(fingerprint, now)[server_id] = _Report(now, True)
--- a/src/alderhatch/core/forwarding/crash_evidence.py
+++ b/src/alderhatch/core/forwarding/crash_evidence.py
@@ -40,6 +40,8 @@
     """The server ended, as did others that ran the request, or as it did once without a trial."""
     MASS_LOSS = "mass_loss"
     """The server ended in a trial, but so did servers that did not run the request."""
+    SHARED = "shared"
+    """The server ended in a trial, but other requests were lost on the same servers."""
     PROVEN = "proven"
     """The server ended in a trial of the request."""
 
@@ -99,14 +101,20 @@
 
     # Observations
 
-    def record_answer(self, fingerprint: str, upstream: str, now: Millis) -> None:
-        """Record that a server ran a request and is still there."""
+    def record_answer(self, fingerprint: str, upstream: str, now: Millis) -> bool:
+        """Record that a server ran a request and is still there.
+
+        Returns:
+            Whether the request was a suspect until now, and is none any more.
+        """
         req = self._requests.get(fingerprint)
         if req is None:
-            return
+            return False
+        was_suspect = self.suspicion(fingerprint, now) is not None
         req.answered_at = now
         for server_id in [name for name, one in req.losses.items() if one.upstream == upstream]:
             self._drop_loss(fingerprint, req, server_id)
+        return was_suspect and self.suspicion(fingerprint, now) is None
 
     def record_loss(
         self, fingerprint: str, upstream: str, server_id: str, in_trial: bool, now: Millis
@@ -213,6 +221,9 @@
             if self._others_ended(req, loss.at) >= OTHER_SERVERS_LOST:
                 self.verdicts[LossVerdict.MASS_LOSS] += 1
                 continue
+            if not any(len(self._lost_on[one]) == 1 for one in self.ended_servers(fingerprint)):
+                self.verdicts[LossVerdict.SHARED] += 1
+                continue
             self.verdicts[LossVerdict.PROVEN] += 1
             proofs.append(Proof(fingerprint, server_id, tuple(self.ended_servers(fingerprint))))
         return proofs
--- a/src/alderhatch/core/forwarding/forward_run.py
+++ b/src/alderhatch/core/forwarding/forward_run.py
@@ -301,7 +301,7 @@
         shard.may_have_run.add(target.server_id)
         self._update_spent(shard, target)
         self._shard_of[attempt] = shard
-        self._table.record_sent(target, attempt, now)
+        self._table.record_sent(target, attempt, now, self.is_held)
         if self.is_held:
             self._trial = attempt
         shard.awaits_trial = False
@@ -354,6 +354,8 @@
         table = self._table
         refused = {name for name, at in shard.refused_by.items() if now - at < REFUSED_SERVER_DELAY}
         excluded = shard.may_have_run | refused
+        if self.is_held:
+            excluded |= table.servers_in_trial(shard.upstream)
         agreed = self._agreed_servers(shard)
         only = None if self.may_use_other_servers and not self._is_repeat else agreed
         target = None
--- a/src/alderhatch/core/forwarding/target.py
+++ b/src/alderhatch/core/forwarding/target.py
@@ -28,6 +28,7 @@
         "cold",
         "cold_span",
         "outstanding",
+        "trials",
         "upstream",
         "warm_up",
     )
@@ -50,6 +51,9 @@
         self.outstanding: dict[int, Millis] = {}
         """When each request that is in flight there was sent, oldest first."""
 
+        self.trials: set[int] = set()
+        """The requests in flight there that may crash it, and run on no other server."""
+
     def is_unavailable(self, now: Millis) -> bool:
         """Return whether it must get nothing now, for example as a cold server at its limit."""
         return super().is_unavailable(now) or self.cold.blocks(now)
--- a/src/alderhatch/core/forwarding/target_table.py
+++ b/src/alderhatch/core/forwarding/target_table.py
@@ -284,6 +284,26 @@
             return None
         return target
 
+    def servers_in_trial(self, name: str) -> set[str]:
+        """Return the servers of an upstream that run a request which may crash them.
+
+        If two such requests ran on the same server, its end would prove nothing about either.
+        """
+        targets = self.upstream(name).targets
+        return {server_id for server_id, one in targets.items() if one.trials}
+
+    def nearby_servers(self, target: Target, count: int) -> list[str]:
+        """Return servers other than a given one, at random, those of its zone first."""
+        others = [
+            one
+            for upstream in self._upstreams.values()
+            for one in upstream.targets.values()
+            if one is not target and not one.leaving
+        ]
+        self._rng.shuffle(others)
+        others.sort(key=lambda one: one.zone != target.zone)
+        return [one.server_id for one in others[:count]]
+
     def agreed_servers(self, name: str, count: int, zone: str) -> frozenset[str] | None:
         """Return the servers to which every host sends its queries of the same shard.
 
@@ -394,8 +414,19 @@
         for name in [name for name in self._route_latencies if name not in names]:
             del self._route_latencies[name]
 
-    def record_sent(self, target: Target, attempt: int, now: Millis) -> None:
-        """Record that a request was sent to a server."""
+    def record_sent(
+        self, target: Target, attempt: int, now: Millis, in_trial: bool = False
+    ) -> None:
+        """Record that a request was sent to a server.
+
+        Args:
+            target: The server.
+            attempt: The number of the attempt.
+            now: The time.
+            in_trial: Whether it may crash the server, and runs on no other.
+        """
+        if in_trial:
+            target.trials.add(attempt)
         self._sends += 1
         target.in_flight += 1
         target.cold.count_request(now)
@@ -414,6 +445,7 @@
 
     def record_end(self, target: Target, attempt: int) -> Millis | None:
         """Mark a request as no longer in flight; return when it was sent, None if it was not."""
+        target.trials.discard(attempt)
         sent_at = target.outstanding.pop(attempt, None)
         if sent_at is not None:
             target.in_flight -= 1
--- a/src/alderhatch/entry/connection_pool.py
+++ b/src/alderhatch/entry/connection_pool.py
@@ -247,6 +247,7 @@
         conns = self._servers.get(server_id)
         if conns is None or self._nursery is None or conns.opening:
             return
+        conns.drop_closed(self._clock.now())
         if conns.counted_connections(self._clock.now()) < conns.share:
             conns.opening = True
             self._open_queue.begin()
--- a/src/alderhatch/metric_catalogue.py
+++ b/src/alderhatch/metric_catalogue.py
@@ -142,7 +142,8 @@
         MetricKind.COUNTER,
         Unit.ONE,
         "Connections lost while a request ran, by what they say about it: the server was alive, it"
-        " ended, it ended in a trial with others, or it ended in a trial alone.",
+        " ended, it ended in a trial with others or with other requests, or it ended in a trial"
+        " alone.",
         ("verdict",),
     )
     NODE_QUARANTINES = MetricRow(
--- a/src/alderhatch/node/crash_guard.py
+++ b/src/alderhatch/node/crash_guard.py
@@ -11,7 +11,7 @@
 from ..core.forwarding.target import Target
 from ..log import log_event
 from ..log_events import LogEvent
-from .tier_messages import CrashReport, to_suspect
+from .tier_messages import CrashReport, RequestMark
 
 MAX_CRASH_REPORTS = 20
 """Limit of crashes in one report, so that the loss of a zone fills no report."""
@@ -21,6 +21,8 @@
 PROBATION_DURATION: Millis = 3600 * SECOND
 """How long a request runs on one server at a time after its quarantine, until it is answered."""
 MAX_QUARANTINES = 1024
+CONTROL_SERVERS = 16
+"""How many other servers are looked at when the server of a trial was lost."""
 
 
 class CrashGuard:
@@ -36,6 +38,8 @@
         """Opens a connection to a server, to learn whether it has ended."""
         self.notify: Callable[[], None] = lambda: None
         """Called when there is something to report to the leader at once."""
+        self.nearby_servers: Callable[[Target, int], Iterable[str]] = lambda target, count: ()
+        """Returns so many other servers, those of the same zone first."""
         self.on_trial_ended: Callable[[], None] = lambda: None
         """Called when the server of a trial has ended, which is judged a moment later."""
         self.evidence = CrashEvidence()
@@ -73,20 +77,21 @@
         """
         match fault:
             case None | AttemptFault.FAILED:
-                self._record_answer(fingerprint, target.upstream, now)
+                self._record_answer(fingerprint, target, now)
             case AttemptFault.LOST:
                 self._record_loss(fingerprint, target, in_trial, now)
             case AttemptFault.MOVED:
                 # Another server has taken the address, so this one has ended.
                 self.evidence.record_refused(target.server_id, now)
 
-    def _record_answer(self, fingerprint: str, upstream: str, now: Millis) -> None:
-        self.evidence.record_answer(fingerprint, upstream, now)
-        if self._unreported:
-            suspect = to_suspect(fingerprint)
+    def _record_answer(self, fingerprint: str, target: Target, now: Millis) -> None:
+        was_suspect = self.evidence.record_answer(fingerprint, target.upstream, now)
+        was_told = self._told_suspects.pop(fingerprint, None) is not None
+        if was_suspect or was_told:
+            suspect = RequestMark.SUSPECT.of(fingerprint)
             self._unreported = [one for one in self._unreported if one.fingerprint != suspect]
-        if self._told_suspects.pop(fingerprint, None) is not None:
-            log_event(LogEvent.SUSPECT_CLEARED, fingerprint=fingerprint, upstream=upstream)
+            self._report(CrashReport(RequestMark.ANSWERED.of(fingerprint), target.server_id))
+            log_event(LogEvent.SUSPECT_CLEARED, fingerprint=fingerprint, server=target.server_id)
         if self._quarantined_until.get(fingerprint, now) < now:
             del self._quarantined_until[fingerprint]
 
@@ -99,13 +104,17 @@
         if not is_suspect and not in_trial:
             return
         self.probe(target.server_id)
+        if in_trial:
+            # Servers that end beside it show that the request has not caused it.
+            for server_id in self.nearby_servers(target, CONTROL_SERVERS):
+                self.probe(server_id)
         if was_suspect or in_trial:
             return
         servers = evidence.lost_servers(fingerprint)
         log_event(LogEvent.REQUEST_SUSPECTED, fingerprint=fingerprint, servers=servers)
         for server_id in servers:
             self.probe(server_id)
-            self._report(CrashReport(to_suspect(fingerprint), server_id))
+            self._report(CrashReport(RequestMark.SUSPECT.of(fingerprint), server_id))
 
     def record_refused(self, server_id: str) -> None:
         """Record that a server has refused a connection."""
@@ -116,7 +125,7 @@
         for fingerprint in ended:
             if self.evidence.suspicion(fingerprint, now) is None:
                 # Together with the losses at other hosts it may be one.
-                self._report(CrashReport(to_suspect(fingerprint), server_id))
+                self._report(CrashReport(RequestMark.SUSPECT.of(fingerprint), server_id))
 
     def record_accepted(self, server_id: str, asked_at: Millis) -> None:
         """Record that a server has accepted a connection that was opened at a given time."""
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -84,6 +84,7 @@
         self.table = TargetTable(zone, budget_limits, policy, rng, cold)
         self.crash_guard = CrashGuard(clock)
         """Protects servers from requests that crash them."""
+        self.crash_guard.nearby_servers = self.table.nearby_servers
         self.routes = RouteTable(())
         self.limits = CallerLimits()
         self.organisations: OrganisationTable | None = None
--- a/src/alderhatch/node/tier_client.py
+++ b/src/alderhatch/node/tier_client.py
@@ -29,10 +29,11 @@
     QuarantineNews,
     Redirect,
     Report,
+    RequestMark,
     ServerNews,
     Standing,
     TierView,
-    split_suspects,
+    marked_so,
 )
 from .tier_server import HOST_ROLE
 
@@ -238,9 +239,9 @@
             case Standing(stands_by):
                 self._state.apply_standing(stands_by)
             case QuarantineNews(fingerprints):
-                quarantined, suspected = split_suspects(fingerprints)
-                self._state.crash_guard.apply_quarantine(quarantined)
-                self._state.crash_guard.apply_suspects(suspected)
+                guard = self._state.crash_guard
+                guard.apply_quarantine(marked_so(RequestMark.CRASHING, fingerprints))
+                guard.apply_suspects(marked_so(RequestMark.SUSPECT, fingerprints))
             case Pulse(list_is_fresh):
                 if list_is_fresh:
                     self._state.mark_list_fresh()
--- a/src/alderhatch/node/tier_messages.py
+++ b/src/alderhatch/node/tier_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from enum import StrEnum
 from typing import Any, NamedTuple
 
 from ..core.control.evacuations import NO_EVACUATIONS, Evacuations
@@ -48,40 +49,53 @@
     leader: Place
 
 
-SUSPECT_PREFIX = "suspect:"
-"""Marks the fingerprint of a request that is only suspected. A host of an earlier build takes it
-for the fingerprint of another request, which nobody sends."""
+class RequestMark(StrEnum):
+    """What a message says about a request, as a prefix of its fingerprint.
 
+    A host of an earlier build takes a marked fingerprint for that of another request, which nobody
+    sends.
+    """
 
-def to_suspect(fingerprint: str) -> str:
-    """Return the fingerprint of a suspected request as messages contain it."""
-    return SUSPECT_PREFIX + fingerprint
+    CRASHING = ""
+    """It crashes servers."""
+    SUSPECT = "suspect:"
+    """It may crash servers."""
+    ANSWERED = "answered:"
+    """It was a suspect, and a server has answered it."""
 
+    def of(self, fingerprint: str) -> str:
+        """Return a fingerprint with this mark."""
+        return self + fingerprint
 
-def split_suspects(fingerprints: Iterable[str]) -> tuple[list[str], list[str]]:
-    """Return the fingerprints in a message of quarantined and of suspected requests."""
-    quarantined: list[str] = []
-    suspected: list[str] = []
-    for fingerprint in fingerprints:
-        if fingerprint.startswith(SUSPECT_PREFIX):
-            suspected.append(fingerprint.removeprefix(SUSPECT_PREFIX))
-        else:
-            quarantined.append(fingerprint)
-    return quarantined, suspected
+
+def read_mark(marked: str) -> tuple[RequestMark, str]:
+    """Return the mark and the fingerprint of a request in a message."""
+    for mark in (RequestMark.SUSPECT, RequestMark.ANSWERED):
+        if marked.startswith(mark):
+            return mark, marked.removeprefix(mark)
+    return RequestMark.CRASHING, marked
+
+
+def marked_so(mark: RequestMark, fingerprints: Iterable[str]) -> list[str]:
+    """Return the fingerprints in a message that have a mark, without it."""
+    read = (read_mark(one) for one in fingerprints)
+    return [fingerprint for found, fingerprint in read if found is mark]
 
 
 class CrashReport(NamedTuple):
     """A request that was running on a server when the server was lost."""
 
     fingerprint: str
-    """Marked by ``SUSPECT_PREFIX`` unless the request is held to have crashed the server."""
+    """With a ``RequestMark``."""
     server_id: str
+    """The server; for an answered request, that which answered."""
 
 
 class QuarantineNews(NamedTuple):
-    """The fingerprints of all requests that are quarantined now, and of the suspects, marked."""
+    """The requests that are quarantined now, and the suspects."""
 
     fingerprints: list[str]
+    """With a ``RequestMark`` each."""
 
 
 class Report(NamedTuple):
--- a/src/alderhatch/node/tier_server.py
+++ b/src/alderhatch/node/tier_server.py
@@ -34,9 +34,9 @@
     Pulse,
     Redirect,
     Report,
+    RequestMark,
     TierView,
-    split_suspects,
-    to_suspect,
+    read_mark,
 )
 from .tier_updates import HostMode, SentState, TierUpdates
 from .voter_plan import DiskHost
@@ -256,11 +256,14 @@
     def _record_crashes(self, report: Report) -> None:
         now = self._clock.now()
         for marked, server_id in report.crashes:
-            quarantined, suspected = split_suspects([marked])
-            for fingerprint in quarantined:
-                self._crashes.report_crash(fingerprint, server_id, now)
-            for fingerprint in suspected:
-                self._crashes.report_loss(fingerprint, server_id, now)
+            mark, fingerprint = read_mark(marked)
+            match mark:
+                case RequestMark.CRASHING:
+                    self._crashes.report_crash(fingerprint, server_id, now)
+                case RequestMark.SUSPECT:
+                    self._crashes.report_loss(fingerprint, server_id, now)
+                case RequestMark.ANSWERED:
+                    self._crashes.report_answer(fingerprint)
         if report.crashes:
             self._view_due.set()
 
@@ -272,7 +275,9 @@
         for fingerprint in self._crashes.decide(now):
             log_event(LogEvent.REQUEST_QUARANTINED, fingerprint=fingerprint)
         refused = {*self._crashes.refused(now), *self._quarantines()}
-        suspects = [to_suspect(one) for one in self._crashes.suspects(now) if one not in refused]
+        suspects = [
+            RequestMark.SUSPECT.of(one) for one in self._crashes.suspects(now) if one not in refused
+        ]
         return self._updates.set_quarantined([*sorted(refused), *suspects])
 
     async def _send_updates(self, session: _Session) -> None:
