A request that used the reserve is not expected at the owner of its quota

The test of a link that is lost with a charge failed once beside load: counted 1, not 2. No charge was late or lost, and the reserve is within the tolerance, so the case is allowed. The check is as strict: each request that the owner's tokens admitted is counted once. The case has an example of its own, and the waits of 0.05 s are waits for the answers.

--- a/features/steps/quota_link_steps.py
+++ b/features/steps/quota_link_steps.py
@@ -14,7 +14,7 @@
 from alderhatch.codec import Codec
 from alderhatch.core.forwarding.caller_hosts import HostRecord
 from alderhatch.core.forwarding.organisation import Organisation
-from alderhatch.core.forwarding.quota_allowance import TokenSource
+from alderhatch.core.forwarding.quota_allowance import ASK_TIMEOUT, TokenSource
 from alderhatch.core.forwarding.quota_bounds import QuotaBounds
 from alderhatch.core.forwarding.quota_host import QuotaHost
 from alderhatch.core.forwarding.quota_owner import Charge, ChargeAnswer, HandedBalance, Sender
@@ -292,13 +292,43 @@
     context.behavior = "answers"
 
 
-@when("the link is open again")
-def step_open_again(context):
-    async def script(nodes):
+@asynccontextmanager
+async def slow_link(*args, **kwargs):
+    """Open a link so slowly that its first answer arrives after the request has stopped waiting."""
+    await trio.sleep(0.75 * ASK_TIMEOUT / SECOND)
+    async with open_link(*args, **kwargs) as link:
+        receive = link.receive
+
+        async def receive_late():
+            message = await receive()
+            await trio.sleep(0.015)
+            return message
+
+        link.receive = receive_late
+        yield link
+
+
+def is_answered(nodes):
+    """Return whether the owner has answered all messages."""
+    channel = nodes.user.quotas.allowances._channels[nodes.owner.state.name]
+    return not channel.unanswered
+
+
+async def admit_first(context, nodes, first):
+    """Admit a request over a new link, which is lost once the request has been answered."""
+    opener = slow_link if first.startswith("slow") else open_link
+    with patch.object(quota_client, "open_link", opener):
         await admit(context, nodes.user)
+        await until(lambda: is_answered(nodes))
+    await nodes.owner.links[0].aclose()
+    await until(lambda: not nodes.user.client._links[nodes.owner.state.name].is_open)
+
+
+@when("the first link is {first}, and the link is open again")
+def step_open_again(context, first):
+    async def script(nodes):
         owner = nodes.owner
-        await owner.links[0].aclose()
-        await until(lambda: not nodes.user.client._links[owner.state.name].is_open)
+        await admit_first(context, nodes, first)
         owner.behavior = "loses the link"
         # The link may not be opened again yet.
         await trio.sleep(quota_client.REOPEN_DELAY / SECOND)
@@ -307,13 +337,23 @@
         await trio.sleep(2 * quota_client.REOPEN_DELAY / SECOND)
         nodes.user.client.send(owner.state.name)
         await until(lambda: len(owner.links) == 3)
-        await trio.sleep(0.05)
+        await until(lambda: is_answered(nodes))
         context.counted = counted(owner)
 
     run_nodes(context, script)
     assert context.sources[-1] == TokenSource.AHEAD, context.sources
 
 
+@then("the first request was admitted by {source}, and the owner has counted {count:d}")
+def step_first_counted(context, source, count):
+    used_reserve = context.sources[0] is TokenSource.RESERVE
+    if source == "the reserve":
+        assert used_reserve, context.sources
+    # On a busy machine any link may be slow.
+    expected = count - 1 if used_reserve and source == "a token" else count
+    assert context.counted == expected, (context.counted, context.sources)
+
+
 @then("the owner has counted {count:d}")
 def step_counted(context, count):
     assert context.counted == count, context.counted
