A silent peer is left at once, and not after waiting for it to agree

What callers saw: with a frozen leader hosts follow the next one a second later than they could. Verdicts on requests that crash servers, changes, and quotas waited for it; 3 s in place of 2 is what the leases of quota owners hardly outlast.

Cause: a host that found its leader silent ended its link in the usual way, which waits up to a second for the other end to agree, and only then looked for another leader.

Change: the connection is closed without a word. The same cause was in links of hand-overs, quotas, the log and owners, mended as well.

--- a/src/alderhatch/control/_log_links.py
+++ b/src/alderhatch/control/_log_links.py
@@ -199,7 +199,7 @@
                 return
             remote.awaiting_reply_since = None
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._close_when_silent, remote, nursery.cancel_scope)
+                nursery.start_soon(self._close_when_silent, remote, link, nursery.cancel_scope)
                 nursery.start_soon(self._probe, remote, link)
                 await self._read_dialled(remote, link, nursery)
 
@@ -252,7 +252,9 @@
         if remote.awaiting_reply_since is None:
             remote.awaiting_reply_since = self._clock.now()
 
-    async def _close_when_silent(self, remote: RemotePeer, scope: trio.CancelScope) -> None:
+    async def _close_when_silent(
+        self, remote: RemotePeer, link: Link, scope: trio.CancelScope
+    ) -> None:
         # A device between the hosts may have dropped its state of the connection: packets are lost
         # and neither end gets an error. Until the kernel gives up the connection, the peer would
         # seem to be down, although a new connection would work at once.
@@ -261,6 +263,7 @@
             since = remote.awaiting_reply_since
             if since is not None and self._clock.now() - since >= self._cfg.silence:
                 log_event(LogEvent.LOG_LINK_SILENT, peer=remote.peer_address.name)
+                await link.abort()
                 scope.cancel()
                 return
 
--- a/src/alderhatch/entry/owner_link.py
+++ b/src/alderhatch/entry/owner_link.py
@@ -181,7 +181,7 @@
             self._silent_since += max(0.0, now - checked_at - SILENCE_CHECK_INTERVAL)
             checked_at = now
             if self._sent and now - self._silent_since > self._silence_timeout:
-                await link.aclose()
+                await link.abort()
                 raise LinkClosedError("the owner sent nothing within the silence timeout")
 
 
--- a/src/alderhatch/link.py
+++ b/src/alderhatch/link.py
@@ -25,6 +25,8 @@
 
 NONCE_BYTES = 16
 OPEN_TIMEOUT: Millis = 2 * SECOND
+CLOSE_TIMEOUT: Millis = 1 * SECOND
+"""How long the end of a link waits for the peer to agree."""
 NO_ROLES: Mapping[str, str] = {}
 
 
@@ -120,9 +122,17 @@
 
     async def aclose(self) -> None:
         """Close the link; further calls have no effect."""
-        with trio.move_on_after(1):
+        with trio.move_on_after(CLOSE_TIMEOUT / SECOND):
             await self._conn.aclose()
 
+    async def abort(self) -> None:
+        """Close the link without telling the peer, which no longer responds.
+
+        ``aclose`` waits up to ``CLOSE_TIMEOUT`` for the peer to agree, and so does the end of
+        ``open_link``.
+        """
+        await trio.aclose_forcefully(self._conn.stream)
+
 
 def _mac(secret: bytes, label: bytes, *parts: bytes) -> bytes:
     text = label + b"".join(len(part).to_bytes(4, "big") + part for part in parts)
@@ -198,7 +208,7 @@
                 max_size=MAX_MESSAGE_BYTES,
                 open_timeout=OPEN_TIMEOUT / SECOND,
                 ping_interval=None,
-                close_timeout=1,
+                close_timeout=CLOSE_TIMEOUT / SECOND,
                 server_header=None,
                 task_status=task_status,
             )
@@ -267,7 +277,7 @@
             proxy=None,
             open_timeout=OPEN_TIMEOUT / SECOND,
             ping_interval=None,
-            close_timeout=1,
+            close_timeout=CLOSE_TIMEOUT / SECOND,
             max_size=MAX_MESSAGE_BYTES,
         ) as conn:
             with trio.fail_after(OPEN_TIMEOUT / SECOND):
--- a/src/alderhatch/node/hand_over_link.py
+++ b/src/alderhatch/node/hand_over_link.py
@@ -183,6 +183,8 @@
             nursery.start_soon(self._send, link, nursery.cancel_scope)
             nursery.start_soon(self._receive, link, nursery.cancel_scope)
             why = await self._watch()
+            if why:
+                await link.abort()
             nursery.cancel_scope.cancel()
         return why or ("" if self._is_idle() else "closed by the other host")
 
--- a/src/alderhatch/node/quota_client.py
+++ b/src/alderhatch/node/quota_client.py
@@ -108,6 +108,7 @@
             if not self._has_more:
                 is_idle = not await self.changed.wait_for(self._wait_time())
                 if self._is_silent():
+                    await link.abort()
                     return "no answer before the timeout"
                 if is_idle and self._unanswered_since is None:
                     return ""
--- a/src/alderhatch/node/tier_client.py
+++ b/src/alderhatch/node/tier_client.py
@@ -208,6 +208,7 @@
                     except LinkClosedError:
                         break
                 if message is None:
+                    await link.abort()
                     break
                 if isinstance(message, LeaseAnswer):
                     apply_lease_answer(self._state, message, place.name)
