The first lists of a new leader move no quotas

What callers saw: requests below their organisation's limit were refused as no_owner after a change of the leader.

Cause: a new leader's first lists name the hosts that have joined so far; owners of quotas moved to these and back.

Change: for 1.5 s after a host found a leader, hosts that the lists leave out still own quotas.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -34,6 +34,13 @@
       | no slack | the limit is lowered to 5 per second with a burst of 5      | 0.25  |
       | no slack | the limit is raised to 40 per second with a burst of 80     | 1.7   |
 
+  Scenario: The first lists of a new leader refuse nobody
+    # They name only the hosts that have joined so far. Guards against quotas that move to these for
+    # a moment and back, without tokens meanwhile.
+    Given 6 hosts with a quota of 20 requests per second, a burst of 40, and no slack
+    When callers ask for 0.4 of the quota, and the leader is replaced within 2.5 s, the owner joining last
+    Then no request was refused
+
   Scenario: A former owner that comes back has no second burst
     # Guards against the bucket of a host that was cut off, which filled up while others granted the
     # same tokens.
--- a/features/steps/quota_link_steps.py
+++ b/features/steps/quota_link_steps.py
@@ -65,6 +65,7 @@
             name=name,
             hosts=[],
             caller_hosts=[],
+            leader_since=float("-inf"),
             organisations={NAME: LIMIT, UNLIMITED.name: UNLIMITED},
         )
         self.quotas = QuotaHost(name, BOUNDS, self.state.organisations.get, Random(1))
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -131,6 +131,28 @@
 }
 
 
+@when(
+    "callers ask for {share:g} of the quota, and the leader is replaced within {seconds:g} s, "
+    "the owner joining last"
+)
+def step_leader_replaced(context, share, seconds):
+    context.tiers = []
+    for fault_at in FAULT_TIMES:
+        tier = context.make_tier()
+        tier.demand(share * tier.limits[NAME].rate, 0.0, END)
+        tier.run_until(fault_at)
+        tier.replace_leader(seconds * SECOND, 500.0, owner_of(tier))
+        tier.run_until(END)
+        context.tiers.append((fault_at, tier))
+
+
+@then("no request was refused")
+def step_none_refused(context):
+    for fault_at, tier in context.tiers:
+        late = [at for at, _ in tier.refused if at >= fault_at]
+        assert not late, late
+
+
 @when("callers ask for three times the quota at every host, and {what}")
 def step_saturated(context, what):
     context.tiers = []
@@ -382,7 +404,17 @@
 EVENTS = st.lists(
     st.tuples(
         st.sampled_from(
-            ["cut", "cut all", "freeze", "restart", "restart all", "limit", "leave", "leaderless"]
+            [
+                "cut",
+                "cut all",
+                "freeze",
+                "restart",
+                "restart all",
+                "limit",
+                "leave",
+                "leaderless",
+                "new leader",
+            ]
         ),
         st.floats(0.0, 12.0),
         st.integers(1, 6),
@@ -421,6 +453,8 @@
             leave_for(tier, set(some), span)
         case "leaderless":
             leaderless(tier, span)
+        case "new leader":
+            tier.replace_leader(span, 500.0, names[first - 1])
 
 
 def play(bounds, limit, demands, events, warm):
--- a/features/support/quota_tier.py
+++ b/features/support/quota_tier.py
@@ -34,6 +34,8 @@
         self.limits = {NAME: tier.limits[NAME]}
         self.view = ()
         self.reported_at = 0.0
+        self.leader_since = -inf
+        """When it found the leader."""
         self.linked = set()
         self.flushing = False
         self.begin()
@@ -70,7 +72,7 @@
     def confirm(self):
         """Ask the leader for a confirmation, and go on doing so."""
         now = self.tier.now
-        if self.side == 0 and self.tier.leads:
+        if self.side == 0 and self.tier.leads and now >= self.leader_since:
             self.reported_at = now
             self.at(now + 2 * LINK_DELAY_MS, lambda: self.on_confirmed(now))
         self.at(now + CONFIRM_INTERVAL_MS, self.confirm)
@@ -95,7 +97,9 @@
     def tick_hosts(self):
         """Tell the quotas which hosts are there, and hand over what this host has lost."""
         now = self.tier.now
-        handed = self.quotas.set_hosts(self.view, self.view, self.confirmed_at, now)
+        handed = self.quotas.set_hosts(
+            self.view, self.view, self.confirmed_at, now, self.leader_since
+        )
         for owner, balances in handed.items():
             peer = self.tier.hosts[owner]
             if peer.side == self.side:
@@ -225,6 +229,7 @@
                 name
                 for name in self.members
                 if self.now - self.hosts[name].reported_at <= LOST_AFTER_MS
+                and self.now >= self.hosts[name].leader_since
             )
         )
         if self.leads and live:
@@ -247,6 +252,19 @@
                 if self.hosts[name].side != host.side:
                     host.lose_link(name)
 
+    def replace_leader(self, silence, join_span, last):
+        """Lose the leader; the hosts find the next one after a silence, one of them last."""
+        self.leads = False
+
+        def begin():
+            self.leads = True
+            for host in self.hosts.values():
+                share = 1.0 if host.name == last else self.rng.uniform(0.0, 0.5)
+                host.leader_since = self.now + share * join_span
+                host.reported_at = host.leader_since
+
+        self.at(self.now + silence, begin)
+
     def freeze(self, name, duration):
         """Stop a host's process for a while."""
         self.hosts[name].frozen_until = max(self.hosts[name].frozen_until, self.now + duration)
--- a/src/alderhatch/core/forwarding/quota_host.py
+++ b/src/alderhatch/core/forwarding/quota_host.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Collection, Iterable, Sequence
 from enum import StrEnum
+from math import inf
 from random import Random
 from typing import NamedTuple, TypeAlias
 
@@ -141,6 +142,7 @@
         active: Collection[str],
         confirmed_at: Millis,
         now: Millis,
+        leader_since: Millis = -inf,
     ) -> dict[str, list[HandedBalance]]:
         """Set the hosts, and the time of the last confirmation that has arrived.
 
@@ -149,13 +151,14 @@
             active: The active hosts.
             confirmed_at: When this host asked the leader for it; -inf if there is none.
             now: The present time.
+            leader_since: When this host found the leader.
 
         Returns:
             The balances to hand over, by the name of the next owner.
         """
         self.owners.confirm(confirmed_at, now)
         self.owners.set_active(active, now)
-        if not self.owners.set_hosts(names, now):
+        if not self.owners.set_hosts(names, now, leader_since):
             return {}
         self.allowances.apply_owners()
         return self.owner.resign(now)
--- a/src/alderhatch/core/forwarding/quota_owners.py
+++ b/src/alderhatch/core/forwarding/quota_owners.py
@@ -22,6 +22,10 @@
 """How long a host keeps its share of the slack without a confirmation of the leader. A host that
 becomes active gets its share only after this time, as the host that it replaces may still use it.
 """
+LEADER_SETTLE_TIME: Millis = 1500.0
+"""How long after this host found a leader the hosts that its lists leave out still own quotas. Its
+first lists name only those that have joined so far; without this, most quotas would move for a
+moment and back, and their owners would begin anew after ``TAKEOVER_DELAY``."""
 MAX_VIEWS = 64
 """Most lists of hosts in memory; the owner of a quota that is first looked up later counts as
 owner since the oldest of them."""
@@ -81,13 +85,19 @@
         """The names of the hosts that may own quotas."""
         return self._views[-1].names if self._views else ()
 
-    def set_hosts(self, names: Iterable[str], now: Millis) -> bool:
+    def set_hosts(self, names: Iterable[str], now: Millis, leader_since: Millis = -inf) -> bool:
         """Set the hosts that may own quotas, by the leader's last list.
 
+        Args:
+            names: The hosts on the list.
+            now: The present time.
+            leader_since: When this host found the leader.
+
         Returns:
             Whether owners may have changed.
         """
-        ordered = tuple(sorted(names))
+        is_settling = now - leader_since < LEADER_SETTLE_TIME
+        ordered = tuple(sorted({*names, *self.hosts} if is_settling else names))
         if ordered == self.hosts:
             return False
         self._views.append(_View(now, ordered))
--- a/src/alderhatch/node/node_state.py
+++ b/src/alderhatch/node/node_state.py
@@ -104,6 +104,8 @@
         """All listed servers by ID."""
         self.list_fresh_at: Millis | None = None
         """When the server list was last known to be fresh; None if never."""
+        self.leader_since: Millis = float("-inf")
+        """When this host found the leader that it followed last."""
         self.view: TierView | None = None
         """The leader's last view of the hosts."""
         self.hosts: list[HostRecord] = []
@@ -309,6 +311,7 @@
 
     def on_new_leader(self) -> None:
         """Prepare for a new leader."""
+        self.leader_since = self._clock.now()
         self.record_step(StartStep.LEADER)
         self.crash_guard.on_new_leader()
 
--- a/src/alderhatch/node/quota_gate.py
+++ b/src/alderhatch/node/quota_gate.py
@@ -96,7 +96,8 @@
         active = {host.name for host in state.caller_hosts}
         confirmed_at = self._confirmations.confirmed_at(now)
         before = self._quotas.owners.hosts
-        handed = self._quotas.set_hosts(hosts, active, confirmed_at, now)
+        leader_since = state.leader_since
+        handed = self._quotas.set_hosts(hosts, active, confirmed_at, now, leader_since)
         for owner, balances in handed.items():
             self._client.hand_over(owner, balances)
         if state.organisations is not None and self._quotas.owners.hosts != before:
