--- a/bench/forward.py
+++ b/bench/forward.py
@@ -135,7 +135,8 @@
         dialect = PlatformDialect()
         self.runner = ForwardRunner(self.pool, self.state, dialect)
         log = RequestLog(self.state, lambda: 1)
-        metrics = NodeMetrics(cast(Node, SimpleNamespace(cfg=SimpleNamespace(name="bench"))))
+        node = SimpleNamespace(cfg=SimpleNamespace(name="bench"), state=self.state)
+        metrics = NodeMetrics(cast(Node, node))
         others = HandOverClient(self.state, Codec(*HAND_OVER_MESSAGE_TYPES), b"", Random(1))
         gathers = SplitGathers(self.state, PartsCollector(self.runner, dialect), others)
         quotas = QuotaHost("node", QuotaBounds(), self.state.organisation, Random(1))
@@ -146,6 +147,7 @@
             LeaderConfirmations(self.state.lease, lambda: 0.0),
             QuotaLog(metrics),
         )
+        self.turns = ServiceTurns(self.state, 1.0, metrics, Random(1))
         self.callers = CallerHandler(
             self.state,
             self.runner,
@@ -156,7 +158,7 @@
             gathers,
             1.0,
             quota_gate,
-            ServiceTurns(self.state, 1.0, metrics, Random(1)),
+            self.turns,
         )
 
     async def ask(self, first: int, count: int) -> None:
@@ -178,6 +180,7 @@
 async def _start(side: Side, nursery: trio.Nursery) -> None:
     await nursery.start(side.pool.run)
     await nursery.start(side.runner.run)
+    await nursery.start(side.turns.run)
     side.state.apply_view(TierView([HostRecord("node", "zone", "127.0.0.1:1", True, 1.0)], [], 0.0))
     side.state.apply_servers(side.records, ())
     while side.pool.connection_count < len(side.records):
