A quarantined request that is held stays held; suspects that were answered elsewhere are dropped

Found by reading and by the model. Suspects that the leader no longer lists stayed suspects of other hosts for 60 s; now an answer anywhere clears them everywhere. A trial whose server responds to nothing for 300 ms no longer keeps a suspect waiting until its deadline; one that goes on answering others is waited for, as the request may take long to crash it.

The seeds that found faults are kept as a scenario.

--- a/features/crashing_gathers.feature
+++ b/features/crashing_gathers.feature
@@ -43,6 +43,18 @@
     When the servers of a zone end at 3 s, with gathers at each 25 ms to 4 s
     Then over 0.99 of the gathers are answered, and each was answered as soon as 60 ms after others
 
+  Scenario: A suspect whose trial gets no response goes on at another server
+    # The servers of a zone don't respond. Guards against a harmless gather that waits there for its
+    # trial until its caller leaves.
+    Given a model of 5 hosts before 20 shards
+    When the servers of a zone fall silent, and a suspect is sent to a host in that zone
+    Then it is answered within 500 ms
+
+  Scenario: A suspect that another host has seen answered is none any more
+    Given a model of 5 hosts before 20 shards
+    When a suspect of all hosts is sent to one of them
+    Then no host suspects it 300 ms later
+
   Scenario: Hosts, leaders and servers that fail in any order don't hide a crashing gather
     # Zones and single servers end, hosts are cut off and restarted, leaders change, and the gathers
     # that crash servers come at any time. Guards against one that goes on, and against a harmless
@@ -52,3 +64,12 @@
       a gather that crashes its servers reaches at most 3 of them late
       no harmless gather is refused
       """
+
+  Scenario Outline: Schedules of failures that once hid a crashing gather, or had a harmless one refused
+    Then the model's schedule of seed <seed> satisfies the same rules
+
+    Examples:
+      | seed | fault found                                                             |
+      | 70   | two suspects had their trials on one server                             |
+      | 105  | the trial of a harmless gather ended with a zone                        |
+      | 589  | a run that was held went on as its request was no suspect but quarantined |
--- a/features/steps/crash_model_steps.py
+++ b/features/steps/crash_model_steps.py
@@ -8,9 +8,11 @@
 from hypothesis import strategies as st
 
 from alderhatch.clock import SECOND
+from alderhatch.core.forwarding.crash_counter import SuspectKey
 from features.support.crash_model import CrashModel
 
 CRASHING = "crashing"
+SUSPECT = "suspect"
 END_MS = 30 * SECOND
 HARMLESS_INTERVAL_MS = 97.0
 CRASHING_INTERVAL_MS = 700.0
@@ -68,6 +70,45 @@
     assert max(caught) <= before[-1] + slack, (max(caught), before[-1])
 
 
+def suspect_everywhere(model):
+    for server_id in ("s0-0", "s1-0"):
+        model.counter.report_loss(SuspectKey(SUSPECT), server_id, model.now)
+    model.run_until(300.0)
+    assert all(guard.suspicion(SUSPECT) is not None for guard in model.guards)
+
+
+@when("the servers of a zone fall silent, and a suspect is sent to a host in that zone")
+def step_silent_zone(context):
+    model = context.model
+    suspect_everywhere(model)
+    for record in model.records:
+        if record.zone == "zone-0":
+            model.servers[record.server_id].mode = "silent"
+    context.sent_at = model.now
+    context.number = model.send(SUSPECT, 0)
+    model.run_until(3 * SECOND)
+
+
+@then("it is answered within {span:d} ms")
+def step_answered_within(context, span):
+    model = context.model
+    assert model.is_served(context.number), model.results
+    assert model.results[context.number][1] - context.sent_at <= span, model.results
+
+
+@when("a suspect of all hosts is sent to one of them")
+def step_suspect_sent(context):
+    suspect_everywhere(context.model)
+    context.model.send(SUSPECT, 0)
+
+
+@then("no host suspects it {span:d} ms later")
+def step_not_suspected(context, span):
+    model = context.model
+    model.run_until(model.now + span)
+    assert not [guard for guard in model.guards if guard.suspicion(SUSPECT) is not None]
+
+
 def schedule(model, event):
     kind, at, which = event
     match kind:
@@ -118,9 +159,36 @@
     @settings(max_examples=25, derandomize=True, deadline=None, database=None)
     @for_all(st.integers(0, 1000), EVENTS, st.floats(0.0, 5 * SECOND), st.floats(2.0, 300.0))
     def check(seed, events, first_at, crash_delay):
-        model = run_model(seed, events, first_at, crash_delay)
-        assert model.late_arrivals(CRASHING) <= 3, model.late_arrivals(CRASHING)
-        refused = {body for body, _ in model.refusals} - {CRASHING}
-        assert not refused, refused
+        check_rules(run_model(seed, events, first_at, crash_delay))
 
     check()
+
+
+def check_rules(model):
+    assert model.late_arrivals(CRASHING) <= 3, model.late_arrivals(CRASHING)
+    refused = {body for body, _ in model.refusals} - {CRASHING}
+    assert not refused, refused
+
+
+def schedule_of(seed):
+    """Return the failures of a seed, when the crashing gather begins, and its crash delay."""
+    rng = Random(seed * 7 + 1)
+    events = []
+    for _ in range(rng.randrange(7)):
+        kind = rng.choice(["zone", "server", "leader", "restart", "cut"])
+        at = rng.uniform(0, 20 * SECOND)
+        which = {
+            "zone": rng.randrange(2),
+            "server": rng.randrange(24),
+            "leader": 0,
+            "restart": rng.randrange(4),
+            "cut": rng.randrange(1, 4),
+        }
+        events.append((kind, at, which[kind]))
+    crash_delay = rng.choice([2, 10, 20, 50, 150, 300])
+    return events, rng.uniform(0, 5 * SECOND), crash_delay
+
+
+@then("the model's schedule of seed {seed:d} satisfies the same rules")
+def step_seed(context, seed):
+    check_rules(run_model(seed, *schedule_of(seed)))
--- a/features/support/crash_model.py
+++ b/features/support/crash_model.py
@@ -208,7 +208,10 @@
             delay = self.rng.uniform(*self.crash_delay_ms)
             self._after(delay, self.end_server, server_id, body)
             return
-        end, fault = self.servers[server_id].accept(self.now + NETWORK_DELAY_MS)
+        taken = self.servers[server_id].accept(self.now + NETWORK_DELAY_MS)
+        if taken is None:
+            return
+        end, fault = taken
         self.at(end, lambda: self._answer(number, host, send, fault))
 
     def _answer(self, number, host, send, fault):
--- a/src/alderhatch/core/forwarding/forward_run.py
+++ b/src/alderhatch/core/forwarding/forward_run.py
@@ -32,6 +32,10 @@
 MIN_SHARDS_FOR_ANSWER = 8
 """A gather over so many shards is not hedged before its first part: what delays all servers alike
 is not the fault of one. If the request crashes its servers, hedges would take the others, too."""
+TRIAL_TIMEOUT: Millis = 300.0
+"""How long a trial may take before another server is tried; servers pause for less."""
+MAX_TRIALS = 3
+"""Limit of the trials of one request whose servers don't respond."""
 DEFAULT_RETRY_AFTER: Millis = 250.0
 
 
@@ -82,6 +86,10 @@
         self._trial_upstream = suspicion.upstream if suspicion is not None else None
         self._trial: int | None = None
         """The attempt that decides whether the request crashes servers, while it is in flight."""
+        self._trial_until: Millis = FOREVER
+        """When the trial has taken too long."""
+        self._trials = 0
+        """Trials sent so far."""
         self._is_trial_lost = False
         self._reached_min_in_time = False
         """Whether the minimum coverage was reached before the answer was due."""
@@ -265,6 +273,8 @@
         due = self.times.deadline
         if self._parts_in >= self._min_parts:
             due = min(due, self.times.answer_by)
+        if self.is_held and self._trial is not None:
+            due = min(due, self._trial_until)
         for shard in self.shards.values():
             if shard.open:
                 due = min(due, self._hedge_due(shard), shard.retry_at or FOREVER)
@@ -304,6 +314,8 @@
         self._table.record_sent(target, attempt, now, self.is_held)
         if self.is_held:
             self._trial = attempt
+            self._trials += 1
+            self._trial_until = now + TRIAL_TIMEOUT if self._trials < MAX_TRIALS else FOREVER
         shard.awaits_trial = False
         self._effects.append(Send(attempt, target, shard.upstream, self.is_held))
         return True
@@ -315,6 +327,8 @@
 
         Shards that look for a server in vain go on to do so at their next timer event.
         """
+        if self._trial is not None and now >= self._trial_until:
+            self._check_trial(self._trial, now)
         if self._trial is not None or self._is_trial_lost:
             return
         waiting = [shard for shard in self.shards.values() if shard.open and shard.awaits_trial]
@@ -325,6 +339,19 @@
             if self._send(shard, now, kind):
                 return
 
+    def _check_trial(self, attempt: int, now: Millis) -> None:
+        """Give up waiting for a trial whose server doesn't respond to any request."""
+        shard = self._shard_of[attempt]
+        sent = shard.in_flight[attempt]
+        if sent.target.answered_at >= sent.at:
+            # It may take long to crash. With a further trial it would crash another server.
+            self._trial_until = now + TRIAL_TIMEOUT
+            return
+        # Its zone may be cut off; the shard's other server is in another one.
+        shard.awaits_trial = True
+        self._trial_upstream = shard.upstream
+        self._trial = None
+
     def _on_trial_fault(self, fault: AttemptFault, now: Millis) -> None:
         self._trial = None
         match fault:
--- a/src/alderhatch/node/crash_guard.py
+++ b/src/alderhatch/node/crash_guard.py
@@ -32,11 +32,19 @@
     until: Millis
     suspicion: Suspicion
 
+    def key(self, fingerprint: str) -> SuspectKey:
+        """Return what the leader's list names."""
+        return _key_of(fingerprint, self.suspicion)
+
     def is_cleared_by(self, upstream: str) -> bool:
         """Return whether an answer from a server of an upstream shows that it is harmless."""
         return self.suspicion.upstream in (None, upstream)
 
 
+def _key_of(fingerprint: str, suspicion: Suspicion) -> SuspectKey:
+    return SuspectKey(fingerprint, suspicion.upstream or "")
+
+
 class CrashGuard:
     """Decides which requests this host refuses, or runs on one server at a time.
 
@@ -108,7 +116,7 @@
             del self._quarantined_until[fingerprint]
 
     def _clear(self, fingerprint: str, suspicion: Suspicion, target: Target) -> None:
-        key = SuspectKey(fingerprint, suspicion.upstream or "")
+        key = _key_of(fingerprint, suspicion)
         suspect = RequestMark.SUSPECT.of(key)
         self._unreported = [one for one in self._unreported if one.fingerprint != suspect]
         self._report(CrashReport(RequestMark.ANSWERED.of(key), target.server_id))
@@ -135,7 +143,7 @@
             servers=servers,
             upstream=suspicion.upstream,
         )
-        key = SuspectKey(fingerprint, suspicion.upstream or "")
+        key = _key_of(fingerprint, suspicion)
         for server_id in servers:
             self.probe(server_id)
             self._report(CrashReport(RequestMark.SUSPECT.of(key), server_id))
@@ -167,8 +175,9 @@
         told = self._told_suspects.get(fingerprint)
         if told is not None and told.until > now:
             return told.suspicion
-        ended_at = self._quarantined_until.get(fingerprint)
-        is_on_probation = ended_at is not None and ended_at <= now < ended_at + PROBATION_DURATION
+        # One that is quarantined while it runs must not go on as if it were harmless.
+        ends_at = self._quarantined_until.get(fingerprint)
+        is_on_probation = ends_at is not None and now < ends_at + PROBATION_DURATION
         return Suspicion() if is_on_probation else None
 
     def is_quarantined(self, fingerprint: str) -> bool:
@@ -204,8 +213,12 @@
         """Apply the leader's list of suspected requests."""
         listed = frozenset(suspects)
         now = self._clock.now()
-        known = self._told_suspects
-        self._told_suspects = {name: told for name, told in known.items() if told.until > now}
+        # One that is no longer listed was answered at another host.
+        self._told_suspects = {
+            fingerprint: told
+            for fingerprint, told in self._told_suspects.items()
+            if told.until > now and told.key(fingerprint) in listed
+        }
         # A request that this host has seen answered meanwhile is still on the list.
         for fingerprint, upstream in listed - self._listed_suspects:
             told = _ToldSuspect(now + CRASH_RETENTION, Suspicion(upstream or None))
