Requests are held against all that crashed the same servers, also against earlier verdicts

Found by reading: the leader compared the reports on a request only with those not yet decided on, so a harmless one whose host reported half a second after the crashing one was quarantined could be, too. The new scenario fails without the change. The event of a quarantine names its servers again, and reports that no leader takes are bounded.

--- a/features/forwarding_crash.feature
+++ b/features/forwarding_crash.feature
@@ -44,6 +44,12 @@
     Then the crash counter refuses "r1" everywhere
     And the leader suspects "r2"
 
+  Scenario: A harmless request that is reported after the crashing one was quarantined is none
+    Given a node's state and a leader's crash counter
+    When hosts report within 100 ms that "r1" crashed servers "s1 s2 s3", and "r3" servers "s1 s2"
+    And another host reports 1 s later that "r2" crashed servers "s1 s3"
+    Then the crash counter refuses "r1" everywhere
+
   Scenario: A request that crashes the servers of one shard of many is a suspect there
     # The other shards answer it, which clears it of nothing at this one.
     Given a node's state and a leader's crash counter
--- a/features/steps/forwarding_crash_steps.py
+++ b/features/steps/forwarding_crash_steps.py
@@ -138,6 +138,15 @@
         counter.decide(context.clock.now())
 
 
+@when('another host reports {seconds:d} s later that "{request}" crashed servers "{servers}"')
+def step_late_report(context, seconds, request, servers):
+    context.clock.advance(seconds * SECOND)
+    for server in servers.split():
+        context.crash_counter.report_crash(request, server, context.clock.now())
+    context.clock.advance(DECISION_DELAY)
+    context.crash_counter.decide(context.clock.now())
+
+
 @when(
     'request "{request}" is lost on two servers of "{upstream}", and "{other}" answers after each'
 )
--- a/src/alderhatch/core/forwarding/crash_counter.py
+++ b/src/alderhatch/core/forwarding/crash_counter.py
@@ -98,9 +98,9 @@
         A harmless request that ran at another host on the servers of one that crashes them was lost
         on each of them, too, but only there.
         """
-        others = [other for other in self._undecided if other != fingerprint]
-        blamed_on_others = {name for other in others for name in self._crashed_servers(other)}
-        crashed = self._crashed_servers(fingerprint)
+        others = {key.fingerprint for key in self._reports} - {fingerprint}
+        blamed_on_others = {name for other in others for name in self.crashed_servers(other)}
+        crashed = set(self.crashed_servers(fingerprint))
         lost = {
             server_id
             for key, servers in self._reports.items()
@@ -109,9 +109,10 @@
         }
         return len(lost) >= CRASH_LIMIT and bool(crashed - blamed_on_others)
 
-    def _crashed_servers(self, fingerprint: str) -> set[str]:
+    def crashed_servers(self, fingerprint: str) -> list[str]:
+        """Return the servers that hosts hold a request to have crashed."""
         servers = self._reports.get(SuspectKey(fingerprint), {})
-        return {server_id for server_id, report in servers.items() if report.is_crash}
+        return [server_id for server_id, report in servers.items() if report.is_crash]
 
     def suspects(self, now: Millis) -> list[SuspectKey]:
         """Return the requests that run on one server at a time."""
--- a/src/alderhatch/node/crash_guard.py
+++ b/src/alderhatch/node/crash_guard.py
@@ -16,6 +16,7 @@
 
 MAX_CRASH_REPORTS = 20
 """Limit of crashes in one report, so that the loss of a zone fills no report."""
+MAX_UNREPORTED = 2 * MAX_CRASH_REPORTS
 PROOF_DURATION: Millis = 5 * SECOND
 """How long a host refuses a request by its own proof. The leader, which knows what ran on the same
 servers at other hosts, quarantines it within a second, or does not."""
@@ -265,6 +266,8 @@
 
     def _report(self, report: CrashReport) -> None:
         self._unreported.append(report)
+        # Without a leader nobody takes them.
+        del self._unreported[:-MAX_UNREPORTED]
         self.notify()
 
     def take_reports(self) -> list[CrashReport]:
@@ -272,7 +275,7 @@
         now = self._clock.now()
         self.judge_trials()
         reports = self._unreported[:MAX_CRASH_REPORTS]
-        self._unreported = self._unreported[MAX_CRASH_REPORTS:][:MAX_CRASH_REPORTS]
+        self._unreported = self._unreported[MAX_CRASH_REPORTS:]
         retained = [one for one in self._reported if now - one[0] < CRASH_RETENTION]
         self._reported = [*retained, *((now, report) for report in reports)]
         return reports
--- a/src/alderhatch/node/tier_server.py
+++ b/src/alderhatch/node/tier_server.py
@@ -273,7 +273,13 @@
         A new leader has counted nothing itself; it begins with what it was told as a host.
         """
         for fingerprint in self._crashes.decide(now):
-            log_event(LogEvent.REQUEST_QUARANTINED, fingerprint=fingerprint)
+            servers = self._crashes.crashed_servers(fingerprint)
+            log_event(
+                LogEvent.REQUEST_QUARANTINED,
+                fingerprint=fingerprint,
+                server=servers[-1],
+                servers=servers,
+            )
         refused = {*self._crashes.refused(now), *self._quarantines()}
         suspects = [key for key in self._crashes.suspects(now) if key.fingerprint not in refused]
         marked = [RequestMark.SUSPECT.of(key) for key in suspects]
