Trials of suspects: one way to send a waiting shard, one retention of losses

The run of a request sent shards that had waited for a trial in two places with the same steps; the evidence of a host had a constant of its own for what the leader's counter calls CRASH_RETENTION; record_loss computed a suspicion that nobody read, beside the one that its caller computes; the servers of a proof were listed twice.

--- a/src/alderhatch/core/forwarding/crash_evidence.py
+++ b/src/alderhatch/core/forwarding/crash_evidence.py
@@ -13,15 +13,14 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from ...clock import SECOND, Millis
+from ...clock import Millis
 from ..crash_detector import CONFIRM_WINDOW_MS, MASS_LOSS_WINDOW_MS, MAX_FINGERPRINTS
 from ..server_view import NEVER
+from .crash_counter import CRASH_RETENTION
 
 SUSPECT_SERVERS = 2
 """A request that was lost on so many servers, and answered by none since, is a suspect. So is one
 that was lost on so many servers of one upstream that ended, while other upstreams answer it."""
-EVIDENCE_DURATION: Millis = 60 * SECOND
-"""Losses further apart than this are not attributed to the same request."""
 OTHER_SERVERS_LOST = 2
 """A trial proves nothing if so many servers without the request ended at the same moment."""
 CONCLUDE_DELAY: Millis = 150.0
@@ -116,8 +115,8 @@
 
     def record_loss(
         self, fingerprint: str, upstream: str, server_id: str, in_trial: bool, now: Millis
-    ) -> bool:
-        """Record a connection lost while a request ran; return whether it is a suspect now.
+    ) -> None:
+        """Record a connection lost while a request ran.
 
         Args:
             fingerprint: The request.
@@ -135,7 +134,6 @@
         self._lost_on.setdefault(server_id, set()).add(fingerprint)
         if len(self._requests) > MAX_FINGERPRINTS:
             self._forget(next(iter(self._requests)))
-        return self.suspicion(fingerprint, now) is not None
 
     def record_accepted(self, server_id: str, asked_at: Millis) -> None:
         """Record that a server has accepted a connection that was opened at a given time."""
@@ -223,11 +221,12 @@
             if self._others_ended(req, loss.at) >= OTHER_SERVERS_LOST:
                 self.verdicts[LossVerdict.MASS_LOSS] += 1
                 continue
-            if not any(len(self._lost_on[one]) == 1 for one in self.ended_servers(fingerprint)):
+            ended = tuple(self.ended_servers(fingerprint))
+            if not any(len(self._lost_on[one]) == 1 for one in ended):
                 self.verdicts[LossVerdict.SHARED] += 1
                 continue
             self.verdicts[LossVerdict.PROVEN] += 1
-            proofs.append(Proof(fingerprint, server_id, tuple(self.ended_servers(fingerprint))))
+            proofs.append(Proof(fingerprint, server_id, ended))
         return proofs
 
     def _others_ended(self, req: _Request, at: Millis) -> int:
@@ -254,4 +253,4 @@
 
 
 def _is_old(loss: _Loss, now: Millis) -> bool:
-    return now - loss.at >= EVIDENCE_DURATION
+    return now - loss.at >= CRASH_RETENTION
--- a/src/alderhatch/core/forwarding/forward_run.py
+++ b/src/alderhatch/core/forwarding/forward_run.py
@@ -334,11 +334,14 @@
         waiting = [shard for shard in self.shards.values() if shard.open and shard.awaits_trial]
         waiting.sort(key=lambda shard: shard.upstream != self._trial_upstream)
         for shard in waiting:
-            shard.awaits_trial = False
-            kind = DecisionKind.RETRY if shard.sends else self._first_kind
-            if self._send(shard, now, kind):
+            if self._send_waiting(shard, now):
                 return
 
+    def _send_waiting(self, shard: ShardState, now: Millis) -> bool:
+        """Send a request that had to wait for a trial; return whether it was sent."""
+        shard.awaits_trial = False
+        return self._send(shard, now, DecisionKind.RETRY if shard.sends else self._first_kind)
+
     def _check_trial(self, attempt: int, now: Millis) -> None:
         """Give up waiting for a trial whose server doesn't respond to any request."""
         shard = self._shard_of[attempt]
@@ -366,9 +369,7 @@
         self._next_wake = None
         for shard in self.shards.values():
             if shard.open and shard.awaits_trial:
-                shard.awaits_trial = False
-                kind = DecisionKind.RETRY if shard.sends else self._first_kind
-                self._send(shard, now, kind)
+                self._send_waiting(shard, now)
 
     def _agreed_servers(self, shard: ShardState) -> Container[str] | None:
         return self._rules.servers.get(shard.upstream) if self._rules is not None else None
--- a/src/alderhatch/core/forwarding/target.py
+++ b/src/alderhatch/core/forwarding/target.py
@@ -50,7 +50,6 @@
         """How much longer it is cold, by the latest server list."""
         self.outstanding: dict[int, Millis] = {}
         """When each request that is in flight there was sent, oldest first."""
-
         self.trials: set[int] = set()
         """The requests in flight there that may crash it, and run on no other server."""
 
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -163,7 +163,7 @@
             lambda leader: self._client.add_leader_hint(leader),
             self.state.choose,
             lambda: self.state.live_host_count,
-            lambda: self.state.crash_guard.quarantines(),
+            self.state.crash_guard.quarantines,
             self._codec,
         )
         self._server_list_reader = ServerListReader(source, self.state, self._server, self._rng)
