--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,21 +14,24 @@
 
 TROUBLE = os.environ.get("TROUBLE") != "0"
 ORDERS = 20
-FULL_S = 0.06
-"""How long both servers are full, from the arrival of an order on."""
+QUEUE = 3
+"""Requests that wait at a server, besides those in its slots; it refuses further ones."""
+OTHERS_WORK_S = 0.03
+"""Work of one request of another caller. Six of them keep a server full for a moment."""
 
 
 class FaultyServer(Server):
-    """A server that is full for a moment, and repeats its refusals late.
+    """A server that repeats its refusals late.
 
     The extra answer is a copy of the last answer on the connection. It arrives at the point where
     the next answer is expected there.
     """
 
-    full_until = 0.0
-
     def __init__(self, *args, **more):
         super().__init__(*args, **more)
+        self._held = 0
+        """Requests that run or wait here."""
+        self._slots = asyncio.Semaphore(self.slots)
         self._extra = {}
         """The copy of the last refusal, by connection."""
 
@@ -39,18 +42,35 @@
             copied_id, data = extra
             self.record.write("extra", server=self.server_id, answer=503, id=copied_id)
             writer.write(data)
-        if standins.elapsed() < FaultyServer.full_until:
+        if self._held >= self.slots + QUEUE:
             refusal = self.refusal(503, request_id)
             self.record.write("refused", server=self.server_id, id=request_id)
             self._extra[writer] = (request_id, refusal)
             writer.write(refusal)
             return
-        await super().handle(writer, first, fields, body)
+        await self._hold(super().handle(writer, first, fields, body))
+
+    async def _hold(self, work):
+        self._held += 1
+        try:
+            async with self._slots:
+                await work
+        finally:
+            self._held -= 1
+
+    def fill(self):
+        """Let requests of other callers take all slots and the queue."""
+        self.record.write("others", server=self.server_id, requests=self.slots + QUEUE)
+        return [
+            asyncio.create_task(self._hold(asyncio.sleep(OTHERS_WORK_S)))
+            for _ in range(self.slots + QUEUE)
+        ]
 
 
 async def case(record):
     servers = [
-        FaultyServer("kitchenpass", number, standins.ZONES[number], record) for number in range(2)
+        FaultyServer("kitchenpass", number, standins.ZONES[number], record)
+        for number in range(2)
     ]
     tier = Tier(record)
     try:
@@ -80,7 +100,8 @@
         request_id = standins.new_id(rng)
         fields = [("Host", HOST), ("Attempt-Id", request_id), ("Time-Budget-Ms", "8000")]
         conn = Connection(node.address, tier.ports["front"])
-        FaultyServer.full_until = standins.elapsed() + FULL_S
+        others = [one for server in servers for one in server.fill()]
+        await asyncio.sleep(0)
         try:
             reply = await conn.ask("POST", "/orders/new", fields, b"one tray", 10.0)
             answers[request_id] = reply.status
@@ -88,6 +109,7 @@
             answers[request_id] = None
         conn.close()
         record.write("asked", node=node.name, id=request_id, answer=answers[request_id])
+        await asyncio.gather(*others)
         await asyncio.sleep(0.7)
     runs = Counter(request_id for server in servers for request_id in server.runs)
     twice = [request_id for request_id in answers if runs[request_id] > 1]
