--- a/review/standins.py
+++ b/review/standins.py
@@ -466,8 +466,8 @@
             if node.own_ends:
                 log = (self.folder / node.name / "log").read_text(errors="replace")
                 lines = (line.strip(" |") for line in log.splitlines())
-                errors = {line for line in lines if "Error: " in line}
-                self.record.say(f"{node.name}: {' / '.join(sorted(errors))[:300]}")
+                errors = {line[:100] for line in lines if "Error: " in line}
+                self.record.say(f"{node.name}: {' / '.join(sorted(errors))[:200]}")
 
     async def put(self, configuration, timeout=20.0):
         """Send a configuration to the nodes in turn until one acknowledges it."""
