--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,7 +20,9 @@
 SPOILED_SERVERS = 1.0
 SPOILED_ANSWERS = 0.02
 """The share of the servers that spoil answers, and of their answers that are spoiled."""
-PLAY_S = 25.0
+QUIET_S = 4.0
+SPOILED_S = 11.0
+"""Twice as long as the site's list has it; QUIET_S of traffic go before and after."""
 MAX_LOST = 3
 """LOST: how many requests from kept connections may end without an answer."""
 
@@ -61,8 +63,6 @@
         for shard in SHARDS
         for number in range(2)
     ]
-    for server in servers:
-        server.spoils = TROUBLE and rng.random() < SPOILED_SERVERS
     tier = Tier(record)
     try:
         await tier.start_list(servers)
@@ -168,7 +168,13 @@
     ]
     tasks = [asyncio.create_task(one.run()) for one in clients]
     tasks.append(asyncio.create_task(tier.restart_ended()))
-    await asyncio.sleep(PLAY_S)
+    await asyncio.sleep(QUIET_S)
+    for server in servers:
+        server.spoils = TROUBLE and rng.random() < SPOILED_SERVERS
+    await asyncio.sleep(SPOILED_S)
+    for server in servers:
+        server.spoils = False
+    await asyncio.sleep(QUIET_S)
     for task in tasks:
         task.cancel()
     mixed = sum(one.mixed for one in clients)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,7 +13,8 @@
 from standins import HOST, LIMITS, Connection, Server, Tier, route, service
 
 TROUBLE = os.environ.get("TROUBLE") != "0"
-ORDERS = 20
+ORDERS = 11
+"""One each 0.9 s, so that the servers are faulty for no longer than twice the site's 5 s."""
 QUEUE = 3
 """Requests that wait at a server, besides those in its slots; it refuses further ones."""
 OTHERS_WORK_S = 0.03
@@ -69,8 +70,7 @@
 
 async def case(record):
     servers = [
-        FaultyServer("kitchenpass", number, standins.ZONES[number], record)
-        for number in range(2)
+        FaultyServer("kitchenpass", number, standins.ZONES[number], record) for number in range(2)
     ]
     tier = Tier(record)
     try:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -62,7 +62,7 @@
     """List the entry of another writer beside those of the servers."""
     if TROUBLE:
         tier.list.other_entries = [FOREIGN_ENTRY]
-        record.write("listed", address=repr(FOREIGN_ENTRY["address"]))
+        record.write("listed", address=ascii(FOREIGN_ENTRY["address"]))
 
 
 async def play(tier, servers, record):
--- a/review/standins.py
+++ b/review/standins.py
@@ -25,25 +25,26 @@
 COULD_NOT_RUN = 2
 
 
-def elapsed():
-    return time.monotonic() - BEGAN
+BEGAN = time.monotonic()
 
 
-BEGAN = time.monotonic()
+def elapsed():
+    """Return the seconds since the start of the case."""
+    return time.monotonic() - BEGAN
 
 
 class Record:
     """The lines of record.txt: what was sent, answered and run."""
 
     def __init__(self, path):
-        self._file = open(path, "w", buffering=1)
+        self._file = open(path, "w", buffering=1, encoding="ascii", errors="backslashreplace")
 
     def write(self, kind, **fields):
         text = " ".join(f"{name}={value}" for name, value in fields.items())
         self._file.write(f"{elapsed():8.3f} {kind:<10} {text}\n")
 
     def say(self, text):
-        print(text)
+        print(text.encode("ascii", "backslashreplace").decode())
         self._file.write(text + "\n")
 
 
@@ -70,7 +71,7 @@
 
 
 class Server:
-    """One server of a service. A subclass changes `answer` or `before_request`."""
+    """One server of a service. Subclasses change `handle` or `success`."""
 
     def __init__(self, service, number, zone, record, slots=3, work_s=0.12):
         self.service = service
@@ -431,8 +432,12 @@
         env |= {"ALDERHATCH_SETTINGS": str(path), "PYTHONPATH": str(BUILT)}
         with open(folder / "log", "ab") as log:
             node.process = await asyncio.create_subprocess_exec(
-                *self._command, cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL,
-                stdout=log, stderr=log,
+                *self._command,
+                cwd=ROOT,
+                env=env,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
             )
         node.starts += 1
         self.record.write("start", node=node.name, pid=node.process.pid)
