An answer belongs to one send: no connection carries a request's ID twice

Cause: the ID names an attempt of the caller, not one send. After a refusal the request was sent again to the same server on the same idle connection. A faulty server's late second copy of the refusal bears that ID and was taken for the answer to the new send, while the server ran it.

Change: a connection remembers its last 16 IDs and is replaced rather than carry one again. An answer of any status without an ID bars the connection from requests that must not run twice. Idempotent requests keep using it, as servers that are full answer without an ID and new connections would cost them time just then.

Why it works: a copy can only be mistaken on a connection that has carried the same ID, or brought an answer without any.

--- a/src/alderhatch/http/connection.py
+++ b/src/alderhatch/http/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Sequence
 
 import h11
@@ -22,6 +23,9 @@
 """Responses to earlier requests that are skipped while waiting for the matching one."""
 MAX_INFORMATIONAL_REPLIES = 256
 """1xx responses accepted before the final one. Servers send them to show progress."""
+MAX_REMEMBERED_IDS = 16
+"""Requests of a connection whose IDs are remembered. A late copy of a response arrives with the
+next one; the rest is for servers that hold several back."""
 END_OF_MESSAGE = h11.EndOfMessage()
 
 
@@ -50,6 +54,26 @@
         self.last_progress_at = opened_at
         """When the current exchange last received data. The code that begins an exchange sets it to
         the time of the start."""
+        self.has_unidentified_reply = False
+        """Whether a response without a request ID arrived; a copy of it can't be recognised."""
+        self._carried_ids: deque[str] = deque(maxlen=MAX_REMEMBERED_IDS)
+
+    def can_tell_reply(self, request_id: str, is_idempotent: bool) -> bool:
+        """Return whether the response to a request can be told from those to earlier ones.
+
+        A faulty server may send a second copy of a response where the next one is due. If the next
+        request is the same one, sent again after a refusal, the copy bears its ID: it would be
+        taken for another refusal while the request runs, and the request would be sent elsewhere
+        too. A copy without any ID would be taken for the response to whatever comes next. That
+        matters only for requests that must not run twice.
+        """
+        if request_id in self._carried_ids:
+            return False
+        return is_idempotent or not self.has_unidentified_reply
+
+    def record_request(self, request_id: str) -> None:
+        """Remember the ID of a request that is about to be sent."""
+        self._carried_ids.append(request_id)
 
     @property
     def alive(self) -> bool:
--- a/src/alderhatch/node/dialect.py
+++ b/src/alderhatch/node/dialect.py
@@ -25,6 +25,8 @@
     load: LoadReport | None = None
     """The load that the server reports, if any."""
     retry_after: Millis | None = None
+    is_identified: bool = True
+    """Whether it names the request that it answers; refusals may name none."""
 
 
 class CallerRequest(NamedTuple):
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -120,9 +120,7 @@
         server_id = send.target.server_id
         if active.turn is not None:
             await active.turn.wait_to_send()
-        conn = self._pool.acquire_idle(server_id)
-        if conn is None:
-            conn = await self._wait_for_connection(active, send)
+        conn = await self._acquire_connection(active, send)
         try:
             if EVACUATED_SOURCE in send.target.leaving:
                 # The evacuation may have started while the attempt waited for a connection.
@@ -134,6 +132,19 @@
         finally:
             self._pool.release(server_id, conn)
 
+    async def _acquire_connection(self, active: _ActiveRequest, send: Send) -> HttpConnection:
+        """Return a connection on which the answer can be told from those to earlier requests."""
+        server_id = send.target.server_id
+        is_idempotent = active.run.route.idempotent
+        while True:
+            conn = self._pool.acquire_idle(server_id)
+            if conn is None:
+                conn = await self._wait_for_connection(active, send)
+            if conn.can_tell_reply(active.req.request_id, is_idempotent):
+                return conn
+            conn.usable = False
+            self._pool.release(server_id, conn)
+
     async def _wait_for_connection(self, active: _ActiveRequest, send: Send) -> HttpConnection:
         waits = self._table.connection_waits
         waits.begin(send.attempt, self._clock.now())
@@ -154,6 +165,7 @@
         req = active.req
         fields = self._dialect.server_fields(req, server_id, time_left)
         parse = self._dialect.read_answer
+        conn.record_request(req.request_id)
         reply = await conn.forward(
             req.http.method,
             req.http.target,
@@ -163,6 +175,8 @@
             active.turn.wait_to_read if active.turn is not None else None,
         )
         parsed = parse(req, reply)
+        if not parsed.is_identified:
+            conn.has_unidentified_reply = True
         if parsed.fault is AttemptFault.WRONG_ANSWER:
             # The answers on this connection are mismatched. The next one may belong to this
             # request, so the connection is not reused.
--- a/src/alderhatch/platform/dialect.py
+++ b/src/alderhatch/platform/dialect.py
@@ -84,16 +84,9 @@
         )
         if is_mismatched:
             return ParsedAnswer(AttemptFault.WRONG_ANSWER)
-        load = _load_report(reply)
-        if reply.status == 421:
-            return ParsedAnswer(AttemptFault.MOVED, load)
-        if reply.header(wire.NOT_RUN) is not None:
-            return ParsedAnswer(AttemptFault.SHED, load, _retry_after(reply))
-        if reply.status >= 500:
-            return ParsedAnswer(AttemptFault.FAILED, load)
-        if reply.header(wire.SEAL) is None or reply.header(wire.ENCODING) is not None:
-            return ParsedAnswer(AttemptFault.GARBAGE, load)
-        return ParsedAnswer(None, load)
+        fault = _fault_of(reply)
+        retry_after = _retry_after(reply) if fault is AttemptFault.SHED else None
+        return ParsedAnswer(fault, _load_report(reply), retry_after, echoed_id is not None)
 
     def bundle(self, destination: AllShards, replies: Mapping[str, HttpReply]) -> PartsBundle:
         """Merge the answers of several shards.
@@ -170,6 +163,19 @@
     return HttpResponse(reply.status, reply.body, None, (), fields)
 
 
+def _fault_of(reply: HttpReply) -> AttemptFault | None:
+    """Return what is wrong with an answer that belongs to its request; None if nothing is."""
+    if reply.status == 421:
+        return AttemptFault.MOVED
+    if reply.header(wire.NOT_RUN) is not None:
+        return AttemptFault.SHED
+    if reply.status >= 500:
+        return AttemptFault.FAILED
+    if reply.header(wire.SEAL) is None or reply.header(wire.ENCODING) is not None:
+        return AttemptFault.GARBAGE
+    return None
+
+
 def _load_report(reply: HttpReply) -> LoadReport | None:
     value = reply.header(wire.LOAD)
     if value is None:
