Only a success with one readable signature is part of a merged answer

Cause: the decoder asked whether the signature's field was there, not what it held. The merge joined the empty value with the others.

Each wrong answer named one signature less than it had parts.

Change: exactly one field, visible ASCII without the list's comma, 256 bytes at most; checked where an answer is decoded, and for signatures in messages of other hosts. The same fault elsewhere: a 3xx or 4xx with a signature counted as a part; it is a failure of the shard now.

Why it works: nothing else puts values into that list.

--- a/features/platform_edge.feature
+++ b/features/platform_edge.feature
@@ -80,6 +80,29 @@
       | 503    | Attempt-Id: a1; Server-Seal: s                       | failed       |
       | 421    | Instance-Id: i-2                                     | moved        |
 
+  Scenario Outline: Only a success with one readable signature is part of a merged answer
+    # Guards against a merged answer that names a signature which no server gave, or a server's
+    # failure. Callers take all of such an answer for wrong.
+    Given a forwarded request with the ID "a1"
+    Then a shard's answer of status <status> with the signatures "<signatures>" is <fault>
+
+    Examples:
+      | status | signatures | fault   |
+      | 200    | s.01       | none    |
+      | 206    | s.01       | none    |
+      | 200    |            | garbage |
+      | 200    | a, b       | garbage |
+      | 200    | a b        | garbage |
+      | 200    | s;s        | garbage |
+      | 200    | s\xe9      | garbage |
+      | 200    | s\x00      | garbage |
+      | 302    | s.01       | failed  |
+      | 404    | s.01       | failed  |
+      | 429    | s.01       | failed  |
+
+  Scenario: No signature of a server spoils an answer
+    Then any bytes as signatures are refused, or are passed on in a head that clients can read
+
   Scenario: Hop-by-hop header fields are not forwarded
     # Forwarding them would allow request smuggling: a caller that sets framing fields could insert
     # a request before that of the next caller.
--- a/features/steps/platform_edge_steps.py
+++ b/features/steps/platform_edge_steps.py
@@ -3,8 +3,12 @@
 import copy
 from pathlib import Path
 
+import h11
 import orjson
 from behave import given, then
+from hypothesis import given as generated
+from hypothesis import seed, settings
+from hypothesis import strategies as st
 
 from alderhatch.core.forwarding.outcome import Answered, Failed, FailureReason, NotRun
 from alderhatch.core.forwarding.route import AllShards, OneUpstream
@@ -68,6 +72,7 @@
     "warmup-left-ms": 0,
     "instance-id": "i-1",
 }
+SIGNATURE_BYTES = st.one_of(st.binary(max_size=40), st.text(" ,;=.a1", max_size=6).map(str.encode))
 SETTINGS = """node-name=frontend-austin-hall-1
 ip=10.1.0.6
 zone=austin-hall
@@ -235,6 +240,46 @@
     assert (parsed.fault or "none") == fault, parsed
 
 
+@then('a shard\'s answer of status {status:d} with the signatures "{signatures}" is {fault}')
+@then('a shard\'s answer of status {status:d} with the signatures "" is {fault}')
+def step_part_classified(context, status, fault, signatures=""):
+    values = signatures.encode().decode("unicode_escape").encode("latin-1").split(b";")
+    headers = [(b"attempt-id", b"a1"), *((b"server-seal", value) for value in values)]
+    answer = HttpReply(status, headers, b"x" * 16)
+    parsed = PlatformDialect().read_answer(context.caller_request, answer, is_part=True)
+    assert (parsed.fault or "none") == fault, parsed
+
+
+@then("any bytes as signatures are refused, or are passed on in a head that clients can read")
+def step_any_signatures(context):
+    dialect = PlatformDialect()
+    request = caller_request([])
+    route = scatter_route(["u0", "u1"])
+
+    @seed(50)
+    @settings(max_examples=300, deadline=None, database=None)
+    @generated(st.lists(SIGNATURE_BYTES, min_size=1, max_size=3))
+    def check(signatures):
+        replies = [
+            HttpReply(200, [(b"attempt-id", b"a1"), (b"server-seal", one)], b"x" * 16)
+            for one in signatures
+        ]
+        parts = {
+            f"u{index}": one
+            for index, one in enumerate(replies)
+            if dialect.read_answer(request, one, is_part=True).fault is None
+        }
+        response = dialect.response(route, Answered(parts, 0))
+        named = next(value for name, value in response.fields if name == b"part-seals")
+        head = h11.Response(status_code=200, headers=response.fields)
+        assert dict(head.headers)[b"part-seals"] == named
+        assert [one for one in named.split(b", ") if one] == [
+            one.header(b"server-seal") for one in parts.values()
+        ]
+
+    check()
+
+
 @given("a caller's request with the fields")
 def step_caller_fields(context):
     fields = [(row["name"].lower().encode(), row["value"].encode()) for row in context.table]
--- a/src/alderhatch/core/forwarding/parts_bundle.py
+++ b/src/alderhatch/core/forwarding/parts_bundle.py
@@ -2,8 +2,19 @@
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 
+MAX_SIGNATURE_BYTES = 256
+"""Longer ones would let a few servers fill the head of a merged answer."""
+SIGNATURE = re.compile(rb"[!-+\--~]+")
+"""Visible ASCII without the comma, which separates signatures in a merged answer."""
+
+
+def is_signature(value: bytes) -> bool:
+    """Return whether a value can stand in the list of signatures of a merged answer."""
+    return len(value) <= MAX_SIGNATURE_BYTES and SIGNATURE.fullmatch(value) is not None
+
 
 class PartsBundle(NamedTuple):
     """The merged answers of some shards."""
--- a/src/alderhatch/node/dialect.py
+++ b/src/alderhatch/node/dialect.py
@@ -76,10 +76,17 @@
     def server_fields(self, req: CallerRequest, server_id: str, time_left: Millis) -> HeaderFields:
         """Return the header fields of a request to a server."""
 
-    def read_answer(self, req: CallerRequest, reply: HttpReply) -> ParsedAnswer:
+    def read_answer(
+        self, req: CallerRequest, reply: HttpReply, is_part: bool = False
+    ) -> ParsedAnswer:
         """Parse a server's answer.
 
         An answer that echoes the ID of another request is a ``WRONG_ANSWER``.
+
+        Args:
+            req: The request.
+            reply: The answer.
+            is_part: Whether it is to be merged with the answers of other shards.
         """
 
     def bundle(self, destination: AllShards, replies: Mapping[str, HttpReply]) -> PartsBundle:
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import suppress
+from functools import partial
 
 import trio
 
@@ -11,6 +12,7 @@
 from ..core.forwarding.effects import Cancel, Effect, Finish, Send
 from ..core.forwarding.forward_run import ForwardRun
 from ..core.forwarding.outcome import Outcome
+from ..core.forwarding.route import AllShards
 from ..core.forwarding.target_table import EVACUATED_SOURCE
 from ..entry.attempt_faults import ATTEMPT_FAULTS
 from ..entry.connection_pool import ConnectionPool
@@ -164,7 +166,7 @@
             raise HttpExchangeError("no time is left", ExchangeFault.NOT_SENT)
         req = active.req
         fields = self._dialect.server_fields(req, server_id, time_left)
-        parse = self._dialect.read_answer
+        parse = partial(self._dialect.read_answer, is_part=active.is_part)
         conn.record_request(req.request_id)
         reply = await conn.forward(
             req.http.method,
@@ -196,6 +198,8 @@
         """In which its parts wait for their turns; None for a share of another host's gather."""
         self.fingerprint = req.fingerprint
         """Computed once, as a request over all shards has many attempts."""
+        self.is_part = isinstance(run.route.destination, AllShards)
+        """Whether the answers are merged with those of other shards."""
         self._runner = runner
         self._clock = LoopClock()
         self._scopes: dict[int, trio.CancelScope] = {}
--- a/src/alderhatch/node/gather_messages.py
+++ b/src/alderhatch/node/gather_messages.py
@@ -7,7 +7,7 @@
 from typing import Any, NamedTuple, TypeAlias
 
 from ..clock import Millis
-from ..core.forwarding.parts_bundle import PartsBundle
+from ..core.forwarding.parts_bundle import PartsBundle, is_signature
 from ..core.forwarding.top_k import RECORD_BYTES
 from ..errors import AlderhatchError, ErrorKind, Failure
 from .hand_over_messages import Field, HandedAnswer, HandedRefusal
@@ -90,8 +90,10 @@
     for field, positions in (("shards", update.shards), ("spent", update.spent)):
         if not all(0 <= position < len(shards) for position in positions):
             raise ValueError(f"{field}: position outside the shards of the request")
-    if len(update.signatures) != len(update.shards) or not all(update.signatures):
-        raise ValueError("signatures: expected one non-empty signature for each shard")
+    if len(update.signatures) != len(update.shards) or not all(
+        map(is_signature, update.signatures)
+    ):
+        raise ValueError("signatures: expected one valid signature for each shard")
     if len(update.records) > max_records * RECORD_BYTES or len(update.records) % RECORD_BYTES:
         raise ValueError(f"records: unexpected length of {len(update.records)} bytes")
     names = tuple(shards[position] for position in update.shards)
--- a/src/alderhatch/platform/dialect.py
+++ b/src/alderhatch/platform/dialect.py
@@ -9,7 +9,7 @@
 from ..core.entry_events import AttemptFault, LoadReport
 from ..core.forwarding.organisation import Organisation
 from ..core.forwarding.outcome import Answered, Failed, FailureReason, Gathered, NotRun, Outcome
-from ..core.forwarding.parts_bundle import PartsBundle
+from ..core.forwarding.parts_bundle import PartsBundle, is_signature
 from ..core.forwarding.route import AllShards, Route
 from ..core.forwarding.top_k import merge_top_k
 from ..errors import AlderhatchError, ErrorKind, Failure
@@ -71,7 +71,9 @@
             (wire.EXPECTED_SERVER, server_id.encode("ascii")),
         ]
 
-    def read_answer(self, req: CallerRequest, reply: HttpReply) -> ParsedAnswer:
+    def read_answer(
+        self, req: CallerRequest, reply: HttpReply, is_part: bool = False
+    ) -> ParsedAnswer:
         """Classify a server's answer."""
         echoed_id = reply.header(wire.REQUEST_ID)
         # A faulty server may repeat the answer to an earlier request in place of this one. Only
@@ -84,7 +86,7 @@
         )
         if is_mismatched:
             return ParsedAnswer(AttemptFault.WRONG_ANSWER)
-        fault = _fault_of(reply)
+        fault = _fault_of(reply, is_part)
         retry_after = _retry_after(reply) if fault is AttemptFault.SHED else None
         return ParsedAnswer(fault, _load_report(reply), retry_after, echoed_id is not None)
 
@@ -163,19 +165,25 @@
     return HttpResponse(reply.status, reply.body, None, (), fields)
 
 
-def _fault_of(reply: HttpReply) -> AttemptFault | None:
+def _fault_of(reply: HttpReply, is_part: bool) -> AttemptFault | None:
     """Return what is wrong with an answer that belongs to its request; None if nothing is."""
     if reply.status == 421:
         return AttemptFault.MOVED
     if reply.header(wire.NOT_RUN) is not None:
         return AttemptFault.SHED
-    if reply.status >= 500:
+    if reply.status >= 500 or (is_part and reply.status >= 300):
         return AttemptFault.FAILED
-    if reply.header(wire.SEAL) is None or reply.header(wire.ENCODING) is not None:
+    if not _is_signed(reply) or reply.header(wire.ENCODING) is not None:
         return AttemptFault.GARBAGE
     return None
 
 
+def _is_signed(reply: HttpReply) -> bool:
+    """Return whether an answer has exactly one signature, and one that can be passed on."""
+    signatures = [value for name, value in reply.headers if name == wire.SEAL]
+    return len(signatures) == 1 and is_signature(signatures[0])
+
+
 def _load_report(reply: HttpReply) -> LoadReport | None:
     value = reply.header(wire.LOAD)
     if value is None:
