One client's connection ends alone: HEAD, CONNECT and unwritable responses

Cause: the body was written to HEAD requests and after 304, and 2xx to CONNECT, which h11 refuses; serve_http caught two errors only, so the third one ended the listener's nursery and the process.

Change: HEAD, 204 and 304 get no body, CONNECT 400, a response that can't be written becomes a 500.

--- a/src/alderhatch/http/server.py
+++ b/src/alderhatch/http/server.py
@@ -16,6 +16,7 @@
 from ..log import log_event
 from ..log_events import LogEvent
 from ..loop_delay import LoopDelay
+from ..task_faults import TaskKind, record_task_fault
 from .messages import HttpLimits, HttpRequest, HttpResponse, failure_response
 
 Handler: TypeAlias = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -27,6 +28,7 @@
 """Offset of the smoothed round-trip time, in microseconds, in the kernel's ``struct tcp_info``."""
 DRAIN_TIMEOUT: Millis = 1000.0
 MAX_DRAIN_BYTES = 4 * 1024 * 1024
+BODILESS_STATUSES = (204, 304)
 
 
 class ServeState:
@@ -80,6 +82,10 @@
             await _ServerConnection(stream, handler, get_limits, serve_state).run()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
+        except Exception as exc:
+            # Uncaught, it would end the listener and with it the process, and all other clients
+            # would lose what they wait for.
+            record_task_fault(TaskKind.CONNECTION, exc)
         finally:
             serve_state.connections -= 1
             await trio.aclose_forcefully(stream)
@@ -107,6 +113,8 @@
         self._answered_count = 0
         self._round_trip = measure_round_trip(stream)
         self._unread_time: Millis = 0.0
+        self._method = b""
+        """Of the current request; empty until its head has been read."""
 
     async def run(self) -> None:
         while True:
@@ -146,6 +154,7 @@
 
     async def _read_request(self) -> HttpRequest | None:
         self._limits = self._current_limits()
+        self._method = b""
         with trio.move_on_after(self._limits.idle_timeout / SECOND):
             if not await self._await_first_bytes():
                 return None
@@ -199,6 +208,10 @@
             return None
         if not isinstance(head, h11.Request):
             raise _request_error(ErrorKind.BAD_REQUEST, "expected a request head")
+        self._method = head.method
+        if head.method == b"CONNECT":
+            # A tunnel has no response that could be passed on.
+            raise _request_error(ErrorKind.BAD_REQUEST, "the method CONNECT is not supported")
         # h11 limits only incomplete heads; one that arrives in a single read is not checked.
         if sum(len(name) + len(value) for name, value in head.headers) > self._limits.head_bytes:
             message = f"request head is larger than {self._limits.head_bytes} bytes"
@@ -253,19 +266,20 @@
             self._pipelined += bytes(data)
 
     async def _send(self, response: HttpResponse, close: bool = False) -> None:
-        headers = [(b"Content-Length", b"%d" % len(response.body)), *response.fields]
-        if response.content_type is not None:
-            headers.append((b"Content-Type", response.content_type.encode("ascii")))
-        headers += [
-            (name.encode("ascii"), value.encode("ascii")) for name, value in response.headers
-        ]
-        if close:
-            headers.append((b"Connection", b"close"))
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        head = h11.Response(status_code=response.status, headers=headers)
+        try:
+            head = _response_head(response, close)
+        except (h11.LocalProtocolError, ValueError) as exc:
+            # A field from a server or another host that no head can carry.
+            record_task_fault(TaskKind.RESPONSE, exc)
+            response = failure_response(
+                Failure(ErrorKind.INTERNAL, "the response can't be written")
+            )
+            head = _response_head(response, close)
         data = self._http.send(head) or b""
-        data += self._http.send(h11.Data(data=response.body)) or b""
+        if self._method != b"HEAD" and response.status not in BODILESS_STATUSES:
+            data += self._http.send(h11.Data(data=response.body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         with trio.move_on_after(self._limits.request_timeout / SECOND):
             await self._stream.send_all(data)
@@ -273,6 +287,22 @@
         raise trio.BrokenResourceError("client did not read its response within the timeout")
 
 
+def _response_head(response: HttpResponse, close: bool) -> h11.Response:
+    """Return the head of a response.
+
+    Raises:
+        h11.LocalProtocolError: If the status or a field is invalid.
+        ValueError: If a field can't be encoded.
+    """
+    headers = [(b"Content-Length", b"%d" % len(response.body)), *response.fields]
+    if response.content_type is not None:
+        headers.append((b"Content-Type", response.content_type.encode("ascii")))
+    headers += [(name.encode("ascii"), value.encode("ascii")) for name, value in response.headers]
+    if close:
+        headers.append((b"Connection", b"close"))
+    return h11.Response(status_code=response.status, headers=headers)
+
+
 def measure_round_trip(stream: trio.SocketStream) -> Millis:
     """Return the round-trip time of a connection in milliseconds; 0 if it is not available."""
     try:
--- a/src/alderhatch/log_events.py
+++ b/src/alderhatch/log_events.py
@@ -39,6 +39,11 @@
         "A server's answer does not match the shard request; it is discarded.",
     )
     ENTRY_FAULT = EventRow(1090, logging.ERROR, "Internal error in the entry; see the traceback.")
+    TASK_FAULT = EventRow(
+        1093,
+        logging.ERROR,
+        "One connection, attempt or entry ended by an internal error; see the traceback.",
+    )
 
     CONTROL_LINK_LOST = EventRow(
         1041, logging.WARNING, "The link to a control host is lost; the entry tries the next host."
--- a/src/alderhatch/metric_catalogue.py
+++ b/src/alderhatch/metric_catalogue.py
@@ -59,6 +59,13 @@
         Unit.SECONDS,
         "Time since the process started.",
     )
+    PROCESS_TASK_FAULTS = MetricRow(
+        "alderhatch_process_task_faults_total",
+        MetricKind.COUNTER,
+        Unit.ONE,
+        "Connections, attempts and entries that an internal error ended; the process went on.",
+        ("task",),
+    )
     NODE_REQUESTS = MetricRow(
         "alderhatch_node_requests_total",
         MetricKind.COUNTER,
--- a/src/alderhatch/metrics.py
+++ b/src/alderhatch/metrics.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
+from . import task_faults
 from .clock import SECOND
 from .metric_catalogue import Metric, MetricKind, Unit
 
@@ -153,6 +154,8 @@
         self.set(Metric.PROCESS_CPU, usage.ru_utime + usage.ru_stime)
         self.set(Metric.PROCESS_MEMORY, usage.ru_maxrss * 1024)
         self.set(Metric.PROCESS_UPTIME, time.monotonic() - self._started_at)
+        for task, count in task_faults.counts.items():
+            self.set(Metric.PROCESS_TASK_FAULTS, count, task)
 
     def _collector(self, metric: Metric, registry: Registry) -> Collector:
         from aioprometheus.collectors import Counter, Gauge
