An entry of the server list that names no usable server ends nothing

Cause: parse_server took any text before the last colon for an address; opening the connection raised UnicodeError, which nobody expected, and ended the pool and the process on every host.

Change: IP address, port, an ID that a header field can carry, readable names, bounded figures, all checked in parse_server. Text that is no address is a server that can't be reached. An unexpected error in one opening, or in one read of the list, ends that alone and is counted.

--- a/features/platform_edge.feature
+++ b/features/platform_edge.feature
@@ -46,16 +46,24 @@
     Then only the other server is read from the list
 
     Examples:
-      | error                       |
-      | is a string                 |
-      | is null                     |
-      | has no instance-id          |
-      | has a number as service     |
-      | has an address without port |
-      | has a port out of range     |
-      | has 0 slots                 |
-      | has true as slots           |
-      | has an unknown state        |
+      | error                                           |
+      | is a string                                     |
+      | is null                                         |
+      | has no instance-id                              |
+      | has a number as service                         |
+      | has an address without port                     |
+      | has a port out of range                         |
+      | has 0 slots                                     |
+      | has true as slots                               |
+      | has an unknown state                            |
+      | has unreadable bytes as address                 |
+      | has a host name as address                      |
+      | has an endless port                             |
+      | has digits of another script as port            |
+      | has an instance-id that no header field carries |
+      | has an unreadable service                       |
+      | has a lone surrogate as zone                    |
+      | has endless slots                               |
 
   Scenario: The states of draining and warming servers are read
     Given a list of servers with one that is draining and one that finishes warming up in 2500 ms
--- a/features/steps/platform_edge_steps.py
+++ b/features/steps/platform_edge_steps.py
@@ -196,6 +196,14 @@
     "has 0 slots": SERVER | {"max-concurrency": 0},
     "has true as slots": SERVER | {"max-concurrency": True},
     "has an unknown state": SERVER | {"state": "dreaming"},
+    "has unreadable bytes as address": SERVER | {"address": "\ufffd\ufffd:8080"},
+    "has a host name as address": SERVER | {"address": "somewhere:8080"},
+    "has an endless port": SERVER | {"address": "10.128.0.9:" + "9" * 5000},
+    "has digits of another script as port": SERVER | {"address": "10.128.0.9:\u0661\u0662"},
+    "has an instance-id that no header field carries": SERVER | {"instance-id": "i\u20ac\r\n2"},
+    "has an unreadable service": SERVER | {"service": "s\ufffd"},
+    "has a lone surrogate as zone": SERVER | {"zone": "\ud800"},
+    "has endless slots": SERVER | {"max-concurrency": 10**400},
 }
 
 
--- a/src/alderhatch/entry/connection_pool.py
+++ b/src/alderhatch/entry/connection_pool.py
@@ -11,6 +11,7 @@
 from ..http.client import open_http
 from ..http.connection import HttpConnection
 from ..http.exchange import ExchangeFault, HttpExchangeError
+from ..task_faults import TaskKind, record_task_fault
 from .open_queue import OpenQueue
 from .server_connections import ServerConnections, Waiter
 
@@ -285,7 +286,7 @@
         server = conns.server
         asked_at = self._clock.now()
         try:
-            conn = await open_http(server.address, server.port, CONNECT_TIMEOUT)
+            conn = await self._connect(server)
         except HttpExchangeError as exc:
             conns.opening = False
             conns.record_open_failure(exc, self._clock.now())
@@ -302,6 +303,17 @@
         conns.put(conn, self._clock.now())
         self._open_if_needed(conns)
 
+    async def _connect(self, server: Server) -> HttpConnection:
+        try:
+            return await open_http(server.address, server.port, CONNECT_TIMEOUT)
+        except HttpExchangeError:
+            raise
+        except Exception as exc:
+            # Uncaught, it would end the pool and with it the process, for one server's entry.
+            record_task_fault(TaskKind.OPENING, exc)
+            message = f"no connection to {server.server_id}: {exc}"
+            raise HttpExchangeError(message, ExchangeFault.NOT_SENT) from exc
+
     async def _sweep(self) -> None:
         try:
             swept_at = self._clock.now()
--- a/src/alderhatch/http/client.py
+++ b/src/alderhatch/http/client.py
@@ -47,10 +47,11 @@
     try:
         with trio.fail_after(timeout / SECOND):
             stream = await trio.open_tcp_stream(address, port)
-    except (OSError, trio.TooSlowError) as exc:
+        _enable_dead_peer_detection(stream)
+    except (OSError, ValueError, trio.TooSlowError) as exc:
+        # A ValueError comes from text that is no address.
         message = f"no connection to {address}:{port}: {exc}"
         raise HttpExchangeError(message, ExchangeFault.NOT_SENT, _is_refused(exc)) from exc
-    _enable_dead_peer_detection(stream)
     return HttpConnection(stream, f"{address}:{port}", trio.current_time() * SECOND)
 
 
--- a/src/alderhatch/node/server_list.py
+++ b/src/alderhatch/node/server_list.py
@@ -11,6 +11,7 @@
 from ..core.forwarding.server_record import ServerRecord
 from ..log import log_event
 from ..log_events import LogEvent
+from ..task_faults import TaskKind, record_task_fault
 from .node_state import NodeState
 from .tier_server import TierServer
 
@@ -101,9 +102,12 @@
         try:
             listed = await self._source.read()
         except ListUnavailableError as exc:
-            if self._is_readable:
-                log_event(LogEvent.SERVER_LIST_LOST, why=str(exc))
-            self._is_readable = False
+            self._on_unreadable(str(exc))
+            return
+        except Exception as exc:
+            # The servers that were listed before are still there.
+            record_task_fault(TaskKind.LIST, exc)
+            self._on_unreadable(str(exc))
             return
         if not self._is_readable:
             log_event(LogEvent.SERVER_LIST_BACK, servers=len(listed))
@@ -118,6 +122,11 @@
             self._state.apply_servers(records.values(), list(self._state.records))
         self._state.mark_list_fresh()
 
+    def _on_unreadable(self, why: str) -> None:
+        if self._is_readable:
+            log_event(LogEvent.SERVER_LIST_LOST, why=why)
+        self._is_readable = False
+
     def _with_stable_warm_up(self, record: ServerRecord) -> ServerRecord:
         """Return a record that differs from the last one only if the server has changed.
 
--- a/src/alderhatch/platform/server_list.py
+++ b/src/alderhatch/platform/server_list.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import re
+from collections.abc import Mapping
+from ipaddress import ip_address
 from typing import Any
 from urllib.parse import quote
 
 import orjson
 
-from ..clock import Millis
+from ..clock import HOUR, Millis
 from ..core.forwarding.server_record import ServerRecord
 from ..http.client import exchange_within, open_http
 from ..http.connection import HttpConnection
@@ -17,6 +20,14 @@
 PAGE_TIMEOUT: Millis = 700.0
 """Longest time for one page. The list is read again shortly afterwards."""
 MAX_PAGES = 200
+MAX_SLOTS = 1_000_000
+MAX_WARM_UP: Millis = 1 * HOUR
+"""Longer times, and those that aren't numbers, count as none."""
+FIELD_TOKEN = re.compile(r"[!-~]{1,256}")
+"""Text that a header field can carry, as the ID of a server is sent to it."""
+PORT = re.compile(r"[0-9]{1,5}")
+UNREADABLE = "\ufffd"
+"""Stands for bytes that aren't text."""
 
 
 class PlatformServerList:
@@ -48,7 +59,9 @@
             next_token = page.get("next-token")
             if not isinstance(next_token, str) or not next_token:
                 return records
-            token = next_token
+            token = _text(page, "next-token")
+            if not token:
+                raise ListUnavailableError("next-token: can't be read")
         raise ListUnavailableError(f"the list has more than {MAX_PAGES} pages")
 
     async def _fetch_page(self, token: str) -> bytes:
@@ -91,28 +104,55 @@
 def parse_server(raw: object) -> ServerRecord | None:
     """Return the server of a list entry, or None if the entry is invalid.
 
-    Entries may come from other writers, with fields missing or of another type. An invalid entry
-    is ignored and must not affect the others.
+    Entries may come from other writers, with fields missing or of another type, or with text that
+    can't be read. An invalid entry is ignored and must not affect the others.
     """
     if not isinstance(raw, dict):
         return None
-    texts = [raw.get(name) for name in ("instance-id", "service", "address", "zone")]
-    present = [text for text in texts if isinstance(text, str) and text]
-    if len(present) < len(texts):
-        return None
-    server_id, upstream, endpoint, zone = present
-    address, _, port = endpoint.rpartition(":")
-    slots = raw.get("max-concurrency")
+    server_id = _text(raw, "instance-id")
+    upstream = _text(raw, "service")
+    zone = _text(raw, "zone")
+    endpoint = _endpoint(_text(raw, "address"))
+    slots = _slots(raw)
     state = raw.get("state")
-    if not address or not port.isdecimal() or not 0 < int(port) < 65536:
+    if not upstream or not zone or endpoint is None or slots is None:
+        return None
+    if FIELD_TOKEN.fullmatch(server_id) is None or state not in ("ready", "draining"):
+        return None
+    address, port = endpoint
+    is_draining = state == "draining"
+    return ServerRecord(server_id, upstream, address, port, zone, slots, is_draining, _warm_up(raw))
+
+
+def _text(raw: Mapping[str, Any], name: str) -> str:
+    """Return the text of a field; empty if it is none, or can't be read."""
+    value = raw.get(name)
+    if not isinstance(value, str) or not value.isprintable() or UNREADABLE in value:
+        return ""
+    return value
+
+
+def _endpoint(text: str) -> tuple[str, int] | None:
+    """Return the IP address and port of a text such as ``10.1.0.9:8080``; None if it has none."""
+    address, _, port = text.rpartition(":")
+    if PORT.fullmatch(port) is None or not 0 < int(port) < 65536:
         return None
-    if isinstance(slots, bool) or not isinstance(slots, int) or slots < 1:
+    try:
+        return str(ip_address(address.removeprefix("[").removesuffix("]"))), int(port)
+    except ValueError:
+        # A name would have to be looked up, and other text ends the attempt to connect.
         return None
-    if state not in ("ready", "draining"):
+
+
+def _slots(raw: Mapping[str, Any]) -> int | None:
+    slots = raw.get("max-concurrency")
+    if isinstance(slots, bool) or not isinstance(slots, int) or not 0 < slots <= MAX_SLOTS:
         return None
+    return slots
+
+
+def _warm_up(raw: Mapping[str, Any]) -> Millis:
     warm_up = raw.get("warmup-left-ms")
     if isinstance(warm_up, bool) or not isinstance(warm_up, (int, float)):
-        warm_up = 0
-    return ServerRecord(
-        server_id, upstream, address, int(port), zone, slots, state == "draining", float(warm_up)
-    )
+        return 0.0
+    return float(warm_up) if 0 <= warm_up <= MAX_WARM_UP else 0.0
