One entry that can't be read leaves the rest of the server list readable

Cause: orjson refuses a page for any text or number in it that it can't read, and the whole page was given up.

Evidence: the seven examples of "The servers of the other entries are read" fail before with the list reported as unreadable, and so do the generated entries.

Change: a page that is refused is parsed again, with replacements for what can't be read; parse_server then leaves that entry out. Pages that can be read take the way of before, so this costs nothing on them.

--- a/features/server_list_border.feature
+++ b/features/server_list_border.feature
@@ -7,6 +7,27 @@
     When 6 requests are forwarded to that upstream
     Then all of them are answered by the server
 
+  Scenario Outline: The servers of the other entries are read from a list with <what>
+    # Guards against a list that is refused as a whole for one entry: hosts would go on sending to
+    # servers that the list names as leaving.
+    Given a list of a draining server and an entry with <what>
+    When the list is read over HTTP
+    Then the server is read as draining, and the entry is left out
+
+    Examples:
+      | what                    |
+      | bytes that aren't UTF-8 |
+      | a lone surrogate        |
+      | a control character     |
+      | a number of 400 digits  |
+      | a number of 5000 digits |
+      | NaN as slots            |
+      | an infinite warm-up     |
+
+  Scenario: Any entries beside a server's
+    # Guards against the same in a form that no example has.
+    Then no entries of another writer keep a server from being read, and what is read can be used
+
   Scenario: Any bytes as a list
     # Guards against a list that ends the process instead of being read again later.
     Then any bytes as a list are read, or reported as an unreadable list
--- a/src/alderhatch/platform/server_list.py
+++ b/src/alderhatch/platform/server_list.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import re
 from collections.abc import Mapping
 from ipaddress import ip_address
@@ -23,6 +24,7 @@
 MAX_SLOTS = 1_000_000
 MAX_WARM_UP: Millis = 1 * HOUR
 """Longer times, and those that aren't numbers, count as none."""
+MAX_INTEGER_DIGITS = 18
 FIELD_TOKEN = re.compile(r"[!-~]{1,256}")
 """Text that a header field can carry, as the ID of a server is sent to it."""
 PORT = re.compile(r"[0-9]{1,5}")
@@ -93,14 +95,28 @@
 
 def _parse_page(body: bytes) -> dict[str, Any]:
     try:
-        page = orjson.loads(body)
-    except orjson.JSONDecodeError as exc:
+        page = _load_json(body)
+    except (ValueError, RecursionError) as exc:
         raise ListUnavailableError(f"not JSON: {exc}") from exc
     if not isinstance(page, dict) or not isinstance(page.get("instances"), list):
         raise ListUnavailableError("expected an object with a list in 'instances'")
     return page
 
 
+def _load_json(body: bytes) -> object:
+    try:
+        return orjson.loads(body)
+    except orjson.JSONDecodeError:
+        # A text or number of a single entry may be what can't be read. With the whole page refused,
+        # hosts would go on sending to servers that other entries name as leaving.
+        text = body.decode("utf-8", "replace")
+        return json.loads(text, strict=False, parse_int=_integer, parse_constant=lambda name: None)
+
+
+def _integer(digits: str) -> int | None:
+    return int(digits) if len(digits) <= MAX_INTEGER_DIGITS else None
+
+
 def parse_server(raw: object) -> ServerRecord | None:
     """Return the server of a list entry, or None if the entry is invalid.
 
