An error in one attempt, link or opening ends that alone, its caller answered

Cause: LoopTasks and the pool run their tasks in one nursery, and nothing bounded what one of them takes along.

Change: LoopTasks records such an error and goes on. An attempt that fails so counts as garbage of its server and the request goes on elsewhere; if the request's own state fails, its caller gets the failure at once and nothing stays in flight. A link, also before it is authenticated, ends alone; a leader whose message can't be applied is followed again. Links of the replicated log are left as they were: after an error there the state is unknown, and the disk knows better.

--- a/features/support/scripted_servers.py
+++ b/features/support/scripted_servers.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from alderhatch.clock import SECOND, LoopClock
+from alderhatch.clock import LoopClock
 from alderhatch.core.control.configuration_register import StoredConfiguration
 from alderhatch.core.forwarding.forward_run import ForwardRun
 from alderhatch.core.forwarding.route import CallerLimits, TierConfiguration, UpstreamSettings
@@ -114,6 +114,11 @@
         self.pool = ConnectionPool(CONNECTIONS, 1000.0, spares=False)
         self.state = None
         self.runner = None
+        self.began = 0.0
+        """When the scene began, in milliseconds of its clock."""
+
+    def now(self):
+        return self._clock.now()
 
     def run(self, scene):
         """Run an async function of this scene to its end."""
@@ -122,6 +127,7 @@
             with trio.fail_after(SCENE_TIMEOUT_S):
                 async with trio.open_nursery() as nursery:
                     await self._start(nursery)
+                    self.began = self.now()
                     await scene(self)
                     nursery.cancel_scope.cancel()
 
@@ -156,7 +162,7 @@
         headers = {name.decode(): value.decode() for name, value in fields}
         http = HttpRequest(method, "/x", {}, headers, body, "/x", fields)
         req = self.dialect.read_request(http)
-        now = trio.current_time() * SECOND
+        now = self.now()
         upstreams = route.upstreams
         run = ForwardRun(
             route, upstreams, RunTimes(now, now + timeout, now + timeout), self.state.table
--- a/src/alderhatch/entry/attempt_runner.py
+++ b/src/alderhatch/entry/attempt_runner.py
@@ -20,6 +20,7 @@
 from ..log import log_event
 from ..log_events import LogEvent
 from ..loop_tasks import LoopTasks
+from ..task_faults import TaskKind, record_task_fault
 from .attempt_faults import ATTEMPT_FAULTS
 from .connection_pool import ConnectionPool
 from .owner_client import OwnerClient
@@ -82,7 +83,7 @@
         cancelling it ends the attempt."""
         self._idle: list[_Worker] = []
         """Tasks without an attempt, the most recently used last."""
-        self._tasks = LoopTasks()
+        self._tasks = LoopTasks(TaskKind.ATTEMPT)
         self._next_log_at: dict[str, Millis] = {}
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -134,8 +135,14 @@
         return trio.lowlevel.Abort.SUCCEEDED
 
     async def _attempt(self, send: SendShard, conn: HttpConnection) -> None:
+        event: ShardAnswered | AttemptFailed
         try:
             event = await self._exchange(send, conn)
+        except Exception as exc:
+            # The query goes on elsewhere; without an outcome it would wait for its deadline.
+            record_task_fault(TaskKind.ATTEMPT, exc)
+            conn.usable = False
+            event = AttemptFailed(send.attempt, AttemptFault.GARBAGE)
         finally:
             self._pool.release(send.server_id, conn)
         self._report_end(event)
--- a/src/alderhatch/entry/owner_client.py
+++ b/src/alderhatch/entry/owner_client.py
@@ -17,6 +17,7 @@
 from ..log import log_event
 from ..log_events import LogEvent
 from ..loop_tasks import LoopTasks
+from ..task_faults import TaskKind
 from .owner_link import OwnerCallError, OwnerLink
 from .owner_messages import (
     ENTRY_ROLE,
@@ -81,7 +82,7 @@
         self._links: dict[str, OwnerLink] = {}
         self._dial_scopes: dict[str, trio.CancelScope] = {}
         self._next_dial_at: dict[str, Millis] = {}
-        self._tasks = LoopTasks()
+        self._tasks = LoopTasks(TaskKind.LINK)
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Run the links until cancelled."""
--- a/src/alderhatch/link.py
+++ b/src/alderhatch/link.py
@@ -22,6 +22,7 @@
 from .errors import AlderhatchError, ErrorKind, Failure
 from .log import log_event
 from .log_events import LogEvent
+from .task_faults import TaskKind, record_task_fault
 
 NONCE_BYTES = 16
 OPEN_TIMEOUT: Millis = 2 * SECOND
@@ -224,10 +225,8 @@
     roles: Mapping[str, str],
     handler: Callable[[Link], Awaitable[None]],
 ) -> None:
-    peer: Peer | None = None
     try:
-        with trio.move_on_after(OPEN_TIMEOUT / SECOND):
-            peer = await _authenticate_client(conn, secret, local_peer, roles)
+        peer = await _authenticated_peer(conn, secret, local_peer, roles)
         if peer is None:
             log_event(LogEvent.LINK_REFUSED, remote=str(conn.remote_address))
             return
@@ -238,6 +237,21 @@
         return
 
 
+async def _authenticated_peer(
+    conn: ServerConnection, secret: bytes, local_peer: Peer, roles: Mapping[str, str]
+) -> Peer | None:
+    """Return the peer, or None if it hasn't authenticated itself in time."""
+    try:
+        with trio.move_on_after(OPEN_TIMEOUT / SECOND):
+            return await _authenticate_client(conn, secret, local_peer, roles)
+    except (AlderhatchError, ConnectionClosed, trio.BrokenResourceError, trio.ClosedResourceError):
+        raise
+    except Exception as exc:
+        # Anyone who reaches the port can send this; uncaught, it would end the listener.
+        record_task_fault(TaskKind.LINK, exc)
+    return None
+
+
 @asynccontextmanager
 async def open_link(
     host: str,
--- a/src/alderhatch/loop_tasks.py
+++ b/src/alderhatch/loop_tasks.py
@@ -7,13 +7,20 @@
 
 import trio
 
+from .task_faults import TaskKind, record_task_fault
+
 Args = TypeVarTuple("Args")
 
 
 class LoopTasks:
-    """Runs the background tasks of one object in a nursery."""
+    """Runs the background tasks of one object in a nursery; an error in one ends no other.
+
+    Args:
+        kind: What the tasks handle.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, kind: TaskKind) -> None:
+        self._kind = kind
         self._nursery: trio.Nursery | None = None
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -35,4 +42,11 @@
     def start(self, task: Callable[[*Args], Awaitable[object]], *args: *Args) -> None:
         """Start a task; does nothing unless ``run`` is active."""
         if self._nursery is not None:
-            self._nursery.start_soon(task, *args)
+            self._nursery.start_soon(self._run_guarded, task, *args)
+
+    async def _run_guarded(self, task: Callable[[*Args], Awaitable[object]], *args: *Args) -> None:
+        try:
+            await task(*args)
+        except Exception as exc:
+            # Uncaught, it would end the nursery with all other tasks, and the process.
+            record_task_fault(self._kind, exc)
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -11,7 +11,7 @@
 from ..core.entry_events import AttemptFault
 from ..core.forwarding.effects import Cancel, Effect, Finish, Send
 from ..core.forwarding.forward_run import ForwardRun
-from ..core.forwarding.outcome import Outcome
+from ..core.forwarding.outcome import Failed, FailureReason, Outcome
 from ..core.forwarding.route import AllShards
 from ..core.forwarding.target_table import EVACUATED_SOURCE
 from ..entry.attempt_faults import ATTEMPT_FAULTS
@@ -19,6 +19,7 @@
 from ..http.connection import HttpConnection
 from ..http.exchange import ExchangeFault, HttpExchangeError, HttpReply
 from ..loop_tasks import LoopTasks
+from ..task_faults import TaskKind, record_task_fault
 from .dialect import CallerRequest, Dialect, ParsedAnswer
 from .node_state import NodeState
 from .service_turns import ServiceTurn
@@ -51,7 +52,7 @@
         self._table = state.table
         self._dialect = dialect
         self._clock = LoopClock()
-        self._tasks = LoopTasks()
+        self._tasks = LoopTasks(TaskKind.ATTEMPT)
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Host the tasks of the attempts until cancelled."""
@@ -96,6 +97,17 @@
         return scope
 
     async def _attempt(self, active: _ActiveRequest, send: Send, scope: trio.CancelScope) -> None:
+        try:
+            await self._run_attempt(active, send, scope)
+        except Exception as exc:
+            # The request's own state may be wrong now, so no answer of it can be trusted.
+            record_task_fault(TaskKind.ATTEMPT, exc)
+            self._table.record_end(send.target, send.attempt)
+            active.fail()
+
+    async def _run_attempt(
+        self, active: _ActiveRequest, send: Send, scope: trio.CancelScope
+    ) -> None:
         reply: HttpReply | None = None
         parsed = ParsedAnswer(AttemptFault.SILENT)
         with scope:
@@ -103,6 +115,10 @@
                 reply, parsed = await self._exchange(active, send)
             except HttpExchangeError as exc:
                 parsed = ParsedAnswer(ATTEMPT_FAULTS[exc.fault])
+            except Exception as exc:
+                # The server may have got the request, so this is no refusal.
+                record_task_fault(TaskKind.ATTEMPT, exc)
+                parsed = ParsedAnswer(AttemptFault.GARBAGE)
         now = self._clock.now()
         sent_at = self._table.record_end(send.target, send.attempt)
         if scope.cancelled_caught:
@@ -229,6 +245,13 @@
         for scope in self._scopes.values():
             scope.cancel()
 
+    def fail(self) -> None:
+        """End the request after an internal error, as nothing else would answer its caller."""
+        self.cancel_attempts()
+        if self._outcome is None:
+            self._outcome = Failed(FailureReason.FAILED)
+        self._changed.set()
+
     def stop_sending(self) -> None:
         """Send nothing more; attempts in flight may end within ``CANCEL_GRACE_PERIOD``."""
         self._apply(self.run.stop())
--- a/src/alderhatch/node/hand_over_client.py
+++ b/src/alderhatch/node/hand_over_client.py
@@ -17,6 +17,7 @@
 from ..errors import AlderhatchError, ErrorKind, Failure
 from ..http.messages import HttpRequest, HttpResponse
 from ..loop_tasks import LoopTasks
+from ..task_faults import TaskKind
 from .gather_messages import PartsEnd, PartsRequest
 from .hand_over_link import HandOverLink, HandOverLostError, PartsNewsHandler
 from .hand_over_messages import (
@@ -72,7 +73,7 @@
         self._check_hosts = check_hosts
         self._targets = HandOverTargets(state.name, state.zone, rng)
         self._clock = LoopClock()
-        self._tasks = LoopTasks()
+        self._tasks = LoopTasks(TaskKind.LINK)
         self._links: dict[str, HandOverLink] = {}
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
--- a/src/alderhatch/node/host_probe.py
+++ b/src/alderhatch/node/host_probe.py
@@ -162,7 +162,7 @@
         with trio.move_on_after(self._timeout / SECOND):
             try:
                 await self._reach(host)
-            except OSError:
+            except (OSError, ValueError):
                 return
             self.reached[host.name] = True
             if host.name in self._active:
--- a/src/alderhatch/node/quota_client.py
+++ b/src/alderhatch/node/quota_client.py
@@ -18,6 +18,7 @@
 from ..log_events import LogEvent
 from ..loop_tasks import LoopTasks
 from ..signal import Signal
+from ..task_faults import TaskKind
 from .node_state import NodeState
 from .quota_messages import (
     QUOTA_ROLE,
@@ -175,7 +176,7 @@
         self._start = start
         self._open_args = (codec, secret, Peer(state.name, QUOTA_ROLE))
         self._clock = LoopClock()
-        self._tasks = LoopTasks()
+        self._tasks = LoopTasks(TaskKind.LINK)
         self._links: dict[str, _QuotaLink] = {}
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
--- a/src/alderhatch/node/tier_client.py
+++ b/src/alderhatch/node/tier_client.py
@@ -15,6 +15,7 @@
 from ..log import log_event
 from ..log_events import LogEvent
 from ..signal import Signal
+from ..task_faults import TaskKind, record_task_fault
 from .leader_search import LeaderSearch
 from .lease_messages import LEASING_ROLE, LeaseAnswer
 from .lease_renewal import apply_lease_answer, ask_for_leases
@@ -166,6 +167,9 @@
                         await self._follow(place, link, first)
         except LinkClosedError:
             pass
+        except Exception as exc:
+            # What this host serves by stays in force, and the leader is followed again.
+            record_task_fault(TaskKind.LINK, exc)
         finally:
             search.end_query(place)
             if follows:
