Figures of callers and servers are checked where they are decoded

What callers saw (review): a request with the time budget nan ended the process (b"%d" % nan when it was sent on), and so did a server's load of 309 digits (OverflowError in the server's state), with all that was in progress.

Cause: float() and int() take what no header field means: nan, inf, 1e400, 1_000, digits of other scripts, any length.

A load is two figures of six digits at most, a pause a plain number of seconds; what isn't is left out.

After: ten examples, and 300 generated loads and pauses leave a server with a finite estimate and a bounded pause.

--- a/features/platform_edge.feature
+++ b/features/platform_edge.feature
@@ -108,6 +108,35 @@
       | 404    | s.01       | failed  |
       | 429    | s.01       | failed  |
 
+  Scenario Outline: A time budget that is no number is refused, naming the field
+    # Guards against one request that ends the process, as some numbers can't be written to servers.
+    Given a caller's request with the time budget "<budget>"
+    Then it is refused with 400, naming "Time-Budget-Ms"
+
+    Examples:
+      | budget |
+      | nan    |
+      | inf    |
+      | 1e400  |
+      | 1_000  |
+      | soon   |
+      | ٣      |
+
+  Scenario Outline: A time budget is read
+    Given a caller's request with the time budget "<budget>"
+    Then it has <left> ms left
+
+    Examples:
+      | budget          | left     |
+      | 2000            | 2000     |
+      | 1500.25         | 1500.25  |
+      | -3              | -3       |
+      | 999999999999999 | 86400000 |
+
+  Scenario: No figure of a server spoils what is known of it
+    # Guards against one answer that ends the process, or keeps its server out for good.
+    Then any text as load or pause is left out, or is read as a small number
+
   Scenario: No signature of a server spoils an answer
     Then any bytes as signatures are refused, or are passed on in a head that clients can read
 
--- a/features/steps/platform_edge_steps.py
+++ b/features/steps/platform_edge_steps.py
@@ -1,7 +1,9 @@
 from __future__ import annotations
 
 import copy
+from math import inf
 from pathlib import Path
+from random import Random
 
 import h11
 import orjson
@@ -11,7 +13,9 @@
 from hypothesis import strategies as st
 
 from alderhatch.core.forwarding.outcome import Answered, Failed, FailureReason, NotRun
-from alderhatch.core.forwarding.route import AllShards, OneUpstream
+from alderhatch.core.forwarding.route import AllShards, OneUpstream, UpstreamSettings
+from alderhatch.core.forwarding.server_record import ServerRecord
+from alderhatch.core.forwarding.target_table import TargetTable
 from alderhatch.core.policy import Policy, change_policy
 from alderhatch.errors import AlderhatchError
 from alderhatch.http.exchange import HttpReply
@@ -21,7 +25,7 @@
 from alderhatch.platform.dialect import PlatformDialect
 from alderhatch.platform.server_list import parse_server
 from alderhatch.platform.settings import parse_settings
-from features.support.forward_model import scatter_route, single_route
+from features.support.forward_model import BUDGET_LIMITS, scatter_route, single_route
 
 CONFIGURATION = {
     "version": 7,
@@ -288,6 +292,63 @@
     check()
 
 
+@given('a caller\'s request with the time budget "{budget}"')
+def step_time_budget(context, budget):
+    context.budgeted = HttpRequest(
+        "GET", "/paths/7", {}, {"time-budget-ms": budget}, b"", "/paths/7", []
+    )
+
+
+@then('it is refused with 400, naming "Time-Budget-Ms"')
+def step_budget_refused(context):
+    try:
+        PlatformDialect().read_request(context.budgeted)
+    except AlderhatchError as exc:
+        assert (exc.failure.answer.status, exc.failure.field) == (400, "Time-Budget-Ms")
+        return
+    raise AssertionError("the request was accepted")
+
+
+@then("it has {left:g} ms left")
+def step_budget_read(context, left):
+    assert PlatformDialect().read_request(context.budgeted).time_left == left
+
+
+@then("any text as load or pause is left out, or is read as a small number")
+def step_any_figures(context):
+    request = caller_request([])
+    table = TargetTable("z", BUDGET_LIMITS, Policy(), Random(1))
+    table.set_upstreams([UpstreamSettings("u", 28)])
+    table.update([ServerRecord("i-1", "u", "127.0.0.1", 80, "z", 2, False)], 0.0)
+    target = table.upstream("u").targets["i-1"]
+    numbers = st.one_of(
+        st.integers(min_value=-(10**330), max_value=10**330).map(str),
+        st.floats().map(str),
+        st.text("0123456789eE+-_., naif", max_size=12),
+    )
+
+    @seed(50)
+    @settings(max_examples=300, deadline=None, database=None)
+    @generated(st.lists(numbers, min_size=1, max_size=4), numbers)
+    def check(load, pause):
+        headers = [
+            (b"attempt-id", b"a1"),
+            (b"server-load", ",".join(load).encode()),
+            (b"retry-after", pause.encode()),
+            (b"not-executed", b"1"),
+        ]
+        parsed = PlatformDialect().read_answer(request, HttpReply(503, headers, b""))
+        assert parsed.fault == "shed"
+        if parsed.load is not None:
+            assert all(0 <= figure < 10**6 for figure in parsed.load), parsed
+        assert parsed.retry_after is None or 0.0 <= parsed.retry_after < 10**9, parsed
+        table.record_failure(target, parsed.fault, parsed.retry_after, 0.0)
+        table.record_answer(target, 10.0, parsed.load, 0.0)
+        assert target.estimate(1.0) < inf and target.shed_until <= 60_000.0
+
+    check()
+
+
 @given("a caller's request with the fields")
 def step_caller_fields(context):
     fields = [(row["name"].lower().encode(), row["value"].encode()) for row in context.table]
--- a/src/alderhatch/platform/dialect.py
+++ b/src/alderhatch/platform/dialect.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping, Sequence
 from typing import cast
 
-from ..clock import SECOND, Millis
+from ..clock import DAY, SECOND, Millis
 from ..core.entry_events import AttemptFault, LoadReport
 from ..core.forwarding.organisation import Organisation
 from ..core.forwarding.outcome import Answered, Failed, FailureReason, Gathered, NotRun, Outcome
@@ -19,6 +20,14 @@
 from . import wire_names as wire
 
 BINARY = "application/octet-stream"
+TIME_BUDGET = re.compile(r"-?[0-9]{1,15}(\.[0-9]{0,15})?")
+MAX_QUOTED = 40
+"""Characters of an invalid value that its error repeats."""
+MAX_TIME_LEFT: Millis = 1 * DAY
+"""Callers that say that they wait for longer count as waiting for so long."""
+LOAD_REPORT = re.compile(rb"[ ]*([0-9]{1,6})[ ]*,[ ]*([0-9]{1,6})[ ]*(,.*)?")
+PAUSE = re.compile(rb"[0-9]{1,6}(\.[0-9]{0,15})?")
+"""A number of seconds. A date, or what isn't one, is left to the pause of servers that refuse."""
 
 
 class PlatformDialect:
@@ -31,14 +40,7 @@
             AlderhatchError: Naming the invalid header field.
         """
         request_id = req.headers.get("attempt-id", "")
-        time_budget = req.headers.get("time-budget-ms")
-        try:
-            time_left = None if time_budget is None else float(time_budget)
-        except ValueError as exc:
-            message = f"expected a number of milliseconds, got {time_budget!r}"
-            raise AlderhatchError(
-                Failure(ErrorKind.BAD_REQUEST, message, "Time-Budget-Ms")
-            ) from exc
+        time_left = _time_left(req.headers.get("time-budget-ms"))
         host = req.headers.get("host", "").lower().partition(":")[0]
         return CallerRequest(req, host, request_id, time_left, _forwarded_fields(req.fields))
 
@@ -128,6 +130,20 @@
     return HttpResponse(status, reason.encode("ascii"), "text/plain", headers)
 
 
+def _time_left(text: str | None) -> Millis | None:
+    """Return how long a caller waits; None if it doesn't say.
+
+    Raises:
+        AlderhatchError: If the text is no number of milliseconds.
+    """
+    if text is None:
+        return None
+    if TIME_BUDGET.fullmatch(text) is None:
+        message = f"expected a number of milliseconds, got {text[:MAX_QUOTED]!r}"
+        raise AlderhatchError(Failure(ErrorKind.BAD_REQUEST, message, "Time-Budget-Ms"))
+    return min(float(text), MAX_TIME_LEFT)
+
+
 def _is_gather(route: Route) -> bool:
     return isinstance(route.destination, AllShards)
 
@@ -186,20 +202,15 @@
 
 def _load_report(reply: HttpReply) -> LoadReport | None:
     value = reply.header(wire.LOAD)
-    if value is None:
-        return None
-    try:
-        running, waiting, *_ = (int(number) for number in value.split(b","))
-    except ValueError:
+    found = LOAD_REPORT.fullmatch(value or b"")
+    if found is None:
         # The load only improves the choice of servers, so the answer is valid without it.
         return None
-    return LoadReport(running, waiting)
+    return LoadReport(int(found[1]), int(found[2]))
 
 
 def _retry_after(reply: HttpReply) -> Millis | None:
     value = reply.header(wire.RETRY_AFTER)
-    try:
-        return None if value is None else max(0.0, float(value) * SECOND)
-    except ValueError:
-        # A date or an invalid value. The node then uses its own pause for servers that refuse.
+    if value is None or PAUSE.fullmatch(value) is None:
         return None
+    return float(value) * SECOND
