A freeze is not taken for the time of a turn, and a gather alone at a host runs

What callers saw (review): a host that was stopped for 3.5 s twice under load answered every gather 503 until it was restarted.

Cause: the freeze was measured as the time of the batch that it hit (44 ms a turn). Each gather then seemed to come too late and was refused before it sent anything, so no turn was measured again.

Evidence: a replay of the queue alone; after one freeze of 3.5 s gathers over 20 shards with a deadline of 500 ms are refused for good.

Change: a batch counts as four times the mean at most, and a gather that is alone at the host is never refused by the estimate. A host that takes 25 ms a turn still refuses what it can't answer, after 40 batches.

After: 1 and 9 freezes, of 3.5 s and of 60 s, leave a gather that meets another one served. Before: all refused, also the first of two.

--- a/features/service_order.feature
+++ b/features/service_order.feature
@@ -75,6 +75,31 @@
       | 100   | 0    | 3000 | 90    | 2        | -90     | 600      | served each time                                          |
       | 40    | 1    | 9000 | 90    | 1        | 100     | 600      | served each time                                          |
 
+  Scenario Outline: A host that was frozen <freezes> times for <freeze> ms under load serves gathers
+    # Guards against a freeze that is taken for the time of a turn: all gathers would be refused
+    # until the host is restarted.
+    Given a host that hands out parts of 2 gathers at a time, for 0.25 ms each
+    When it is frozen <freezes> times for <freeze> ms, each time while a batch is handled
+    Then a gather over 20 shards with a deadline of 500 ms that meets another one is served
+
+    Examples:
+      | freezes | freeze |
+      | 1       | 3500   |
+      | 9       | 3500   |
+      | 9       | 60000  |
+
+  Scenario: A host that believes that it is slow finds out that it is not
+    # Guards against a wrong belief that nothing can correct, as no gather runs any more.
+    Given a host that takes a turn for 500 ms, although it takes 0.25 ms
+    When gathers over 20 shards with a deadline of 500 ms arrive two at a time
+    Then one of the first two is served, and both of the 40th two
+
+  Scenario: A host that has become slow refuses gathers that it can't answer in time
+    # Guards against a bound of the measured time that keeps a host from noticing that it is slow.
+    Given a host that hands out parts of 2 gathers at a time, for 25 ms each
+    When it has handed out 40 batches
+    Then a gather over 20 shards with a deadline of 500 ms that meets another one is refused
+
   Scenario: A gather waits behind the earlier ones of its own organisation
     # Guards against an organisation with many gathers that displaces those of the others.
     Given a gather "own-1" due in 40 ms that lacks 10 parts, of rank 1 and organisation x
--- a/features/steps/service_order_steps.py
+++ b/features/steps/service_order_steps.py
@@ -216,6 +216,88 @@
     assert len(set(context.retry_after)) == len(context.retry_after)
 
 
+# The measured time of a turn
+
+SHARDS = 20
+DEADLINE_MS = 500.0
+
+
+class MeasuredHost:
+    """A queue whose host takes a certain time for each part."""
+
+    def __init__(self, part_ms):
+        self.queue = PartQueue(LOOP_PROCESSOR, Random(1))
+        self.part_ms = part_ms
+        self.now = 0.0
+
+    def arrive(self):
+        """Let two gathers arrive at once; return them, and which of them are refused."""
+        arrived = []
+        for _ in range(2):
+            run = Run(self.now + 100.0, SHARDS, deadline=self.now + DEADLINE_MS)
+            gather = self.queue.start(run, 0, None)
+            is_refused = self.queue.retry_after(gather, self.now) is not None
+            if is_refused:
+                self.queue.end(gather)
+            arrived.append((gather, is_refused))
+        return arrived
+
+    def handle(self, gather, freeze_ms=0.0):
+        """Hand out the parts of a gather, the first batch with a freeze; then end it."""
+        for number in range(SHARDS):
+            self.queue.add_send(gather, number)
+        while batch := self.queue.take(self.now):
+            self.now += len(batch) * self.part_ms + freeze_ms
+            freeze_ms = 0.0
+        self.queue.end(gather)
+
+    def serve_pair(self, freeze_ms=0.0):
+        """Serve those of two gathers that are not refused; return how many."""
+        served = [gather for gather, is_refused in self.arrive() if not is_refused]
+        for gather in served:
+            self.handle(gather, freeze_ms)
+        return len(served)
+
+
+@given("a host that hands out parts of 2 gathers at a time, for {part_ms:g} ms each")
+def step_measured_host(context, part_ms):
+    context.host = MeasuredHost(part_ms)
+
+
+@given("a host that takes a turn for {believed_ms:g} ms, although it takes {part_ms:g} ms")
+def step_wrong_belief(context, believed_ms, part_ms):
+    context.host = MeasuredHost(part_ms)
+    context.host.queue.turn_cost = believed_ms
+
+
+@when("it is frozen {freezes:d} times for {freeze:g} ms, each time while a batch is handled")
+def step_frozen(context, freezes, freeze):
+    for _ in range(freezes):
+        context.host.serve_pair(freeze)
+
+
+@when("it has handed out {batches:d} batches")
+def step_batches_handed(context, batches):
+    for _ in range(batches * MAX_BATCH // SHARDS):
+        context.host.serve_pair()
+
+
+@when("gathers over 20 shards with a deadline of 500 ms arrive two at a time")
+def step_pairs(context):
+    context.served = [context.host.serve_pair() for _ in range(40)]
+
+
+@then("one of the first two is served, and both of the 40th two")
+def step_belief_corrected(context):
+    assert (context.served[0], context.served[-1]) == (1, 2), context.served
+
+
+@then("a gather over 20 shards with a deadline of 500 ms that meets another one is {outcome}")
+def step_meets_another(context, outcome):
+    refused = [is_refused for _, is_refused in context.host.arrive()]
+    assert refused == [False, outcome == "refused"], refused
+
+
 # Any gathers
 
 gathers = st.lists(
--- a/src/alderhatch/core/forwarding/part_queue.py
+++ b/src/alderhatch/core/forwarding/part_queue.py
@@ -38,6 +38,9 @@
 that they don't all retry at once."""
 COST_WEIGHT = 0.05
 """Weight of the latest batch in the moving mean of the time of a turn."""
+MAX_COST_GROWTH = 4.0
+"""A batch counts as at most this multiple of the mean, as the host may have been frozen meanwhile.
+A host that has really become slow reaches ten times the mean in 17 batches."""
 
 
 Group: TypeAlias = tuple[bool, bool, int]
@@ -159,10 +162,15 @@
         A gather that can't be answered before its caller gives up would only take turns from
         others, and its caller would learn too late that it has to ask again.
 
+        A gather that is alone at the host runs in any case. If the mean time of a turn is wrong,
+        all gathers would be refused for good otherwise, as it is measured only while gathers run.
+
         Returns:
             How long the caller should wait before it retries, if the gather is refused; None if the
             gather may run.
         """
+        if len(self._at_work) == 1:
+            return None
         overrun = self._earliest_answer(gather, now) - gather.run.times.deadline
         if overrun <= 0.0:
             return None
@@ -233,6 +241,7 @@
         if not self._batch_size:
             return
         cost = (now - self._batch_began) / self._batch_size
+        cost = min(cost, MAX_COST_GROWTH * self.turn_cost)
         self.turn_cost += COST_WEIGHT * (cost - self.turn_cost)
         self._batch_size = 0
 
