A target that begins with two slashes is a path like any other

What callers saw (review): GET //x/orders/a ran as /orders/a, though its path begins with no route's prefix; it gets 404 now (ROUTE).

Cause: urlsplit read the target as a URL without a scheme, whose host is x.

Change: what begins with a slash is the path up to its first question mark. Targets in absolute form are read as before.

--- a/features/forwarding_routes.feature
+++ b/features/forwarding_routes.feature
@@ -24,3 +24,21 @@
 
   Scenario: The merge returns the greatest records of all parts, as a naive sort does
     Then over random parts the merge gives what a naive sort gives
+
+  Scenario Outline: The path of the target "<target>"
+    # Guards against a request that runs on a route whose prefix its path doesn't begin with.
+    Then the target "<target>" has the path "<path>" and the parameter "q" is "<q>"
+
+    Examples:
+      | target                  | path          | q        |
+      | /orders/a               | /orders/a     |          |
+      | /orders/a?q=1           | /orders/a     | 1        |
+      | //x/orders/a            | //x/orders/a  |          |
+      | //x/orders/a?q=/orders/ | //x/orders/a  | /orders/ |
+      | ///orders/a             | ///orders/a   |          |
+      | /orders/a;v=1?q=1#f     | /orders/a;v=1 | 1#f      |
+      | /a#/orders/             | /a#/orders/   |          |
+      | http://h/orders/a?q=1   | /orders/a     | 1        |
+
+  Scenario: Any target that begins with a slash
+    Then the path of any such target is the target up to its first question mark
--- a/features/steps/forwarding_routes_steps.py
+++ b/features/steps/forwarding_routes_steps.py
@@ -10,6 +10,7 @@
 from alderhatch.core.forwarding.route_table import RouteTable
 from alderhatch.core.forwarding.top_k import merge_top_k
 from alderhatch.core.forwarding.weighted_round_robin import WeightedRoundRobin
+from alderhatch.http.server import parse_target
 from features.support.forward_model import single_route
 
 SEGMENTS = st.lists(st.sampled_from(["a", "b", "cc"]), max_size=4)
@@ -77,3 +78,20 @@
         assert merge_top_k(bodies, wanted) == b"".join(records[:wanted])
 
     check()
+
+
+@then('the target "{target}" has the path "{path}" and the parameter "q" is "{q}"')
+@then('the target "{target}" has the path "{path}" and the parameter "q" is ""')
+def step_target(context, target, path, q=None):
+    assert parse_target(target) == (path, {} if q is None else {"q": q})
+
+
+@then("the path of any such target is the target up to its first question mark")
+def step_any_target(context):
+    @for_all(st.text("/?#&=;:@[]a.%2F", max_size=20))
+    def check(rest):
+        target = f"/{rest}"
+        path, _ = parse_target(target)
+        assert path == target.split("?")[0]
+
+    check()
--- a/src/alderhatch/http/server.py
+++ b/src/alderhatch/http/server.py
@@ -335,12 +335,19 @@
 def parse_target(target: str) -> tuple[str, dict[str, str]]:
     """Split a request's target into its path and its query parameters.
 
+    A target that begins with two slashes is a path like any other. Read as a URL, its first segment
+    would be a host, and the request would run as one for the rest of the path.
+
     Raises:
         AlderhatchError: With kind ``bad_request``, if the target is invalid.
     """
     try:
-        parts = urlsplit(target)
-        return parts.path, dict(parse_qsl(parts.query, keep_blank_values=True))
+        if target.startswith("/"):
+            path, _, query = target.partition("?")
+        else:
+            parts = urlsplit(target)
+            path, query = parts.path, parts.query
+        return path, dict(parse_qsl(query, keep_blank_values=True))
     except ValueError as exc:
         raise _request_error(ErrorKind.BAD_REQUEST, f"invalid request target: {exc}") from exc
 
