Requests that are sent ahead are read in the order in which they came

The second half of one was read after bytes that had come later, so it was refused, or its body held bytes of another request.

Cause: bytes that arrive while a request runs are kept aside. Where h11 still held the beginning of the next request, its rest was read from the socket, past those bytes.

Change: one place reads, and takes what was kept aside first.

--- a/features/http_borders.feature
+++ b/features/http_borders.feature
@@ -20,6 +20,11 @@
       | two HEAD at once | 404 and a body             | 404    | 0      |
       | a HEAD too large | 404 and a body             | 413    | 0      |
 
+  Scenario: Requests that are sent ahead, cut anywhere
+    # Guards against the second half of a request that is read after what was sent later, so that a
+    # request is refused, or runs with bytes of another one.
+    Then any requests, sent ahead in any pieces while others run, are answered in their order
+
   Scenario: Any bytes of a client and any answer to it
     # Guards against the same in a form that no example has.
     Then no bytes of a client and no answer of the handler keep another client from its answer
--- a/features/steps/http_borders_steps.py
+++ b/features/steps/http_borders_steps.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from functools import partial
+
 import trio
 from behave import given, then, when
 from hypothesis import given as generated
@@ -126,6 +128,54 @@
     assert context.has_other
 
 
+@then("any requests, sent ahead in any pieces while others run, are answered in their order")
+def step_pipelined(context):
+    bodies = st.lists(st.binary(max_size=40), min_size=2, max_size=5)
+
+    async def handler(req):
+        # Longer than the pause between two pieces, which arrive while this request runs.
+        await trio.sleep(0.008)
+        return HttpResponse(200, req.path.encode() + b" " + req.body)
+
+    async def main(data, cuts):
+        async with trio.open_nursery() as nursery:
+            nursery.cancel_scope.deadline = trio.current_time() + TIMEOUT_S
+            listeners = await trio.open_tcp_listeners(0, host=LOOPBACK)
+            nursery.start_soon(serve_http, listeners, handler)
+            port = listeners[0].socket.getsockname()[1]
+            received = b""
+            stream = await trio.open_tcp_stream(LOOPBACK, port)
+            async with stream:
+                for begin, end in zip([0, *cuts], [*cuts, len(data)], strict=True):
+                    await stream.send_all(data[begin:end])
+                    await trio.sleep(0.002)
+                while chunk := await stream.receive_some(65_536):
+                    received += chunk
+            nursery.cancel_scope.cancel()
+        return received
+
+    @seed(50)
+    @settings(max_examples=25, deadline=None, database=None)
+    @generated(bodies, st.lists(st.integers(0, 400), max_size=5))
+    def check(sent, cuts):
+        heads = [
+            b"PUT /%d HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n" % (number, len(body))
+            for number, body in enumerate(sent)
+        ]
+        # The server closes after the last one, so that all that it sends can be read.
+        heads[-1] += b"Connection: close\r\n"
+        data = b"".join(head + b"\r\n" + body for head, body in zip(heads, sent, strict=True))
+        with_limit = partial(main, data, sorted(min(cut, len(data)) for cut in cuts))
+        received = trio.run(with_limit)
+        answered = [b"/%d %s" % (number, body) for number, body in enumerate(sent)]
+        assert received.count(b"HTTP/1.1 200") == len(sent), received
+        position = 0
+        for expected in answered:
+            position = received.index(expected, position)
+
+    check()
+
+
 FIELD_TEXT = st.binary(max_size=12)
 RESPONSES = st.one_of(
     st.none(),
--- a/src/alderhatch/http/server.py
+++ b/src/alderhatch/http/server.py
@@ -171,16 +171,23 @@
         self._unread_time = 0.0
         if self._http.trailing_data[0]:
             return True
-        data = self._pipelined
-        self._pipelined = b""
-        if not data:
-            data = await self._stream.receive_some(READ_BYTES)
+        is_unread = not self._pipelined
+        data = await self._receive()
+        if is_unread:
             self._unread_time = self._measure_unread_time()
         if not data:
             return False
         self._http.receive_data(data)
         return True
 
+    async def _receive(self) -> bytes:
+        """Return the next bytes of the client, those first that it has sent ahead."""
+        data = self._pipelined
+        if data:
+            self._pipelined = b""
+            return data
+        return await self._stream.receive_some(READ_BYTES)
+
     def _measure_unread_time(self) -> Millis:
         loop_delay = self._state.loop_delay
         return 0.0 if loop_delay is None else loop_delay.unread_time(self._answered_count == 0)
@@ -200,7 +207,7 @@
                     status_code=100, headers=[], reason=b"Continue"
                 )
                 await self._stream.send_all(self._http.send(continue_response) or b"")
-            self._http.receive_data(await self._stream.receive_some(READ_BYTES))
+            self._http.receive_data(await self._receive())
 
     async def _read_full_request(self) -> HttpRequest | None:
         head = await self._next_event()
