A request that waits for a connection is not sent to a server that leaves

What callers and servers would see (review, by reading): a request waits for a connection while its server begins to drain or leaves the list; it was sent there all the same, however long it had waited (DRAIN).

Cause: after the wait only the evacuation of a zone was looked at.

Change: any reason to leave ends the attempt as not sent, so it goes on elsewhere and costs no budget.

After: three examples; two of them failed before.

--- a/features/answers_of_servers.feature
+++ b/features/answers_of_servers.feature
@@ -1,5 +1,17 @@
 Feature: What one server answers affects at most the request that it answers
 
+  Scenario Outline: A server <leaves> while a request waits for a connection to it
+    # Guards against requests that reach a server long after the list has named it as leaving.
+    Given 2 servers of "kitchen", of which the chosen one <leaves> during that wait
+    When an idempotent request and then one that must not run twice are forwarded to them
+    Then the leaving server got no request, and both were answered by the other one
+
+    Examples:
+      | leaves              |
+      | begins to drain     |
+      | is no longer listed |
+      | is evacuated        |
+
   Scenario: An answer that the host can't handle
     # Guards against one answer that ends the host's process with all that it has in progress.
     Given 2 servers of "kitchen" whose answers raise an error in the host
--- a/features/steps/answers_of_servers_steps.py
+++ b/features/steps/answers_of_servers_steps.py
@@ -1,11 +1,13 @@
 from __future__ import annotations
 
+from functools import partial
 from unittest.mock import patch
 
 from behave import given, then, when
 
 from alderhatch.core.forwarding.forward_run import ForwardRun
-from alderhatch.core.forwarding.outcome import Failed
+from alderhatch.core.forwarding.outcome import Answered, Failed
+from alderhatch.entry.connection_pool import ConnectionPool
 from alderhatch.platform.dialect import PlatformDialect
 from features.support.forward_model import single_route
 from features.support.scripted_servers import RunnerScene, ScriptedServer, reply_bytes
@@ -45,11 +47,53 @@
     context.on_answer = fail
 
 
+def leave(runner_scene, server, how):
+    state = runner_scene.state
+    match how:
+        case "begins to drain":
+            state.apply_servers([server.record()._replace(draining=True)], [])
+        case "is no longer listed":
+            state.apply_servers([], [server.server_id])
+        case "is evacuated":
+            state.table.set_evacuated((server.zone,), runner_scene.now())
+        case _:
+            raise AssertionError(how)
+
+
+@given('2 servers of "kitchen", of which the chosen one {how} during that wait')
+def step_leaving(context, how):
+    step_unreadable(context)
+    context.dialect = PlatformDialect()
+    context.servers[1].zone = "zone-1"
+    context.left = []
+
+    async def wait_and_leave(runner_scene, server_id):
+        conn = await ConnectionPool.acquire(runner_scene.pool, server_id)
+        if not context.left:
+            server = next(one for one in context.servers if one.server_id == server_id)
+            context.left.append(server)
+            leave(runner_scene, server, how)
+        return conn
+
+    context.wait = wait_and_leave
+
+
+@then("the leaving server got no request, and both were answered by the other one")
+def step_left(context):
+    (left,) = context.left
+    (other,) = (server for server in context.servers if server is not left)
+    assert all(isinstance(outcome, Answered) for outcome, _ in context.outcomes), context.outcomes
+    assert (left.arrivals, other.runs) == ([], list(IDS))
+
+
 @when("an idempotent request and then one that must not run twice are forwarded to them")
 def step_forward(context):
     context.outcomes = []
 
     async def scene(runner_scene):
+        if "wait" in context:
+            runner_scene.pool.acquire_idle = lambda server_id: None
+            runner_scene.pool.acquire = partial(context.wait, runner_scene)
         for route, request_id in zip((LOOKUP, ORDER), IDS, strict=True):
             outcome = await runner_scene.forward(route, request_id, timeout=DEADLINE_MS)
             context.outcomes.append((outcome, runner_scene.now() - runner_scene.began))
--- a/features/support/scripted_servers.py
+++ b/features/support/scripted_servers.py
@@ -49,6 +49,7 @@
         self.server_id = server_id
         self.upstream = upstream
         self.script = script
+        self.zone = ZONE
         self.port = 0
         self.arrivals = []
         """The ID of each request that arrived, in order."""
@@ -79,7 +80,9 @@
             return
 
     def record(self):
-        return ServerRecord(self.server_id, self.upstream, LOOPBACK, self.port, ZONE, 2, False, 0.0)
+        return ServerRecord(
+            self.server_id, self.upstream, LOOPBACK, self.port, self.zone, 2, False, 0.0
+        )
 
 
 def id_of(head):
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -13,7 +13,6 @@
 from ..core.forwarding.forward_run import ForwardRun
 from ..core.forwarding.outcome import Failed, FailureReason, Outcome
 from ..core.forwarding.route import AllShards
-from ..core.forwarding.target_table import EVACUATED_SOURCE
 from ..entry.attempt_faults import ATTEMPT_FAULTS
 from ..entry.connection_pool import ConnectionPool
 from ..http.connection import HttpConnection
@@ -140,9 +139,9 @@
             await active.turn.wait_to_send()
         conn = await self._acquire_connection(active, send)
         try:
-            if EVACUATED_SOURCE in send.target.leaving:
-                # The evacuation may have started while the attempt waited for a connection.
-                raise HttpExchangeError("the server's zone is evacuated", ExchangeFault.NOT_SENT)
+            if send.target.leaving:
+                # It may have begun to leave while the attempt waited for a connection.
+                raise HttpExchangeError("the server is leaving", ExchangeFault.NOT_SENT)
             if self._guard.is_quarantined(active.fingerprint):
                 # Another host may have shown it while the attempt waited for a connection.
                 raise HttpExchangeError("the request crashes servers", ExchangeFault.NOT_SENT)
