One caller's unusual time budget doesn't make all others seem late

Cause: the time that a request had used before was taken from the longest budget that any request of the route ever had.

Change: from the one that nine of ten of the last 32 don't exceed. First requests of callers have the same budget and are most of them, so the value is the same in usual traffic.

--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -17,6 +17,7 @@
 from ..core.forwarding.response_lead_time import ResponseLeadTime
 from ..core.forwarding.route import AllShards, OneUpstream, Route, SplitUpstreams
 from ..core.forwarding.run_limits import RunTimes
+from ..core.forwarding.usual_time_left import UsualTimeLeft
 from ..core.forwarding.weighted_round_robin import WeightedRoundRobin
 from ..errors import AlderhatchError, ErrorKind, Failure, Resend
 from ..http.messages import HttpRequest, HttpResponse
@@ -90,7 +91,7 @@
         self._gathers = gathers
         self._clock = LoopClock()
         self._upstream_pickers: dict[str, WeightedRoundRobin] = {}
-        self._max_time_left: dict[str, Millis] = {}
+        self._usual_times_left: dict[str, UsualTimeLeft] = {}
         self._lead_times: dict[str, ResponseLeadTime] = {}
         self._startup_waiters = 0
         self._accepting_since = 0.0
@@ -349,17 +350,15 @@
 
     def _run_times(self, route: Route, req: CallerRequest, now: Millis) -> RunTimes:
         remaining = route.timeout if req.time_left is None else req.time_left
-        # When the caller resends a request, it has less time left than at first. The difference to
-        # the longest time of any request on this route counts as used before this attempt.
-        max_time_left = max(remaining, self._max_time_left.get(route.name, 0.0))
-        self._max_time_left[route.name] = max_time_left
+        usual = self._usual_times_left.setdefault(route.name, UsualTimeLeft())
+        used_before = usual.used_before(remaining)
         round_trips = (
             REUSED_CONNECTION_ROUND_TRIPS
             if req.http.on_used_connection
             else NEW_CONNECTION_ROUND_TRIPS
         )
         transfer_time = round_trips * req.http.round_trip + self._lead_time(route).lead_time
-        target = route.target_latency - (max_time_left - remaining) - transfer_time
+        target = route.target_latency - used_before - transfer_time
         return RunTimes(now, now + target, now + min(remaining, route.timeout))
 
     def addresses(self, zone: str) -> list[str]:
