A stopping host refuses at once what it could not finish

What callers saw (review): a host that is told to stop reads and passes on requests until 5.75 s after that, and cuts them there. Requests of 1.9 s that were sent 3.95, 4.2 and 5.0 s after the SIGTERM ended without an answer, and their callers could not know whether they had run (LOST).

Cause: new requests were taken until the forced end, whatever they take.

Change: while it stops, a host compares the time that is left with what its servers take for requests of the route (95 of 100, and a quarter more). What doesn't fit is refused as not run, so its caller asks another host at once. Routes of some milliseconds are served nearly to the end, as before.

--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -99,6 +99,14 @@
     And the host is no longer ready and is not advertised to callers
     And it exits with code 0 within its time limit
 
+  Scenario: A request arrives that would outlast a planned stop
+    # Guards against a request that is passed on to a server and then cut off when the host ends: its
+    # caller can't know whether it has run.
+    Given a platform tier that serves
+    And orders take 1 s, as the host that is to stop has seen
+    When that host is told to stop, and an order arrives 1.85 s later
+    Then that order is refused as not run, or not read at all, and ran nowhere
+
   Scenario: Settings change while the host runs
     # By default SIGHUP ends a process.
     Given a platform tier that serves
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -319,6 +319,34 @@
     assert context.is_unready and context.is_unadvertised
 
 
+@given("orders take 1 s, as the host that is to stop has seen")
+def step_long_orders(context):
+    tier = context.platform
+    for server in tier.servers.values():
+        server.delay = 1.0
+    for _ in range(2):
+        assert tier.ask(1, "/orders/1", fresh_id(), "POST", b"x").status == 200
+
+
+@when("that host is told to stop, and an order arrives 1.85 s later")
+def step_late_order(context):
+    tier = context.platform
+    context.request_id = fresh_id()
+    tier.processes.pop(1).send_signal(signal.SIGTERM)
+    time.sleep(0.95)
+    # Without anything in progress the host would end before the late order arrives.
+    running = in_background(lambda: tier.ask(1, "/orders/1", fresh_id(), "POST", b"x"))[0]
+    time.sleep(0.9)
+    context.order = tier.ask(1, "/orders/1", context.request_id, "POST", b"x")
+    running.join()
+
+
+@then("that order is refused as not run, or not read at all, and ran nowhere")
+def step_late_order_refused(context):
+    assert context.order is None or context.order.status == 503, context.order
+    assert runs_of(context.platform, context.request_id) == 0
+
+
 @then("it exits with code 0 within its time limit")
 def step_ended(context):
     assert context.process.wait(timeout=60) == 0
--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -17,6 +17,7 @@
 from ..core.forwarding.response_lead_time import ResponseLeadTime
 from ..core.forwarding.route import AllShards, OneUpstream, Route, SplitUpstreams
 from ..core.forwarding.run_limits import RunTimes
+from ..core.forwarding.stop_deadline import StopDeadline
 from ..core.forwarding.usual_time_left import UsualTimeLeft
 from ..core.forwarding.weighted_round_robin import WeightedRoundRobin
 from ..errors import AlderhatchError, ErrorKind, Failure, Resend
@@ -93,6 +94,8 @@
         self._upstream_pickers: dict[str, WeightedRoundRobin] = {}
         self._usual_times_left: dict[str, UsualTimeLeft] = {}
         self._lead_times: dict[str, ResponseLeadTime] = {}
+        self.stop = StopDeadline()
+        """When this host ends its requests."""
         self._startup_waiters = 0
         self._accepting_since = 0.0
         """When the node began to accept requests."""
@@ -111,6 +114,8 @@
         req = self._dialect.read_request(http)
         if self._state.hands_over:
             req, route = await self._identify_before_hand_over(req, arrived)
+            with self._refusal_recorded(req):
+                self._check_can_finish(route)
             return await self._hand_over(req, arrived, self._faster_hosts(route))
         return await self._serve(req, arrived, may_hand_over=True)
 
@@ -203,6 +208,7 @@
             route = self._identity.route_of(req)
             req = self._identity.identify(req, route)
             self._check_quarantine(req)
+            self._check_can_finish(route)
         if may_hand_over:
             handed = await self._run_at_faster_host(req, route, arrived)
             if handed is not None:
@@ -303,6 +309,13 @@
                 Failure(ErrorKind.QUARANTINED, message, None, QUARANTINE_DURATION)
             )
 
+    def _check_can_finish(self, route: Route | None) -> None:
+        if route is None:
+            return
+        latencies = self._state.table.route_latencies(route.name)
+        if not self.stop.can_finish(latencies, self._clock.now()):
+            raise _error(ErrorKind.STOPPING, "this host stops before it could answer")
+
     async def _wait_for_start(self, req: CallerRequest, arrived: Millis) -> None:
         """Hold a request until the node has its configuration, the server list and its first lease.
 
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -523,11 +523,12 @@
         stop_began = self._clock.now()
         self._stopping = True
         self._serve_state.closing = True
+        end = stop_began + self.cfg.stop_span - FORCED_STOP_MARGIN
+        self.callers.stop.ends_at = end
         self._client.report_changed.notify()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._transfer_leadership)
             await trio.sleep(max(0.0, self.cfg.stop_span - IDLE_STOP_MARGIN) / SECOND)
-            end = stop_began + self.cfg.stop_span - FORCED_STOP_MARGIN
             while self._serve_state.exchanges and self._clock.now() < end:
                 await trio.sleep(0.02)
             # Until all tasks are cancelled, one could still read another request, send it to a
