A host that isn't stopping computes no quantile for it

Each request asked for a quantile of its route's latencies, also on hosts that nobody has told to stop. Seen in reading the diff; no figure was measured.

--- a/src/alderhatch/core/forwarding/stop_deadline.py
+++ b/src/alderhatch/core/forwarding/stop_deadline.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 from ...clock import Millis
 from ..latency_histogram import LatencyHistogram
 
@@ -18,7 +20,7 @@
     """
 
     def __init__(self) -> None:
-        self.ends_at: Millis = float("inf")
+        self.ends_at: Millis = inf
         """When the host ends its requests; infinite until it is told to stop."""
 
     def can_finish(self, latencies: LatencyHistogram, now: Millis) -> bool:
@@ -29,6 +31,6 @@
                 is expected to be quick.
             now: The time.
         """
-        if not latencies.samples:
+        if self.ends_at == inf or not latencies.samples:
             return now < self.ends_at
         return now + SAFETY_FACTOR * latencies.quantile(EXPECTED_QUANTILE) < self.ends_at
