--- a/features/cli_tier.feature
+++ b/features/cli_tier.feature
@@ -13,7 +13,7 @@
     When the tier's operator runs "hosts"
     Then the command printed a row with "entry-1, austin-hall, serving, live"
     And the command printed a row with "entry-2, waco-hall, serving, live"
-    When the tier's operator queries with a rule of 150 ms until no stall of the stand-ins makes it late
+    When the tier's operator queries with a rule of 150 ms until no stall of a stand-in makes it late
     Then the command ends with exit code 0
     And the command printed the error "rule stalled-robot, revision 1"
     When the tier's operator books a tray with a new request ID at "entry-1"
--- a/features/steps/cli_tier_steps.py
+++ b/features/steps/cli_tier_steps.py
@@ -27,7 +27,7 @@
 
 
 @when(
-    "the tier's operator queries with a rule of 150 ms until no stall of the stand-ins makes it late"
+    "the tier's operator queries with a rule of 150 ms until no stall of a stand-in makes it late"
 )
 def step_query_in_time(context):
     # The stand-ins run in this process. If it is held up for as long as the rule's deadline, the
