The scenario of invalid answers of an owner waits until the answer is refused

Traced: a request waits 40 ms for the owner and is then admitted from the reserve, which the scenario allows; it ended there and took the link along before the answer came. With an owner that answers 0.5 s late all four examples fail so; that run was made with a pause in the step.

Change: the scenario waits for the refusal in the log, for as long as its limit of time allows, and checks what it checked before. With the same late owner all four pass.

--- a/features/steps/quota_link_steps.py
+++ b/features/steps/quota_link_steps.py
@@ -420,6 +420,9 @@
 
     async def script(nodes):
         await admit(context, nodes.user)
+        # On a busy machine the reserve admits the request before the answer arrives.
+        while not logged_fields(context):
+            await trio.sleep(0.005)
 
     run_nodes(context, script)
 
