Comments on contained link errors say what happens; one poll a connection

Cause: read again, two comments and a postmortem claimed that an uncaught error of a link ends the listener, or that one in a step of the replicated log ends the process. It does not: websockets catches what a handler raises, writes it to a log of its own and closes that link. What the catches add is the line in this process's log and the count. And the look whether a client has left made and registered a poll object for each request.

No behaviour changes.

Measured: nothing of the cost.

--- a/src/alderhatch/http/server.py
+++ b/src/alderhatch/http/server.py
@@ -116,6 +116,8 @@
         self._unread_time: Millis = 0.0
         self._method = b""
         """Of the current request; empty until its head has been read."""
+        self._hang_up = select.poll()
+        self._hang_up.register(stream.socket.fileno(), select.POLLRDHUP)
 
     async def run(self) -> None:
         while True:
@@ -147,9 +149,7 @@
         A process that was frozen finds the requests of clients that have long given up. Without
         this look they would reach servers before the end of the stream is read.
         """
-        poll = select.poll()
-        poll.register(self._stream.socket.fileno(), select.POLLRDHUP)
-        return bool(poll.poll(0))
+        return bool(self._hang_up.poll(0))
 
     async def _drain_input(self) -> None:
         # Closing a socket with unread bytes resets the connection, and the reset can overtake the
--- a/src/alderhatch/link.py
+++ b/src/alderhatch/link.py
@@ -247,7 +247,8 @@
     except (AlderhatchError, ConnectionClosed, trio.BrokenResourceError, trio.ClosedResourceError):
         raise
     except Exception as exc:
-        # Anyone who reaches the port can send this; uncaught, it would end the listener.
+        # Anyone who reaches the port can cause this. Uncaught, websockets would close the
+        # connection as well, but this process's log and metrics would lack the error.
         record_task_fault(TaskKind.LINK, exc)
     return None
 
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -494,8 +494,8 @@
 
     async def _on_link(self, link: Link) -> None:
         if link.peer.role == CONTROL_ROLE and self.member is not None:
-            # An error in a step of the replicated log leaves its state unknown; the process starts
-            # again from its disk.
+            # An error in a step of the replicated log is no fault of one link, and isn't counted as
+            # one; websockets logs it and closes the link.
             await self.member.serve_peer(link)
             return
         try:
