A connection forgets no refusal of a request that may come again

What callers saw: an order that was refused, and given to the same host once more after some 16 other exchanges, could run on two servers and be answered 503.

Cause: a connection remembered the IDs of its last 16 requests, whatever became of them. Under load 16 refusals take milliseconds, while the request that may come again waits for its next try, or for a standby host that sends it anew.

Change: remembered are the requests that the server has refused, as only these are sent again, and none of them is forgotten: with 64 the connection is given up. Requests that are answered cost no memory now.

--- a/features/support/scripted_servers.py
+++ b/features/support/scripted_servers.py
@@ -4,6 +4,7 @@
 
 import zlib
 from random import Random
+from typing import NamedTuple
 
 import trio
 
@@ -38,11 +39,17 @@
     return b"\r\n".join([*lines, b"", body])
 
 
+class Cut(NamedTuple):
+    """Bytes after which a server closes the connection."""
+
+    data: bytes
+
+
 class ScriptedServer:
     """A server that records the requests which it runs; ``script`` returns the bytes to send.
 
     The script gets the server, the ID of the request, and a list that belongs to the connection, in
-    which it keeps the answers that it sent there.
+    which it keeps the answers that it sent there. It returns a ``Cut`` to close the connection.
     """
 
     def __init__(self, server_id, upstream, script):
@@ -73,11 +80,21 @@
                         return
                     buffered += data
                 head, _, buffered = buffered.partition(b"\r\n\r\n")
-                request_id = id_of(head)
+                length = int(field_of(head, b"content-length") or 0)
+                while len(buffered) < length:
+                    buffered += await stream.receive_some(65_536)
+                buffered = buffered[length:]
+                request_id = field_of(head, b"attempt-id")
                 self.arrivals.append(request_id)
-                await stream.send_all(self.script(self, request_id, sent))
+                answer = self.script(self, request_id, sent)
+                if isinstance(answer, Cut):
+                    await stream.send_all(answer.data)
+                    return
+                await stream.send_all(answer)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
+        finally:
+            await trio.aclose_forcefully(stream)
 
     def record(self):
         return ServerRecord(
@@ -85,10 +102,10 @@
         )
 
 
-def id_of(head):
+def field_of(head, wanted):
     for line in head.split(b"\r\n")[1:]:
         name, _, value = line.partition(b":")
-        if name.strip().lower() == b"attempt-id":
+        if name.strip().lower() == wanted:
             return value.strip().decode("latin-1")
     return ""
 
--- a/src/alderhatch/http/connection.py
+++ b/src/alderhatch/http/connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable, Sequence
 
 import h11
@@ -23,9 +22,8 @@
 """Responses to earlier requests that are skipped while waiting for the matching one."""
 MAX_INFORMATIONAL_REPLIES = 256
 """1xx responses accepted before the final one. Servers send them to show progress."""
-MAX_REMEMBERED_IDS = 16
-"""Requests of a connection whose IDs are remembered. A late copy of a response arrives with the
-next one; the rest is for servers that hold several back."""
+MAX_REFUSED_IDS = 64
+"""Refusals after which a connection is given up, so that none of their IDs is ever forgotten."""
 END_OF_MESSAGE = h11.EndOfMessage()
 
 
@@ -56,7 +54,8 @@
         the time of the start."""
         self.has_unidentified_reply = False
         """Whether a response without a request ID arrived; a copy of it can't be recognised."""
-        self._carried_ids: deque[str] = deque(maxlen=MAX_REMEMBERED_IDS)
+        self._refused_ids: set[str] = set()
+        """The requests that the server has refused on the connection, and that may come again."""
 
     def can_tell_reply(self, request_id: str, is_idempotent: bool) -> bool:
         """Return whether the response to a request can be told from those to earlier ones.
@@ -67,13 +66,19 @@
         too. A copy without any ID would be taken for the response to whatever comes next. That
         matters only for requests that must not run twice.
         """
-        if request_id in self._carried_ids:
+        if request_id in self._refused_ids:
             return False
         return is_idempotent or not self.has_unidentified_reply
 
-    def record_request(self, request_id: str) -> None:
-        """Remember the ID of a request that is about to be sent."""
-        self._carried_ids.append(request_id)
+    def record_refusal(self, request_id: str) -> None:
+        """Remember the ID of a request that the server has refused, as it may be sent again.
+
+        An ID that was forgotten would let a copy of its refusal pass for the response to a later
+        send, so the connection is given up instead once it has too many of them.
+        """
+        self._refused_ids.add(request_id)
+        if len(self._refused_ids) >= MAX_REFUSED_IDS:
+            self.usable = False
 
     @property
     def alive(self) -> bool:
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -8,7 +8,7 @@
 import trio
 
 from ..clock import SECOND, LoopClock, Millis
-from ..core.entry_events import AttemptFault
+from ..core.entry_events import NOT_RUN_FAULTS, AttemptFault
 from ..core.forwarding.effects import Cancel, Effect, Finish, Send
 from ..core.forwarding.forward_run import ForwardRun
 from ..core.forwarding.outcome import Failed, FailureReason, Outcome
@@ -182,7 +182,6 @@
         req = active.req
         fields = self._dialect.server_fields(req, server_id, time_left)
         parse = partial(self._dialect.read_answer, is_part=active.is_part)
-        conn.record_request(req.request_id)
         reply = await conn.forward(
             req.http.method,
             req.http.target,
@@ -194,6 +193,8 @@
         parsed = parse(req, reply)
         if not parsed.is_identified:
             conn.has_unidentified_reply = True
+        if parsed.fault in NOT_RUN_FAULTS:
+            conn.record_refusal(req.request_id)
         if parsed.fault is AttemptFault.WRONG_ANSWER:
             # The answers on this connection are mismatched. The next one may belong to this
             # request, so the connection is not reused.
