What hosts know of requests that crash servers outlives restarts of all hosts

Suspects were in the memory of hosts alone.

Change: a host without a leader tells a starting host its quarantines and suspects before the state to serve from. Checkpoints keep suspects, and are written at once when they change. A list of a new leader that doesn't name a suspect from before a restart lifts no suspicion; a leader lists those that it was restarted with, until a server has answered them.

An old host that is sent the new message closes the link and starts with a leader; it is sent only if there is something to tell.

--- a/features/crashing_gathers.feature
+++ b/features/crashing_gathers.feature
@@ -13,6 +13,7 @@
       | nothing else happens              |
       | the leader is killed at 8 s       |
       | all hosts are restarted at 8 s    |
+      | all hosts are restarted at 0.3 s  |
 
   Scenario Outline: Gathers that crash servers in other ways are refused as well
     # Guards against a gather that is not recognised because its servers end late, because other
--- a/features/steps/crash_model_steps.py
+++ b/features/steps/crash_model_steps.py
@@ -120,6 +120,8 @@
             model.at(at, model.change_leader)
         case "restart":
             model.at(at, lambda: model.restart_host(which))
+        case "restart all":
+            model.at(at, model.restart_all)
         case "cut":
             model.at(at, lambda: model.leader_hosts.discard(which))
             model.at(at + 3 * SECOND, lambda: model.leader_hosts.add(which))
--- a/features/steps/crashing_gathers_steps.py
+++ b/features/steps/crashing_gathers_steps.py
@@ -55,6 +55,8 @@
             events = [(8.0, lambda: kill_leader(tier))]
         case "all hosts are restarted at 8 s":
             events = [(8.0, lambda: restart_all(tier))]
+        case "all hosts are restarted at 0.3 s":
+            events = [(0.3, lambda: restart_all(tier))]
         case "a host is paused from 0.2 s to 7 s":
             sleeper = next(one for one in tier.running() if one not in (0, tier.leader()))
             events = [
--- a/features/support/crash_model.py
+++ b/features/support/crash_model.py
@@ -24,8 +24,8 @@
 REFUSED = "refused"
 
 
-def deliver_reports(guard, counter, now):
-    """Report what a host has seen to the leader."""
+def deliver_reports(guard, counter, now, leader=None):
+    """Report what a host has seen to the leader; ``leader`` is the guard of the leader's host."""
     for marked, server_id in guard.take_reports():
         match read_mark(marked):
             case MarkedRequest(RequestMark.CRASHING, key):
@@ -34,6 +34,8 @@
                 counter.report_loss(key, server_id, now)
             case MarkedRequest(RequestMark.ANSWERED, key):
                 counter.report_answer(key)
+                if leader is not None:
+                    leader.clear_suspect(key)
 
 
 class CrashModel(ForwardModel):
@@ -85,9 +87,16 @@
         for guard in self.guards:
             guard.on_new_leader()
 
+    def restart_all(self):
+        """Restart all hosts, and so the leader, with what is in their checkpoints."""
+        for host in range(len(self.guards)):
+            self.restart_host(host)
+        self.change_leader()
+
     def restart_host(self, host):
-        """Restart a host with the quarantines of its checkpoint."""
+        """Restart a host with the quarantines and suspects of its checkpoint."""
         kept = self.guards[host].quarantines()
+        suspects = self.guards[host].suspects()
         old = self.guards[host]
         self.guards[host] = CrashGuard(self._clock())
         self.guards[host].probe = old.probe
@@ -95,6 +104,7 @@
         self.guards[host].notify = old.notify
         self.guards[host].on_trial_ended = old.on_trial_ended
         self.guards[host].restore_quarantines(kept)
+        self.guards[host].restore_suspects(suspects)
 
     def _report_periodically(self, host):
         self._report(host)
@@ -103,7 +113,8 @@
     def _report(self, host):
         if host not in self.leader_hosts:
             return
-        deliver_reports(self.guards[host], self.counter, self.now)
+        leader = self.guards[min(self.leader_hosts)]
+        deliver_reports(self.guards[host], self.counter, self.now, leader)
 
     def _lead(self):
         self.counter.decide(self.now)
@@ -111,7 +122,8 @@
         leader = min(self.leader_hosts, default=None)
         if leader is not None:
             refused = {*self.counter.refused(self.now), *self.guards[leader].quarantines()}
-            suspects = self.counter.suspects(self.now)
+            told = self.guards[leader].told_suspects()
+            suspects = sorted({*self.counter.suspects(self.now), *told})
             for host in self.leader_hosts:
                 self._after(LINK_DELAY_MS, self._apply_lists, host, refused, suspects)
         self._after(LEADER_INTERVAL_MS, self._lead)
--- a/features/support/tier_hosts.py
+++ b/features/support/tier_hosts.py
@@ -8,13 +8,14 @@
 import trio
 from trio.testing import MockClock
 
-from alderhatch.clock import SECOND
+from alderhatch.clock import SECOND, LoopClock
 from alderhatch.codec import Codec
 from alderhatch.core.control.configuration_register import StoredConfiguration, TierDirectives
 from alderhatch.core.control.evacuations import NO_EVACUATIONS
 from alderhatch.core.forwarding.caller_hosts import choose_caller_hosts
 from alderhatch.core.forwarding.server_record import ServerRecord
 from alderhatch.link import LinkClosedError
+from alderhatch.node.crash_guard import CrashGuard
 from alderhatch.node.lease_messages import LEASE_MESSAGE_TYPES
 from alderhatch.node.tier_messages import TIER_MESSAGE_TYPES, Join, Place, Redirect, Report
 from alderhatch.node.tier_server import TierServer
@@ -99,6 +100,8 @@
         self.hosts = [Host(index, index < strong) for index in range(hosts)]
         self.member = SimpleNamespace(controls=list, leads=True)
         self.stored = StoredConfiguration(1, b"packed")
+        self.guard = CrashGuard(LoopClock())
+        """What the leader's own host knows of requests that crash servers."""
         self.server = TierServer(
             self.member,
             lambda: TierDirectives(self.stored, NO_EVACUATIONS),
@@ -110,7 +113,7 @@
                 hosts_to_choose, CONNECTIONS, needed
             ),
             lambda: previous_host_count,
-            tuple,
+            self.guard,
             CODEC,
         )
         self.nursery = None
--- a/src/alderhatch/core/forwarding/crash_evidence.py
+++ b/src/alderhatch/core/forwarding/crash_evidence.py
@@ -185,6 +185,11 @@
         upstream, count = next(iter(ended.most_common(1)), ("", 0))
         return Suspicion(upstream) if count >= SUSPECT_SERVERS else None
 
+    def suspects(self, now: Millis) -> dict[str, Suspicion]:
+        """Return all suspects by fingerprint, with the reason."""
+        found = ((one, self.suspicion(one, now)) for one in self._requests)
+        return {fingerprint: why for fingerprint, why in found if why is not None}
+
     def lost_servers(self, fingerprint: str) -> list[str]:
         """Return the servers on which a request was lost."""
         req = self._requests.get(fingerprint)
--- a/src/alderhatch/node/crash_guard.py
+++ b/src/alderhatch/node/crash_guard.py
@@ -59,6 +59,8 @@
         """Opens a connection to a server, to learn whether it has ended."""
         self.notify: Callable[[], None] = lambda: None
         """Called when there is something to report to the leader at once."""
+        self.on_verdicts_changed: Callable[[], None] = lambda: None
+        """Called when other requests are suspects or quarantined than before."""
         self.nearby_servers: Callable[[Target, int], Iterable[str]] = lambda target, count: ()
         """Returns so many other servers, those of the same zone first."""
         self.on_trial_ended: Callable[[], None] = lambda: None
@@ -148,6 +150,7 @@
         for server_id in servers:
             self.probe(server_id)
             self._report(CrashReport(RequestMark.SUSPECT.of(key), server_id))
+        self.on_verdicts_changed()
 
     def record_refused(self, server_id: str) -> None:
         """Record that a server has refused a connection."""
@@ -214,18 +217,41 @@
         """Apply the leader's list of suspected requests."""
         listed = frozenset(suspects)
         now = self._clock.now()
-        # One that is no longer listed was answered at another host.
+        # One that is no longer listed was answered at another host. One that was never listed is
+        # known from before a restart, which the leader may have had, too.
+        unlisted = self._listed_suspects - listed
         self._told_suspects = {
             fingerprint: told
             for fingerprint, told in self._told_suspects.items()
-            if told.until > now and told.key(fingerprint) in listed
+            if told.until > now and told.key(fingerprint) not in unlisted
         }
         # A request that this host has seen answered meanwhile is still on the list.
-        for fingerprint, upstream in listed - self._listed_suspects:
-            told = _ToldSuspect(now + CRASH_RETENTION, Suspicion(upstream or None))
-            self._told_suspects[fingerprint] = told
+        self.restore_suspects(listed - self._listed_suspects)
         self._listed_suspects = listed
 
+    def restore_suspects(self, suspects: Iterable[SuspectKey]) -> None:
+        """Run requests on one server at a time that were suspects at another host or time."""
+        until = self._clock.now() + CRASH_RETENTION
+        for fingerprint, upstream in suspects:
+            self._told_suspects[fingerprint] = _ToldSuspect(until, Suspicion(upstream or None))
+            self.on_verdicts_changed()
+
+    def clear_suspect(self, key: SuspectKey) -> None:
+        """Drop a suspect that a server has answered at another host."""
+        told = self._told_suspects.get(key.fingerprint)
+        if told is not None and told.key(key.fingerprint) == key:
+            del self._told_suspects[key.fingerprint]
+
+    def told_suspects(self) -> set[SuspectKey]:
+        """Return the suspects of other hosts, and those from before a restart."""
+        now = self._clock.now()
+        return {told.key(one) for one, told in self._told_suspects.items() if told.until > now}
+
+    def suspects(self) -> list[SuspectKey]:
+        """Return the requests that this host runs on one server at a time."""
+        own = self.evidence.suspects(self._clock.now())
+        return sorted(self.told_suspects() | {_key_of(one, why) for one, why in own.items()})
+
     def apply_quarantine(self, fingerprints: Iterable[str]) -> None:
         """Apply the leader's list of quarantined requests.
 
@@ -234,8 +260,11 @@
         lists it does not extend it.
         """
         until = self._clock.now() + QUARANTINE_DURATION
+        known = len(self._quarantined_until)
         for fingerprint in fingerprints:
             self._quarantined_until.setdefault(fingerprint, until)
+        if len(self._quarantined_until) > known:
+            self.on_verdicts_changed()
         self._drop_old_quarantines()
 
     def _drop_old_quarantines(self) -> None:
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -165,7 +165,7 @@
             lambda leader: self._client.add_leader_hint(leader),
             self.state.choose,
             lambda: self.state.live_host_count,
-            self.state.crash_guard.quarantines,
+            self.state.crash_guard,
             self._codec,
         )
         self._server_list_reader = ServerListReader(source, self.state, self._server, self._rng)
@@ -349,6 +349,7 @@
             if self.cfg.data_folder is not None:
                 checkpoint_store = CheckpointStore(self.cfg.data_folder, self.state)
                 await checkpoint_store.restore()
+                self.state.crash_guard.on_verdicts_changed = checkpoint_store.save_soon
                 if self.state.stored.version > 0:
                     self.state.record_step(StartStep.CHECKPOINT)
                 nursery.start_soon(checkpoint_store.run)
--- a/src/alderhatch/node/state_checkpoint.py
+++ b/src/alderhatch/node/state_checkpoint.py
@@ -12,9 +12,11 @@
 from ..codec import Codec
 from ..core.control.configuration_register import StoredConfiguration
 from ..core.control.evacuations import NO_EVACUATIONS, Evacuations
+from ..core.forwarding.crash_counter import SuspectKey
 from ..errors import AlderhatchError
 from ..log import log_event
 from ..log_events import LogEvent
+from ..signal import Signal
 from ..storage.files import DiskFiles, write_atomically
 from .node_state import NodeState
 from .tier_messages import ConfigurationNews, TierView
@@ -36,6 +38,13 @@
     """In milliseconds since 1970 UTC; the loop's clock starts anew with the process."""
 
 
+class KeptSuspect(NamedTuple):
+    """A request that may crash servers; it runs on one server at a time."""
+
+    fingerprint: str
+    upstream: str
+
+
 class KeptState(NamedTuple):
     """The state that a host needs to serve requests without a leader."""
 
@@ -46,6 +55,8 @@
     evacuations: Evacuations = NO_EVACUATIONS
     quarantines: tuple[KeptQuarantine, ...] = ()
     """If they were lost with the power, such a request would take a server of every shard again."""
+    suspects: tuple[KeptSuspect, ...] = ()
+    """Likewise. They come with no time; each counts anew after a restart."""
 
 
 CODEC = Codec(KeptState)
@@ -78,6 +89,13 @@
         self._wall_clock = WallClock()
         self._checkpoint: KeptState | None = None
         self._is_writable = True
+        self._is_urgent = False
+        self._due = Signal()
+
+    def save_soon(self) -> None:
+        """Write the next checkpoint without waiting for ``CHECKPOINT_INTERVAL``."""
+        self._is_urgent = True
+        self._due.notify()
 
     async def restore(self) -> None:
         """Apply the checkpoint of the last run, if there is one."""
@@ -100,6 +118,7 @@
         self._state.crash_guard.restore_quarantines(
             {one.fingerprint: one.ends_at - now for one in checkpoint.quarantines}
         )
+        self._state.crash_guard.restore_suspects(SuspectKey(*one) for one in checkpoint.suspects)
         self._state.apply_evacuations(checkpoint.evacuations)
         self._state.apply_configuration(StoredConfiguration(*checkpoint.configuration))
         # Some hosts, among them this one, may not have been serving when the checkpoint was
@@ -111,7 +130,9 @@
     async def run(self) -> None:
         """Write a checkpoint whenever the state has changed, until cancelled."""
         while True:
-            await trio.sleep(CHECKPOINT_INTERVAL / SECOND)
+            if not self._is_urgent:
+                await self._due.wait_for(CHECKPOINT_INTERVAL)
+            self._is_urgent = False
             state = self._state
             if state.stored.version == 0 or state.view is None:
                 continue
@@ -120,6 +141,7 @@
                 state.view,
                 state.evacuations,
                 self._current_quarantines(),
+                tuple(KeptSuspect(*key) for key in state.crash_guard.suspects()),
             )
             if current == self._checkpoint:
                 continue
--- a/src/alderhatch/node/tier_client.py
+++ b/src/alderhatch/node/tier_client.py
@@ -25,6 +25,7 @@
     EvacuationNews,
     Join,
     KeptNews,
+    KeptVerdicts,
     Place,
     Pulse,
     QuarantineNews,
@@ -156,6 +157,9 @@
                 ) as link:
                     await link.send(self._join())
                     first = await link.receive()
+                    if isinstance(first, KeptVerdicts):
+                        self._apply_verdicts(first.fingerprints)
+                        first = await link.receive()
                     if isinstance(first, KeptNews):
                         self._apply_kept(first)
                         first = await link.receive()
@@ -189,6 +193,12 @@
         if not self._state.records:
             self._state.apply_servers(kept.servers, [])
 
+    def _apply_verdicts(self, fingerprints: list[str]) -> None:
+        guard = self._state.crash_guard
+        crashing = keys_marked(RequestMark.CRASHING, fingerprints)
+        guard.apply_quarantine(key.fingerprint for key in crashing)
+        guard.restore_suspects(keys_marked(RequestMark.SUSPECT, fingerprints))
+
     def _apply_redirect(self, redirect: Redirect) -> None:
         known = {(one.address, one.port) for one in self._redirect_places}
         fresh = [one for one in redirect.others if (one.address, one.port) not in known]
--- a/src/alderhatch/node/tier_messages.py
+++ b/src/alderhatch/node/tier_messages.py
@@ -177,6 +177,17 @@
     evacuations: Evacuations
 
 
+class KeptVerdicts(NamedTuple):
+    """The quarantined requests and the suspects that the sender knows.
+
+    Sent before ``KeptNews`` if there are any: the receiver would otherwise run such a request on a
+    server of every shard. A host of an earlier build closes the link, and starts with a leader.
+    """
+
+    fingerprints: list[str]
+    """With a ``RequestMark`` each."""
+
+
 class KeptNews(NamedTuple):
     """State to serve from without a leader, sent to a host that has not started yet."""
 
@@ -234,6 +245,7 @@
     TierView,
     ConfigurationNews,
     EvacuationNews,
+    KeptVerdicts,
     KeptNews,
     ServerNews,
     Standing,
--- a/src/alderhatch/node/tier_server.py
+++ b/src/alderhatch/node/tier_server.py
@@ -16,7 +16,7 @@
     advertised_hosts,
     rank_hosts,
 )
-from ..core.forwarding.crash_counter import CrashCounter
+from ..core.forwarding.crash_counter import MAX_LISTED, CrashCounter
 from ..core.forwarding.host_demand import HostDemand
 from ..core.forwarding.probe_schedule import PULSE_INTERVAL
 from ..core.forwarding.server_record import ServerRecord
@@ -25,11 +25,13 @@
 from ..log_events import LogEvent
 from ..signal import Signal
 from .control_member import ControlMember
+from .crash_guard import CrashGuard
 from .lease_messages import LeaseAnswer, LeaseAsk
 from .tier_messages import (
     Introduction,
     Join,
     KeptNews,
+    KeptVerdicts,
     MarkedRequest,
     Place,
     Pulse,
@@ -99,7 +101,7 @@
         select_active: Returns the active hosts among some hosts, given the processor time that they
             should have together.
         previous_host_count: Returns the number of hosts in the last leader's view.
-        quarantines: Returns the fingerprints of the requests that this host itself refuses.
+        guard: Knows the requests that this host itself refuses, or runs on one server at a time.
         codec: The codec of the tier's messages.
     """
 
@@ -113,7 +115,7 @@
         on_introduction: Callable[[Place], None],
         select_active: Callable[[Iterable[HostRecord], float], list[HostRecord]],
         previous_host_count: Callable[[], int],
-        quarantines: Callable[[], Iterable[str]],
+        guard: CrashGuard,
         codec: Codec,
     ) -> None:
         self._member = member
@@ -124,7 +126,7 @@
         self._on_introduction = on_introduction
         self._select_active = select_active
         self._previous_host_count = previous_host_count
-        self._quarantines = quarantines
+        self._guard = guard
         self._clock = LoopClock()
         self._sessions: dict[str, _Session] = {}
         self._view_due = trio.Event()
@@ -184,9 +186,18 @@
         if retained_state is not None:
             # Without a leader the other host gets its state from nowhere else. It would refuse
             # callers that it could serve as well as this host does.
+            verdicts = self._kept_verdicts()
+            if verdicts.fingerprints:
+                await link.send(verdicts)
             await link.send(retained_state)
         await link.send(redirect)
 
+    def _kept_verdicts(self) -> KeptVerdicts:
+        refused = self._guard.quarantines()
+        suspects = [key for key in self._guard.suspects() if key.fingerprint not in refused]
+        marked = [RequestMark.SUSPECT.of(key) for key in suspects[-MAX_LISTED:]]
+        return KeptVerdicts([*list(refused)[-MAX_LISTED:], *marked])
+
     async def _serve_session(self, join: Join, link: Link) -> None:
         name = join.place.name
         async with trio.open_nursery() as nursery:
@@ -264,6 +275,7 @@
                     self._crashes.report_loss(key, server_id, now)
                 case MarkedRequest(RequestMark.ANSWERED, key):
                     self._crashes.report_answer(key)
+                    self._guard.clear_suspect(key)
         if report.crashes:
             self._view_due.set()
 
@@ -280,8 +292,9 @@
                 server=servers[-1],
                 servers=servers,
             )
-        refused = {*self._crashes.refused(now), *self._quarantines()}
-        suspects = [key for key in self._crashes.suspects(now) if key.fingerprint not in refused]
+        refused = {*self._crashes.refused(now), *self._guard.quarantines()}
+        known = {*self._crashes.suspects(now), *self._guard.told_suspects()}
+        suspects = sorted(key for key in known if key.fingerprint not in refused)[-MAX_LISTED:]
         marked = [RequestMark.SUSPECT.of(key) for key in suspects]
         return self._updates.set_quarantined([*sorted(refused), *marked])
 
