A host that was paused runs gathers on one server until it hears the leader

It needed a host that was paused before it had learned of the suspicion.

Cause: what the leader has sent meanwhile is still unread when the host goes on. A gather goes to all shards in the same millisecond.

Change: after a pause of over 500 ms gathers run on one server at a time until the leader has been heard 50 ms or more later, for 1 s at most. A gather that was received before the pause sends none of the requests that still wait for connections, and they count as never started. A server that ends meanwhile proves nothing against the gather. The first answer lets all other shards go on.

LeaderConfirmations had the same look for pauses; it is one class now.

--- a/features/crashing_gathers.feature
+++ b/features/crashing_gathers.feature
@@ -29,6 +29,7 @@
       | every server after 1 s                  | nothing else happens                |
       | only the servers of one shard           | nothing else happens                |
       | every server after 50 ms                | a host is paused from 0.2 s to 7 s  |
+      | every server after 50 ms                | one is paused to 7 s, a caller waits there |
 
   Scenario: Gathers on the servers of a lost zone are not refused as crashing
     # All servers of a zone end at the same moment, and no request has caused it.
--- a/features/steps/crashing_gathers_steps.py
+++ b/features/steps/crashing_gathers_steps.py
@@ -63,6 +63,13 @@
                 (0.2, lambda: send_signal(tier, sleeper, signal.SIGSTOP)),
                 (7.0, lambda: send_signal(tier, sleeper, signal.SIGCONT)),
             ]
+        case "one is paused to 7 s, a caller waits there":
+            sleeper = next(one for one in tier.running() if one not in (0, tier.leader()))
+            send_signal(tier, sleeper, signal.SIGSTOP)
+            events = [
+                (0.5, lambda: context.scene.send_patiently(sleeper)),
+                (7.0, lambda: send_signal(tier, sleeper, signal.SIGCONT)),
+            ]
         case _:
             raise AssertionError(event)
     context.seconds = seconds
--- a/features/support/crashing_servers.py
+++ b/features/support/crashing_servers.py
@@ -138,6 +138,12 @@
             for thread in threads:
                 thread.join()
 
+    def send_patiently(self, index):
+        """Send the crashing gather to a host, from a caller that waits for its answer."""
+        args = (index, CRASHING_PATH, "p000000000")
+        thread = threading.Thread(target=self.tier.ask, args=args, daemon=True)
+        thread.start()
+
     def _hosts(self):
         count = len(self.tier.addresses)
         number = 0
--- a/features/support/scripted_servers.py
+++ b/features/support/scripted_servers.py
@@ -134,6 +134,8 @@
         self.pool = ConnectionPool(CONNECTIONS, 1000.0, spares=False)
         self.state = None
         self.runner = None
+        self.last_run = None
+        """The run of the request that was forwarded last."""
         self.began = 0.0
         """When the scene began, in milliseconds of its clock."""
 
@@ -184,7 +186,7 @@
         req = self.dialect.read_request(http)
         now = self.now()
         upstreams = route.upstreams
-        run = ForwardRun(
+        run = self.last_run = ForwardRun(
             route, upstreams, RunTimes(now, now + timeout, now + timeout), self.state.table
         )
         return await self.runner.forward(req, run, FreeTurn())
--- a/src/alderhatch/core/forwarding/crash_evidence.py
+++ b/src/alderhatch/core/forwarding/crash_evidence.py
@@ -48,6 +48,9 @@
 
     upstream: str | None = None
     """The only upstream whose servers were lost; None if servers of several were."""
+    is_precaution: bool = False
+    """Whether nothing is known against it, but this host may not know what others do. A server that
+    ends then proves nothing."""
 
 
 class Proof(NamedTuple):
--- a/src/alderhatch/core/forwarding/forward_run.py
+++ b/src/alderhatch/core/forwarding/forward_run.py
@@ -83,9 +83,11 @@
         """Whether the answer was sent when due, without parts that might still have arrived."""
         self.is_held = suspicion is not None
         """Whether it runs on one server at a time, until a server has answered it."""
+        self._is_precaution = suspicion is not None and suspicion.is_precaution
+        """Whether it is held although nothing is known against it."""
         self._trial_upstream = suspicion.upstream if suspicion is not None else None
         self._trial: int | None = None
-        """The attempt that decides whether the request crashes servers, while it is in flight."""
+        """The only attempt that a held run may send, while it is in flight."""
         self._trial_until: Millis = FOREVER
         """When the trial has taken too long."""
         self._trials = 0
@@ -152,16 +154,36 @@
     def _first_kind(self) -> DecisionKind:
         return DecisionKind.RETRY if self._is_repeat else DecisionKind.SEND
 
-    def hold(self) -> None:
+    def hold(self, why: Suspicion = Suspicion()) -> None:
         """Run on one server at a time from now on, as the request was lost on several servers.
 
         With an answer from any server it goes on: such a request is harmless on that server, and
         others were lost for another reason.
         """
         if not self.finished and self._parts_in == 0:
+            self._is_precaution = why.is_precaution and (self._is_precaution or not self.is_held)
             self.is_held = True
             self._next_wake = None
 
+    def may_send(self, attempt: int) -> bool:
+        """Return whether an attempt that has waited until now may still be sent."""
+        return not self.is_held or attempt == self._trial
+
+    def on_withdrawn(self, attempt: int, now: Millis) -> list[Effect]:
+        """Handle an attempt that was not sent, as the run is held since it was started."""
+        sent = self._find_attempt(attempt)
+        shard = self._remove_attempt(attempt)
+        self._next_wake = None
+        if shard is not None and sent is not None:
+            # It counts as if it had never been started, so it is no retry when it is sent later.
+            shard.sends -= 1
+            shard.may_have_run.discard(sent.target.server_id)
+            shard.awaits_trial = shard.open and not shard.in_flight
+        if self.is_held:
+            self._send_trial(now)
+        self._finish_if_done(now)
+        return self._take_effects()
+
     def release(self, now: Millis) -> list[Effect]:
         """Run on all servers again, as the request is no suspect any more."""
         if self.is_held and not self.finished:
@@ -311,13 +333,14 @@
         shard.may_have_run.add(target.server_id)
         self._update_spent(shard, target)
         self._shard_of[attempt] = shard
-        self._table.record_sent(target, attempt, now, self.is_held)
+        in_trial = self.is_held and not self._is_precaution
+        self._table.record_sent(target, attempt, now, in_trial)
         if self.is_held:
             self._trial = attempt
             self._trials += 1
             self._trial_until = now + TRIAL_TIMEOUT if self._trials < MAX_TRIALS else FOREVER
         shard.awaits_trial = False
-        self._effects.append(Send(attempt, target, shard.upstream, self.is_held))
+        self._effects.append(Send(attempt, target, shard.upstream, in_trial))
         return True
 
     # Trials of a request that may crash servers
--- a/src/alderhatch/node/crash_guard.py
+++ b/src/alderhatch/node/crash_guard.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Mapping
+from math import inf
 from typing import NamedTuple
 
 from ..clock import SECOND, Clock, Millis
 from ..core.entry_events import AttemptFault
 from ..core.forwarding.crash_counter import CRASH_RETENTION, QUARANTINE_DURATION, SuspectKey
 from ..core.forwarding.crash_evidence import CrashEvidence, Proof, Suspicion
+from ..core.forwarding.pause_watch import PauseWatch
 from ..core.forwarding.target import Target
 from ..log import log_event
 from ..log_events import LogEvent
@@ -23,6 +25,10 @@
 PROBATION_DURATION: Millis = 3600 * SECOND
 """How long a request runs on one server at a time after its quarantine, until it is answered."""
 MAX_QUARANTINES = 1024
+BACKLOG_TIME: Millis = 50.0
+"""How long after a pause the leader's messages may still be old ones that waited to be read."""
+MAX_PRECAUTION: Millis = 1 * SECOND
+"""How long after a pause gathers wait for word of the leader; it may be unreachable."""
 CONTROL_SERVERS = 16
 """How many other servers are looked at when the server of a trial was lost."""
 
@@ -65,6 +71,9 @@
         """Returns so many other servers, those of the same zone first."""
         self.on_trial_ended: Callable[[], None] = lambda: None
         """Called when the server of a trial has ended, which is judged a moment later."""
+        self.leader_heard_at: Callable[[], Millis] = lambda: inf
+        """Returns when the leader's last message arrived."""
+        self._pauses = PauseWatch()
         self.evidence = CrashEvidence()
         """What this host has seen."""
         self._quarantined_until: dict[str, Millis] = {}
@@ -184,6 +193,27 @@
         is_on_probation = ends_at is not None and now < ends_at + PROBATION_DURATION
         return Suspicion() if is_on_probation else None
 
+    def hold_reason(self, fingerprint: str) -> Suspicion | None:
+        """Return why a gather runs on one server at a time, or None if it does not.
+
+        After a pause any gather does until the leader has been heard again. Others may have seen
+        meanwhile that it crashes servers, and it would take one of every shard.
+        """
+        suspicion = self.suspicion(fingerprint)
+        if suspicion is None and self.may_be_outdated():
+            return Suspicion(is_precaution=True)
+        return suspicion
+
+    def may_be_outdated(self) -> bool:
+        """Return whether this host was paused and has not heard from the leader since.
+
+        To be called at least once in ``MAX_PAUSE``.
+        """
+        now = self._clock.now()
+        resumed_at = self._pauses.resumed_at(now)
+        has_heard = self.leader_heard_at() >= resumed_at + BACKLOG_TIME
+        return not has_heard and now < resumed_at + MAX_PRECAUTION
+
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether a request is known to crash servers and must not run."""
         now = self._clock.now()
--- a/src/alderhatch/node/forward_runner.py
+++ b/src/alderhatch/node/forward_runner.py
@@ -9,6 +9,7 @@
 
 from ..clock import SECOND, LoopClock, Millis
 from ..core.entry_events import NOT_RUN_FAULTS, AttemptFault
+from ..core.forwarding.crash_evidence import Suspicion
 from ..core.forwarding.effects import Cancel, Effect, Finish, Send
 from ..core.forwarding.forward_run import ForwardRun
 from ..core.forwarding.outcome import Failed, FailureReason, Outcome
@@ -89,6 +90,12 @@
         """Return whether a request may have crashed servers, and no server has answered it."""
         return self._guard.suspicion(fingerprint) is not None
 
+    def hold_reason(self, active: _ActiveRequest) -> Suspicion | None:
+        """Return why a request runs on one server at a time, or None if it does not."""
+        if active.is_part:
+            return self._guard.hold_reason(active.fingerprint)
+        return self._guard.suspicion(active.fingerprint)
+
     def start_attempt(self, active: _ActiveRequest, send: Send) -> trio.CancelScope:
         """Start an attempt in its own task and return the scope that cancels it."""
         scope = trio.CancelScope()
@@ -112,6 +119,10 @@
         with scope:
             try:
                 reply, parsed = await self._exchange(active, send)
+            except _WithdrawnError:
+                self._table.record_end(send.target, send.attempt)
+                active.on_withdrawn(send.attempt)
+                return
             except HttpExchangeError as exc:
                 parsed = ParsedAnswer(ATTEMPT_FAULTS[exc.fault])
             except Exception as exc:
@@ -145,6 +156,8 @@
             if self._guard.is_quarantined(active.fingerprint):
                 # Another host may have shown it while the attempt waited for a connection.
                 raise HttpExchangeError("the request crashes servers", ExchangeFault.NOT_SENT)
+            if not active.may_send(send.attempt):
+                raise _WithdrawnError
             return await self._exchange_on(conn, active, server_id)
         finally:
             self._pool.release(server_id, conn)
@@ -202,6 +215,10 @@
         return reply, parsed
 
 
+class _WithdrawnError(Exception):
+    """An attempt is not sent, as its request runs on one server at a time since it waits."""
+
+
 class _ActiveRequest:
     """A request in progress: its run, its attempts and its outcome."""
 
@@ -233,12 +250,19 @@
                 self._wake_at = min(self._wake_at, self._clock.now() + HOLD_RECHECK_INTERVAL)
             with trio.move_on_at(self._wake_at / SECOND):
                 await self._changed.wait()
-            if self.run.is_held and not self._runner.is_suspect(self.fingerprint):
-                self._apply(self.run.release(self._clock.now()))
+            if self.run.is_held:
+                self._update_hold()
             if self._outcome is None and self._clock.now() >= self.run.next_wake:
                 self._apply(self.run.on_timer(self._clock.now()))
         return self._outcome
 
+    def _update_hold(self) -> None:
+        reason = self._runner.hold_reason(self)
+        if reason is None:
+            self._apply(self.run.release(self._clock.now()))
+        else:
+            self.run.hold(reason)
+
     def cancel_attempts(self) -> None:
         """Cancel all attempts immediately, as nobody waits for the answer."""
         self.run.finished = True
@@ -256,6 +280,21 @@
         """Send nothing more; attempts in flight may end within ``CANCEL_GRACE_PERIOD``."""
         self._apply(self.run.stop())
 
+    def may_send(self, attempt: int) -> bool:
+        """Return whether an attempt that has waited until now may still be sent."""
+        reason = self._runner.hold_reason(self) if self.is_part else None
+        if reason is not None and not self.run.is_held:
+            # The host was paused, or has learned meanwhile what the request may do.
+            self.run.hold(reason)
+        return self.run.may_send(attempt)
+
+    def on_withdrawn(self, attempt: int) -> None:
+        """Handle an attempt that was not sent, as the request runs on one server at a time."""
+        self._scopes.pop(attempt, None)
+        if not self.run.finished:
+            self._apply(self.run.on_withdrawn(attempt, self._clock.now()))
+        self._changed.set()
+
     def on_attempt_end(
         self, attempt: int, parsed: ParsedAnswer, reply: HttpReply | None, now: Millis
     ) -> None:
--- a/src/alderhatch/node/leader_confirmations.py
+++ b/src/alderhatch/node/leader_confirmations.py
@@ -7,11 +7,10 @@
 
 from ..clock import SECOND, Millis
 from ..core.forwarding.configuration_lease import ConfigurationLease
+from ..core.forwarding.pause_watch import PauseWatch
 
 STEP_DOWN_TIME: Millis = 1 * SECOND
 """How long a leader that has lost its quorum may go on sending messages."""
-MAX_PAUSE: Millis = 500.0
-"""A longer time between two checks means that this process was suspended."""
 PAUSE_RECOVERY: Millis = 2 * SECOND
 """How long after a pause the leader's messages may still be old ones that waited to be read."""
 
@@ -31,19 +30,15 @@
     def __init__(self, lease: ConfigurationLease, last_heard_at: Callable[[], Millis]) -> None:
         self._lease = lease
         self._last_heard_at = last_heard_at
-        self._checked_at: Millis | None = None
-        self._trusted_at = -inf
-        """When messages count again after a pause."""
+        self._pauses = PauseWatch()
         self._confirmed_at = -inf
 
     def confirmed_at(self, now: Millis) -> Millis:
         """Return the latest time at which this host was certainly in touch; -inf if never."""
         if self._lease.duration is not None:
             return self._lease.confirmed_at
-        if self._checked_at is not None and now - self._checked_at > MAX_PAUSE:
-            self._trusted_at = now + PAUSE_RECOVERY
-        self._checked_at = now
+        trusted_at = self._pauses.resumed_at(now) + PAUSE_RECOVERY
         heard_at = self._last_heard_at()
-        if heard_at > 0.0 and now >= self._trusted_at:
+        if heard_at > 0.0 and now >= trusted_at:
             self._confirmed_at = max(self._confirmed_at, heard_at - STEP_DOWN_TIME)
         return self._confirmed_at
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -92,6 +92,8 @@
 """How long before its stop deadline a node cancels the requests still in progress."""
 LEADERSHIP_POLL_INTERVAL: Millis = 40.0
 """Upper bound of the delay until a new leader reads the server list; a check takes 1 µs."""
+PAUSE_POLL_INTERVAL: Millis = 100.0
+"""A fraction of ``MAX_PAUSE``, so that a busy loop is not taken for a pause."""
 PROCESS_NUMBER_BITS = 53
 """Enough that two processes of a host never draw the same number."""
 LOG_FLUSH_INTERVAL: Millis = 1 * SECOND
@@ -175,6 +177,7 @@
         guard = self.state.crash_guard
         guard.probe = self._pool.probe
         guard.notify = self._client.report_changed.notify
+        guard.leader_heard_at = lambda: self._client.last_heard_at
         self._trial_ended = Signal()
         guard.on_trial_ended = self._trial_ended.notify
         self._pool.on_refused = guard.record_refused
@@ -379,6 +382,7 @@
             nursery.start_soon(log_lease_changes, self.state)
             nursery.start_soon(self._prober.run)
             nursery.start_soon(self._judge_trials)
+            nursery.start_soon(self._watch_pauses)
             self.callers.start_accepting()
             cfg = self.cfg
             log_event(LogEvent.NODE_STARTED, node=cfg.name, zone=cfg.zone, processor=cfg.processor)
@@ -403,6 +407,11 @@
                 await trio.sleep(CONCLUDE_DELAY / SECOND)
                 self.state.crash_guard.judge_trials()
 
+    async def _watch_pauses(self) -> None:
+        while True:
+            await trio.sleep(PAUSE_POLL_INTERVAL / SECOND)
+            self.state.crash_guard.may_be_outdated()
+
     async def _watch_leadership(self) -> None:
         """Notify the waiting tasks when this host starts or stops leading.
 
