A suspect that must not run twice is tried on one server only

What callers saw: an order could run twice.

Cause: a request that was lost on two servers is a suspect and runs on one server at a time. If that server has answered nothing for 300 ms, the trial moves to another server, also on routes whose requests must not run twice: the first server may be running it. A suspect is known by method, path and body, so an order that has crashed nothing itself can be one.

Change: such a request waits for its server until its deadline.

--- a/features/forwarding_crash.feature
+++ b/features/forwarding_crash.feature
@@ -83,3 +83,15 @@
     When the leader reports that "r1" are quarantined, and then stops responding
     And 100 s later the host is restarted from its checkpoint
     Then the host refuses "r1" for 490 s and not after 502 s
+
+  Scenario Outline: A suspect whose server says nothing, on a route that is <kind>
+    # Guards against an order that runs on two servers because the first one takes long, while its
+    # path and body are those of requests that were lost on other servers.
+    Given a suspect on a route with 2 servers that is <kind>
+    When its server has said nothing for 5 s
+    Then it was sent to <count> servers
+
+    Examples:
+      | kind           | count |
+      | idempotent     | 2     |
+      | not idempotent | 1     |
--- a/features/steps/forwarding_crash_steps.py
+++ b/features/steps/forwarding_crash_steps.py
@@ -8,11 +8,42 @@
 from alderhatch.clock import SECOND, ManualClock
 from alderhatch.core.entry_events import AttemptFault
 from alderhatch.core.forwarding.crash_counter import DECISION_DELAY, CrashCounter, SuspectKey
-from alderhatch.core.forwarding.crash_evidence import CONCLUDE_DELAY
+from alderhatch.core.forwarding.crash_evidence import CONCLUDE_DELAY, Suspicion
+from alderhatch.core.forwarding.effects import Send
+from alderhatch.core.forwarding.forward_run import ForwardRun
+from alderhatch.core.forwarding.run_limits import RunTimes
 from alderhatch.node.node_state import NodeState
 from alderhatch.platform.settings import POLICY
 from features.support.crash_model import deliver_reports
-from features.support.forward_model import BUDGET_LIMITS
+from features.support.forward_model import BUDGET_LIMITS, ForwardModel, single_route
+
+
+@given("a suspect on a route with 2 servers that is {kind}")
+def step_suspect(context, kind):
+    model = ForwardModel()
+    model.add_upstream("kitchen", 20.0)
+    context.suspect_run = ForwardRun(
+        single_route("kitchen", idempotent=kind == "idempotent"),
+        ("kitchen",),
+        RunTimes(0.0, 500.0, 8 * SECOND),
+        model.tables[0],
+        suspicion=Suspicion(),
+    )
+
+
+@when("its server has said nothing for {seconds:d} s")
+def step_silent(context, seconds):
+    run = context.suspect_run
+    effects = run.start(0.0)
+    while run.next_wake < seconds * SECOND:
+        effects += run.on_timer(run.next_wake)
+    context.sends = [effect for effect in effects if isinstance(effect, Send)]
+
+
+@then("it was sent to {count:d} servers")
+def step_sent(context, count):
+    assert len({send.target.server_id for send in context.sends}) == count, context.sends
+    assert len(context.sends) == count, context.sends
 
 
 def new_state(clock):
--- a/src/alderhatch/core/forwarding/forward_run.py
+++ b/src/alderhatch/core/forwarding/forward_run.py
@@ -373,6 +373,10 @@
             # It may take long to crash. With a further trial it would crash another server.
             self._trial_until = now + TRIAL_TIMEOUT
             return
+        if not self.route.idempotent:
+            # The server may be running it, however long it is silent.
+            self._trial_until = FOREVER
+            return
         # Its zone may be cut off; the shard's other server is in another one.
         shard.awaits_trial = True
         self._trial_upstream = shard.upstream
