What a server says is passed on or merged only where it is true

- A server's own 503, 429 or 408 without Not-Executed was passed on.
Callers take these for the promise that a request has not run (REFUSED), and it may have.
They are failures now; the caller gets 502, without the signature, as a signature may not bear another status.
- Not-Executed with no value counted as a refusal, and one on a success, which contradicts itself: an order would be sent to another server after it has run.
- An answer with two IDs counted by the first one alone.
- Two parts with one signature were both merged; callers take all of such an answer for wrong.
Both are left out, as nothing tells which is the wrong one; below the minimum coverage, or where hosts have merged their parts already, the caller gets 502.

Two fixtures gave all parts one signature, which the protocol rules out; the parts have their own now, and what is checked is the same.

--- a/features/platform_edge.feature
+++ b/features/platform_edge.feature
@@ -66,6 +66,8 @@
       | has an endless port                             |
       | has digits of another script as port            |
       | has an instance-id that no header field carries |
+      | has an instance-id that isn't ASCII             |
+      | has an instance-id of 300 characters            |
       | has an unreadable service                       |
       | has a lone surrogate as zone                    |
       | has endless slots                               |
@@ -91,6 +93,13 @@
       | 503    | Not-Executed: 1                                      | shed         |
       | 429    | Not-Executed: 1; Retry-After: 0.5                    | shed         |
       | 503    | Attempt-Id: a1; Server-Seal: s                       | failed       |
+      | 429    | Attempt-Id: a1; Server-Seal: s                       | failed       |
+      | 408    | Attempt-Id: a1; Server-Seal: s                       | failed       |
+      | 503    | Attempt-Id: a1; Not-Executed:                        | failed       |
+      | 200    | Attempt-Id: a1; Server-Seal: s; Not-Executed: 1      | garbage      |
+      | 200    | Attempt-Id: a1; Attempt-Id: a2; Server-Seal: s       | wrong_answer |
+      | 503    | Attempt-Id: a1; Attempt-Id: a2; Not-Executed: 1      | wrong_answer |
+      | 200    | Attempt-Id: a1; Attempt-Id: a1; Server-Seal: s       | none         |
       | 421    | Instance-Id: i-2                                     | moved        |
 
   Scenario Outline: Only a success with one readable signature is part of a merged answer
@@ -182,6 +191,20 @@
       | failed with a server's answer | single  | 500    | server-seal: s0    |
       | failed with a server's answer | scatter | 502    |                    |
 
+  Scenario Outline: What servers say is not passed on where it would not be true
+    # Guards against a caller that is told that its request has not run, though it may have, and
+    # against a merged answer that names one signature twice, which is wrong as a whole.
+    Then the outcome "<outcome>" of a <route> route is answered with <status> and "<field>"
+
+    Examples:
+      | outcome                              | route   | status | field            |
+      | failed with a server's 503           | single  | 502    |                  |
+      | failed with a server's 429           | single  | 502    |                  |
+      | failed with a server's 408           | single  | 502    |                  |
+      | 20 parts, two with one signature     | scatter | 200    | missing-parts: 2 |
+      | 19 parts, two with one signature     | scatter | 502    |                  |
+      | 2 hosts' parts, two with a signature | scatter | 502    |                  |
+
   Scenario Outline: Invalid settings are refused, naming the key
     Given the platform's settings with "<key>" changed to "<value>"
     Then parsing them is refused, naming "<key>"
--- a/features/steps/answers_of_servers_steps.py
+++ b/features/steps/answers_of_servers_steps.py
@@ -7,9 +7,10 @@
 
 from alderhatch.core.forwarding.forward_run import ForwardRun
 from alderhatch.core.forwarding.outcome import Answered, Failed
+from alderhatch.core.forwarding.route import AllShards
 from alderhatch.entry.connection_pool import ConnectionPool
 from alderhatch.platform.dialect import PlatformDialect
-from features.support.forward_model import single_route
+from features.support.forward_model import scatter_route, single_route
 from features.support.scripted_servers import RunnerScene, ScriptedServer, reply_bytes
 
 LOOKUP = single_route("kitchen")
@@ -37,6 +38,123 @@
     context.on_answer = ForwardRun.on_answer
 
 
+class PartlyUnreadyDialect(PlatformDialect):
+    """Raises an error that nobody expects for the answers of one server."""
+
+    def read_answer(self, req, reply, is_part=False):
+        if reply.header(b"server-seal") == b"i-0":
+            raise OverflowError("int too large to convert to float")
+        return super().read_answer(req, reply, is_part)
+
+
+def naming_script(server, request_id, sent):
+    server.runs.append(request_id)
+    return reply_bytes(200, request_id, server.server_id.encode())
+
+
+@given('2 servers of "kitchen", and the answers of the first raise an error in the host')
+def step_one_unreadable(context):
+    context.servers = [
+        ScriptedServer(f"i-{number}", "kitchen", naming_script) for number in range(2)
+    ]
+
+
+@when("{count:d} idempotent requests are forwarded to them")
+def step_forward_lookups(context, count):
+    context.replies = []
+
+    async def scene(runner_scene):
+        for number in range(count):
+            outcome = await runner_scene.forward(LOOKUP, f"r{number}", timeout=DEADLINE_MS)
+            context.replies += outcome.parts.values() if isinstance(outcome, Answered) else [None]
+
+    RunnerScene(context.servers, [LOOKUP], PartlyUnreadyDialect()).run(scene)
+
+
+@then("all of them are answered by the second one")
+def step_second(context):
+    assert [one and one.header(b"server-seal") for one in context.replies] == [b"i-1"] * 4
+
+
+@given('2 servers of "kitchen" that run each request and answer it with {status:d}')
+def step_status(context, status):
+    def failing_script(server, request_id, sent):
+        server.runs.append(request_id)
+        return reply_bytes(status, request_id, b"seal", b"busy")
+
+    step_unreadable(context)
+    context.dialect = PlatformDialect()
+    context.servers = [
+        ScriptedServer(f"i-{number}", "kitchen", failing_script) for number in range(2)
+    ]
+
+
+@then("their callers get 502 without a signature, and the second ran once")
+def step_no_promise(context):
+    for (outcome, _), route in zip(context.outcomes, (LOOKUP, ORDER), strict=True):
+        response = context.dialect.response(route, outcome)
+        assert response.status == 502, (outcome, response)
+        assert b"server-seal" not in [name for name, _ in response.fields], response
+    assert sum(server.runs.count(IDS[1]) for server in context.servers) == 1
+
+
+SPOILT_SHARD = "s3"
+SEAL = b"spoilt"
+
+
+def spoilt_answer(what, request_id):
+    body = b"r" * 16
+    match what:
+        case "404 and a signature" | "302 and a signature" | "429 and a signature":
+            return reply_bytes(int(what[:3]), request_id, SEAL, body)
+        case "a blank signature":
+            return reply_bytes(200, request_id, b"  ", body)
+        case "two signatures":
+            return reply_bytes(200, request_id, SEAL, body, [(b"Server-Seal", SEAL)])
+        case "no ID":
+            return reply_bytes(200, None, SEAL, body)
+        case "the ID of another request":
+            return reply_bytes(200, "another", SEAL, body)
+        case "two IDs":
+            return reply_bytes(200, request_id, SEAL, body, [(b"Attempt-Id", b"another")])
+        case "a signature and no success":
+            return reply_bytes(500, request_id, SEAL, body)
+    raise AssertionError(what)
+
+
+@given("8 shards, one of which answers with {what}")
+def step_shards(context, what):
+    def shard_script(server, request_id, sent):
+        if server.upstream == SPOILT_SHARD:
+            return spoilt_answer(what, request_id)
+        return reply_bytes(200, request_id, server.server_id.encode(), b"r" * 16)
+
+    context.servers = [
+        ScriptedServer(f"i-s{number}", f"s{number}", shard_script) for number in range(8)
+    ]
+
+
+@when("a gather with a minimum coverage of {coverage:f} is forwarded to them")
+def step_gather(context, coverage):
+    shards = tuple(server.upstream for server in context.servers)
+    route = scatter_route(shards, destination=AllShards(shards, 10, coverage))
+
+    async def scene(runner_scene):
+        outcome = await runner_scene.forward(route, "r0", timeout=600.0)
+        context.response = PlatformDialect().response(route, outcome)
+
+    RunnerScene(context.servers, [route]).run(scene)
+
+
+@then("the merged answer names the signatures of the other 7")
+def step_other_parts(context):
+    fields = dict(context.response.fields)
+    named = sorted(fields[b"part-seals"].split(b", "))
+    others = [one.server_id.encode() for one in context.servers if one.upstream != SPOILT_SHARD]
+    assert named == others, context.response
+    assert fields[b"missing-parts"] == b"1"
+
+
 @given('2 servers of "kitchen" whose answers the request itself can\'t handle')
 def step_unhandled(context):
     def fail(self, attempt, answer, now):
--- a/features/steps/gather_split_steps.py
+++ b/features/steps/gather_split_steps.py
@@ -542,8 +542,9 @@
         route = SimpleNamespace(destination=destination)
         dialect = PlatformDialect()
         merged = []
+        numbers = count()
         for group in groups:
-            replies = {str(index): reply(body) for index, body in enumerate(group)}
+            replies = {str(index): reply(body, next(numbers)) for index, body in enumerate(group)}
             merged.append(dialect.bundle(destination, replies))
         res = dialect.response(route, Gathered(tuple(merged), 3))
         every = [body for group in groups for body in group]
@@ -554,9 +555,11 @@
     check()
 
 
-def reply(body):
+def reply(body, number):
+    """Return an answer; no two servers give the same signature."""
+
     def header(name):
-        return b"sealed" if name == SEAL else None
+        return b"sealed.%d" % number if name == SEAL else None
 
     return SimpleNamespace(body=body, header=header)
 
--- a/features/steps/platform_edge_steps.py
+++ b/features/steps/platform_edge_steps.py
@@ -16,7 +16,14 @@
 
 from alderhatch.clock import ManualClock
 from alderhatch.core.control.configuration_register import pack_configuration
-from alderhatch.core.forwarding.outcome import Answered, Failed, FailureReason, NotRun
+from alderhatch.core.forwarding.outcome import (
+    Answered,
+    Failed,
+    FailureReason,
+    Gathered,
+    NotRun,
+)
+from alderhatch.core.forwarding.parts_bundle import PartsBundle
 from alderhatch.core.forwarding.route import (
     AllShards,
     OneUpstream,
@@ -282,6 +289,8 @@
     "has an endless port": SERVER | {"address": "10.128.0.9:" + "9" * 5000},
     "has digits of another script as port": SERVER | {"address": "10.128.0.9:\u0661\u0662"},
     "has an instance-id that no header field carries": SERVER | {"instance-id": "i\u20ac\r\n2"},
+    "has an instance-id that isn't ASCII": SERVER | {"instance-id": "i-\u20ac"},
+    "has an instance-id of 300 characters": SERVER | {"instance-id": "i" * 300},
     "has an unreadable service": SERVER | {"service": "s\ufffd"},
     "has a lone surrogate as zone": SERVER | {"zone": "\ud800"},
     "has endless slots": SERVER | {"max-concurrency": 10**400},
@@ -323,8 +332,8 @@
 
 @then('a server\'s answer of status {status:d} with "{fields}" is classified as {fault}')
 def step_classified(context, status, fields, fault):
-    pairs = [pair.strip().split(": ") for pair in fields.split(";")]
-    headers = [(name.lower().encode(), value.encode()) for name, value in pairs]
+    pairs = [pair.partition(":") for pair in fields.split(";")]
+    headers = [(name.strip().lower().encode(), value.strip().encode()) for name, _, value in pairs]
     parsed = PlatformDialect().read_answer(context.caller_request, HttpReply(status, headers, b"x"))
     assert (parsed.fault or "none") == fault, parsed
 
@@ -359,6 +368,10 @@
             if dialect.read_answer(request, one, is_part=True).fault is None
         }
         response = dialect.response(route, Answered(parts, 0))
+        if len({one.header(b"server-seal") for one in parts.values()}) < len(parts):
+            # Without those that have one signature, the minimum coverage isn't reached.
+            assert response.status == 502, response
+            return
         named = next(value for name, value in response.fields if name == b"part-seals")
         head = h11.Response(status_code=200, headers=response.fields)
         assert dict(head.headers)[b"part-seals"] == named
@@ -450,6 +463,11 @@
     return HttpReply(status, [(b"server-seal", b"s%d" % number)], b"x" * 16)
 
 
+def parts_with_repeat(count):
+    """Return the answers of so many shards, the last of which has the signature of the first."""
+    return {f"u{number}": reply(number % (count - 1)) for number in range(count)}
+
+
 OUTCOMES = {
     "answered": Answered({"u0": reply(0)}, 0),
     "answered by two": Answered({"u0": reply(0), "u1": reply(1)}, 18),
@@ -457,6 +475,18 @@
     "failed": Failed(FailureReason.FAILED),
     "timeout": Failed(FailureReason.TIMEOUT),
     "failed with a server's answer": Failed(FailureReason.FAILED, reply(0, 500)),
+    "failed with a server's 503": Failed(FailureReason.FAILED, reply(0, 503)),
+    "failed with a server's 429": Failed(FailureReason.FAILED, reply(0, 429)),
+    "failed with a server's 408": Failed(FailureReason.FAILED, reply(0, 408)),
+    "20 parts, two with one signature": Answered(parts_with_repeat(20), 0),
+    "19 parts, two with one signature": Answered(parts_with_repeat(19), 1),
+    "2 hosts' parts, two with a signature": Gathered(
+        (
+            PartsBundle(("u0", "u1"), (b"s0", b"s1"), b""),
+            PartsBundle(("u2",), (b"s0",), b""),
+        ),
+        0,
+    ),
 }
 
 
--- a/src/alderhatch/platform/dialect.py
+++ b/src/alderhatch/platform/dialect.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections import Counter
 from collections.abc import Mapping, Sequence
 from typing import cast
 
@@ -12,6 +13,7 @@
 from ..core.forwarding.outcome import Answered, Failed, FailureReason, Gathered, NotRun, Outcome
 from ..core.forwarding.parts_bundle import PartsBundle, is_signature
 from ..core.forwarding.route import AllShards, Route
+from ..core.forwarding.run_limits import min_parts
 from ..core.forwarding.top_k import merge_top_k
 from ..errors import AlderhatchError, ErrorKind, Failure
 from ..finite_number import finite_number
@@ -25,6 +27,9 @@
 """Characters of an invalid value that its error repeats."""
 MAX_TIME_LEFT: Millis = 1 * DAY
 """Callers that say that they wait for longer count as waiting for so long."""
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+"""Callers take these as the promise that a request has not run, and send it again. A server says so
+with a field of its own."""
 LOAD_REPORT = re.compile(rb"[ ]*([0-9]{1,6})[ ]*,[ ]*([0-9]{1,6})[ ]*(,.*)?")
 
 
@@ -75,20 +80,18 @@
         self, req: CallerRequest, reply: HttpReply, is_part: bool = False
     ) -> ParsedAnswer:
         """Classify a server's answer."""
-        echoed_id = reply.header(wire.REQUEST_ID)
+        echoed_ids = {value for name, value in reply.headers if name == wire.REQUEST_ID}
         # A faulty server may repeat the answer to an earlier request in place of this one. Only
         # the echoed request ID tells them apart; without the check a caller would receive the data
         # of another caller. Refusals have no request ID.
         is_mismatched = (
-            reply.status < 300
-            if echoed_id is None
-            else echoed_id.decode("latin-1") != req.request_id
+            echoed_ids != {req.request_id.encode("latin-1")} if echoed_ids else reply.status < 300
         )
         if is_mismatched:
             return ParsedAnswer(AttemptFault.WRONG_ANSWER)
         fault = _fault_of(reply, is_part)
         retry_after = _retry_after(reply) if fault is AttemptFault.SHED else None
-        return ParsedAnswer(fault, _load_report(reply), retry_after, echoed_id is not None)
+        return ParsedAnswer(fault, _load_report(reply), retry_after, bool(echoed_ids))
 
     def bundle(self, destination: AllShards, replies: Mapping[str, HttpReply]) -> PartsBundle:
         """Merge the answers of several shards.
@@ -97,9 +100,22 @@
             destination: The gather that the shards belong to.
             replies: The answers, keyed by shard name.
         """
-        signatures = tuple(reply.header(wire.SEAL) or b"" for reply in replies.values())
-        records = merge_top_k((reply.body for reply in replies.values()), destination.top_k)
-        return PartsBundle(tuple(replies), signatures, records)
+        signatures = {shard: reply.header(wire.SEAL) or b"" for shard, reply in replies.items()}
+        counts = Counter(signatures.values())
+        # Of two answers with one signature, one is another shard's, and nothing tells which.
+        own = {shard: signature for shard, signature in signatures.items() if counts[signature] < 2}
+        records = merge_top_k((replies[shard].body for shard in own), destination.top_k)
+        return PartsBundle(tuple(own), tuple(own.values()), records)
+
+    def _merged(
+        self, destination: AllShards, replies: Mapping[str, HttpReply], missing: int
+    ) -> HttpResponse:
+        merged = self.bundle(destination, replies)
+        left_out = len(replies) - len(merged.shards)
+        least = min_parts(len(replies) + missing, destination.min_coverage)
+        if left_out and len(merged.shards) < least:
+            return _failure(FailureReason.FAILED)
+        return _merged_response(destination, [merged], missing + left_out)
 
     def response(self, route: Route, outcome: Outcome) -> HttpResponse:
         """Return the response that the caller receives for an outcome."""
@@ -107,18 +123,29 @@
             case Answered(parts, missing):
                 replies = cast(dict[str, HttpReply], parts)
                 if isinstance(route.destination, AllShards):
-                    merged = self.bundle(route.destination, replies)
-                    return _merged_response(route.destination, [merged], missing)
+                    return self._merged(route.destination, replies, missing)
                 return _server_response(next(iter(replies.values())))
             case Gathered(bundles, missing):
                 return _merged_response(cast(AllShards, route.destination), bundles, missing)
             case NotRun(_, retry_after):
                 return refusal_response(503, outcome.reason, retry_after)
-            case Failed(_, answer) if answer is not None and not _is_gather(route):
-                return _server_response(cast(HttpReply, answer))
+            case Failed(_, HttpReply() as answer) if _is_forwardable(route, answer):
+                return _server_response(answer)
             case Failed(reason):
-                status = 504 if reason is FailureReason.TIMEOUT else 502
-                return HttpResponse(status, reason.encode("ascii"), "text/plain")
+                return _failure(reason)
+
+
+def _is_forwardable(route: Route, answer: HttpReply) -> bool:
+    """Return whether a server's failure can be passed on to the caller of a single server.
+
+    Some statuses promise the caller that its request has not run, which it may have.
+    """
+    return not _is_gather(route) and answer.status not in NOT_RUN_STATUSES
+
+
+def _failure(reason: FailureReason) -> HttpResponse:
+    status = 504 if reason is FailureReason.TIMEOUT else 502
+    return HttpResponse(status, reason.encode("ascii"), "text/plain")
 
 
 def refusal_response(status: int, reason: str, retry_after: Millis) -> HttpResponse:
@@ -169,9 +196,15 @@
 def _merged_response(
     destination: AllShards, bundles: Sequence[PartsBundle], missing: int
 ) -> HttpResponse:
+    signatures = [signature for bundle in bundles for signature in bundle.signatures]
+    if len(set(signatures)) < len(signatures):
+        # Hosts have merged their parts already, so the wrong one can't be left out.
+        return _failure(FailureReason.FAILED)
     body = merge_top_k((bundle.records for bundle in bundles), destination.top_k)
-    seals = b", ".join(seal for bundle in bundles for seal in bundle.signatures)
-    fields = [(wire.SEALS_OF_PARTS, seals), (wire.MISSING_SHARDS, b"%d" % missing)]
+    fields = [
+        (wire.SEALS_OF_PARTS, b", ".join(signatures)),
+        (wire.MISSING_SHARDS, b"%d" % missing),
+    ]
     return HttpResponse(200, body, BINARY, (), fields)
 
 
@@ -184,9 +217,12 @@
     """Return what is wrong with an answer that belongs to its request; None if nothing is."""
     if reply.status == 421:
         return AttemptFault.MOVED
-    if reply.header(wire.NOT_RUN) is not None:
-        return AttemptFault.SHED
-    if reply.status >= 500 or (is_part and reply.status >= 300):
+    if reply.header(wire.NOT_RUN):
+        # A success that says so contradicts itself.
+        return AttemptFault.SHED if reply.status >= 400 else AttemptFault.GARBAGE
+    if reply.status >= 500 or reply.status in NOT_RUN_STATUSES:
+        return AttemptFault.FAILED
+    if is_part and reply.status >= 300:
         return AttemptFault.FAILED
     if not _is_signed(reply) or reply.header(wire.ENCODING) is not None:
         return AttemptFault.GARBAGE
