--- a/features/hand_over.feature
+++ b/features/hand_over.feature
@@ -66,6 +66,24 @@
     When a request is handed over to it
     Then the request ended as "outcome_unknown" before its caller's deadline
 
+  Scenario Outline: The active host answers with <what>
+    # Guards against another host's answer that is passed on unread, can't be written to the caller,
+    # or belongs to no request of this kind.
+    Given an active host that answers with <what>
+    When a request is handed over to it
+    Then the request ended as "outcome_unknown" before its caller's deadline
+
+    Examples:
+      | what                      |
+      | a status of 99            |
+      | a status of 700           |
+      | a line break in a field   |
+      | a field without a name    |
+      | a content length          |
+      | an unreadable type        |
+      | a part of a gather        |
+      | the end of a gather       |
+
   Scenario: A slow host that is alive gets the time that it needs
     # Guards against an answer that is lost because its server takes long.
     Given an active host, reached over a link
--- a/features/steps/hand_over_steps.py
+++ b/features/steps/hand_over_steps.py
@@ -19,11 +19,13 @@
 from alderhatch.http.server import ServeState
 from alderhatch.link import LinkClosedError, Peer, open_link, serve_links
 from alderhatch.node.caller_identity import CallerIdentity
+from alderhatch.node.gather_messages import GATHER_MESSAGE_TYPES, PartsEnd, PartsNews
 from alderhatch.node.hand_over_client import HandOverClient
 from alderhatch.node.hand_over_link import SILENCE_TIMEOUT
 from alderhatch.node.hand_over_messages import (
     HAND_OVER_MESSAGE_TYPES,
     HAND_OVER_ROLE,
+    Field,
     HandedAnswer,
     HandedRefusal,
     HandedRequest,
@@ -36,7 +38,7 @@
 from features.support.tier_hosts import server_list
 
 SECRET = b"the secret of a tier of the tests"
-CODEC = Codec(*HAND_OVER_MESSAGE_TYPES)
+CODEC = Codec(*HAND_OVER_MESSAGE_TYPES, *GATHER_MESSAGE_TYPES)
 TIMEOUT_S = 30
 DEADLINE = 2000.0
 VERSION = 7
@@ -179,6 +181,8 @@
         self.server = HandOverServer(self.answer, None, lambda: VERSION, self.serving)
         self.links = []
         self.is_silent = False
+        self.bad_answer = None
+        """What it answers each request with, if anything."""
 
     async def answer(self, http, time_left, version, identity):
         if version > VERSION:
@@ -196,6 +200,10 @@
 
     async def handle(self, link):
         self.links.append(link)
+        if self.bad_answer is not None:
+            number = (await link.receive()).number
+            await link.send(self.bad_answer._replace(number=number))
+            await trio.sleep_forever()
         if self.is_silent:
             await link.receive()
             self.request_started.set()
@@ -207,6 +215,7 @@
 def step_active_host(context):
     context.service_time = 0.0
     context.is_silent = False
+    context.bad_answer = None
 
 
 @given("an active host that accepts links and requests, and sends nothing")
@@ -215,6 +224,25 @@
     context.is_silent = True
 
 
+GOOD_ANSWER = HandedAnswer(0, 200, "text/plain", [], b"a body", VERSION)
+BAD_ANSWERS = {
+    "a status of 99": GOOD_ANSWER._replace(status=99),
+    "a status of 700": GOOD_ANSWER._replace(status=700),
+    "a line break in a field": GOOD_ANSWER._replace(fields=[Field(b"x", b"a\r\nb: c")]),
+    "a field without a name": GOOD_ANSWER._replace(fields=[Field(b"", b"a")]),
+    "a content length": GOOD_ANSWER._replace(fields=[Field(b"Content-Length", b"3")]),
+    "an unreadable type": GOOD_ANSWER._replace(content_type="a\nb"),
+    "a part of a gather": PartsNews(0, [0], [b"seal"], b"", []),
+    "the end of a gather": PartsEnd(0),
+}
+
+
+@given("an active host that answers with {what}")
+def step_bad_answer(context, what):
+    step_active_host(context)
+    context.bad_answer = BAD_ANSWERS[what]
+
+
 def request(body=b"a body"):
     return HttpRequest("POST", "/a/b", {"c": "d"}, {}, body, "/a/b?c=d", list(FIELDS), True, 1.5)
 
@@ -226,6 +254,7 @@
         active_host = context.active_host = ActiveHost()
         active_host.service_time = context.service_time
         active_host.is_silent = context.is_silent
+        active_host.bad_answer = context.bad_answer
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         port = context.port = listeners[0].socket.getsockname()[1]
         with trio.fail_after(TIMEOUT_S):
--- a/src/alderhatch/node/hand_over_client.py
+++ b/src/alderhatch/node/hand_over_client.py
@@ -16,6 +16,8 @@
 from ..core.forwarding.identity import Identity
 from ..errors import AlderhatchError, ErrorKind, Failure
 from ..http.messages import HttpRequest, HttpResponse
+from ..log import log_event
+from ..log_events import LogEvent
 from ..loop_tasks import LoopTasks
 from ..task_faults import TaskKind
 from .gather_messages import PartsEnd, PartsRequest
@@ -25,6 +27,7 @@
     HandedAnswer,
     HandedRefusal,
     HandedRequest,
+    check_answer,
     fits_hand_over,
     to_fields,
 )
@@ -168,13 +171,18 @@
             try:
                 req = with_identity(self._to_message(http, deadline - now), identity)
                 reply = await self._link_to(host).call(req)
+                if isinstance(reply, HandedAnswer):
+                    check_answer(reply)
+                    self._state.record_seen_version(reply.version)
+                    return HandedResponse(host.name, _response(reply))
+                if isinstance(reply, PartsEnd):
+                    raise ValueError("expected HandedAnswer, got PartsEnd")
             except HandOverLostError as exc:
                 run.handle_loss(host, exc.was_sent, self._clock.now())
                 continue
-            if isinstance(reply, HandedAnswer):
-                self._state.record_seen_version(reply.version)
-                return HandedResponse(host.name, _response(reply))
-            if isinstance(reply, PartsEnd):
+            except ValueError as exc:
+                # The other host may have run it.
+                log_event(LogEvent.LINK_MESSAGE_REFUSED, peer=host.name, why=str(exc))
                 run.handle_loss(host, True, self._clock.now())
                 continue
             run.handle_refusal(host, _failure(reply), self._clock.now())
--- a/src/alderhatch/node/hand_over_messages.py
+++ b/src/alderhatch/node/hand_over_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any, NamedTuple
 
 from ..clock import Millis
@@ -14,6 +15,12 @@
 """Largest body sent over a link; leaves room in the message for the header fields."""
 MAX_IN_FLIGHT = 256
 """Most unanswered requests on one link; further ones are refused."""
+MIN_STATUS = 200
+MAX_STATUS = 599
+FIELD_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+FIELD_VALUE = re.compile(rb"([!-~\x80-\xff]([\t -~\x80-\xff]*[!-~\x80-\xff])?)?")
+FRAMING_FIELDS = (b"content-length", b"transfer-encoding", b"connection")
+"""Fields that the host sets itself when it writes an answer."""
 ALIVE_INTERVAL: Millis = 200.0
 """Interval of ``Alive`` messages from a host that has requests in progress for another host."""
 
@@ -84,6 +91,28 @@
 )
 
 
+def check_answer(answer: HandedAnswer) -> None:
+    """Check that an answer of another host can be written to a caller.
+
+    Raises:
+        ValueError: Naming the field that can't be.
+    """
+    if not MIN_STATUS <= answer.status <= MAX_STATUS:
+        raise ValueError(f"status: expected {MIN_STATUS} to {MAX_STATUS}, got {answer.status}")
+    content_type = answer.content_type
+    if content_type is not None and not _is_field_value(content_type.encode()):
+        raise ValueError("content_type: can't be a field of a head")
+    for index, (name, value) in enumerate(answer.fields):
+        if FIELD_NAME.fullmatch(name) is None or name.lower() in FRAMING_FIELDS:
+            raise ValueError(f"fields.{index}.name: can't be a field of a head")
+        if not _is_field_value(value):
+            raise ValueError(f"fields.{index}.value: can't be that of a field of a head")
+
+
+def _is_field_value(value: bytes) -> bool:
+    return FIELD_VALUE.fullmatch(value) is not None
+
+
 def fits_hand_over(req: HttpRequest) -> bool:
     """Return whether a request is small enough to be handed over."""
     return len(req.body) <= MAX_HANDED_BYTES
