--- a/src/alderhatch/link.py
+++ b/src/alderhatch/link.py
@@ -64,6 +64,14 @@
     """The link is closed; the last messages may not have been delivered."""
 
 
+CLOSE_ERRORS = (
+    LinkClosedError,
+    ConnectionClosed,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+)
+
+
 class Link:
     """An open, authenticated link that transfers messages in order."""
 
@@ -226,31 +234,28 @@
     handler: Callable[[Link], Awaitable[None]],
 ) -> None:
     try:
-        peer = await _authenticated_peer(conn, secret, local_peer, roles)
+        peer: Peer | None = None
+        with trio.move_on_after(OPEN_TIMEOUT / SECOND):
+            peer = await _authenticate_client(conn, secret, local_peer, roles)
         if peer is None:
             log_event(LogEvent.LINK_REFUSED, remote=str(conn.remote_address))
             return
         await handler(Link(conn, codec, peer))
     except AlderhatchError as exc:
         log_event(LogEvent.LINK_REFUSED, remote=str(conn.remote_address), why=str(exc))
-    except (LinkClosedError, ConnectionClosed, trio.BrokenResourceError, trio.ClosedResourceError):
-        return
-
-
-async def _authenticated_peer(
-    conn: ServerConnection, secret: bytes, local_peer: Peer, roles: Mapping[str, str]
-) -> Peer | None:
-    """Return the peer, or None if it hasn't authenticated itself in time."""
-    try:
-        with trio.move_on_after(OPEN_TIMEOUT / SECOND):
-            return await _authenticate_client(conn, secret, local_peer, roles)
-    except (AlderhatchError, ConnectionClosed, trio.BrokenResourceError, trio.ClosedResourceError):
-        raise
     except Exception as exc:
-        # Anyone who reaches the port can cause this. Uncaught, websockets would close the
-        # connection as well, but this process's log and metrics would lack the error.
-        record_task_fault(TaskKind.LINK, exc)
-    return None
+        if not _is_close(exc):
+            # Uncaught, websockets would close the link as well, but this process's log and metrics
+            # would lack the error.
+            record_task_fault(TaskKind.LINK, exc)
+
+
+def _is_close(exc: Exception) -> bool:
+    """Return whether an error says nothing but that the link has closed."""
+    if isinstance(exc, ExceptionGroup):
+        # Nurseries raise groups.
+        return exc.split(CLOSE_ERRORS)[1] is None
+    return isinstance(exc, CLOSE_ERRORS)
 
 
 @asynccontextmanager
--- a/src/alderhatch/node/node.py
+++ b/src/alderhatch/node/node.py
@@ -19,17 +19,15 @@
 from ..core.forwarding.crash_evidence import CONCLUDE_DELAY
 from ..core.forwarding.quota_host import QuotaHost
 from ..entry.connection_pool import ConnectionPool
-from ..errors import AlderhatchError
 from ..http.messages import HttpLimits, HttpRequest, HttpResponse
 from ..http.server import Handler, ServeState, serve_http
-from ..link import Link, LinkClosedError, Peer, serve_links
+from ..link import Link, Peer, serve_links
 from ..log import log_event
 from ..log_events import LogEvent
 from ..log_output import BoundedLogHandler
 from ..loop_delay import LoopDelay
 from ..signal import Signal
 from ..stop_signal import STOP_SIGNALS, wait_for_stop
-from ..task_faults import TaskKind, record_task_fault
 from .bootstrap import BOOTSTRAP_ROLE, BootstrapCoordinator, bootstrap_cluster
 from .caller_handler import CallerHandler
 from .configuration_service import ConfigurationService
@@ -503,20 +501,9 @@
         )
 
     async def _on_link(self, link: Link) -> None:
-        if link.peer.role == CONTROL_ROLE and self.member is not None:
-            # An error in a step of the replicated log is no fault of one link, and isn't counted as
-            # one; websockets logs it and closes the link.
-            await self.member.serve_peer(link)
-            return
-        try:
-            await self._serve_host(link)
-        except (LinkClosedError, AlderhatchError):
-            raise
-        except Exception as exc:
-            record_task_fault(TaskKind.LINK, exc)
-
-    async def _serve_host(self, link: Link) -> None:
         match link.peer.role:
+            case role if role == CONTROL_ROLE and self.member is not None:
+                await self.member.serve_peer(link)
             case role if role == HOST_ROLE:
                 await self._server.serve(link)
             case role if role == HAND_OVER_ROLE:
