Gathers are held where they are sent, in one place

After a pause a gather was held when its run was created, and again when its first request was about to be sent.

--- a/src/alderhatch/node/caller_handler.py
+++ b/src/alderhatch/node/caller_handler.py
@@ -261,10 +261,7 @@
         gather = self._gathers.create(req, route, times)
         if gather is not None:
             return await self._gather(gather, req)
-        guard = self._state.crash_guard
-        is_gather = isinstance(route.destination, AllShards)
-        find_reason = guard.hold_reason if is_gather else guard.suspicion
-        suspicion = find_reason(req.fingerprint)
+        suspicion = self._state.crash_guard.suspicion(req.fingerprint)
         run = ForwardRun(
             route, self._upstreams(route), times, self._state.table, suspicion=suspicion
         )
--- a/src/alderhatch/node/gather_server.py
+++ b/src/alderhatch/node/gather_server.py
@@ -116,7 +116,7 @@
         deadline = arrived + min(parts_req.time_left, route.timeout)
         # The host that splits the gather sees all parts and decides which ones to omit.
         times = RunTimes(arrived, deadline, deadline)
-        suspicion = self._state.crash_guard.hold_reason(req.fingerprint)
+        suspicion = self._state.crash_guard.suspicion(req.fingerprint)
         shards = tuple(parts_req.shards)
         return ForwardRun(route, shards, times, self._state.table, rules, suspicion)
 
--- a/src/alderhatch/node/split_gather.py
+++ b/src/alderhatch/node/split_gather.py
@@ -58,7 +58,7 @@
         destination = route.destination
         if not isinstance(destination, AllShards):
             return None
-        if self.state.crash_guard.hold_reason(req.fingerprint) is not None:
+        if self.state.crash_guard.suspicion(req.fingerprint) is not None:
             # Each host would run it on a server of its own share at the same time.
             return None
         now = times.arrived
@@ -159,7 +159,7 @@
             repeated = set(shards).intersection(share.shards)
             servers |= agreed_servers(self._state, self._route, repeated, share.host.zone)
         rules = ShareRules(servers, is_repeat, self._times.answer_by)
-        suspicion = self._state.crash_guard.hold_reason(self._req.fingerprint)
+        suspicion = self._state.crash_guard.suspicion(self._req.fingerprint)
         return ForwardRun(self._route, shards, times, self._state.table, rules, suspicion)
 
     async def _query_locally(
