A paused host waits for the lists of the leader that it follows anew

The host's link was closed meanwhile; when it followed the leader anew, that one's first message is a pulse, and the lists of quarantines and suspects came a moment after it. A gather that was sent in between ran whole.

Change: a leader tells each host that joins its lists, even empty ones, and what the leader says counts only after them.

Two rows of paused_host.feature and a scenario of kept_verdicts fail without it.

--- a/features/kept_verdicts.feature
+++ b/features/kept_verdicts.feature
@@ -34,6 +34,11 @@
     When one of the hosts reports that a server has answered it
     Then all of them were told of the suspect, and then that it is none any more
 
+  Scenario: A leader that knows of no such request says so to each host that joins
+    # Guards against a host that was paused, hears the new leader, and goes on before its lists come.
+    Given a leader that knows of no crashing request, and 3 hosts
+    Then each host is told so once, before anything that lets it serve
+
   Scenario: All hosts restart at any moment
     # Guards against the same in an order that no example has.
     Then a model of 4 hosts before 12 shards that all restart at any moment satisfies these rules
--- a/features/paused_host.feature
+++ b/features/paused_host.feature
@@ -14,6 +14,8 @@
       | 600   | nothing has come from the leader             | on one server first    |
       | 600   | the leader's old messages are read           | on one server first    |
       | 600   | the leader is heard 100 ms later             | on all servers at once |
+      | 600   | a new leader is heard, without its lists yet  | on one server first    |
+      | 600   | a new leader has sent its lists               | on all servers at once |
       | 600   | the leader names it as a suspect 100 ms later | on one server first    |
       | 600   | the leader says nothing for 2 s              | on all servers at once |
 
--- a/features/steps/kept_verdicts_steps.py
+++ b/features/steps/kept_verdicts_steps.py
@@ -235,6 +235,24 @@
     context.tier = TierOfHosts(count)
 
 
+@given("a leader that knows of no crashing request, and {count:d} hosts")
+def step_ignorant_leader(context, count):
+    context.tier = TierOfHosts(count)
+
+
+@then("each host is told so once, before anything that lets it serve")
+def step_told_none(context):
+    async def script(tier):
+        await tier.join_all(100.0)
+        await trio.sleep(2.0)
+
+    context.tier.run_script(script)
+    for host in context.tier.hosts:
+        kinds = [type(message) for message in host.link.received]
+        assert host.received(QuarantineNews) == [QuarantineNews([])], kinds
+        assert kinds.index(QuarantineNews) < kinds.index(ConfigurationNews), kinds
+
+
 @when("one of the hosts reports that a server has answered it")
 def step_report_answer(context):
     answered = CrashReport(RequestMark.ANSWERED.of(SUSPECT), "i-0")
--- a/features/steps/paused_host_steps.py
+++ b/features/steps/paused_host_steps.py
@@ -53,6 +53,15 @@
             poll(context, 100.0)
             context.heard_at = context.now
             context.guard.apply_suspects([SuspectKey(GATHER)])
+        case "a new leader is heard, without its lists yet":
+            poll(context, 100.0)
+            context.guard.on_new_leader()
+            context.heard_at = context.now
+        case "a new leader has sent its lists":
+            poll(context, 100.0)
+            context.guard.on_new_leader()
+            context.heard_at = context.now
+            context.guard.apply_suspects([])
         case "the leader says nothing for 2 s":
             poll(context, 2000.0)
         case _:
--- a/src/alderhatch/node/crash_guard.py
+++ b/src/alderhatch/node/crash_guard.py
@@ -74,6 +74,8 @@
         self.leader_heard_at: Callable[[], Millis] = lambda: inf
         """Returns when the leader's last message arrived."""
         self._pauses = PauseWatch()
+        self._awaits_verdicts = False
+        """Whether the leader that is followed now has not told its lists yet."""
         self.evidence = CrashEvidence()
         """What this host has seen."""
         self._quarantined_until: dict[str, Millis] = {}
@@ -212,7 +214,8 @@
         now = self._clock.now()
         resumed_at = self._pauses.resumed_at(now)
         has_heard = self.leader_heard_at() >= resumed_at + BACKLOG_TIME
-        return not has_heard and now < resumed_at + MAX_PRECAUTION
+        is_told = has_heard and not self._awaits_verdicts
+        return not is_told and now < resumed_at + MAX_PRECAUTION
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether a request is known to crash servers and must not run."""
@@ -247,6 +250,7 @@
         """Apply the leader's list of suspected requests."""
         listed = frozenset(suspects)
         now = self._clock.now()
+        self._awaits_verdicts = False
         # One that is no longer listed was answered at another host. One that was never listed is
         # known from before a restart, which the leader may have had, too.
         unlisted = self._listed_suspects - listed
@@ -342,6 +346,7 @@
     def on_new_leader(self) -> None:
         """Queue the recent reports again for a new leader, as leaders keep them in memory only."""
         now = self._clock.now()
+        self._awaits_verdicts = True
         recent = [report for at, report in self._reported if now - at < CRASH_RETENTION]
         self._reported = []
         self._unreported = [*recent, *self._unreported]
--- a/src/alderhatch/node/tier_updates.py
+++ b/src/alderhatch/node/tier_updates.py
@@ -53,8 +53,9 @@
     """The version of the configuration."""
     servers: ServerList = NO_SERVER_LIST
     view: TierView | None = None
-    refused: tuple[str, ...] = ()
-    """The fingerprints of the quarantined requests."""
+    refused: tuple[str, ...] | None = None
+    """The fingerprints of the quarantined requests; None before the first message about them, which
+    is sent even if there are none."""
     stands_by: bool = False
     evacuations: Evacuations = NO_EVACUATIONS
 
@@ -90,7 +91,7 @@
         self._server_messages: dict[int, bytes] = {}
         """Messages that update a host to the newest list, by the number of the list it has."""
         self._view_message = b""
-        self._quarantine_message = b""
+        self._quarantine_message = encode(QuarantineNews([]))
         self._standing_messages = {one: encode(Standing(one)) for one in (False, True)}
         """Message that makes a host active (False) or a standby host (True)."""
 
