Orders at real hosts whose servers refuse, fail, cut, spoil and repeat answers

Two seeded series over real processes: four hosts, four callers at once, two servers that succeed in 12 of 18 cases and else refuse with or without an ID, answer 421 or 500, cut, or send blanks, each with a copy of any answer of the last 40 on the connection before it in one case of three.

--- a/features/answers_to_sends.feature
+++ b/features/answers_to_sends.feature
@@ -58,3 +58,15 @@
     # Guards against an answer that reaches another request, or another send of the same one, when
     # requests share connections that are cut, spoilt or bring late copies.
     Then in no series of answers, cuts, blanks and copies is a request answered wrongly or run twice
+
+  Scenario Outline: Callers of real hosts whose servers refuse, fail, cut, spoil and repeat answers
+    # Guards against the same between processes, with load on shared connections.
+    Given 4 hosts before 2 servers that act at random, with seed <seed>
+    When 4 callers send 50 orders each
+    Then no order ran twice, ran and was refused, or was answered with another one's answer
+    And at least 30 of them were answered, so that much was at stake
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
--- a/features/steps/answers_to_sends_steps.py
+++ b/features/steps/answers_to_sends_steps.py
@@ -1,7 +1,11 @@
 from __future__ import annotations
 
 import socket
+import threading
+import time
 from collections import Counter
+from functools import partial
+from random import Random
 
 import trio
 from behave import given, then, when
@@ -12,7 +16,15 @@
 from alderhatch.core.forwarding.outcome import Answered, Failed, NotRun
 from alderhatch.http.connection import HttpConnection
 from features.support.forward_model import single_route
-from features.support.scripted_servers import Cut, RunnerScene, ScriptedServer, reply_bytes
+from features.support.platform_tier import ZONES, PlatformTier
+from features.support.scripted_servers import (
+    LOOPBACK,
+    Cut,
+    RunnerScene,
+    ScriptedServer,
+    reply_bytes,
+)
+from features.support.tier import until
 
 ORDERS = single_route("kitchen", idempotent=False)
 LOOKUPS = single_route("kitchen")
@@ -355,3 +367,81 @@
         check_orders(servers, orders)
 
     check()
+
+
+ACTIONS = ["succeed"] * 12 + ["refuse", "refuse without ID", "moved", "fail", "cut", "blank"]
+PROMISES = (408, 421, 429, 503)
+
+
+class ListedServer(ScriptedServer):
+    """A scripted server that the platform lists."""
+
+    def entry(self):
+        return {
+            "service": self.upstream,
+            "address": f"{LOOPBACK}:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "max-concurrency": 4,
+            "state": "ready",
+            "warmup-left-ms": 0,
+            "instance-id": self.server_id,
+        }
+
+
+@given("4 hosts before 2 servers that act at random, with seed {number:d}")
+def step_hosts(context, number):
+    rng = Random(number)
+    tier = context.tier = PlatformTier(context)
+    context.servers = []
+    for index in range(2):
+        actions = [
+            (rng.choice(ACTIONS), rng.choice([None, None, rng.randrange(40)])) for _ in range(600)
+        ]
+        server = ListedServer(f"i-kitchen-{index}", "kitchen", shared_script(actions))
+        server.zone = ZONES[index]
+        tier.loop.call(partial(tier.loop.nursery.start, server.serve))
+        tier.servers[server.server_id] = server
+        context.servers.append(server)
+    tier.add_servers("shard")
+    tier.start()
+    tier.put(tier.configuration(["shard"]))
+    for index in tier.running():
+        until(lambda index=index: tier.is_ready(index), f"node {index} is ready")
+
+
+@when("4 callers send {count:d} orders each")
+def step_callers(context, count):
+    tier = context.tier
+    context.answers = {}
+
+    def send_all(caller):
+        for number in range(count):
+            request_id = f"order-{caller}-{number:03}"
+            answer = tier.ask(caller, "/orders/new", request_id, "POST", b"tray", timeout=9.0)
+            context.answers[request_id] = answer
+            if answer is not None and "retry-after" in answer.headers:
+                time.sleep(float(answer.headers["retry-after"]))
+
+    threads = [threading.Thread(target=send_all, args=(caller,)) for caller in tier.running()]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+@then("no order ran twice, ran and was refused, or was answered with another one's answer")
+def step_no_order_wrong(context):
+    runs = Counter(request_id for server in context.servers for request_id in server.runs)
+    for request_id, answer in context.answers.items():
+        assert runs[request_id] <= 1, (request_id, runs[request_id])
+        if answer is not None and answer.status in PROMISES:
+            assert runs[request_id] == 0, (request_id, answer)
+        if answer is not None and answer.status == 200:
+            assert answer.body == f"towels for {request_id}".encode(), (request_id, answer)
+
+
+@then("at least {count:d} of them were answered, so that much was at stake")
+def step_many_answered(context, count):
+    statuses = Counter(answer and answer.status for answer in context.answers.values())
+    assert statuses[200] >= count, statuses
