The type of another host's answer has to be ASCII, as the writer needs it

Text beyond ASCII passed the check of handed answers and failed at the writer: a 500 that said nothing of what may have run. A row of hand_over.feature has it.

--- a/features/hand_over.feature
+++ b/features/hand_over.feature
@@ -81,6 +81,7 @@
       | a field without a name    |
       | a content length          |
       | an unreadable type        |
+      | a type that isn't ASCII   |
       | a part of a gather        |
       | the end of a gather       |
 
--- a/features/steps/hand_over_steps.py
+++ b/features/steps/hand_over_steps.py
@@ -232,6 +232,7 @@
     "a field without a name": GOOD_ANSWER._replace(fields=[Field(b"", b"a")]),
     "a content length": GOOD_ANSWER._replace(fields=[Field(b"Content-Length", b"3")]),
     "an unreadable type": GOOD_ANSWER._replace(content_type="a\nb"),
+    "a type that isn't ASCII": GOOD_ANSWER._replace(content_type="text/\u20ac"),
     "a part of a gather": PartsNews(0, [0], [b"seal"], b"", []),
     "the end of a gather": PartsEnd(0),
 }
--- a/src/alderhatch/core/forwarding/forward_run.py
+++ b/src/alderhatch/core/forwarding/forward_run.py
@@ -159,6 +159,9 @@
 
         With an answer from any server it goes on: such a request is harmless on that server, and
         others were lost for another reason.
+
+        Args:
+            why: What is known against it; a precaution takes nothing back that was known before.
         """
         if not self.finished and self._parts_in == 0:
             self._is_precaution = why.is_precaution and (self._is_precaution or not self.is_held)
--- a/src/alderhatch/node/hand_over_messages.py
+++ b/src/alderhatch/node/hand_over_messages.py
@@ -99,8 +99,8 @@
     """
     if not MIN_STATUS <= answer.status <= MAX_STATUS:
         raise ValueError(f"status: expected {MIN_STATUS} to {MAX_STATUS}, got {answer.status}")
-    content_type = answer.content_type
-    if content_type is not None and not _is_field_value(content_type.encode()):
+    content_type = answer.content_type or ""
+    if not content_type.isascii() or not _is_field_value(content_type.encode()):
         raise ValueError("content_type: can't be a field of a head")
     for index, (name, value) in enumerate(answer.fields):
         if FIELD_NAME.fullmatch(name) is None or name.lower() in FRAMING_FIELDS:
