The scenario of the steps of a start reads those of the last start alone

No start finds a leader before its checkpoint is read: the figure was that of the start before the kill, as the scenario took the last line of each step from the whole log, and so went on before the new start had found a leader. On a quiet machine it passed by that stale figure. It begins anew with each start now, and waits for the new leader.

--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -568,6 +568,9 @@
     for line in tier.log_text(index).splitlines():
         if '"start_step"' in line:
             fields = orjson.loads(line)["fields"]
+            if fields["step"] in ("checkpoint", *steps):
+                # The process has started anew; what the one before has logged says nothing of it.
+                steps = {}
             steps[fields["step"]] = fields["after_ms"]
     return steps
 
