--- a/features/steps/answers_to_sends_steps.py
+++ b/features/steps/answers_to_sends_steps.py
@@ -230,6 +230,23 @@
 """What a server does with a request, and whether it first repeats its previous answer."""
 
 
+def act(server, request_id, action):
+    """Do with a request what an action says, and return the answer."""
+    match action:
+        case "refuse":
+            return refusal(503, request_id)
+        case "refuse without ID":
+            return refusal(503, None)
+        case "moved":
+            return refusal(421, request_id)
+        case "fail":
+            server.runs.append(request_id)
+            return reply_bytes(500, request_id)
+        case "succeed":
+            return named_success(server, request_id)
+    raise AssertionError(action)
+
+
 def acting_script(actions):
     """Return a script that takes its actions in turn, and then only succeeds."""
     queue = list(actions)
@@ -237,18 +254,7 @@
     def script(server, request_id, sent):
         action, repeats = queue.pop(0) if queue else ("succeed", False)
         copy = b"".join(sent[-1:]) if repeats else b""
-        match action:
-            case "refuse":
-                data = refusal(503, request_id)
-            case "refuse without ID":
-                data = refusal(503, None)
-            case "moved":
-                data = refusal(421, request_id)
-            case "fail":
-                server.runs.append(request_id)
-                data = reply_bytes(500, request_id)
-            case "succeed":
-                data = success(server, request_id)
+        data = act(server, request_id, action)
         # What is repeated is one answer, not the copies before it.
         sent.append(data)
         return copy + data
@@ -290,23 +296,13 @@
         action, age = queue.pop(0) if queue else ("succeed", None)
         copy = sent[-1 - age % len(sent)] if age is not None and sent else b""
         match action:
-            case "succeed":
-                data = named_success(server, request_id)
-            case "refuse":
-                data = refusal(503, request_id)
-            case "refuse without ID":
-                data = refusal(503, None)
-            case "moved":
-                data = refusal(421, request_id)
-            case "fail":
-                server.runs.append(request_id)
-                data = reply_bytes(500, request_id)
             case "cut":
                 return Cut(copy)
             case "cut short":
                 return Cut(copy + named_success(server, request_id)[:-3])
             case "blank":
                 return copy + b" " * len(named_success(server, request_id))
+        data = act(server, request_id, action)
         sent.append(data)
         return copy + data
 
--- a/src/alderhatch/node/crash_guard.py
+++ b/src/alderhatch/node/crash_guard.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from math import inf
 from typing import NamedTuple
 
@@ -263,11 +263,12 @@
         self.restore_suspects(listed - self._listed_suspects)
         self._listed_suspects = listed
 
-    def restore_suspects(self, suspects: Iterable[SuspectKey]) -> None:
+    def restore_suspects(self, suspects: Collection[SuspectKey]) -> None:
         """Run requests on one server at a time that were suspects at another host or time."""
         until = self._clock.now() + CRASH_RETENTION
         for fingerprint, upstream in suspects:
             self._told_suspects[fingerprint] = _ToldSuspect(until, Suspicion(upstream or None))
+        if suspects:
             self.on_verdicts_changed()
 
     def clear_suspect(self, key: SuspectKey) -> None:
--- a/src/alderhatch/node/state_checkpoint.py
+++ b/src/alderhatch/node/state_checkpoint.py
@@ -38,13 +38,6 @@
     """In milliseconds since 1970 UTC; the loop's clock starts anew with the process."""
 
 
-class KeptSuspect(NamedTuple):
-    """A request that may crash servers; it runs on one server at a time."""
-
-    fingerprint: str
-    upstream: str
-
-
 class KeptState(NamedTuple):
     """The state that a host needs to serve requests without a leader."""
 
@@ -55,7 +48,7 @@
     evacuations: Evacuations = NO_EVACUATIONS
     quarantines: tuple[KeptQuarantine, ...] = ()
     """If they were lost with the power, such a request would take a server of every shard again."""
-    suspects: tuple[KeptSuspect, ...] = ()
+    suspects: tuple[SuspectKey, ...] = ()
     """Likewise. They come with no time; each counts anew after a restart."""
 
 
@@ -118,7 +111,7 @@
         self._state.crash_guard.restore_quarantines(
             {one.fingerprint: one.ends_at - now for one in checkpoint.quarantines}
         )
-        self._state.crash_guard.restore_suspects(SuspectKey(*one) for one in checkpoint.suspects)
+        self._state.crash_guard.restore_suspects(checkpoint.suspects)
         self._state.apply_evacuations(checkpoint.evacuations)
         self._state.apply_configuration(StoredConfiguration(*checkpoint.configuration))
         # Some hosts, among them this one, may not have been serving when the checkpoint was
@@ -141,7 +134,7 @@
                 state.view,
                 state.evacuations,
                 self._current_quarantines(),
-                tuple(KeptSuspect(*key) for key in state.crash_guard.suspects()),
+                tuple(state.crash_guard.suspects()),
             )
             if current == self._checkpoint:
                 continue
--- a/src/alderhatch/node/tier_server.py
+++ b/src/alderhatch/node/tier_server.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import trio
 
@@ -16,7 +16,7 @@
     advertised_hosts,
     rank_hosts,
 )
-from ..core.forwarding.crash_counter import MAX_LISTED, CrashCounter
+from ..core.forwarding.crash_counter import MAX_LISTED, CrashCounter, SuspectKey
 from ..core.forwarding.host_demand import HostDemand
 from ..core.forwarding.probe_schedule import PULSE_INTERVAL
 from ..core.forwarding.server_record import ServerRecord
@@ -193,10 +193,10 @@
         await link.send(redirect)
 
     def _kept_verdicts(self) -> KeptVerdicts:
-        refused = self._guard.quarantines()
-        suspects = [key for key in self._guard.suspects() if key.fingerprint not in refused]
-        marked = [RequestMark.SUSPECT.of(key) for key in suspects[-MAX_LISTED:]]
-        return KeptVerdicts([*list(refused)[-MAX_LISTED:], *marked])
+        refused = list(self._guard.quarantines())
+        marked = _marked(refused, self._guard.suspects())
+        # The newest quarantines are last.
+        return KeptVerdicts(marked[max(0, len(refused) - MAX_LISTED) :])
 
     async def _serve_session(self, join: Join, link: Link) -> None:
         name = join.place.name
@@ -293,10 +293,8 @@
                 servers=servers,
             )
         refused = {*self._crashes.refused(now), *self._guard.quarantines()}
-        known = {*self._crashes.suspects(now), *self._guard.told_suspects()}
-        suspects = sorted(key for key in known if key.fingerprint not in refused)[-MAX_LISTED:]
-        marked = [RequestMark.SUSPECT.of(key) for key in suspects]
-        return self._updates.set_quarantined([*sorted(refused), *marked])
+        suspects = {*self._crashes.suspects(now), *self._guard.told_suspects()}
+        return self._updates.set_quarantined(_marked(sorted(refused), suspects))
 
     async def _send_updates(self, session: _Session) -> None:
         try:
@@ -424,3 +422,9 @@
     if is_needed:
         return HostMode.SERVES if is_settled else HostMode.AT_FIRST
     return HostMode.STANDS_BY if is_settled else before
+
+
+def _marked(refused: Collection[str], suspects: Iterable[SuspectKey]) -> list[str]:
+    """Return refused requests and suspects as messages list them."""
+    others = sorted(key for key in suspects if key.fingerprint not in refused)
+    return [*refused, *(RequestMark.SUSPECT.of(key) for key in others[-MAX_LISTED:])]
